--- a/packages/model/time.h
+++ b/packages/model/time.h
@@ -9,9 +9,9 @@
 
 // Tag of a process's own monotonic clock. It has no now(): decisions learn the time from their events.
 struct monotonic_clock {
+    using duration = std::chrono::microseconds;
     using rep = duration::rep;
     using period = duration::period;
-    using duration = appleramp::duration;
     using time_point = std::chrono::time_point<monotonic_clock>;
     static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): the standard's name.
 };
