--- /dev/null
+++ b/packages/wire/envelope_codec.cpp
@@ -0,0 +1,24 @@
+#include "wire/envelope_codec.h"
+
+#include "wire/json_messages.h"
+#include "wire/wire_error.h"
+
+namespace appleramp {
+
+std::string encodeEnvelope(const link_envelope& envelope)
+{
+    std::string bytes;
+    nlohmann::json::to_cbor(nlohmann::json(envelope), bytes);
+    return bytes;
+}
+
+link_envelope decodeEnvelope(std::string_view bytes)
+{
+    try {
+        return nlohmann::json::from_cbor(bytes).get<link_envelope>();
+    } catch (const nlohmann::json::exception& cause) {
+        throw wire_error(std::string("link message does not decode: ") + cause.what());
+    }
+}
+
+} // namespace appleramp
