Decisions: thin reducers of entry and agent

Cause: the whole path needs its decisions in one pure place from the start. Change: configuration register and writer, slots, placement, caller's keys with read-back, attempt ledger with tombstones, answer frames with resume, address shards.

--- /dev/null
+++ b/packages/decisions/agent/attempt_runner.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "decisions/admission/slot_gate.h"
+#include "decisions/keys/attempt_ledger.h"
+#include "decisions/streams/answer_buffer.h"
+#include "model/effects.h"
+
+#include <map>
+#include <optional>
+
+namespace appleramp {
+
+class configuration_register;
+
+// Who an agent is, from its settings and its start.
+struct agent_identity {
+    instance_id instance;
+    availability_zone_id zone;
+    incarnation life = 0;
+    endpoint_description endpoint;
+    slot_gate_limits limits;
+};
+
+// What the parts of an agent's reducer share while they handle one event.
+struct agent_context {
+    instant now;
+    const agent_identity& self;
+    configuration_register& configuration;
+    slot_gate& gate;
+    agent_effects& effects;
+
+    void send(link_number link, link_message message) const;
+    void decide(decision_kind kind, std::string subject, std::string reason) const;
+};
+
+// Runs attempts at the endpoint: each at most once, each with its answer kept for sending again. Works with slot_gate,
+// which says whether the endpoint bears one more, and attempt_ledger, which says whether the attempt may start.
+class attempt_runner {
+public:
+    void start(const agent_context& context, link_number link, const start_attempt& message);
+    void cancel(const agent_context& context, attempt_id attempt);
+    void resume(const agent_context& context, link_number link, const resume_attempt& message);
+    void query(const agent_context& context, link_number link, attempt_id attempt);
+
+    void engineHead(const agent_context& context, const engine_head& event);
+    void engineData(const agent_context& context, const engine_data& event);
+    void engineEnd(const agent_context& context, const engine_end& event);
+    void engineFailed(const agent_context& context, const engine_failed& event);
+
+    // Forgets answers and attempts that are past their retention.
+    void forgetOld(const agent_context& context);
+    std::size_t running() const { return m_byCall.size(); }
+
+private:
+    struct kept_attempt {
+        link_number link = 0;
+        call_number call = 0;
+        bool keyed = false;
+        answer_buffer answer;
+        std::optional<instant> ended;
+    };
+
+    std::optional<refusal> reasonToRefuse(const agent_context& context, const start_attempt& message) const;
+    void refuse(const agent_context& context, link_number link, attempt_id attempt, refusal reason);
+    kept_attempt* findByCall(call_number call);
+    void end(const agent_context& context, call_number call, attempt_state outcome);
+
+    attempt_ledger m_ledger;
+    std::map<attempt_id, kept_attempt> m_attempts;
+    std::map<call_number, attempt_id> m_byCall;
+    call_number m_lastCall = 0;
+};
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/decisions/entry/entry_context.cpp
@@ -0,0 +1,23 @@
+#include "decisions/entry/entry_context.h"
+
+#include "decisions/configuration/configuration_register.h"
+
+namespace appleramp {
+
+operation_number entry_context::call(platform_call call) const
+{
+    effects.emplace_back(call_platform { ++lastOperation, std::move(call) });
+    return lastOperation;
+}
+
+void entry_context::send(link_number link, link_message message) const
+{
+    effects.emplace_back(send_message { link, { self.life, configuration.version(), std::move(message) } });
+}
+
+void entry_context::decide(decision_kind kind, std::string subject, std::string reason) const
+{
+    effects.emplace_back(record_decision { { now, kind, std::move(subject), std::move(reason) } });
+}
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/decisions/entry/entry_context.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "model/effects.h"
+#include "model/journal.h"
+
+#include <string>
+
+namespace appleramp {
+
+class configuration_register;
+class endpoint_directory;
+
+// Who an entry is, from its settings and its start.
+struct entry_identity {
+    instance_id instance;
+    availability_zone_id zone;
+    incarnation life = 0;
+    // Where links reach this entry; empty if it takes none.
+    std::string linkAddress;
+    std::size_t maxRequests = 4096;
+};
+
+// What the parts of an entry's reducer share while they handle one event: the time, what the others know, and the
+// effects so far.
+struct entry_context {
+    instant now;
+    const entry_identity& self;
+    configuration_register& configuration;
+    endpoint_directory& endpoints;
+    operation_number& lastOperation;
+    entry_effects& effects;
+
+    operation_number call(platform_call call) const;
+    void send(link_number link, link_message message) const;
+    void decide(decision_kind kind, std::string subject, std::string reason) const;
+};
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/decisions/entry/entry_reducer.cpp
@@ -0,0 +1,178 @@
+#include "decisions/entry/entry_reducer.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace appleramp {
+
+namespace {
+
+constexpr duration tickInterval = std::chrono::milliseconds(50);
+constexpr duration listingInterval = std::chrono::seconds(1);
+
+} // namespace
+
+struct entry_reducer::message_visitor {
+    entry_reducer& self;
+    const entry_context& context;
+    link_number link;
+    incarnation sender;
+
+    void operator()(const hello& message) const
+    {
+        self.m_links.greeted(context, link, sender, message);
+        self.sendNews(context, link, 0);
+    }
+    void operator()(const heartbeat& message) const { context.send(link, heartbeat_ack { message.sequence }); }
+    void operator()(const slot_grant& message) const
+    {
+        context.endpoints.grant(link, message, context.now);
+        self.m_router.drain(context);
+    }
+    void operator()(const attempt_refused& message) const { self.m_router.refused(context, link, message); }
+    void operator()(const attempt_failed& message) const { self.m_router.failed(context, message); }
+    void operator()(const attempt_report& message) const { self.m_router.reported(context, message); }
+    void operator()(const response_head& message) const { self.m_router.answered(context, message); }
+    void operator()(const response_body& message) const { self.m_router.answered(context, message); }
+    void operator()(const response_end& message) const { self.m_router.answered(context, message); }
+    void operator()(const configuration_news& message) const
+    {
+        if (message.document)
+            context.configuration.adopt(*message.document);
+        context.configuration.adopt(message.changes);
+    }
+    void operator()(const configuration_request& message) const { self.sendNews(context, link, message.have); }
+    // What only agents receive is of no meaning here.
+    template <typename Other>
+    void operator()(const Other& /*message*/) const
+    {
+    }
+};
+
+struct entry_reducer::event_visitor {
+    entry_reducer& self;
+    const entry_context& context;
+
+    void operator()(const link_opened& event) const { self.m_links.opened(context, event); }
+    void operator()(const link_closed& event) const
+    {
+        self.m_links.closed(context, event);
+        self.m_router.linkClosed(context, event.link);
+    }
+    void operator()(const message_received& event) const
+    {
+        if (event.envelope.configuration > context.configuration.version())
+            context.send(event.link, configuration_request { context.configuration.version() });
+        std::visit(message_visitor { self, context, event.link, event.envelope.sender }, event.envelope.message);
+    }
+    void operator()(const platform_replied& event) const
+    {
+        if (self.m_writer.owns(event.operation))
+            self.m_writer.replied(context, event);
+        else if (self.m_router.ownsOperation(event.operation))
+            self.m_router.platformReplied(context, event);
+    }
+    void operator()(const instances_listed& event) const
+    {
+        self.m_links.listed(context, event.instances);
+        self.m_addresses.listed(event.instances);
+    }
+    void operator()(const time_passed& /*event*/) const { }
+    void operator()(const stop_requested& /*event*/) const
+    {
+        if (!self.m_servesUntil)
+            self.m_servesUntil = self.m_lastAddressAnswer + context.configuration.current().defaults.addressValidity;
+    }
+    void operator()(const request_received& event) const { self.m_router.received(context, event); }
+    void operator()(const caller_left& event) const { self.m_router.callerLeft(context, event.number); }
+    void operator()(const addresses_requested& event) const { self.answerAddresses(context, event); }
+    void operator()(const keys_requested& event) const
+    {
+        problem answer { 501, execution::NotRun, "not_supported", "issued keys are not available yet", std::nullopt };
+        context.effects.emplace_back(reply_problem { event.number, std::move(answer) });
+    }
+    void operator()(const change_requested& event) const { self.m_writer.request(context, event); }
+    void operator()(const status_requested& event) const { self.answerStatus(context, event.number); }
+};
+
+entry_reducer::entry_reducer(entry_identity identity)
+    : m_identity(std::move(identity))
+{
+}
+
+entry_effects entry_reducer::apply(const entry_event& event)
+{
+    entry_effects effects;
+    const entry_context context { event.at, m_identity, m_configuration, m_endpoints, m_lastOperation, effects };
+    const auto before = m_configuration.version();
+    std::visit(event_visitor { *this, context }, event.body);
+    afterEvent(context, before);
+    return effects;
+}
+
+void entry_reducer::afterEvent(const entry_context& context, configuration_version before)
+{
+    if (m_configuration.version() > before) {
+        for (const auto& [link, peer] : m_links.peers())
+            sendNews(context, link, before);
+    }
+    if (context.now >= m_nextTick)
+        tick(context);
+}
+
+void entry_reducer::tick(const entry_context& context)
+{
+    m_nextTick = context.now + tickInterval;
+    m_router.expire(context);
+    m_router.drain(context);
+    m_writer.poll(context);
+    if (context.now >= m_nextListing) {
+        m_nextListing = context.now + listingInterval;
+        context.effects.emplace_back(list_instances {});
+    }
+    if (m_servesUntil && context.now >= *m_servesUntil && m_router.size() == 0)
+        context.effects.emplace_back(stop_process {});
+}
+
+void entry_reducer::sendNews(const entry_context& context, link_number link, configuration_version have)
+{
+    if (m_configuration.version() <= have)
+        return;
+    configuration_news news;
+    news.changes = m_configuration.changesSince(have);
+    if (news.changes.empty())
+        news.document = m_configuration.current();
+    context.send(link, std::move(news));
+}
+
+void entry_reducer::answerAddresses(const entry_context& context, const addresses_requested& request)
+{
+    m_lastAddressAnswer = context.now;
+    const auto& configuration = m_configuration.current();
+    auto addresses = nlohmann::json::array();
+    for (const auto& entry : m_addresses.shardOf(request.team, configuration)) {
+        const bool isLeaving = m_servesUntil && entry.instance == m_identity.instance;
+        if (!isLeaving)
+            addresses.push_back({ { "address", entry.callerAddress }, { "availability_zone", entry.zone.str() } });
+    }
+    const auto validity = std::chrono::duration_cast<std::chrono::milliseconds>(configuration.defaults.addressValidity);
+    const nlohmann::json answer { { "addresses", addresses }, { "valid_for_ms", validity.count() } };
+    context.effects.emplace_back(reply_document { request.number, 200, answer.dump() });
+}
+
+void entry_reducer::answerStatus(const entry_context& context, request_number number)
+{
+    auto endpoints = nlohmann::json::array();
+    for (const auto& [link, endpoint] : m_endpoints.all()) {
+        endpoints.push_back({ { "endpoint", endpoint.description.endpoint.str() },
+            { "availability_zone", endpoint.zone.str() }, { "slots", endpoint.slots },
+            { "in_flight", endpoint.inFlight }, { "cold", endpoint.cold } });
+    }
+    const nlohmann::json answer { { "instance", m_identity.instance.str() },
+        { "configuration_version", m_configuration.version() }, { "requests", m_router.size() },
+        { "waiting", m_router.waiting() }, { "leaving", m_servesUntil.has_value() }, { "endpoints", endpoints } };
+    context.effects.emplace_back(reply_document { number, 200, answer.dump() });
+}
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/decisions/entry/request_router.cpp
@@ -0,0 +1,416 @@
+#include "decisions/entry/request_router.h"
+
+#include "decisions/configuration/configuration_register.h"
+#include "decisions/placement/endpoint_directory.h"
+#include "model/enum_names.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace appleramp {
+
+namespace {
+
+constexpr duration retryWhenBusy = std::chrono::seconds(1);
+constexpr duration retryInProgress = std::chrono::milliseconds(500);
+
+// Keys of different teams and services do not meet.
+idempotency_key scopedKey(const service_request& request)
+{
+    return idempotency_key(request.team.str() + "/" + request.service.str() + "/" + request.key->str());
+}
+
+problem busy(execution outcome)
+{
+    return { 503, outcome, "no_capacity", "no endpoint has a free slot", retryWhenBusy };
+}
+
+} // namespace
+
+void request_router::received(const entry_context& context, const request_received& event)
+{
+    if (!accept(context, event))
+        return;
+    auto& request = m_requests[event.number];
+    request.number = event.number;
+    request.request = event.request;
+    request.deadline = context.now + event.request.timeout;
+    if (event.request.key && !event.request.repeatable)
+        request.boundKey = scopedKey(event.request);
+    place(context, request);
+}
+
+bool request_router::accept(const entry_context& context, const request_received& event)
+{
+    const auto refuse = [&](std::uint16_t status, execution outcome, std::string reason, std::string detail) {
+        problem answer { status, outcome, std::move(reason), std::move(detail), std::nullopt };
+        context.decide(decision_kind::Refused, event.request.traceparent, answer.reason);
+        context.effects.emplace_back(reply_problem { event.number, std::move(answer) });
+        return false;
+    };
+    const auto& request = event.request;
+    if (!request.repeatable && !request.key)
+        return refuse(400, execution::NotRun, "key_required",
+            "this route is non-repeatable: send an Idempotency-Key header");
+    const bool configured = context.configuration.current().services.contains(request.service);
+    if (!configured && !context.endpoints.serves(request.service))
+        return refuse(404, execution::NotStarted, "unknown_service",
+            "no model or service is named '" + request.service.str() + "'");
+    if (m_requests.size() >= context.self.maxRequests)
+        return refuse(503, request.key ? execution::NotStarted : execution::NotRun, "entry_full",
+            "this entry holds as many requests as it may");
+    return true;
+}
+
+void request_router::place(const entry_context& context, routed_request& request)
+{
+    const auto link = context.endpoints.choose(request.request, context.self.zone, request.excluded,
+        context.configuration.current(), context.now);
+    if (link) {
+        dispatch(context, request, *link);
+        return;
+    }
+    request.state = phase::Queued;
+    // An endpoint that refused once may have a slot by the time the next one frees.
+    request.excluded.clear();
+    m_queue.push_back(request.number);
+}
+
+void request_router::dispatch(const entry_context& context, routed_request& request, link_number link)
+{
+    const auto* endpoint = context.endpoints.find(link);
+    assert(endpoint);
+    context.endpoints.takeSlot(link);
+    request.holdsSlot = true;
+    request.link = link;
+    request.attempt = { context.self.life, ++m_lastAttempt };
+    m_byAttempt[request.attempt] = request.number;
+    context.decide(decision_kind::Placed, request.request.traceparent,
+        endpoint->description.endpoint.str() + " in " + endpoint->zone.str() + ", "
+            + std::to_string(endpoint->inFlight) + " of " + std::to_string(endpoint->slots) + " slots in use");
+    if (!request.boundKey) {
+        start(context, request);
+        return;
+    }
+    request.state = phase::Claiming;
+    request.binding = { request.attempt, endpoint->description.endpoint, endpoint->instance, endpoint->agentLife,
+        request.request.contentHash, binding_state::Bound };
+    m_keys.claim(context, request.number, *request.boundKey, request.binding, request.keyVersion);
+}
+
+void request_router::start(const entry_context& context, routed_request& request)
+{
+    request.state = phase::Running;
+    request.answer = answer_assembler();
+    ++request.sends;
+    start_attempt message { request.attempt, request.request, false };
+    message.request.timeout = request.deadline - context.now;
+    // The agent remembers keys by their scope too.
+    if (request.boundKey)
+        message.request.key = request.boundKey;
+    context.send(request.link, std::move(message));
+}
+
+void request_router::callerLeft(const entry_context& context, request_number number)
+{
+    const auto found = m_requests.find(number);
+    if (found == m_requests.end())
+        return;
+    if (found->second.state == phase::Running)
+        context.send(found->second.link, cancel_attempt { found->second.attempt });
+    forget(context, number);
+}
+
+void request_router::refused(const entry_context& context, link_number link, const attempt_refused& message)
+{
+    auto* request = findByAttempt(message.attempt);
+    if (!request || request->state != phase::Running)
+        return;
+    returnSlot(context, *request);
+    request->excluded.insert(link);
+    context.decide(decision_kind::Refused, request->request.traceparent, std::string(nameOf(message.reason)));
+    if (message.reason == refusal::KeyUsed) {
+        fail(context, request->number,
+            { 409, execution::Unknown, "key_used", "the key's order has been started before", std::nullopt });
+        return;
+    }
+    if (!request->boundKey) {
+        requeue(context, *request);
+        return;
+    }
+    request->state = phase::Releasing;
+    m_keys.release(context, request->number, *request->boundKey, request->binding, request->keyVersion);
+}
+
+void request_router::requeue(const entry_context& context, routed_request& request)
+{
+    m_byAttempt.erase(request.attempt);
+    const auto maxSends = 1 + context.configuration.current().defaults.maxRetries;
+    if (request.sends >= maxSends) {
+        fail(context, request.number, busy(outcomeIfUnsent(request)));
+        return;
+    }
+    context.decide(decision_kind::Retried, request.request.traceparent, "attempt proven not to have run");
+    place(context, request);
+}
+
+void request_router::failed(const entry_context& context, const attempt_failed& message)
+{
+    auto* request = findByAttempt(message.attempt);
+    if (!request || request->state != phase::Running)
+        return;
+    returnSlot(context, *request);
+    request->excluded.insert(request->link);
+    if (message.outcome == execution::NotRun && request->boundKey) {
+        request->state = phase::Releasing;
+        m_keys.release(context, request->number, *request->boundKey, request->binding, request->keyVersion);
+        return;
+    }
+    const bool maySendAgain = message.outcome == execution::NotRun || request->request.repeatable;
+    if (maySendAgain && !request->headOut) {
+        requeue(context, *request);
+        return;
+    }
+    fail(context, request->number,
+        { 502, request->request.repeatable ? execution::NotStarted : execution::Unknown,
+            std::string(nameOf(message.cause)), "the endpoint gave no whole answer", std::nullopt });
+}
+
+void request_router::reported(const entry_context& context, const attempt_report& message)
+{
+    const auto asking = std::find_if(m_requests.begin(), m_requests.end(), [&](const auto& item) {
+        return item.second.state == phase::Asking && item.second.binding.attempt == message.attempt;
+    });
+    if (asking == m_requests.end())
+        return;
+    auto& request = asking->second;
+    switch (message.state) {
+    case attempt_state::NeverStarted:
+        // The tombstone is the proof: take the key over from the standing row's version.
+        place(context, request);
+        return;
+    case attempt_state::Completed:
+        request.state = phase::Running;
+        request.attempt = message.attempt;
+        m_byAttempt[request.attempt] = request.number;
+        request.answer = answer_assembler();
+        context.send(request.link, resume_attempt { message.attempt, 0 });
+        return;
+    case attempt_state::Running:
+        fail(context, request.number,
+            { 409, execution::NotStarted, "key_in_progress", "an earlier send of this key is running",
+                retryInProgress });
+        return;
+    case attempt_state::Failed:
+        fail(context, request.number,
+            { 409, execution::Unknown, "key_unknown", "an earlier send of this key ended without an answer",
+                std::nullopt });
+        return;
+    }
+}
+
+void request_router::answered(const entry_context& context, const response_head& frame)
+{
+    if (auto* request = findByAttempt(frame.attempt)) {
+        request->answer.add(frame);
+        passOn(context, *request);
+    }
+}
+
+void request_router::answered(const entry_context& context, const response_body& frame)
+{
+    if (auto* request = findByAttempt(frame.attempt)) {
+        request->answer.add(frame);
+        passOn(context, *request);
+    }
+}
+
+void request_router::answered(const entry_context& context, const response_end& frame)
+{
+    if (auto* request = findByAttempt(frame.attempt)) {
+        request->answer.add(frame);
+        passOn(context, *request);
+    }
+}
+
+void request_router::passOn(const entry_context& context, routed_request& request)
+{
+    for (auto& frame : request.answer.takeReady()) {
+        request.resumeAsked = false;
+        if (auto* head = std::get_if<response_head>(&frame)) {
+            request.headOut = true;
+            context.effects.emplace_back(reply_head { request.number, head->status, std::move(head->headers) });
+        } else {
+            context.effects.emplace_back(
+                reply_data { request.number, std::move(std::get<response_body>(frame).data) });
+        }
+    }
+    if (request.answer.isWhole()) {
+        context.effects.emplace_back(reply_end { request.number });
+        context.decide(decision_kind::Completed, request.request.traceparent, "whole answer passed on");
+        forget(context, request.number);
+        return;
+    }
+    if (request.answer.isCorrupt()) {
+        fail(context, request.number,
+            { 502, execution::Completed, "answer_corrupt", "the answer's checksum does not agree", std::nullopt });
+        return;
+    }
+    if (request.answer.hasGap() && !request.resumeAsked) {
+        request.resumeAsked = true;
+        context.send(request.link, resume_attempt { request.attempt, request.answer.nextFrame() });
+    }
+}
+
+void request_router::linkClosed(const entry_context& context, link_number link)
+{
+    std::vector<request_number> concerned;
+    for (const auto& [number, request] : m_requests) {
+        const bool uses = request.link == link && request.state != phase::Queued;
+        if (uses && request.state != phase::Claiming && request.state != phase::Releasing)
+            concerned.push_back(number);
+    }
+    for (const auto number : concerned) {
+        auto& request = m_requests.at(number);
+        request.holdsSlot = false;
+        request.excluded.insert(link);
+        if (request.request.repeatable && !request.headOut)
+            requeue(context, request);
+        else
+            fail(context, number,
+                { 502, execution::Unknown, "agent_lost", "the link to the endpoint's agent was lost", std::nullopt });
+    }
+}
+
+void request_router::drain(const entry_context& context)
+{
+    for (auto left = m_queue.size(); left > 0; --left) {
+        const auto number = m_queue.front();
+        m_queue.pop_front();
+        const auto found = m_requests.find(number);
+        if (found != m_requests.end() && found->second.state == phase::Queued)
+            place(context, found->second);
+    }
+}
+
+void request_router::expire(const entry_context& context)
+{
+    std::vector<request_number> late;
+    for (const auto& [number, request] : m_requests) {
+        if (request.deadline <= context.now)
+            late.push_back(number);
+    }
+    for (const auto number : late) {
+        auto& request = m_requests.at(number);
+        if (request.state == phase::Queued) {
+            fail(context, number, busy(outcomeIfUnsent(request)));
+            continue;
+        }
+        if (request.state == phase::Running)
+            context.send(request.link, cancel_attempt { request.attempt });
+        const auto outcome = request.state == phase::Claiming ? execution::NotStarted : execution::Unknown;
+        fail(context, number, { 504, outcome, "timeout", "the answer is not whole in time", std::nullopt });
+    }
+}
+
+void request_router::platformReplied(const entry_context& context, const platform_replied& reply)
+{
+    const auto result = m_keys.replied(context, reply);
+    if (!result)
+        return;
+    const auto found = m_requests.find(result->request);
+    if (found != m_requests.end())
+        keyResolved(context, found->second, *result);
+}
+
+void request_router::keyResolved(const entry_context& context, routed_request& request, const key_result& result)
+{
+    request.keyVersion = result.version;
+    switch (result.outcome) {
+    case key_result::kind::Bound:
+        context.decide(decision_kind::KeyBound, request.request.traceparent, result.standing.endpoint.str());
+        if (context.endpoints.find(request.link)) {
+            start(context, request);
+            return;
+        }
+        // Bound but never sent: this entry alone could have sent it, so that is the proof.
+        request.holdsSlot = false;
+        request.state = phase::Releasing;
+        m_keys.release(context, request.number, *request.boundKey, request.binding, request.keyVersion);
+        return;
+    case key_result::kind::Released:
+        requeue(context, request);
+        return;
+    case key_result::kind::HeldByOther:
+        askHolder(context, request, result);
+        return;
+    case key_result::kind::OtherContent:
+        fail(context, request.number,
+            { 422, execution::NotStarted, "key_reused", "this key stands for a request with other content",
+                std::nullopt });
+        return;
+    case key_result::kind::StoreDown:
+        fail(context, request.number,
+            { 503, execution::NotStarted, "store_down", "the key can't be bound now; send the same key again",
+                retryWhenBusy });
+        return;
+    }
+}
+
+void request_router::askHolder(const entry_context& context, routed_request& request, const key_result& result)
+{
+    returnSlot(context, request);
+    m_byAttempt.erase(request.attempt);
+    const auto* holder = context.endpoints.findAgent(result.standing.agent, result.standing.agentLife);
+    if (!holder) {
+        context.decide(decision_kind::KeyUnknown, request.request.traceparent, "the holder's agent is not linked");
+        fail(context, request.number,
+            { 409, execution::Unknown, "key_unknown", "what became of an earlier send of this key is not known",
+                retryWhenBusy });
+        return;
+    }
+    request.state = phase::Asking;
+    request.binding = result.standing;
+    request.link = holder->link;
+    context.send(holder->link, query_attempt { result.standing.attempt });
+}
+
+request_router::routed_request* request_router::findByAttempt(attempt_id attempt)
+{
+    const auto number = m_byAttempt.find(attempt);
+    return number == m_byAttempt.end() ? nullptr : &m_requests.at(number->second);
+}
+
+void request_router::returnSlot(const entry_context& context, routed_request& request)
+{
+    if (request.holdsSlot)
+        context.endpoints.returnSlot(request.link);
+    request.holdsSlot = false;
+}
+
+void request_router::fail(const entry_context& context, request_number number, problem answer)
+{
+    auto& request = m_requests.at(number);
+    context.decide(decision_kind::Failed, request.request.traceparent, answer.reason);
+    if (request.headOut)
+        context.effects.emplace_back(reply_aborted { number, std::move(answer) });
+    else
+        context.effects.emplace_back(reply_problem { number, std::move(answer) });
+    forget(context, number);
+}
+
+void request_router::forget(const entry_context& context, request_number number)
+{
+    auto& request = m_requests.at(number);
+    returnSlot(context, request);
+    m_byAttempt.erase(request.attempt);
+    m_requests.erase(number);
+}
+
+execution request_router::outcomeIfUnsent(const routed_request& request) const
+{
+    // For a key only the holder of the proof may say that the order has not run.
+    return request.request.key ? execution::NotStarted : execution::NotRun;
+}
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/decisions/placement/endpoint_directory.cpp
@@ -0,0 +1,127 @@
+#include "decisions/placement/endpoint_directory.h"
+
+#include <algorithm>
+#include <cassert>
+#include <compare>
+
+namespace appleramp {
+
+namespace {
+
+bool isInService(const linked_endpoint& endpoint, const fleet_configuration& configuration)
+{
+    return !configuration.zonesOut.contains(endpoint.zone) && !configuration.instancesOut.contains(endpoint.instance);
+}
+
+bool hasAdapter(const linked_endpoint& endpoint, const adapter_id& adapter)
+{
+    const auto& loaded = endpoint.description.adapters;
+    return adapter.empty() || std::find(loaded.begin(), loaded.end(), adapter) != loaded.end();
+}
+
+// Smaller is better; compared member by member.
+struct preference {
+    bool otherZone = false;
+    double usedShare = 0;
+    duration expectedWait {};
+    link_number link = 0;
+
+    auto operator<=>(const preference&) const = default;
+};
+
+preference rate(const linked_endpoint& endpoint, const availability_zone_id& preferred)
+{
+    const double usedShare = static_cast<double>(endpoint.inFlight) / endpoint.slots;
+    return { endpoint.zone != preferred, usedShare, endpoint.expectedWait, endpoint.link };
+}
+
+} // namespace
+
+void endpoint_directory::add(link_number link, incarnation agentLife, const hello& greeting)
+{
+    assert(greeting.endpoint);
+    linked_endpoint endpoint;
+    endpoint.link = link;
+    endpoint.instance = greeting.instance;
+    endpoint.zone = greeting.zone;
+    endpoint.agentLife = agentLife;
+    endpoint.description = *greeting.endpoint;
+    for (const auto& service : endpoint.description.services)
+        m_byService[service].insert(link);
+    m_endpoints[link] = std::move(endpoint);
+}
+
+void endpoint_directory::remove(link_number link)
+{
+    const auto found = m_endpoints.find(link);
+    if (found == m_endpoints.end())
+        return;
+    for (const auto& service : found->second.description.services) {
+        auto& links = m_byService[service];
+        links.erase(link);
+        if (links.empty())
+            m_byService.erase(service);
+    }
+    m_endpoints.erase(found);
+}
+
+void endpoint_directory::grant(link_number link, const slot_grant& grant, instant now)
+{
+    const auto found = m_endpoints.find(link);
+    if (found == m_endpoints.end() || grant.sequence <= found->second.grantSequence)
+        return;
+    auto& endpoint = found->second;
+    endpoint.grantSequence = grant.sequence;
+    endpoint.slots = grant.slots;
+    endpoint.grantEnds = now + grant.lifetime;
+    endpoint.expectedWait = grant.expectedWait;
+    endpoint.cold = grant.cold;
+}
+
+const linked_endpoint* endpoint_directory::find(link_number link) const
+{
+    const auto found = m_endpoints.find(link);
+    return found == m_endpoints.end() ? nullptr : &found->second;
+}
+
+const linked_endpoint* endpoint_directory::findAgent(const instance_id& instance, incarnation life) const
+{
+    const auto found = std::find_if(m_endpoints.begin(), m_endpoints.end(), [&](const auto& item) {
+        return item.second.instance == instance && item.second.agentLife == life;
+    });
+    return found == m_endpoints.end() ? nullptr : &found->second;
+}
+
+std::optional<link_number> endpoint_directory::choose(const service_request& request,
+    const availability_zone_id& preferred, const std::set<link_number>& excluded,
+    const fleet_configuration& configuration, instant now) const
+{
+    const auto candidates = m_byService.find(request.service);
+    if (candidates == m_byService.end())
+        return std::nullopt;
+    std::optional<preference> best;
+    for (const auto link : candidates->second) {
+        const auto& endpoint = m_endpoints.at(link);
+        if (!endpoint.hasFreeSlot(now) || excluded.contains(link))
+            continue;
+        if (!isInService(endpoint, configuration) || !hasAdapter(endpoint, request.adapter))
+            continue;
+        const auto rated = rate(endpoint, preferred);
+        if (!best || rated < *best)
+            best = rated;
+    }
+    return best ? std::optional(best->link) : std::nullopt;
+}
+
+void endpoint_directory::takeSlot(link_number link) { ++m_endpoints.at(link).inFlight; }
+
+void endpoint_directory::returnSlot(link_number link)
+{
+    const auto found = m_endpoints.find(link);
+    if (found == m_endpoints.end())
+        return;
+    assert(found->second.inFlight > 0);
+    --found->second.inFlight;
+}
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/decisions/placement/endpoint_directory.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "model/configuration.h"
+#include "model/events.h"
+#include "model/messages.h"
+
+#include <map>
+#include <optional>
+#include <set>
+
+namespace appleramp {
+
+// What an entry knows of one endpoint through the link to its agent.
+struct linked_endpoint {
+    link_number link = 0;
+    instance_id instance;
+    availability_zone_id zone;
+    incarnation agentLife = 0;
+    endpoint_description description;
+    // The grant in force; it lapses at `grantEnds`.
+    std::uint32_t slots = 0;
+    std::uint64_t grantSequence = 0;
+    instant grantEnds;
+    duration expectedWait {};
+    bool cold = false;
+    // Attempts of this entry that hold a slot.
+    std::uint32_t inFlight = 0;
+
+    bool hasFreeSlot(instant now) const { return now < grantEnds && inFlight < slots; }
+};
+
+// The endpoints that this entry is linked to, by service, and the choice among them. Works with request_router,
+// which takes and returns slots.
+class endpoint_directory {
+public:
+    void add(link_number link, incarnation agentLife, const hello& greeting);
+    void remove(link_number link);
+    // An older grant than the one in force is ignored.
+    void grant(link_number link, const slot_grant& grant, instant now);
+
+    bool serves(const service_id& service) const { return m_byService.contains(service); }
+    const linked_endpoint* find(link_number link) const;
+    // The link to this life of an agent, if it is open.
+    const linked_endpoint* findAgent(const instance_id& instance, incarnation life) const;
+    const std::map<link_number, linked_endpoint>& all() const { return m_endpoints; }
+
+    // The endpoint that a request should go to: in service, with a free slot, in the preferred zone if one is there,
+    // then with the least share of its slots in use.
+    std::optional<link_number> choose(const service_request& request, const availability_zone_id& preferred,
+        const std::set<link_number>& excluded, const fleet_configuration& configuration, instant now) const;
+
+    void takeSlot(link_number link);
+    void returnSlot(link_number link);
+
+private:
+    std::map<link_number, linked_endpoint> m_endpoints;
+    std::map<service_id, std::set<link_number>> m_byService;
+};
+
+} // namespace appleramp
