Settings: typed process settings from INI, every key declared once

Cause: a process learns its addresses, zone and role from its settings and must not start with wrong ones. Change: setting_descriptor declares each key with type, unit, default, range and doc; loadSettings reads the file through POCO's IniFileConfiguration and refuses unknown, repeated, missing and bad keys by file, section and key; describeSettings prints the reference table.

--- /dev/null
+++ b/packages/settings/process_settings.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "model/identifiers.h"
+#include "model/messages.h"
+#include "model/time.h"
+
+#include <cstdint>
+#include <string>
+
+namespace appleramp {
+
+// A numeric IP address with a port. Port 0 lets the kernel choose one.
+struct socket_address {
+    std::string host;
+    std::uint16_t port = 0;
+
+    std::string str() const { return host + ':' + std::to_string(port); }
+    friend bool operator==(const socket_address&, const socket_address&) = default;
+};
+
+struct process_section {
+    process_role role = process_role::Entry;
+    instance_id instance;
+    availability_zone_id zone;
+};
+
+struct listen_section {
+    // Entry only.
+    socket_address callers;
+    socket_address operations;
+    socket_address links;
+};
+
+struct platform_section {
+    std::string tableUrl;
+    std::string objectsUrl;
+    std::string instancesUrl;
+    duration pollInterval {};
+};
+
+// Agent only.
+struct endpoint_section {
+    endpoint_description description;
+    std::string url;
+    // Requests in flight that the endpoint bears when warm and when cold.
+    std::uint32_t capacity = 0;
+    std::uint32_t coldSlots = 0;
+};
+
+enum class log_level {
+    Info,
+    Warning,
+    Error,
+};
+
+struct observe_section {
+    log_level logLevel = log_level::Info;
+    // Where spans go as OTLP JSON; empty for nowhere.
+    std::string spansUrl;
+    std::uint32_t journalEntries = 0;
+};
+
+struct limits_section {
+    std::uint64_t maxBodyBytes = 0;
+    std::uint32_t maxHeaderBytes = 0;
+    std::uint32_t maxRequestsInFlight = 0;
+};
+
+// Entry only.
+struct entry_section {
+    // Threads that serve callers: connections served at the same time.
+    std::uint32_t maxCallers = 0;
+};
+
+// What a process's settings file says, one member a section.
+struct process_settings {
+    process_section process;
+    listen_section listen;
+    platform_section platform;
+    endpoint_section endpoint;
+    observe_section observe;
+    limits_section limits;
+    entry_section entry;
+};
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/settings/setting_descriptor.cpp
@@ -0,0 +1,278 @@
+#include "settings/setting_descriptor.h"
+
+#include <algorithm>
+
+namespace appleramp {
+
+namespace {
+
+using settings = process_settings;
+using value = setting_value;
+
+constexpr std::int64_t mebibyte = 1024L * 1024;
+
+const std::string& text(const value& v) { return std::get<std::string>(v); }
+
+const socket_address& address(const value& v) { return std::get<socket_address>(v); }
+
+template <typename Number>
+Number number(const value& v)
+{
+    return static_cast<Number>(std::get<std::int64_t>(v));
+}
+
+duration milliseconds(const value& v) { return std::chrono::milliseconds(std::get<std::int64_t>(v)); }
+
+template <typename Identifier>
+std::vector<Identifier> identifiers(const value& v)
+{
+    std::vector<Identifier> result;
+    for (const std::string& word : std::get<std::vector<std::string>>(v))
+        result.emplace_back(word);
+    return result;
+}
+
+process_role role(const value& v) { return text(v) == "entry" ? process_role::Entry : process_role::Agent; }
+
+endpoint_kind kind(const value& v)
+{
+    return text(v) == "model" ? endpoint_kind::ModelEngine : endpoint_kind::PlainService;
+}
+
+log_level level(const value& v)
+{
+    if (text(v) == "info")
+        return log_level::Info;
+    return text(v) == "warning" ? log_level::Warning : log_level::Error;
+}
+
+std::vector<setting_descriptor> processDescriptors()
+{
+    return {
+        { .section = "process",
+            .key = "role",
+            .type = setting_type::Choice,
+            .choices = { "entry", "agent" },
+            .doc = "What the process is: an entry serves callers, an agent stands beside one endpoint.",
+            .assign = [](settings& s, const value& v) { s.process.role = role(v); } },
+        { .section = "process",
+            .key = "instance",
+            .doc = "Name of the instance, unique in the fleet.",
+            .assign = [](settings& s, const value& v) { s.process.instance = instance_id(text(v)); } },
+        { .section = "process",
+            .key = "availability_zone",
+            .doc = "Availability zone that the instance is in.",
+            .assign = [](settings& s, const value& v) { s.process.zone = availability_zone_id(text(v)); } },
+    };
+}
+
+std::vector<setting_descriptor> listenDescriptors()
+{
+    return {
+        { .section = "listen",
+            .key = "callers",
+            .type = setting_type::Address,
+            .role = process_role::Entry,
+            .doc = "Where callers connect. Port 0: the kernel chooses one.",
+            .assign = [](settings& s, const value& v) { s.listen.callers = address(v); } },
+        { .section = "listen",
+            .key = "operations",
+            .type = setting_type::Address,
+            .doc = "Where operators and metrics collectors connect. Port 0: the kernel chooses one.",
+            .assign = [](settings& s, const value& v) { s.listen.operations = address(v); } },
+        { .section = "listen",
+            .key = "links",
+            .type = setting_type::Address,
+            .doc = "Where other processes of the system connect. Port 0: the kernel chooses one.",
+            .assign = [](settings& s, const value& v) { s.listen.links = address(v); } },
+    };
+}
+
+std::vector<setting_descriptor> platformDescriptors()
+{
+    return {
+        { .section = "platform",
+            .key = "table_url",
+            .type = setting_type::Url,
+            .doc = "The platform's table service.",
+            .assign = [](settings& s, const value& v) { s.platform.tableUrl = text(v); } },
+        { .section = "platform",
+            .key = "objects_url",
+            .type = setting_type::Url,
+            .doc = "The platform's object store.",
+            .assign = [](settings& s, const value& v) { s.platform.objectsUrl = text(v); } },
+        { .section = "platform",
+            .key = "instances_url",
+            .type = setting_type::Url,
+            .doc = "The platform's instance list.",
+            .assign = [](settings& s, const value& v) { s.platform.instancesUrl = text(v); } },
+        { .section = "platform",
+            .key = "poll_interval_ms",
+            .type = setting_type::Integer,
+            .unit = "milliseconds",
+            .defaultValue = "500",
+            .minimum = 50,
+            .maximum = 60'000,
+            .doc = "Time between two reads of the instance list.",
+            .assign = [](settings& s, const value& v) { s.platform.pollInterval = milliseconds(v); } },
+    };
+}
+
+std::vector<setting_descriptor> endpointDescriptors()
+{
+    constexpr auto agent = process_role::Agent;
+    return {
+        { .section = "endpoint",
+            .key = "id",
+            .role = agent,
+            .doc = "Name of the endpoint, unique in the fleet.",
+            .assign = [](settings& s, const value& v) { s.endpoint.description.endpoint = endpoint_id(text(v)); } },
+        { .section = "endpoint",
+            .key = "kind",
+            .type = setting_type::Choice,
+            .choices = { "model", "service" },
+            .role = agent,
+            .doc = "A model engine or a plain service.",
+            .assign = [](settings& s, const value& v) { s.endpoint.description.kind = kind(v); } },
+        { .section = "endpoint",
+            .key = "url",
+            .type = setting_type::Url,
+            .role = agent,
+            .doc = "Where the endpoint listens.",
+            .assign = [](settings& s, const value& v) { s.endpoint.url = text(v); } },
+        { .section = "endpoint",
+            .key = "services",
+            .type = setting_type::WordList,
+            .role = agent,
+            .doc = "Models or plain services that the endpoint serves, separated by commas.",
+            .assign
+            = [](settings& s, const value& v) { s.endpoint.description.services = identifiers<service_id>(v); } },
+        { .section = "endpoint",
+            .key = "adapters",
+            .type = setting_type::WordList,
+            .defaultValue = "",
+            .role = agent,
+            .doc = "Adapters that are loaded beside the model, separated by commas.",
+            .assign
+            = [](settings& s, const value& v) { s.endpoint.description.adapters = identifiers<adapter_id>(v); } },
+        { .section = "endpoint",
+            .key = "capacity",
+            .type = setting_type::Integer,
+            .unit = "requests in flight",
+            .defaultValue = "8",
+            .minimum = 1,
+            .maximum = 100'000,
+            .role = agent,
+            .doc = "Slots of the endpoint when it is warm.",
+            .assign = [](settings& s, const value& v) { s.endpoint.capacity = number<std::uint32_t>(v); } },
+        { .section = "endpoint",
+            .key = "cold_slots",
+            .type = setting_type::Integer,
+            .unit = "requests in flight",
+            .defaultValue = "1",
+            .minimum = 1,
+            .maximum = 100'000,
+            .role = agent,
+            .doc = "Slots of the endpoint when it is cold. At most its capacity.",
+            .assign = [](settings& s, const value& v) { s.endpoint.coldSlots = number<std::uint32_t>(v); } },
+    };
+}
+
+std::vector<setting_descriptor> observeDescriptors()
+{
+    return {
+        { .section = "observe",
+            .key = "log_level",
+            .type = setting_type::Choice,
+            .defaultValue = "info",
+            .choices = { "info", "warning", "error" },
+            .doc = "Least severity that is logged.",
+            .assign = [](settings& s, const value& v) { s.observe.logLevel = level(v); } },
+        { .section = "observe",
+            .key = "spans_url",
+            .type = setting_type::Url,
+            .defaultValue = "",
+            .doc = "Collector that takes spans as OTLP JSON, with its path, such as http://127.0.0.1:4318/v1/traces. "
+                   "Empty: none.",
+            .assign = [](settings& s, const value& v) { s.observe.spansUrl = text(v); } },
+        { .section = "observe",
+            .key = "journal_entries",
+            .type = setting_type::Integer,
+            .unit = "decisions",
+            .defaultValue = "10000",
+            .minimum = 16,
+            .maximum = 1'000'000,
+            .doc = "Decisions that the journal keeps; the oldest are dropped first.",
+            .assign = [](settings& s, const value& v) { s.observe.journalEntries = number<std::uint32_t>(v); } },
+    };
+}
+
+std::vector<setting_descriptor> limitsDescriptors()
+{
+    return {
+        { .section = "limits",
+            .key = "max_body_bytes",
+            .type = setting_type::Integer,
+            .unit = "bytes",
+            .defaultValue = "4194304",
+            .minimum = 1024,
+            .maximum = 256 * mebibyte,
+            .doc = "Longest request body that is accepted.",
+            .assign = [](settings& s, const value& v) { s.limits.maxBodyBytes = number<std::uint64_t>(v); } },
+        { .section = "limits",
+            .key = "max_header_bytes",
+            .type = setting_type::Integer,
+            .unit = "bytes",
+            .defaultValue = "65536",
+            .minimum = 1024,
+            .maximum = mebibyte,
+            .doc = "Most bytes of all headers of a request together.",
+            .assign = [](settings& s, const value& v) { s.limits.maxHeaderBytes = number<std::uint32_t>(v); } },
+        { .section = "limits",
+            .key = "max_requests_in_flight",
+            .type = setting_type::Integer,
+            .unit = "requests",
+            .defaultValue = "1024",
+            .minimum = 1,
+            .maximum = 100'000,
+            .doc = "Requests that the process holds at the same time, queued ones included.",
+            .assign = [](settings& s, const value& v) { s.limits.maxRequestsInFlight = number<std::uint32_t>(v); } },
+    };
+}
+
+std::vector<setting_descriptor> entryDescriptors()
+{
+    return {
+        { .section = "entry",
+            .key = "max_callers",
+            .type = setting_type::Integer,
+            .unit = "threads",
+            .defaultValue = "256",
+            .minimum = 4,
+            .maximum = 10'000,
+            .role = process_role::Entry,
+            .doc = "Callers' connections that are served at the same time, each by a thread.",
+            .assign = [](settings& s, const value& v) { s.entry.maxCallers = number<std::uint32_t>(v); } },
+    };
+}
+
+std::vector<setting_descriptor> allDescriptors()
+{
+    std::vector<setting_descriptor> all;
+    for (auto* const section : { processDescriptors, listenDescriptors, platformDescriptors, endpointDescriptors,
+             observeDescriptors, limitsDescriptors, entryDescriptors }) {
+        const auto descriptors = section();
+        all.insert(all.end(), descriptors.begin(), descriptors.end());
+    }
+    return all;
+}
+
+} // namespace
+
+std::span<const setting_descriptor> settingDescriptors()
+{
+    static const std::vector<setting_descriptor> descriptors = allDescriptors();
+    return descriptors;
+}
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/settings/setting_value.cpp
@@ -0,0 +1,147 @@
+#include "settings/setting_value.h"
+
+#include "settings/bad_setting_value.h"
+#include "settings/setting_descriptor.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/IPAddress.h>
+#include <Poco/URI.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace appleramp {
+
+namespace {
+
+constexpr std::size_t maxShownBytes = 80;
+
+std::string quoted(std::string_view text)
+{
+    std::string shown = "\"";
+    for (const char c : text.substr(0, maxShownBytes))
+        shown.push_back(c >= ' ' && c <= '~' ? c : '?');
+    shown.append(text.size() > maxShownBytes ? "...\"" : "\"");
+    return shown;
+}
+
+bool isWordCharacter(char c)
+{
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.'
+        || c == ':' || c == '/';
+}
+
+std::string parseWord(std::string_view text)
+{
+    if (text.empty())
+        throw bad_setting_value("the value is empty; write a name");
+    if (!std::all_of(text.begin(), text.end(), isWordCharacter))
+        throw bad_setting_value(quoted(text) + " is not a name; use letters, digits and - _ . : / only");
+    return std::string(text);
+}
+
+std::string parseChoice(const setting_descriptor& setting, std::string_view text)
+{
+    if (std::find(setting.choices.begin(), setting.choices.end(), text) != setting.choices.end())
+        return std::string(text);
+    std::string problem = quoted(text) + " is not known; write one of";
+    for (const std::string_view choice : setting.choices)
+        problem.append(" ").append(choice);
+    throw bad_setting_value(problem);
+}
+
+std::int64_t parseInteger(const setting_descriptor& setting, std::string_view text)
+{
+    std::int64_t value = 0;
+    const char* const end = text.data() + text.size();
+    const auto [stopped, failure] = std::from_chars(text.data(), end, value);
+    const std::string range = std::to_string(setting.minimum) + " to " + std::to_string(setting.maximum);
+    if (failure == std::errc::invalid_argument || stopped != end)
+        throw bad_setting_value(quoted(text) + " is not a whole number; write one from " + range);
+    if (failure != std::errc() || value < setting.minimum || value > setting.maximum)
+        throw bad_setting_value(quoted(text) + " is out of range; write a number from " + range);
+    return value;
+}
+
+socket_address parseAddress(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    const std::string host(text.substr(0, colon == std::string_view::npos ? 0 : colon));
+    const std::string_view digits = colon == std::string_view::npos ? text : text.substr(colon + 1);
+    Poco::Net::IPAddress ip;
+    std::uint16_t port = 0;
+    const auto [stopped, failure] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    const bool portIsGood = failure == std::errc() && stopped == digits.data() + digits.size();
+    if (!portIsGood || !Poco::Net::IPAddress::tryParse(host, ip) || ip.family() != Poco::Net::IPAddress::IPv4)
+        throw bad_setting_value(quoted(text) + " is not a numeric IPv4 address and port; write it as 127.0.0.1:8080");
+    return { host, port };
+}
+
+bool isHttpUrl(const std::string& text)
+{
+    try {
+        const Poco::URI url(text);
+        return url.getScheme() == "http" && !url.getHost().empty();
+    } catch (const Poco::Exception&) {
+        return false;
+    }
+}
+
+std::string parseUrl(std::string_view text)
+{
+    std::string url(text);
+    if (!isHttpUrl(url))
+        throw bad_setting_value(quoted(text) + " is not a URL; write it as http://127.0.0.1:8080");
+    while (url.back() == '/')
+        url.pop_back();
+    return url;
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    const auto first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+std::vector<std::string> parseWordList(std::string_view text)
+{
+    std::vector<std::string> words;
+    while (true) {
+        const auto comma = text.find(',');
+        words.push_back(parseWord(trimmed(text.substr(0, comma))));
+        if (comma == std::string_view::npos)
+            return words;
+        text.remove_prefix(comma + 1);
+    }
+}
+
+} // namespace
+
+setting_value parseSettingValue(const setting_descriptor& setting, std::string_view text)
+{
+    const bool mayBeEmpty = setting.defaultValue && setting.defaultValue->empty();
+    if (text.empty() && mayBeEmpty) {
+        if (setting.type == setting_type::WordList)
+            return std::vector<std::string> {};
+        return std::string();
+    }
+    switch (setting.type) {
+    case setting_type::Word:
+        return parseWord(text);
+    case setting_type::Choice:
+        return parseChoice(setting, text);
+    case setting_type::Integer:
+        return parseInteger(setting, text);
+    case setting_type::Address:
+        return parseAddress(text);
+    case setting_type::Url:
+        return parseUrl(text);
+    case setting_type::WordList:
+        break;
+    }
+    return parseWordList(text);
+}
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/settings/settings.cpp
@@ -0,0 +1,158 @@
+#include "settings/settings.h"
+
+#include "settings/bad_setting_value.h"
+#include "settings/ini_line_checker.h"
+#include "settings/setting_descriptor.h"
+#include "settings/settings_error.h"
+
+#include <Poco/AutoPtr.h>
+#include <Poco/Exception.h>
+#include <Poco/Util/IniFileConfiguration.h>
+
+#include <fstream>
+#include <istream>
+#include <sstream>
+
+namespace appleramp {
+
+namespace {
+
+constexpr std::size_t maxFileBytes = 64UL * 1024;
+
+using ini_file = Poco::AutoPtr<Poco::Util::IniFileConfiguration>;
+
+std::string readBounded(std::istream& input, std::string_view file)
+{
+    std::string text(maxFileBytes + 1, '\0');
+    input.read(text.data(), static_cast<std::streamsize>(text.size()));
+    text.resize(static_cast<std::size_t>(input.gcount()));
+    if (text.size() > maxFileBytes)
+        throw settings_error(file, "", "", "longer than " + std::to_string(maxFileBytes) + " bytes; shorten it");
+    return text;
+}
+
+void checkLines(const std::string& text, std::string_view file)
+{
+    ini_line_checker checker(file);
+    std::istringstream lines(text);
+    for (std::string line; std::getline(lines, line);)
+        checker.check(line);
+}
+
+ini_file readIni(const std::string& text, std::string_view file)
+{
+    try {
+        std::istringstream input(text);
+        return new Poco::Util::IniFileConfiguration(input);
+    } catch (const Poco::Exception& failure) {
+        throw settings_error(file, "", "", "can't be read as INI (" + failure.displayText() + "); correct it");
+    }
+}
+
+std::string_view roleName(process_role role) { return role == process_role::Entry ? "entry" : "agent"; }
+
+void assign(process_settings& settings, const setting_descriptor& setting, std::string_view text, std::string_view file)
+{
+    try {
+        setting.assign(settings, parseSettingValue(setting, text));
+    } catch (const bad_setting_value& problem) {
+        throw settings_error(file, setting.section, setting.key, problem.what());
+    }
+}
+
+void apply(process_settings& settings, const setting_descriptor& setting, const ini_file& ini, std::string_view file)
+{
+    const std::string path = std::string(setting.section) + '.' + std::string(setting.key);
+    const bool given = ini->hasProperty(path);
+    if (setting.role && *setting.role != settings.process.role) {
+        if (given) {
+            const std::string role(roleName(*setting.role));
+            throw settings_error(file, setting.section, setting.key, "only a process of role " + role + " has this key; remove it");
+        }
+        return;
+    }
+    if (!given && !setting.defaultValue)
+        throw settings_error(file, setting.section, setting.key, "missing; add it: " + std::string(setting.doc));
+    assign(settings, setting, given ? ini->getRawString(path) : std::string(*setting.defaultValue), file);
+}
+
+void checkTogether(const process_settings& settings, std::string_view file)
+{
+    if (settings.endpoint.coldSlots > settings.endpoint.capacity)
+        throw settings_error(file, "endpoint", "cold_slots", "more than capacity; write at most " + std::to_string(settings.endpoint.capacity));
+}
+
+std::string_view typeName(setting_type type)
+{
+    switch (type) {
+    case setting_type::Word:
+        return "name";
+    case setting_type::Choice:
+        return "choice";
+    case setting_type::Integer:
+        return "integer";
+    case setting_type::Address:
+        return "IPv4 address:port";
+    case setting_type::Url:
+        return "http URL";
+    case setting_type::WordList:
+        break;
+    }
+    return "names";
+}
+
+std::string rangeOf(const setting_descriptor& setting)
+{
+    if (setting.type == setting_type::Integer)
+        return std::to_string(setting.minimum) + " to " + std::to_string(setting.maximum);
+    std::string range;
+    for (const std::string_view choice : setting.choices)
+        range.append(range.empty() ? "" : ", ").append(choice);
+    return range;
+}
+
+std::string defaultOf(const setting_descriptor& setting)
+{
+    if (!setting.defaultValue)
+        return "required";
+    return setting.defaultValue->empty() ? "empty" : std::string(*setting.defaultValue);
+}
+
+} // namespace
+
+process_settings parseSettings(std::istream& input, std::string_view nameForErrors)
+{
+    const std::string text = readBounded(input, nameForErrors);
+    checkLines(text, nameForErrors);
+    const ini_file ini = readIni(text, nameForErrors);
+    process_settings settings;
+    // The role is declared first, so that it is known when the others are read.
+    for (const setting_descriptor& setting : settingDescriptors())
+        apply(settings, setting, ini, nameForErrors);
+    checkTogether(settings, nameForErrors);
+    return settings;
+}
+
+process_settings loadSettings(const std::string& path)
+{
+    std::ifstream input(path, std::ios::binary);
+    if (!input)
+        throw settings_error(path, "", "", "can't be opened; check the path and its permissions");
+    return parseSettings(input, path);
+}
+
+std::string describeSettings()
+{
+    std::ostringstream table;
+    table << "| Section | Key | Role | Type | Unit | Default | Range | Meaning |\n";
+    table << "| --- | --- | --- | --- | --- | --- | --- | --- |\n";
+    for (const setting_descriptor& setting : settingDescriptors()) {
+        table << "| `" << setting.section << "` | `" << setting.key << "` | "
+              << (setting.role ? roleName(*setting.role) : "both") << " | " << typeName(setting.type) << " | "
+              << setting.unit << " | " << defaultOf(setting) << " | " << rangeOf(setting) << " | " << setting.doc
+              << " |\n";
+    }
+    return table.str();
+}
+
+} // namespace appleramp
