--- /dev/null
+++ b/packages/observe/log_scope.cpp
@@ -0,0 +1,29 @@
+#include "observe/log_scope.h"
+
+#include <cassert>
+
+namespace appleramp {
+
+namespace {
+
+thread_local const log_scope* innermost = nullptr;
+
+} // namespace
+
+log_scope::log_scope(std::string_view requestId, std::string_view span)
+    : m_requestId(requestId)
+    , m_span(span)
+    , m_outer(innermost)
+{
+    innermost = this;
+}
+
+log_scope::~log_scope()
+{
+    assert(innermost == this);
+    innermost = m_outer;
+}
+
+const log_scope* log_scope::current() { return innermost; }
+
+} // namespace appleramp
