--- /dev/null
+++ b/packages/entry/caller_handler.cpp
@@ -0,0 +1,98 @@
+#include "entry/caller_handler.h"
+
+#include "entry/reply_writer.h"
+#include "entry/request_reader.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/URI.h>
+
+#include <algorithm>
+#include <array>
+
+namespace appleramp {
+
+namespace {
+
+    // How often a caller that waits in silence is checked for having gone.
+    constexpr duration goneCheckInterval = std::chrono::milliseconds(500);
+    constexpr std::array<std::string_view, 2> modelPaths { "/v1/chat/completions", "/v1/completions" };
+
+    std::string queryValue(const Poco::URI& uri, const std::string& name)
+    {
+        for (const auto& [key, value] : uri.getQueryParameters()) {
+            if (key == name)
+                return value;
+        }
+        return {};
+    }
+
+    bool isServicePath(const std::string& path)
+    {
+        const bool isModel = std::find(modelPaths.begin(), modelPaths.end(), path) != modelPaths.end();
+        return isModel || path.starts_with("/v1/services/");
+    }
+
+    problem notFound(const std::string& path)
+    {
+        return { 404, execution::NotStarted, "unknown_path", "no such path: " + path, std::nullopt };
+    }
+
+} // namespace
+
+caller_handler::caller_handler(entry_services& services)
+    : m_services(services)
+{
+}
+
+void caller_handler::handleRequest(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response)
+{
+    const Poco::URI uri(request.getURI());
+    if (uri.getPath() == "/v1/addresses") {
+        const team_id team(queryValue(uri, "team"));
+        serveByReducer(m_services, request, response,
+            [&team](request_number number) { return addresses_requested { number, team }; });
+        return;
+    }
+    if (uri.getPath() == "/v1/keys") {
+        const service_id service(queryValue(uri, "service"));
+        serveByReducer(m_services, request, response,
+            [&service](request_number number) { return keys_requested { number, service }; });
+        return;
+    }
+    if (!isServicePath(uri.getPath())) {
+        reply_writer(request, response).write(reply_problem { 0, notFound(uri.getPath()) });
+        return;
+    }
+    auto read = readServiceRequest(request, m_services.maxBodyBytes, m_services.defaultTimeout);
+    if (const auto* refused = std::get_if<problem>(&read)) {
+        reply_writer(request, response).write(reply_problem { 0, *refused });
+        return;
+    }
+    serveByReducer(m_services, request, response, [&read](request_number number) {
+        return request_received { number, std::move(std::get<service_request>(read)) };
+    });
+}
+
+void serveByReducer(entry_services& services, Poco::Net::HTTPServerRequest& request,
+    Poco::Net::HTTPServerResponse& response, const std::function<entry_event_body(request_number)>& makeEvent)
+{
+    const auto [number, channel] = services.replies.open();
+    services.post(makeEvent(number));
+    reply_writer writer(request, response);
+    try {
+        for (bool complete = false; !complete;) {
+            const auto piece = channel->pop(goneCheckInterval);
+            if (piece)
+                complete = writer.write(*piece);
+            else if (writer.callerIsGone())
+                throw Poco::IOException("caller closed the connection");
+        }
+    } catch (const Poco::Exception&) {
+        services.post(caller_left { number });
+    }
+    services.replies.close(number);
+}
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/entry/entry_services.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "entry/reply_channel.h"
+#include "model/events.h"
+
+#include <functional>
+
+namespace appleramp {
+
+class decision_journal;
+class metrics_registry;
+
+// What the HTTP handlers of an entry need of their process.
+struct entry_services {
+    std::function<void(entry_event_body)> post;
+    reply_channels& replies;
+    decision_journal& journal;
+    metrics_registry& metrics;
+    std::size_t maxBodyBytes = 0;
+    duration defaultTimeout {};
+    // The configuration document as JSON text.
+    std::function<std::string()> configuration;
+};
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/entry/http_listener.cpp
@@ -0,0 +1,91 @@
+#include "entry/http_listener.h"
+
+#include "runtime/runtime_error.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/ThreadPool.h>
+#include <Poco/Timespan.h>
+
+#include <thread>
+
+namespace appleramp {
+
+namespace {
+
+    constexpr int minThreads = 4;
+    constexpr int idleThreadSeconds = 60;
+    constexpr int maxQueuedConnections = 128;
+    // A sender slower than this between two reads is cut off.
+    constexpr int receiveTimeoutSeconds = 20;
+    constexpr int keepAliveSeconds = 15;
+
+    class handler_factory : public Poco::Net::HTTPRequestHandlerFactory {
+    public:
+        explicit handler_factory(http_listener::handler_maker make)
+            : m_make(std::move(make))
+        {
+        }
+        Poco::Net::HTTPRequestHandler* createRequestHandler(const Poco::Net::HTTPServerRequest& /*request*/) override
+        {
+            return m_make();
+        }
+
+    private:
+        http_listener::handler_maker m_make;
+    };
+
+    Poco::Net::HTTPServerParams::Ptr parameters(int maxThreads)
+    {
+        Poco::Net::HTTPServerParams::Ptr parameters(new Poco::Net::HTTPServerParams);
+        parameters->setMaxThreads(maxThreads);
+        parameters->setMaxQueued(maxQueuedConnections);
+        parameters->setTimeout(Poco::Timespan(receiveTimeoutSeconds, 0));
+        parameters->setKeepAliveTimeout(Poco::Timespan(keepAliveSeconds, 0));
+        return parameters;
+    }
+
+} // namespace
+
+class http_listener::implementation {
+public:
+    implementation(const std::string& host, std::uint16_t port, int maxThreads, handler_maker makeHandler)
+        : m_threads(minThreads, std::max(maxThreads, minThreads), idleThreadSeconds)
+        , m_socket(Poco::Net::SocketAddress(host, port))
+        , m_server(new handler_factory(std::move(makeHandler)), m_threads, m_socket, parameters(maxThreads))
+    {
+        m_server.start();
+    }
+
+    std::uint16_t port() const { return m_socket.address().port(); }
+
+    void stop()
+    {
+        m_server.stop();
+        m_threads.joinAll();
+    }
+
+private:
+    Poco::ThreadPool m_threads;
+    Poco::Net::ServerSocket m_socket;
+    Poco::Net::HTTPServer m_server;
+};
+
+http_listener::http_listener(const std::string& host, std::uint16_t port, int maxThreads, handler_maker makeHandler)
+{
+    try {
+        m_implementation = std::make_unique<implementation>(host, port, maxThreads, std::move(makeHandler));
+    } catch (const Poco::Exception& cause) {
+        throw runtime_error("listen on " + host + ":" + std::to_string(port) + ": " + cause.displayText());
+    }
+}
+
+http_listener::~http_listener() = default;
+std::uint16_t http_listener::port() const { return m_implementation->port(); }
+void http_listener::stop() { m_implementation->stop(); }
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/entry/http_listener.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Poco::Net {
+class HTTPRequestHandler;
+}
+
+namespace appleramp {
+
+// One HTTP address of an entry, served by a bounded number of threads.
+class http_listener {
+public:
+    using handler_maker = std::function<Poco::Net::HTTPRequestHandler*()>;
+
+    // Throws runtime_error if the address can't be bound.
+    http_listener(const std::string& host, std::uint16_t port, int maxThreads, handler_maker makeHandler);
+    ~http_listener();
+    http_listener(const http_listener&) = delete;
+    http_listener& operator=(const http_listener&) = delete;
+
+    std::uint16_t port() const;
+    // Takes no new connections and waits for the requests in hand.
+    void stop();
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/entry/operations_handler.cpp
@@ -0,0 +1,104 @@
+#include "entry/operations_handler.h"
+
+#include "entry/caller_handler.h"
+#include "entry/reply_writer.h"
+#include "entry/request_reader.h"
+#include "model/enum_names.h"
+#include "observe/decision_journal.h"
+#include "observe/metrics_registry.h"
+#include "wire/configuration_codec.h"
+#include "wire/wire_error.h"
+
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/URI.h>
+#include <nlohmann/json.hpp>
+
+namespace appleramp {
+
+namespace {
+
+    void sendText(Poco::Net::HTTPServerResponse& response, const std::string& type, const std::string& text)
+    {
+        response.setContentType(type);
+        response.sendBuffer(text.data(), text.size());
+    }
+
+    nlohmann::json toJson(const decision& entry)
+    {
+        return { { "at_us", entry.at.time_since_epoch().count() }, { "kind", nameOf(entry.kind) },
+            { "subject", entry.subject }, { "reason", entry.reason } };
+    }
+
+    // The change of {"change_id": "...", "change": {"type": "...", "value": {...}}}.
+    change_requested readChange(const std::string& body)
+    {
+        const auto document = nlohmann::json::parse(body, nullptr, false);
+        if (!document.is_object() || !document.contains("change_id") || !document["change_id"].is_string()
+            || !document.contains("change"))
+            throw wire_error("the body must be a JSON object with 'change_id' and 'change'");
+        return { 0, document["change_id"].get<std::string>(), decodeChange(document["change"].dump()) };
+    }
+
+} // namespace
+
+operations_handler::operations_handler(entry_services& services)
+    : m_services(services)
+{
+}
+
+void operations_handler::handleRequest(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response)
+{
+    const Poco::URI uri(request.getURI());
+    const auto& path = uri.getPath();
+    if (path == "/v1/status")
+        serveByReducer(m_services, request, response,
+            [](request_number number) { return status_requested { number }; });
+    else if (path == "/v1/metrics")
+        sendText(response, "text/plain; version=0.0.4", m_services.metrics.prometheusText());
+    else if (path == "/v1/operations/explain")
+        explain(uri, request, response);
+    else if (path == "/v1/operations/configuration")
+        sendText(response, "application/json", m_services.configuration());
+    else if (path == "/v1/operations/changes" && request.getMethod() == "POST")
+        change(request, response);
+    else
+        reply_writer(request, response)
+            .write(reply_problem { 0, { 404, execution::NotStarted, "unknown_path", "no such path: " + path, {} } });
+}
+
+void operations_handler::explain(const Poco::URI& uri, Poco::Net::HTTPServerRequest& request,
+    Poco::Net::HTTPServerResponse& response)
+{
+    const auto parameters = uri.getQueryParameters();
+    if (parameters.empty() || parameters.front().first != "subject") {
+        reply_writer(request, response)
+            .write(reply_problem { 0, { 400, execution::NotStarted, "bad_request", "name a subject=", {} } });
+        return;
+    }
+    auto decisions = nlohmann::json::array();
+    for (const auto& entry : m_services.journal.find(parameters.front().second))
+        decisions.push_back(toJson(entry));
+    sendText(response, "application/json", nlohmann::json { { "decisions", decisions } }.dump());
+}
+
+void operations_handler::change(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response)
+{
+    const auto body = readBody(request, m_services.maxBodyBytes);
+    if (const auto* refused = std::get_if<problem>(&body)) {
+        reply_writer(request, response).write(reply_problem { 0, *refused });
+        return;
+    }
+    try {
+        auto event = readChange(std::get<std::string>(body));
+        serveByReducer(m_services, request, response, [&event](request_number number) {
+            event.number = number;
+            return event;
+        });
+    } catch (const wire_error& cause) {
+        reply_writer(request, response)
+            .write(reply_problem { 0, { 400, execution::NotRun, "bad_change", cause.what(), {} } });
+    }
+}
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/entry/request_reader.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "model/effects.h"
+#include "model/request.h"
+
+#include <string>
+#include <variant>
+
+namespace Poco::Net {
+class HTTPServerRequest;
+}
+
+namespace appleramp {
+
+// Reads the body of a request, or says why not: it is larger than allowed or cut short.
+std::variant<std::string, problem> readBody(Poco::Net::HTTPServerRequest& request, std::size_t maxBytes);
+
+// Makes a typed request of a caller's HTTP request, or says what is wrong with it. Whether the route may be repeated is
+// not decided here.
+std::variant<service_request, problem> readServiceRequest(Poco::Net::HTTPServerRequest& request,
+    std::size_t maxBodyBytes, duration defaultTimeout);
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/runtime/process_clock.cpp
@@ -0,0 +1,30 @@
+#include "runtime/process_clock.h"
+
+#include <chrono>
+#include <random>
+
+namespace appleramp {
+
+namespace {
+
+    // With these the number stays below 2^63 until the year 2248.
+    constexpr unsigned randomBits = 20;
+
+} // namespace
+
+instant monotonicNow()
+{
+    const auto now = std::chrono::steady_clock::now().time_since_epoch();
+    return instant(std::chrono::duration_cast<duration>(now));
+}
+
+incarnation newIncarnation()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+    std::random_device device;
+    const auto random = device() & ((1U << randomBits) - 1U);
+    return (static_cast<incarnation>(milliseconds) << randomBits) | random;
+}
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/runtime/process_clock.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "model/identifiers.h"
+#include "model/time.h"
+
+namespace appleramp {
+
+// The process's monotonic clock, counted from an arbitrary start.
+instant monotonicNow();
+
+// An incarnation later than that of any process started before with the same name: wall-clock milliseconds with
+// random low bits that keep processes started in the same millisecond apart.
+incarnation newIncarnation();
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/runtime/reducer_loop.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "runtime/event_recorder.h"
+#include "runtime/process_clock.h"
+#include "wire/event_codec.h"
+
+#include <chrono>
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+namespace appleramp {
+
+// Runs a reducer: threads post events, one thread applies them in order and carries out the effects. It wakes the
+// reducer when the time that it asked for has come.
+template <typename Reducer, typename Event, typename Effect>
+class reducer_loop {
+public:
+    using event_body = decltype(Event::body);
+    using effect_handler = std::function<void(Effect&&)>;
+
+    reducer_loop(Reducer reducer, effect_handler handler, std::unique_ptr<event_recorder> recorder)
+        : m_reducer(std::move(reducer))
+        , m_handler(std::move(handler))
+        , m_recorder(std::move(recorder))
+    {
+    }
+
+    void post(event_body body)
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_events.push_back(std::move(body));
+        }
+        m_posted.notify_one();
+    }
+
+    // Returns once an effect has called stop().
+    void run()
+    {
+        while (!m_stopped) {
+            for (auto& body : takeEvents())
+                apply(std::move(body));
+        }
+    }
+
+    // For the effect handler.
+    void stop() { m_stopped = true; }
+
+private:
+    std::deque<event_body> takeEvents()
+    {
+        std::unique_lock lock(m_mutex);
+        const auto wakeUp = std::chrono::steady_clock::time_point(m_reducer.nextWakeUp().time_since_epoch());
+        m_posted.wait_until(lock, wakeUp, [this] { return !m_events.empty(); });
+        if (m_events.empty())
+            m_events.emplace_back(time_passed {});
+        return std::exchange(m_events, {});
+    }
+
+    void apply(event_body&& body)
+    {
+        const Event event { monotonicNow(), std::move(body) };
+        if (m_recorder)
+            m_recorder->write(encodeEvent(event));
+        for (auto& effect : m_reducer.apply(event))
+            m_handler(std::move(effect));
+    }
+
+    Reducer m_reducer;
+    effect_handler m_handler;
+    std::unique_ptr<event_recorder> m_recorder;
+    std::mutex m_mutex;
+    std::condition_variable m_posted;
+    std::deque<event_body> m_events;
+    bool m_stopped = false;
+};
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/runtime/stop_signal.cpp
@@ -0,0 +1,40 @@
+#include "runtime/stop_signal.h"
+
+#include <csignal>
+#include <utility>
+
+namespace appleramp {
+
+namespace {
+
+    sigset_t stopSignals()
+    {
+        sigset_t signals;
+        sigemptyset(&signals);
+        sigaddset(&signals, SIGTERM);
+        sigaddset(&signals, SIGINT);
+        // Wakes the waiting thread when the process ends by itself.
+        sigaddset(&signals, SIGUSR1);
+        return signals;
+    }
+
+} // namespace
+
+stop_signal::stop_signal(std::function<void()> onStop)
+{
+    const auto signals = stopSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    m_thread = std::thread([signals, onStop = std::move(onStop)] {
+        int received = 0;
+        while (sigwait(&signals, &received) == 0 && received != SIGUSR1)
+            onStop();
+    });
+}
+
+stop_signal::~stop_signal()
+{
+    pthread_kill(m_thread.native_handle(), SIGUSR1);
+    m_thread.join();
+}
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/runtime/stop_signal.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <functional>
+#include <thread>
+
+namespace appleramp {
+
+// Calls a function on its own thread when the process receives SIGTERM or SIGINT. Construct it before any other
+// thread starts: threads inherit the blocked signals.
+class stop_signal {
+public:
+    explicit stop_signal(std::function<void()> onStop);
+    ~stop_signal();
+    stop_signal(const stop_signal&) = delete;
+    stop_signal& operator=(const stop_signal&) = delete;
+
+private:
+    std::thread m_thread;
+};
+
+} // namespace appleramp
