--- /dev/null
+++ b/packages/agent/agent_process.cpp
@@ -0,0 +1,146 @@
+#include "agent/agent_process.h"
+
+#include "agent/engine_client.h"
+#include "decisions/agent/agent_reducer.h"
+#include "observe/decision_journal.h"
+#include "observe/span_exporter.h"
+#include "platform/platform_worker.h"
+#include "runtime/link_transport.h"
+#include "runtime/platform_access.h"
+#include "runtime/reducer_loop.h"
+
+namespace appleramp {
+
+namespace {
+
+// Room for the envelope around the largest body.
+constexpr std::size_t envelopeBytes = 64 * 1024;
+
+agent_identity identityOf(const process_settings& settings)
+{
+    agent_identity identity;
+    identity.instance = settings.process.instance;
+    identity.zone = settings.process.zone;
+    identity.life = newIncarnation();
+    identity.endpoint = settings.endpoint.description;
+    identity.limits.warmSlots = settings.endpoint.capacity;
+    identity.limits.coldSlots = settings.endpoint.coldSlots;
+    return identity;
+}
+
+std::unique_ptr<event_recorder> recorderFor(const std::string& path)
+{
+    return path.empty() ? nullptr : std::make_unique<event_recorder>(path);
+}
+
+} // namespace
+
+class agent_process::implementation {
+public:
+    implementation(const process_settings& settings, const std::string& recordPath)
+        : m_settings(settings)
+        , m_identity(identityOf(settings))
+        , m_journal(settings.observe.journalEntries)
+        , m_spans(settings.observe.spansUrl,
+              { settings.process.instance, settings.process.zone, m_identity.life, wallClockAtZero() })
+        , m_platformOptions(platformOptions(settings.platform))
+        , m_loop(
+              agent_reducer(m_identity), [this](agent_effect&& effect) { carryOut(std::move(effect)); },
+              recorderFor(recordPath))
+        , m_platform(
+              { m_platformOptions, 1 },
+              [this](operation_number operation, platform_result result) {
+                  m_loop.post(platform_replied { operation, std::move(result) });
+              },
+              [this](std::vector<listed_instance> instances) { m_loop.post(instances_listed { std::move(instances) }); })
+        , m_engine(settings.endpoint.url, [this](agent_event_body event) { m_loop.post(std::move(event)); })
+        , m_links(linkCallbacks(), settings.limits.maxBodyBytes + envelopeBytes)
+        , m_linkPort(m_links.listen(settings.listen.links.host, settings.listen.links.port))
+    {
+    }
+
+    std::uint16_t linkPort() const { return m_linkPort; }
+
+    void run()
+    {
+        announceAs(instance_state::Live);
+        m_loop.run();
+        m_platform.stop();
+        m_engine.stop();
+        m_links.stop();
+        withdraw(m_platformOptions, m_identity.instance);
+    }
+
+    void requestStop()
+    {
+        announceAs(instance_state::Leaving);
+        m_loop.post(stop_requested {});
+    }
+
+private:
+    struct effect_visitor;
+
+    link_callbacks linkCallbacks()
+    {
+        return { [this](const link_opened& event) { m_loop.post(event); },
+            [this](const link_closed& event) { m_loop.post(event); },
+            [this](message_received event) { m_loop.post(std::move(event)); } };
+    }
+
+    void announceAs(instance_state state)
+    {
+        listed_instance self;
+        self.instance = m_identity.instance;
+        self.role = process_role::Agent;
+        self.zone = m_identity.zone;
+        self.linkAddress = socket_address { m_settings.listen.links.host, m_linkPort }.str();
+        self.state = state;
+        announce(m_platformOptions, self);
+    }
+
+    void carryOut(agent_effect&& effect);
+
+    process_settings m_settings;
+    agent_identity m_identity;
+    decision_journal m_journal;
+    span_exporter m_spans;
+    platform_client_options m_platformOptions;
+    reducer_loop<agent_reducer, agent_event, agent_effect> m_loop;
+    platform_worker m_platform;
+    engine_client m_engine;
+    link_transport m_links;
+    std::uint16_t m_linkPort;
+};
+
+struct agent_process::implementation::effect_visitor {
+    implementation& self;
+
+    void operator()(send_message&& effect) const { self.m_links.send(effect); }
+    void operator()(open_link&& effect) const { self.m_links.open(effect); }
+    void operator()(close_link&& effect) const { self.m_links.close(effect.link); }
+    void operator()(call_platform&& effect) const { self.m_platform.post(effect.operation, std::move(effect.call)); }
+    void operator()(list_instances&& /*effect*/) const { self.m_platform.postListInstances(); }
+    void operator()(record_decision&& effect) const { self.m_journal.record(std::move(effect.entry)); }
+    void operator()(stop_process&& /*effect*/) const { self.m_loop.stop(); }
+    void operator()(finish_span&& effect) const { self.m_spans.add(std::move(effect)); }
+    void operator()(call_engine&& effect) const { self.m_engine.start(std::move(effect)); }
+    void operator()(cancel_engine_call&& effect) const { self.m_engine.cancel(effect.call); }
+    void operator()(probe_engine&& /*effect*/) const { self.m_engine.probe(); }
+};
+
+void agent_process::implementation::carryOut(agent_effect&& effect)
+{
+    std::visit(effect_visitor { *this }, std::move(effect));
+}
+
+agent_process::agent_process(const process_settings& settings, const std::string& recordPath)
+    : m_implementation(std::make_unique<implementation>(settings, recordPath))
+{
+}
+
+agent_process::~agent_process() = default;
+std::uint16_t agent_process::linkPort() const { return m_implementation->linkPort(); }
+void agent_process::run() { m_implementation->run(); }
+void agent_process::requestStop() { m_implementation->requestStop(); }
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/agent/engine_client.cpp
@@ -0,0 +1,125 @@
+#include "agent/engine_client.h"
+
+#include "runtime/runtime_error.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/URI.h>
+#include <nlohmann/json.hpp>
+
+namespace appleramp {
+
+namespace {
+
+constexpr int probeTimeoutSeconds = 1;
+
+} // namespace
+
+engine_client::engine_client(const std::string& url, engine_call::event_sink sink)
+    : m_sink(std::move(sink))
+{
+    try {
+        const Poco::URI uri(url);
+        m_host = uri.getHost();
+        m_port = uri.getPort();
+    } catch (const Poco::Exception& cause) {
+        throw runtime_error("endpoint url: " + cause.displayText());
+    }
+    m_prober = std::thread([this] { runProbes(); });
+}
+
+engine_client::~engine_client() { stop(); }
+
+void engine_client::start(call_engine&& effect)
+{
+    const auto number = effect.call;
+    auto call = std::make_shared<engine_call>(m_host, m_port, std::move(effect), m_sink);
+    {
+        const std::lock_guard lock(m_mutex);
+        m_calls.emplace(number, call);
+    }
+    std::thread([this, call, number] { runCall(call, number); }).detach();
+}
+
+void engine_client::cancel(call_number call)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_calls.find(call);
+    if (found != m_calls.end())
+        found->second->cancel();
+}
+
+void engine_client::probe()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_probeWanted = true;
+    }
+    m_changed.notify_all();
+}
+
+void engine_client::stop()
+{
+    {
+        std::unique_lock lock(m_mutex);
+        m_stopping = true;
+        for (const auto& [number, call] : m_calls)
+            call->cancel();
+        m_changed.notify_all();
+        m_changed.wait(lock, [this] { return m_calls.empty(); });
+    }
+    if (m_prober.joinable())
+        m_prober.join();
+}
+
+void engine_client::runCall(const std::shared_ptr<engine_call>& call, call_number number)
+{
+    call->run();
+    const std::lock_guard lock(m_mutex);
+    m_calls.erase(number);
+    // Under the lock: stop() may destroy this object as soon as it is released.
+    m_changed.notify_all();
+}
+
+void engine_client::runProbes()
+{
+    std::unique_lock lock(m_mutex);
+    while (true) {
+        m_changed.wait(lock, [this] { return m_probeWanted || m_stopping; });
+        if (m_stopping)
+            return;
+        m_probeWanted = false;
+        lock.unlock();
+        m_sink(probeOnce());
+        lock.lock();
+    }
+}
+
+engine_probed engine_client::probeOnce() const
+{
+    engine_probed report;
+    try {
+        Poco::Net::HTTPClientSession session(m_host, m_port);
+        session.setTimeout(Poco::Timespan(probeTimeoutSeconds, 0));
+        Poco::Net::HTTPRequest request("GET", "/health", Poco::Net::HTTPMessage::HTTP_1_1);
+        session.sendRequest(request);
+        Poco::Net::HTTPResponse response;
+        std::string body;
+        Poco::StreamCopier::copyToString(session.receiveResponse(response), body);
+        const auto document = nlohmann::json::parse(body);
+        report.healthy = document.at("healthy").get<bool>();
+        report.bootId = document.at("boot_id").get<std::string>();
+        report.running = document.at("running").get<std::uint32_t>();
+        report.capacity = document.at("capacity").get<std::uint32_t>();
+    } catch (const Poco::Exception&) {
+        report.healthy = false;
+    } catch (const nlohmann::json::exception&) {
+        report.healthy = false;
+    }
+    return report;
+}
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/applerampd/main.cpp
@@ -0,0 +1,93 @@
+#include "agent/agent_process.h"
+#include "entry/entry_process.h"
+#include "model/errors.h"
+#include "observe/json_log.h"
+#include "runtime/stop_signal.h"
+#include "settings/settings.h"
+
+#include <gflags/gflags.h>
+
+#include <future>
+#include <iostream>
+
+DEFINE_string(settings, "", "settings file of this process");
+DEFINE_bool(check_settings, false, "check the settings file and exit");
+DEFINE_string(record, "", "file to which every event is written, for replay");
+
+namespace {
+
+using namespace appleramp;
+
+constexpr int exitFailure = 1;
+constexpr int exitUsage = 2;
+
+log_severity severityOf(log_level level)
+{
+    switch (level) {
+    case log_level::Warning:
+        return log_severity::Warning;
+    case log_level::Error:
+        return log_severity::Error;
+    case log_level::Info:
+        break;
+    }
+    return log_severity::Info;
+}
+
+// The ports in use, as one JSON line: with port 0 in the settings nobody else knows them.
+void reportPorts(const entry_process& process)
+{
+    const auto ports = process.ports();
+    std::cout << "{\"callers\":" << ports.callers << ",\"operations\":" << ports.operations
+              << ",\"links\":" << ports.links << "}" << std::endl;
+}
+
+void reportPorts(const agent_process& process)
+{
+    std::cout << "{\"links\":" << process.linkPort() << "}" << std::endl;
+}
+
+// The process exists only after the signals are blocked, since its threads inherit the mask.
+template <typename Process>
+void run(const process_settings& settings)
+{
+    std::promise<Process*> started;
+    const auto process = started.get_future().share();
+    const stop_signal signal([process] { process.get()->requestStop(); });
+    Process running(settings, FLAGS_record);
+    started.set_value(&running);
+    reportPorts(running);
+    running.run();
+}
+
+void runProcess(const process_settings& settings)
+{
+    if (settings.process.role == process_role::Entry)
+        run<entry_process>(settings);
+    else
+        run<agent_process>(settings);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("one process of the load balancer, entry or agent as its settings say\n"
+                            "  applerampd --settings FILE [--check_settings] [--record FILE]");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (FLAGS_settings.empty() || argc > 1) {
+        std::cerr << "applerampd: name a settings file: applerampd --settings FILE\n";
+        return exitUsage;
+    }
+    try {
+        const auto settings = loadSettings(FLAGS_settings);
+        if (FLAGS_check_settings)
+            return 0;
+        installJsonLog({ settings.process.instance, settings.process.zone, 0 }, severityOf(settings.observe.logLevel));
+        runProcess(settings);
+        return 0;
+    } catch (const error& cause) {
+        std::cerr << "applerampd: " << cause.what() << '\n';
+        return exitFailure;
+    }
+}
--- a/packages/decisions/entry/entry_reducer.cpp
+++ b/packages/decisions/entry/entry_reducer.cpp
@@ -1,5 +1,7 @@
 #include "decisions/entry/entry_reducer.h"
 
+#include "wire/configuration_codec.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -94,6 +96,11 @@
     }
     void operator()(const change_requested& event) const { self.m_writer.request(context, event); }
     void operator()(const status_requested& event) const { self.answerStatus(context, event.number); }
+    void operator()(const configuration_requested& event) const
+    {
+        const auto text = encodeConfiguration(context.configuration.current());
+        context.effects.emplace_back(reply_document { event.number, 200, text });
+    }
 };
 
 entry_reducer::entry_reducer(entry_identity identity)
--- a/packages/decisions/entry/request_router.cpp
+++ b/packages/decisions/entry/request_router.cpp
@@ -20,6 +20,16 @@
     return idempotency_key(request.team.str() + "/" + request.service.str() + "/" + request.key->str());
 }
 
+bool isRepeatable(const service_request& request, const fleet_configuration& configuration)
+{
+    const auto policy = configuration.services.find(request.service);
+    if (policy == configuration.services.end())
+        return false;
+    const auto& routes = policy->second.repeatableRoutes;
+    return std::any_of(routes.begin(), routes.end(),
+        [&request](const auto& route) { return request.path.starts_with(route); });
+}
+
 problem busy(execution outcome)
 {
     return { 503, outcome, "no_capacity", "no endpoint has a free slot", retryWhenBusy };
@@ -29,18 +39,20 @@
 
 void request_router::received(const entry_context& context, const request_received& event)
 {
-    if (!accept(context, event))
+    const bool repeatable = isRepeatable(event.request, context.configuration.current());
+    if (!accept(context, event, repeatable))
         return;
     auto& request = m_requests[event.number];
     request.number = event.number;
     request.request = event.request;
+    request.request.repeatable = repeatable;
     request.deadline = context.now + event.request.timeout;
-    if (event.request.key && !event.request.repeatable)
+    if (event.request.key && !repeatable)
         request.boundKey = scopedKey(event.request);
     place(context, request);
 }
 
-bool request_router::accept(const entry_context& context, const request_received& event)
+bool request_router::accept(const entry_context& context, const request_received& event, bool repeatable)
 {
     const auto refuse = [&](std::uint16_t status, execution outcome, std::string reason, std::string detail) {
         problem answer { status, outcome, std::move(reason), std::move(detail), std::nullopt };
@@ -49,7 +61,7 @@
         return false;
     };
     const auto& request = event.request;
-    if (!request.repeatable && !request.key)
+    if (!repeatable && !request.key)
         return refuse(400, execution::NotRun, "key_required",
             "this route is non-repeatable: send an Idempotency-Key header");
     const bool configured = context.configuration.current().services.contains(request.service);
--- a/packages/decisions/entry/request_router.h
+++ b/packages/decisions/entry/request_router.h
@@ -69,7 +69,7 @@
     };
 
     routed_request* findByAttempt(attempt_id attempt);
-    bool accept(const entry_context& context, const request_received& event);
+    bool accept(const entry_context& context, const request_received& event, bool repeatable);
     void place(const entry_context& context, routed_request& request);
     void dispatch(const entry_context& context, routed_request& request, link_number link);
     void start(const entry_context& context, routed_request& request);
--- a/packages/entry/caller_handler.cpp
+++ b/packages/entry/caller_handler.cpp
@@ -15,29 +15,29 @@
 
 namespace {
 
-    // How often a caller that waits in silence is checked for having gone.
-    constexpr duration goneCheckInterval = std::chrono::milliseconds(500);
-    constexpr std::array<std::string_view, 2> modelPaths { "/v1/chat/completions", "/v1/completions" };
+// How often a caller that waits in silence is checked for having gone.
+constexpr duration goneCheckInterval = std::chrono::milliseconds(500);
+constexpr std::array<std::string_view, 2> modelPaths { "/v1/chat/completions", "/v1/completions" };
 
-    std::string queryValue(const Poco::URI& uri, const std::string& name)
-    {
-        for (const auto& [key, value] : uri.getQueryParameters()) {
-            if (key == name)
-                return value;
-        }
-        return {};
+std::string queryValue(const Poco::URI& uri, const std::string& name)
+{
+    for (const auto& [key, value] : uri.getQueryParameters()) {
+        if (key == name)
+            return value;
     }
+    return {};
+}
 
-    bool isServicePath(const std::string& path)
-    {
-        const bool isModel = std::find(modelPaths.begin(), modelPaths.end(), path) != modelPaths.end();
-        return isModel || path.starts_with("/v1/services/");
-    }
+bool isServicePath(const std::string& path)
+{
+    const bool isModel = std::find(modelPaths.begin(), modelPaths.end(), path) != modelPaths.end();
+    return isModel || path.starts_with("/v1/services/");
+}
 
-    problem notFound(const std::string& path)
-    {
-        return { 404, execution::NotStarted, "unknown_path", "no such path: " + path, std::nullopt };
-    }
+problem notFound(const std::string& path)
+{
+    return { 404, execution::NotStarted, "unknown_path", "no such path: " + path, std::nullopt };
+}
 
 } // namespace
 
--- a/packages/entry/entry_process.cpp
+++ b/packages/entry/entry_process.cpp
@@ -12,35 +12,32 @@
 #include "runtime/link_transport.h"
 #include "runtime/platform_access.h"
 #include "runtime/reducer_loop.h"
-#include "wire/configuration_codec.h"
-
-#include <mutex>
 
 namespace appleramp {
 
 namespace {
 
-    constexpr metric_descriptor requestsMetric { "appleramp_requests_total", metric_kind::Counter,
-        "Requests of callers by outcome" };
-    constexpr int operationsThreads = 8;
-    constexpr duration defaultTimeout = std::chrono::seconds(60);
-    // Room for the envelope around the largest body.
-    constexpr std::size_t envelopeBytes = 64 * 1024;
+constexpr metric_descriptor requestsMetric { "appleramp_requests_total", metric_kind::Counter,
+    "Requests of callers by outcome" };
+constexpr int operationsThreads = 8;
+constexpr duration defaultTimeout = std::chrono::seconds(60);
+// Room for the envelope around the largest body.
+constexpr std::size_t envelopeBytes = 64 * 1024;
 
-    entry_identity identityOf(const process_settings& settings)
-    {
-        entry_identity identity;
-        identity.instance = settings.process.instance;
-        identity.zone = settings.process.zone;
-        identity.life = newIncarnation();
-        identity.maxRequests = settings.limits.maxRequestsInFlight;
-        return identity;
-    }
+entry_identity identityOf(const process_settings& settings)
+{
+    entry_identity identity;
+    identity.instance = settings.process.instance;
+    identity.zone = settings.process.zone;
+    identity.life = newIncarnation();
+    identity.maxRequests = settings.limits.maxRequestsInFlight;
+    return identity;
+}
 
-    std::unique_ptr<event_recorder> recorderFor(const std::string& path)
-    {
-        return path.empty() ? nullptr : std::make_unique<event_recorder>(path);
-    }
+std::unique_ptr<event_recorder> recorderFor(const std::string& path)
+{
+    return path.empty() ? nullptr : std::make_unique<event_recorder>(path);
+}
 
 } // namespace
 
@@ -51,13 +48,13 @@
         , m_identity(identityOf(settings))
         , m_journal(settings.observe.journalEntries)
         , m_spans(settings.observe.spansUrl,
-              { "appleramp-entry", settings.process.instance, settings.process.zone, m_identity.life })
+              { settings.process.instance, settings.process.zone, m_identity.life, wallClockAtZero() })
         , m_platformOptions(platformOptions(settings.platform))
         , m_loop(
               entry_reducer(m_identity), [this](entry_effect&& effect) { carryOut(std::move(effect)); },
               recorderFor(recordPath))
         , m_services { [this](entry_event_body body) { m_loop.post(std::move(body)); }, m_replies, m_journal, m_metrics,
-            settings.limits.maxBodyBytes, defaultTimeout, [this] { return configurationText(); } }
+            settings.limits.maxBodyBytes, defaultTimeout }
         , m_platform(
               { m_platformOptions },
               [this](operation_number operation, platform_result result) {
@@ -115,12 +112,6 @@
         announce(m_platformOptions, self);
     }
 
-    std::string configurationText()
-    {
-        const std::lock_guard lock(m_configurationMutex);
-        return m_configuration;
-    }
-
     void carryOut(entry_effect&& effect);
 
     process_settings m_settings;
@@ -130,8 +121,6 @@
     span_exporter m_spans;
     reply_channels m_replies;
     platform_client_options m_platformOptions;
-    std::mutex m_configurationMutex;
-    std::string m_configuration = encodeConfiguration({});
     reducer_loop<entry_reducer, entry_event, entry_effect> m_loop;
     entry_services m_services;
     platform_worker m_platform;
--- a/packages/entry/entry_services.h
+++ b/packages/entry/entry_services.h
@@ -18,8 +18,6 @@
     metrics_registry& metrics;
     std::size_t maxBodyBytes = 0;
     duration defaultTimeout {};
-    // The configuration document as JSON text.
-    std::function<std::string()> configuration;
 };
 
 } // namespace appleramp
--- a/packages/entry/http_listener.cpp
+++ b/packages/entry/http_listener.cpp
@@ -17,38 +17,38 @@
 
 namespace {
 
-    constexpr int minThreads = 4;
-    constexpr int idleThreadSeconds = 60;
-    constexpr int maxQueuedConnections = 128;
-    // A sender slower than this between two reads is cut off.
-    constexpr int receiveTimeoutSeconds = 20;
-    constexpr int keepAliveSeconds = 15;
-
-    class handler_factory : public Poco::Net::HTTPRequestHandlerFactory {
-    public:
-        explicit handler_factory(http_listener::handler_maker make)
-            : m_make(std::move(make))
-        {
-        }
-        Poco::Net::HTTPRequestHandler* createRequestHandler(const Poco::Net::HTTPServerRequest& /*request*/) override
-        {
-            return m_make();
-        }
-
-    private:
-        http_listener::handler_maker m_make;
-    };
-
-    Poco::Net::HTTPServerParams::Ptr parameters(int maxThreads)
+constexpr int minThreads = 4;
+constexpr int idleThreadSeconds = 60;
+constexpr int maxQueuedConnections = 128;
+// A sender slower than this between two reads is cut off.
+constexpr int receiveTimeoutSeconds = 20;
+constexpr int keepAliveSeconds = 15;
+
+class handler_factory : public Poco::Net::HTTPRequestHandlerFactory {
+public:
+    explicit handler_factory(http_listener::handler_maker make)
+        : m_make(std::move(make))
+    {
+    }
+    Poco::Net::HTTPRequestHandler* createRequestHandler(const Poco::Net::HTTPServerRequest& /*request*/) override
     {
-        Poco::Net::HTTPServerParams::Ptr parameters(new Poco::Net::HTTPServerParams);
-        parameters->setMaxThreads(maxThreads);
-        parameters->setMaxQueued(maxQueuedConnections);
-        parameters->setTimeout(Poco::Timespan(receiveTimeoutSeconds, 0));
-        parameters->setKeepAliveTimeout(Poco::Timespan(keepAliveSeconds, 0));
-        return parameters;
+        return m_make();
     }
 
+private:
+    http_listener::handler_maker m_make;
+};
+
+Poco::Net::HTTPServerParams::Ptr parameters(int maxThreads)
+{
+    Poco::Net::HTTPServerParams::Ptr parameters(new Poco::Net::HTTPServerParams);
+    parameters->setMaxThreads(maxThreads);
+    parameters->setMaxQueued(maxQueuedConnections);
+    parameters->setTimeout(Poco::Timespan(receiveTimeoutSeconds, 0));
+    parameters->setKeepAliveTimeout(Poco::Timespan(keepAliveSeconds, 0));
+    return parameters;
+}
+
 } // namespace
 
 class http_listener::implementation {
--- a/packages/entry/operations_handler.cpp
+++ b/packages/entry/operations_handler.cpp
@@ -18,27 +18,27 @@
 
 namespace {
 
-    void sendText(Poco::Net::HTTPServerResponse& response, const std::string& type, const std::string& text)
-    {
-        response.setContentType(type);
-        response.sendBuffer(text.data(), text.size());
-    }
+void sendText(Poco::Net::HTTPServerResponse& response, const std::string& type, const std::string& text)
+{
+    response.setContentType(type);
+    response.sendBuffer(text.data(), text.size());
+}
 
-    nlohmann::json toJson(const decision& entry)
-    {
-        return { { "at_us", entry.at.time_since_epoch().count() }, { "kind", nameOf(entry.kind) },
-            { "subject", entry.subject }, { "reason", entry.reason } };
-    }
+nlohmann::json toJson(const decision& entry)
+{
+    return { { "at_us", entry.at.time_since_epoch().count() }, { "kind", nameOf(entry.kind) },
+        { "subject", entry.subject }, { "reason", entry.reason } };
+}
 
-    // The change of {"change_id": "...", "change": {"type": "...", "value": {...}}}.
-    change_requested readChange(const std::string& body)
-    {
-        const auto document = nlohmann::json::parse(body, nullptr, false);
-        if (!document.is_object() || !document.contains("change_id") || !document["change_id"].is_string()
-            || !document.contains("change"))
-            throw wire_error("the body must be a JSON object with 'change_id' and 'change'");
-        return { 0, document["change_id"].get<std::string>(), decodeChange(document["change"].dump()) };
-    }
+// The change of {"change_id": "...", "change": {"type": "...", "value": {...}}}.
+change_requested readChange(const std::string& body)
+{
+    const auto document = nlohmann::json::parse(body, nullptr, false);
+    if (!document.is_object() || !document.contains("change_id") || !document["change_id"].is_string()
+        || !document.contains("change"))
+        throw wire_error("the body must be a JSON object with 'change_id' and 'change'");
+    return { 0, document["change_id"].get<std::string>(), decodeChange(document["change"].dump()) };
+}
 
 } // namespace
 
@@ -59,7 +59,8 @@
     else if (path == "/v1/operations/explain")
         explain(uri, request, response);
     else if (path == "/v1/operations/configuration")
-        sendText(response, "application/json", m_services.configuration());
+        serveByReducer(m_services, request, response,
+            [](request_number number) { return configuration_requested { number }; });
     else if (path == "/v1/operations/changes" && request.getMethod() == "POST")
         change(request, response);
     else
--- a/packages/entry/reply_writer.cpp
+++ b/packages/entry/reply_writer.cpp
@@ -6,6 +6,7 @@
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/Net/NetException.h>
+#include <Poco/Net/StreamSocket.h>
 #include <Poco/String.h>
 #include <nlohmann/json.hpp>
 
@@ -13,19 +14,19 @@
 
 namespace {
 
-    constexpr auto executionHeader = "Appleramp-Execution";
+constexpr auto executionHeader = "Appleramp-Execution";
 
-    // Retry-After is in whole seconds; rounding down would bring the caller back too early.
-    std::int64_t retrySeconds(duration wait)
-    {
-        return std::chrono::ceil<std::chrono::seconds>(wait).count();
-    }
+// Retry-After is in whole seconds; rounding down would bring the caller back too early.
+std::int64_t retrySeconds(duration wait)
+{
+    return std::chrono::ceil<std::chrono::seconds>(wait).count();
+}
 
-    bool isHopByHop(const std::string& name)
-    {
-        return Poco::icompare(name, "Connection") == 0 || Poco::icompare(name, "Transfer-Encoding") == 0
-            || Poco::icompare(name, "Content-Length") == 0 || Poco::icompare(name, "Keep-Alive") == 0;
-    }
+bool isHopByHop(const std::string& name)
+{
+    return Poco::icompare(name, "Connection") == 0 || Poco::icompare(name, "Transfer-Encoding") == 0
+        || Poco::icompare(name, "Content-Length") == 0 || Poco::icompare(name, "Keep-Alive") == 0;
+}
 
 } // namespace
 
--- a/packages/entry/reply_writer.h
+++ b/packages/entry/reply_writer.h
@@ -7,7 +7,7 @@
 namespace Poco::Net {
 class HTTPServerRequest;
 class HTTPServerResponse;
-}
+} // namespace Poco::Net
 
 namespace appleramp {
 
--- a/packages/entry/request_reader.cpp
+++ b/packages/entry/request_reader.cpp
@@ -1,11 +1,12 @@
 #include "entry/request_reader.h"
 
 #include "model/enum_names.h"
+#include "model/errors.h"
 
 #include <Poco/Exception.h>
+#include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/NumberParser.h>
 #include <Poco/String.h>
-#include <Poco/Net/HTTPServerRequest.h>
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
 
@@ -16,95 +17,95 @@
 
 namespace {
 
-    constexpr std::string_view servicesPrefix = "/v1/services/";
-    constexpr std::size_t readChunkBytes = 16384;
-    constexpr std::size_t maxKeyBytes = 256;
-    constexpr duration maxTimeout = std::chrono::hours(1);
-    // Prompt prefixes are hashed at multiples of this length.
-    constexpr std::size_t prefixStepBytes = 1024;
-    constexpr std::size_t maxPrefixes = 16;
-    constexpr std::array<std::string_view, 3> forwardedHeaders { "Content-Type", "Accept", "Idempotency-Key" };
-
-    problem badRequest(std::string detail)
-    {
-        return { 400, execution::NotStarted, "bad_request", std::move(detail), std::nullopt };
-    }
+constexpr std::string_view servicesPrefix = "/v1/services/";
+constexpr std::size_t readChunkBytes = 16384;
+constexpr std::size_t maxKeyBytes = 256;
+constexpr duration maxTimeout = std::chrono::hours(1);
+// Prompt prefixes are hashed at multiples of this length.
+constexpr std::size_t prefixStepBytes = 1024;
+constexpr std::size_t maxPrefixes = 16;
+constexpr std::array<std::string_view, 3> forwardedHeaders { "Content-Type", "Accept", "Idempotency-Key" };
 
-    class invalid_request : public error {
-    public:
-        using error::error;
-    };
+problem badRequest(std::string detail)
+{
+    return { 400, execution::NotStarted, "bad_request", std::move(detail), std::nullopt };
+}
 
-    std::uint64_t hashOf(const service_request& request)
-    {
-        const auto text = request.service.str() + "\n" + request.method + "\n" + request.path + "\n" + request.body;
-        return XXH64(text.data(), text.size(), 0);
-    }
+class invalid_request : public error {
+public:
+    using error::error;
+};
 
-    std::vector<std::uint64_t> hashPrefixes(std::string_view body)
-    {
-        std::vector<std::uint64_t> hashes;
-        for (auto length = prefixStepBytes; length <= body.size() && hashes.size() < maxPrefixes; length += prefixStepBytes)
-            hashes.push_back(XXH64(body.data(), length, 0));
-        return hashes;
-    }
+std::uint64_t hashOf(const service_request& request)
+{
+    const auto text = request.service.str() + "\n" + request.method + "\n" + request.path + "\n" + request.body;
+    return XXH64(text.data(), text.size(), 0);
+}
 
-    duration readTimeout(const Poco::Net::HTTPServerRequest& request, duration defaultTimeout)
-    {
-        const auto text = request.get("Appleramp-Timeout-Ms", "");
-        if (text.empty())
-            return defaultTimeout;
-        unsigned value = 0;
-        if (!Poco::NumberParser::tryParseUnsigned(text, value) || value == 0)
-            throw invalid_request("Appleramp-Timeout-Ms must be a positive number of milliseconds");
-        return std::min<duration>(std::chrono::milliseconds(value), maxTimeout);
-    }
+std::vector<std::uint64_t> hashPrefixes(std::string_view body)
+{
+    std::vector<std::uint64_t> hashes;
+    for (auto length = prefixStepBytes; length <= body.size() && hashes.size() < maxPrefixes; length += prefixStepBytes)
+        hashes.push_back(XXH64(body.data(), length, 0));
+    return hashes;
+}
 
-    priority readPriority(const Poco::Net::HTTPServerRequest& request)
-    {
-        const auto text = request.get("Appleramp-Priority", std::string(nameOf(priority::Normal)));
-        const auto known = fromName<priority>(text);
-        if (!known)
-            throw invalid_request("Appleramp-Priority must be batch, normal or urgent");
-        return *known;
-    }
+duration readTimeout(const Poco::Net::HTTPServerRequest& request, duration defaultTimeout)
+{
+    const auto text = request.get("Appleramp-Timeout-Ms", "");
+    if (text.empty())
+        return defaultTimeout;
+    unsigned value = 0;
+    if (!Poco::NumberParser::tryParseUnsigned(text, value) || value == 0)
+        throw invalid_request("Appleramp-Timeout-Ms must be a positive number of milliseconds");
+    return std::min<duration>(std::chrono::milliseconds(value), maxTimeout);
+}
 
-    // Sets service and path from the URL; a model's name stands in the body.
-    void readDestination(service_request& request, const std::string& uri)
-    {
-        if (uri.starts_with(servicesPrefix)) {
-            const auto rest = uri.substr(servicesPrefix.size());
-            const auto slash = rest.find('/');
-            request.service = service_id(rest.substr(0, slash));
-            request.path = slash == std::string::npos ? "/" : rest.substr(slash);
-            return;
-        }
-        request.path = uri;
-        const auto document = nlohmann::json::parse(request.body, nullptr, false);
-        if (!document.is_object() || !document.contains("model") || !document["model"].is_string())
-            throw invalid_request("the body must be a JSON object with a string 'model'");
-        request.service = service_id(document["model"].get<std::string>());
-        request.prefixHashes = hashPrefixes(request.body);
+priority readPriority(const Poco::Net::HTTPServerRequest& request)
+{
+    const auto text = request.get("Appleramp-Priority", std::string(nameOf(priority::Normal)));
+    const auto known = fromName<priority>(text);
+    if (!known)
+        throw invalid_request("Appleramp-Priority must be batch, normal or urgent");
+    return *known;
+}
+
+// Sets service and path from the URL; a model's name stands in the body.
+void readDestination(service_request& request, const std::string& uri)
+{
+    if (uri.starts_with(servicesPrefix)) {
+        const auto rest = uri.substr(servicesPrefix.size());
+        const auto slash = rest.find('/');
+        request.service = service_id(rest.substr(0, slash));
+        request.path = slash == std::string::npos ? "/" : rest.substr(slash);
+        return;
     }
+    request.path = uri;
+    const auto document = nlohmann::json::parse(request.body, nullptr, false);
+    if (!document.is_object() || !document.contains("model") || !document["model"].is_string())
+        throw invalid_request("the body must be a JSON object with a string 'model'");
+    request.service = service_id(document["model"].get<std::string>());
+    request.prefixHashes = hashPrefixes(request.body);
+}
 
-    void readHeaders(service_request& request, const Poco::Net::HTTPServerRequest& source, duration defaultTimeout)
-    {
-        request.team = team_id(source.get("Appleramp-Team", ""));
-        if (request.team.empty())
-            throw invalid_request("send the header Appleramp-Team");
-        request.urgency = readPriority(source);
-        request.timeout = readTimeout(source, defaultTimeout);
-        request.traceparent = source.get("traceparent", "");
-        request.adapter = adapter_id(source.get("Appleramp-Adapter", ""));
-        if (source.has("Idempotency-Key"))
-            request.key = idempotency_key(source.get("Idempotency-Key"));
-        if (request.key && (request.key->empty() || request.key->str().size() > maxKeyBytes))
-            throw invalid_request("Idempotency-Key must have 1 to 256 bytes");
-        for (const auto name : forwardedHeaders) {
-            if (source.has(std::string(name)))
-                request.headers.push_back({ std::string(name), source.get(std::string(name)) });
-        }
+void readHeaders(service_request& request, const Poco::Net::HTTPServerRequest& source, duration defaultTimeout)
+{
+    request.team = team_id(source.get("Appleramp-Team", ""));
+    if (request.team.empty())
+        throw invalid_request("send the header Appleramp-Team");
+    request.urgency = readPriority(source);
+    request.timeout = readTimeout(source, defaultTimeout);
+    request.traceparent = source.get("traceparent", "");
+    request.adapter = adapter_id(source.get("Appleramp-Adapter", ""));
+    if (source.has("Idempotency-Key"))
+        request.key = idempotency_key(source.get("Idempotency-Key"));
+    if (request.key && (request.key->empty() || request.key->str().size() > maxKeyBytes))
+        throw invalid_request("Idempotency-Key must have 1 to 256 bytes");
+    for (const auto name : forwardedHeaders) {
+        if (source.has(std::string(name)))
+            request.headers.push_back({ std::string(name), source.get(std::string(name)) });
     }
+}
 
 } // namespace
 
--- a/packages/model/events.h
+++ b/packages/model/events.h
@@ -87,10 +87,14 @@
     static constexpr const char* name = "status_requested";
     request_number number = 0;
 };
+struct configuration_requested {
+    static constexpr const char* name = "configuration_requested";
+    request_number number = 0;
+};
 
 using entry_event_body = std::variant<link_opened, link_closed, message_received, platform_replied, instances_listed,
     time_passed, stop_requested, request_received, caller_left, addresses_requested, keys_requested, change_requested,
-    status_requested>;
+    status_requested, configuration_requested>;
 
 struct entry_event {
     instant at;
--- a/packages/platform/platform_client.cpp
+++ b/packages/platform/platform_client.cpp
@@ -223,8 +223,9 @@
     const auto answer = m_exchange->send("GET", "/v1/instances");
     demandSuccess(answer, "instance list");
     try {
-        const auto document = json::parse(answer.body);
         std::vector<listed_instance> instances;
+        // A named document: a range-for does not keep the temporary that at() refers into.
+        const auto document = json::parse(answer.body);
         for (const auto& line : document.at("instances"))
             instances.push_back(instanceFromJson(line));
         return instances;
--- a/packages/runtime/event_recorder.cpp
+++ b/packages/runtime/event_recorder.cpp
@@ -11,6 +11,7 @@
         throw runtime_error("can't write the recording to '" + path + "'");
 }
 
-void event_recorder::write(std::string_view line) { m_file << line << '\n' << std::flush; }
+void event_recorder::write(std::string_view line) { m_file << line << '\n'
+                                                           << std::flush; }
 
 } // namespace appleramp
--- a/packages/runtime/process_clock.cpp
+++ b/packages/runtime/process_clock.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-    // With these the number stays below 2^63 until the year 2248.
-    constexpr unsigned randomBits = 20;
+// With these the number stays below 2^63 until the year 2248.
+constexpr unsigned randomBits = 20;
 
 } // namespace
 
@@ -18,6 +18,11 @@
     return instant(std::chrono::duration_cast<duration>(now));
 }
 
+std::chrono::system_clock::time_point wallClockAtZero()
+{
+    return std::chrono::system_clock::now() - monotonicNow().time_since_epoch();
+}
+
 incarnation newIncarnation()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
--- a/packages/runtime/stop_signal.cpp
+++ b/packages/runtime/stop_signal.cpp
@@ -7,16 +7,16 @@
 
 namespace {
 
-    sigset_t stopSignals()
-    {
-        sigset_t signals;
-        sigemptyset(&signals);
-        sigaddset(&signals, SIGTERM);
-        sigaddset(&signals, SIGINT);
-        // Wakes the waiting thread when the process ends by itself.
-        sigaddset(&signals, SIGUSR1);
-        return signals;
-    }
+sigset_t stopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    // Wakes the waiting thread when the process ends by itself.
+    sigaddset(&signals, SIGUSR1);
+    return signals;
+}
 
 } // namespace
 
