--- /dev/null
+++ b/tests/schedules/broken_invariants.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace appleramp::tests {
+
+// How often each invariant was seen broken in one schedule, with the first thing seen.
+class broken_invariants {
+public:
+    void record(const std::string& invariant, const std::string& seen)
+    {
+        if (m_counts.empty())
+            m_first = invariant + ": " + seen;
+        ++m_counts[invariant];
+    }
+
+    bool none() const { return m_counts.empty(); }
+    const std::string& first() const { return m_first; }
+    const std::map<std::string, std::uint64_t>& counts() const { return m_counts; }
+
+private:
+    std::map<std::string, std::uint64_t> m_counts;
+    std::string m_first;
+};
+
+} // namespace appleramp::tests
--- /dev/null
+++ b/tests/schedules/fake_network.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "fakes/event_queue.h"
+#include "model/events.h"
+
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+
+namespace appleramp::tests {
+
+// How a process takes part in the network: it gets the three kinds of link events.
+struct network_node {
+    std::string address;
+    std::function<void(link_opened)> opened;
+    std::function<void(link_closed)> closed;
+    std::function<void(message_received)> received;
+};
+
+// Links between processes in virtual time: each carries messages in order with a random delay, like a TCP connection.
+// Links can be cut, and the frames of answers can be lost, doubled or put out of order.
+class fake_network {
+public:
+    fake_network(event_queue& queue, std::uint64_t seed);
+
+    // Returns the node's number, by which its process sends and dials.
+    std::uint64_t join(network_node node);
+    // All its links close, for the peers after a delay.
+    void leave(std::uint64_t node);
+
+    void dial(std::uint64_t node, const instance_id& target, const std::string& address);
+    void send(std::uint64_t node, link_number link, const link_envelope& envelope);
+    void close(std::uint64_t node, link_number link);
+
+    // Breaks the links between two addresses and lets no new one come to be until healed.
+    void cut(const std::string& left, const std::string& right);
+    void heal(const std::string& left, const std::string& right);
+    // Answers' frames are lost, doubled or delayed past others while this is set.
+    void setMangling(bool on) { m_mangles = on; }
+    void setSlowAddress(const std::string& address, duration extra) { m_slow[address] = extra; }
+
+private:
+    struct side {
+        std::uint64_t node = 0;
+        link_number link = 0;
+        instant lastArrival;
+        // What this end dialled; empty if its peer dialled.
+        instance_id dialled;
+    };
+    struct connection {
+        side ends[2];
+        bool open = true;
+    };
+
+    bool isCut(const std::string& left, const std::string& right) const;
+    duration delayBetween(const std::string& left, const std::string& right);
+    void connect(std::uint64_t dialler, const instance_id& target, const std::string& address);
+    void breakConnection(std::uint64_t number, std::uint64_t except);
+    void deliver(std::uint64_t number, int toEnd, const link_envelope& envelope, bool inOrder);
+    std::string addressOf(std::uint64_t node) const;
+
+    event_queue& m_queue;
+    std::mt19937_64 m_random;
+    std::map<std::uint64_t, network_node> m_nodes;
+    std::map<std::uint64_t, connection> m_connections;
+    // (node, its link number) to (connection, end).
+    std::map<std::pair<std::uint64_t, link_number>, std::pair<std::uint64_t, int>> m_byLink;
+    std::set<std::pair<std::string, std::string>> m_cuts;
+    std::map<std::string, duration> m_slow;
+    std::map<std::uint64_t, link_number> m_lastLink;
+    std::uint64_t m_lastNode = 0;
+    std::uint64_t m_lastConnection = 0;
+    bool m_mangles = false;
+};
+
+} // namespace appleramp::tests
--- /dev/null
+++ b/tests/schedules/fault_plan.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "schedules/fake_operators.h"
+#include "schedules/schedule_world.h"
+
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace appleramp::tests {
+
+enum class fault_kind {
+    None,
+    EntryCrash,
+    EntryPause,
+    AgentCrash,
+    AgentPause,
+    EndpointCrash,
+    EndpointTurnsCold,
+    EndpointDropsAnswer,
+    LinkCut,
+    FramesMangled,
+    StoreDown,
+    StoreSlow,
+    StoreLosesReplies,
+    ZoneOutAndIn,
+};
+
+std::span<const fault_kind> allFaultKinds();
+std::string_view nameOf(fault_kind kind);
+
+// Lets faults of the given kinds happen at random times within the middle of the schedule; each ends before its end.
+void planFaults(schedule_world& world, fake_operators& operators, std::span<const fault_kind> kinds);
+
+} // namespace appleramp::tests
--- /dev/null
+++ b/tests/schedules/schedule_runner.cpp
@@ -0,0 +1,60 @@
+#include "schedules/schedule_runner.h"
+
+#include "schedules/fake_callers.h"
+#include "schedules/fake_operators.h"
+#include "schedules/order_book.h"
+#include "schedules/schedule_world.h"
+
+namespace appleramp::tests {
+
+namespace {
+
+constexpr instant firstChanges { std::chrono::milliseconds(500) };
+constexpr instant scheduleEnd { std::chrono::seconds(32) };
+
+void declareServices(fake_operators& operators)
+{
+    service_policy repeatable;
+    repeatable.repeatableRoutes = { "/v1/" };
+    operators.change(put_service { service_id("assistant"), repeatable });
+}
+
+} // namespace
+
+std::vector<fault_kind> faultsOfSeed(std::uint64_t seed)
+{
+    const auto kinds = allFaultKinds();
+    const auto singles = kinds.size();
+    const auto turn = seed % (singles + singles * singles);
+    if (turn < singles)
+        return { kinds[turn] };
+    const auto pair = turn - singles;
+    return { kinds[pair / singles], kinds[pair % singles] };
+}
+
+schedule_result runSchedule(std::uint64_t seed) { return runSchedule(seed, faultsOfSeed(seed)); }
+
+schedule_result runSchedule(std::uint64_t seed, const std::vector<fault_kind>& faults)
+{
+    schedule_result result;
+    result.faults = faults;
+    world_options options;
+    options.seed = seed;
+    schedule_world world(options, result.broken);
+    order_book orders(result.broken);
+    fake_operators operators(world);
+    fake_callers callers(world, orders, {});
+    world.queue().at(firstChanges, [&operators] { declareServices(operators); });
+    planFaults(world, operators, faults);
+    world.run(scheduleEnd);
+    operators.checkAccepted();
+    if (!world.allHaveNewestConfiguration())
+        result.broken.record("configuration_not_everywhere", "at the end of the schedule");
+    result.prompts = callers.prompts();
+    result.promptsAnswered = callers.promptsAnswered();
+    result.orders = callers.orders();
+    result.ordersCompleted = callers.ordersCompleted();
+    return result;
+}
+
+} // namespace appleramp::tests
