Build: checkouts share compiled objects

Cause: the cache keyed objects by absolute path, so every checkout compiled everything again. Change: paths relative to the source tree, no debug information in them.

--- a/cmake/appleramp.cmake
+++ b/cmake/appleramp.cmake
@@ -10,11 +10,12 @@
     set(CMAKE_BUILD_TYPE Release CACHE STRING "" FORCE)
 endif()
 # Assertions state invariants and stay on in every build.
-set(CMAKE_CXX_FLAGS_RELEASE "-O2 -g1")
+set(CMAKE_CXX_FLAGS_RELEASE "-O2")
 
 find_program(CCACHE ccache)
 if(CCACHE)
-    set(CMAKE_CXX_COMPILER_LAUNCHER ${CCACHE})
+    # Paths relative to the source tree let checkouts of the same revision share their objects.
+    set(CMAKE_CXX_COMPILER_LAUNCHER env CCACHE_BASEDIR=${CMAKE_SOURCE_DIR} CCACHE_NOHASHDIR=1 ${CCACHE})
 endif()
 
 add_compile_options(-Wall -Wextra -Wpedantic -Werror -Wno-missing-field-initializers)
