Wire: CBOR of a peer is checked for structure before it is decoded

Cause: the CBOR library decodes arrays, maps and strings of indefinite length by recursion; a message of 8 MiB of 0x81 ended the process (test envelope_fuzz, deep_nesting).

--- a/packages/wire/envelope_codec.cpp
+++ b/packages/wire/envelope_codec.cpp
@@ -1,5 +1,6 @@
 #include "wire/envelope_codec.h"
 
+#include "wire/cbor_structure.h"
 #include "wire/json_messages.h"
 #include "wire/wire_error.h"
 
@@ -14,6 +15,7 @@
 
 link_envelope decodeEnvelope(std::string_view bytes)
 {
+    checkCborStructure(bytes);
     try {
         return nlohmann::json::from_cbor(bytes).get<link_envelope>();
     } catch (const nlohmann::json::exception& cause) {
