Wire: recorded events keep bytes that are not Unicode

Cause: a path or header value outside Unicode made the JSON writer throw, which would end a process that records. Change: paths and header values travel as bytes; other texts replace stray bytes instead of throwing. Result: test_wire passes.

--- a/packages/wire/event_codec.cpp
+++ b/packages/wire/event_codec.cpp
@@ -10,7 +10,8 @@
 template <typename Value>
 std::string toLine(const Value& value)
 {
-    return nlohmann::json(value).dump();
+    // Identifiers that are not Unicode lose their stray bytes here; bodies, paths and header values do not.
+    return nlohmann::json(value).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 template <typename Value>
--- a/packages/wire/json_messages.h
+++ b/packages/wire/json_messages.h
@@ -8,13 +8,24 @@
 namespace appleramp {
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(attempt_id, entry, number)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(http_header, name, value)
+
+// What callers and endpoints send need not be Unicode.
+inline void to_json(nlohmann::json& document, const http_header& header)
+{
+    document = nlohmann::json { { "name", header.name }, { "value", bytesToJson(header.value) } };
+}
+
+inline void from_json(const nlohmann::json& document, http_header& header)
+{
+    document.at("name").get_to(header.name);
+    header.value = bytesFromJson(document.at("value"));
+}
 
 inline void to_json(nlohmann::json& document, const service_request& request)
 {
     document = nlohmann::json { { "service", request.service }, { "team", request.team },
         { "urgency", request.urgency }, { "repeatable", request.repeatable }, { "key", request.key },
-        { "adapter", request.adapter }, { "method", request.method }, { "path", request.path },
+        { "adapter", request.adapter }, { "method", request.method }, { "path", bytesToJson(request.path) },
         { "headers", request.headers }, { "body", bytesToJson(request.body) },
         { "contentHash", request.contentHash }, { "prefixHashes", request.prefixHashes },
         { "timeout", request.timeout }, { "traceparent", request.traceparent } };
@@ -29,7 +40,7 @@
     document.at("key").get_to(request.key);
     document.at("adapter").get_to(request.adapter);
     document.at("method").get_to(request.method);
-    document.at("path").get_to(request.path);
+    request.path = bytesFromJson(document.at("path"));
     document.at("headers").get_to(request.headers);
     request.body = bytesFromJson(document.at("body"));
     document.at("contentHash").get_to(request.contentHash);
--- a/tests/wire/event_codec_test.cpp
+++ b/tests/wire/event_codec_test.cpp
@@ -29,3 +29,17 @@
     }
     cr_assert(message.find("nonsense") != std::string::npos);
 }
+
+Test(event_codec, carries_bytes_that_are_not_unicode)
+{
+    request_received received;
+    received.request.path = "/orders/\xff";
+    received.request.headers = { { "Accept", "caf\xe9" } };
+    received.request.body = "\xfe";
+    received.request.team = team_id("kitchen\xff");
+    const auto decoded = decodeEntryEvent(encodeEvent(entry_event { instant(), received }));
+    const auto& back = std::get<request_received>(decoded.body).request;
+    cr_assert(back.path == received.request.path);
+    cr_assert(back.headers.at(0).value == received.request.headers.at(0).value);
+    cr_assert(back.body == received.request.body);
+}
