--- /dev/null
+++ b/packages/replay/trace_replay.cpp
@@ -0,0 +1,94 @@
+#include "replay/trace_replay.h"
+
+#include "decisions/agent/agent_reducer.h"
+#include "decisions/entry/entry_reducer.h"
+#include "replay/replay_error.h"
+#include "replay/trace_header.h"
+#include "wire/event_codec.h"
+#include "wire/wire_error.h"
+
+#include <istream>
+
+namespace appleramp {
+
+namespace {
+
+template <typename Reducer, typename Event>
+replayed_event applyEvent(Reducer& reducer, const Event& event, std::uint64_t number)
+{
+    replayed_event result { number, {} };
+    for (const auto& effect : reducer.apply(event))
+        result.effects.push_back(encodeEffect(effect));
+    return result;
+}
+
+// Feeds one reducer from the lines after the header.
+class line_feeder {
+public:
+    line_feeder(std::istream& trace, std::string_view name, const replay_observer& observer)
+        : m_trace(trace)
+        , m_name(name)
+        , m_observer(observer)
+    {
+    }
+
+    process_identity readHeader()
+    {
+        std::string line;
+        std::getline(m_trace, line);
+        try {
+            return decodeTraceHeader(line);
+        } catch (const replay_error& cause) {
+            throw replay_error(place(1) + cause.what());
+        }
+    }
+
+    void operator()(const entry_identity& self)
+    {
+        entry_reducer reducer(self);
+        feed(reducer, decodeEntryEvent);
+    }
+
+    void operator()(const agent_identity& self)
+    {
+        agent_reducer reducer(self);
+        feed(reducer, decodeAgentEvent);
+    }
+
+private:
+    template <typename Reducer, typename Event>
+    void feed(Reducer& reducer, Event (*decode)(std::string_view))
+    {
+        std::uint64_t number = 0;
+        for (std::string line; std::getline(m_trace, line);) {
+            ++number;
+            m_observer(applyEvent(reducer, decodeLine(decode, line, number), number));
+        }
+    }
+
+    template <typename Event>
+    Event decodeLine(Event (*decode)(std::string_view), const std::string& line, std::uint64_t number) const
+    {
+        try {
+            return decode(line);
+        } catch (const wire_error& cause) {
+            throw replay_error(place(number + 1) + cause.what());
+        }
+    }
+
+    std::string place(std::uint64_t line) const { return m_name + ':' + std::to_string(line) + ": "; }
+
+    std::istream& m_trace;
+    std::string m_name;
+    const replay_observer& m_observer;
+};
+
+} // namespace
+
+void replayTrace(std::istream& trace, std::string_view nameForErrors, const replay_observer& observer)
+{
+    line_feeder feeder(trace, nameForErrors, observer);
+    std::visit(feeder, feeder.readHeader());
+}
+
+} // namespace appleramp
