Appleramp: the operators' command line

Cause: operators change the configuration, take zones and instances out and in, and ask for reasons. Result: test_appleramp passes against a fake operations server.

--- /dev/null
+++ b/packages/appleramp/operations_client.cpp
@@ -0,0 +1,104 @@
+#include "appleramp/operations_client.h"
+
+#include "appleramp/command_error.h"
+#include "appleramp/usage_error.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/StringTokenizer.h>
+
+namespace appleramp {
+
+namespace {
+
+constexpr std::int64_t microsecondsPerMillisecond = 1000;
+
+// The connection could not be made: the entry has received nothing.
+class unreachable_entry : public command_error {
+public:
+    using command_error::command_error;
+};
+
+Poco::Net::StreamSocket connect(const Poco::Net::SocketAddress& address, const Poco::Timespan& timeout)
+{
+    try {
+        Poco::Net::StreamSocket socket;
+        socket.connect(address, timeout);
+        return socket;
+    } catch (const Poco::Exception& cause) {
+        throw unreachable_entry("no entry answers at " + address.toString() + " (" + cause.displayText()
+            + "); check --entry, or name another entry");
+    }
+}
+
+} // namespace
+
+operations_client::operations_client(const std::string& addresses, std::uint32_t timeoutMs)
+    : m_timeoutMs(timeoutMs)
+{
+    const Poco::StringTokenizer tokens(
+        addresses, ",", Poco::StringTokenizer::TOK_TRIM | Poco::StringTokenizer::TOK_IGNORE_EMPTY);
+    if (tokens.count() == 0)
+        throw usage_error("no entry is named; write --entry=IP:PORT with an entry's operations address, or set "
+                          "APPLERAMP_ENTRY");
+    for (const std::string& token : tokens) {
+        try {
+            const Poco::Net::SocketAddress parsed(token);
+            m_addresses.push_back({ parsed.host().toString(), parsed.port() });
+        } catch (const Poco::Exception&) {
+            throw usage_error("'" + token + "' is no address; write --entry=IP:PORT");
+        }
+    }
+}
+
+operations_answer operations_client::get(const std::string& pathAndQuery) const
+{
+    return send({ "GET", pathAndQuery, "" });
+}
+
+operations_answer operations_client::post(const std::string& path, const std::string& json) const
+{
+    return send({ "POST", path, json });
+}
+
+operations_answer operations_client::send(const outgoing& request) const
+{
+    for (std::size_t i = 0; i + 1 < m_addresses.size(); ++i) {
+        try {
+            return sendTo(m_addresses[i], request);
+        } catch (const unreachable_entry&) {
+            continue;
+        }
+    }
+    return sendTo(m_addresses.back(), request);
+}
+
+operations_answer operations_client::sendTo(const address& entry, const outgoing& outgoing) const
+{
+    const Poco::Net::SocketAddress address(entry.host, entry.port);
+    const Poco::Timespan timeout(m_timeoutMs * microsecondsPerMillisecond);
+    Poco::Net::HTTPClientSession session(connect(address, timeout));
+    session.setTimeout(timeout);
+    try {
+        Poco::Net::HTTPRequest request(outgoing.method, outgoing.path, Poco::Net::HTTPMessage::HTTP_1_1);
+        request.setHost(entry.host, entry.port);
+        request.setContentType("application/json");
+        request.setContentLength64(static_cast<Poco::Int64>(outgoing.body.size()));
+        session.sendRequest(request) << outgoing.body;
+        Poco::Net::HTTPResponse response;
+        operations_answer answer;
+        Poco::StreamCopier::copyToString(session.receiveResponse(response), answer.body);
+        answer.status = static_cast<std::uint16_t>(response.getStatus());
+        return answer;
+    } catch (const Poco::Exception& cause) {
+        throw command_error("the answer of " + address.toString() + " was lost (" + cause.displayText()
+            + "); the outcome is unknown: look at 'appleramp config get' before you send it again");
+    }
+}
+
+} // namespace appleramp
