--- a/packages/platform/platform_client.cpp
+++ b/packages/platform/platform_client.cpp
@@ -224,7 +224,9 @@
     demandSuccess(answer, "instance list");
     try {
         std::vector<listed_instance> instances;
-        for (const auto& line : json::parse(answer.body).at("instances"))
+        // A named document: a range-for does not keep the temporary that at() refers into.
+        const auto document = json::parse(answer.body);
+        for (const auto& line : document.at("instances"))
             instances.push_back(instanceFromJson(line));
         return instances;
     } catch (const json::exception& failure) {
