--- a/packages/agent/agent_process.cpp
+++ b/packages/agent/agent_process.cpp
@@ -5,6 +5,7 @@
 #include "observe/decision_journal.h"
 #include "observe/span_exporter.h"
 #include "platform/platform_worker.h"
+#include "replay/trace_header.h"
 #include "runtime/link_transport.h"
 #include "runtime/platform_access.h"
 #include "runtime/reducer_loop.h"
@@ -28,9 +29,13 @@
     return identity;
 }
 
-std::unique_ptr<event_recorder> recorderFor(const std::string& path)
+std::unique_ptr<event_recorder> recorderFor(const std::string& path, const agent_identity& identity)
 {
-    return path.empty() ? nullptr : std::make_unique<event_recorder>(path);
+    if (path.empty())
+        return nullptr;
+    auto recorder = std::make_unique<event_recorder>(path);
+    recorder->write(encodeTraceHeader(identity));
+    return recorder;
 }
 
 } // namespace
@@ -46,7 +51,7 @@
         , m_platformOptions(platformOptions(settings.platform))
         , m_loop(
               agent_reducer(m_identity), [this](agent_effect&& effect) { carryOut(std::move(effect)); },
-              recorderFor(recordPath))
+              recorderFor(recordPath, m_identity))
         , m_platform(
               { m_platformOptions, 1 },
               [this](operation_number operation, platform_result result) {
--- a/packages/decisions/agent/agent_reducer.cpp
+++ b/packages/decisions/agent/agent_reducer.cpp
@@ -82,13 +82,14 @@
 agent_reducer::agent_reducer(agent_identity identity)
     : m_identity(std::move(identity))
     , m_gate(m_identity.limits)
+    , m_traceIds(m_identity.life)
 {
 }
 
 agent_effects agent_reducer::apply(const agent_event& event)
 {
     agent_effects effects;
-    const agent_context context { event.at, m_identity, m_configuration, m_gate, effects };
+    const agent_context context { event.at, m_identity, m_configuration, m_gate, m_traceIds, effects };
     const auto before = m_configuration.version();
     const auto capacityBefore = m_gate.capacity();
     std::visit(event_visitor { *this, context }, event.body);
--- a/packages/decisions/agent/agent_reducer.h
+++ b/packages/decisions/agent/agent_reducer.h
@@ -3,6 +3,7 @@
 #include "decisions/admission/slot_gate.h"
 #include "decisions/agent/attempt_runner.h"
 #include "decisions/configuration/configuration_register.h"
+#include "decisions/tracing/trace_id_generator.h"
 
 #include <set>
 
@@ -33,6 +34,7 @@
     configuration_register m_configuration;
     slot_gate m_gate;
     attempt_runner m_runner;
+    trace_id_generator m_traceIds;
     std::set<link_number> m_entries;
     bool m_leaving = false;
     instant m_nextTick;
--- a/packages/decisions/agent/attempt_runner.cpp
+++ b/packages/decisions/agent/attempt_runner.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr duration answerRetention = std::chrono::seconds(30);
+constexpr std::string_view endpointOperation = "agent.endpoint";
 constexpr duration retryWhenFull = std::chrono::milliseconds(200);
 
 } // namespace
@@ -44,12 +45,15 @@
         break;
     }
     const auto call = ++m_lastCall;
+    const request_trace trace(message.request.traceparent, context.traceIds, context.now);
     m_attempts.emplace(message.attempt,
-        kept_attempt { link, call, key.has_value(), answer_buffer(message.attempt), std::nullopt });
+        kept_attempt { link, call, key.has_value(), answer_buffer(message.attempt), trace, std::nullopt });
     m_byCall[call] = message.attempt;
     context.gate.started();
-    context.decide(decision_kind::Placed, message.request.traceparent, "started at the endpoint");
-    context.effects.emplace_back(call_engine { call, message.request });
+    context.decide(decision_kind::Placed, trace.subject(), "started at the endpoint");
+    call_engine effect { call, message.request };
+    effect.request.traceparent = trace.traceparent();
+    context.effects.emplace_back(std::move(effect));
 }
 
 std::optional<refusal> attempt_runner::reasonToRefuse(const agent_context& context, const start_attempt& message) const
@@ -123,7 +127,7 @@
         return;
     context.send(kept->link, kept->answer.finish());
     context.gate.completed();
-    end(context, event.call, attempt_state::Completed);
+    end(context, event.call, attempt_state::Completed, nameOf(attempt_state::Completed));
 }
 
 void attempt_runner::engineFailed(const agent_context& context, const engine_failed& event)
@@ -137,14 +141,17 @@
         context.gate.completed();
     else
         context.gate.failed();
-    end(context, event.call, event.neverSent ? attempt_state::NeverStarted : attempt_state::Failed);
+    end(context, event.call, event.neverSent ? attempt_state::NeverStarted : attempt_state::Failed, nameOf(event.cause));
 }
 
-void attempt_runner::end(const agent_context& context, call_number call, attempt_state outcome)
+void attempt_runner::end(const agent_context& context, call_number call, attempt_state outcome,
+    std::string_view spanOutcome)
 {
     const auto attempt = m_byCall.at(call);
     m_ledger.finish(attempt, outcome);
-    m_attempts.at(attempt).ended = context.now;
+    auto& kept = m_attempts.at(attempt);
+    kept.ended = context.now;
+    context.effects.emplace_back(kept.trace.end(endpointOperation, spanOutcome, context.now));
     m_byCall.erase(call);
 }
 
--- a/packages/decisions/agent/attempt_runner.h
+++ b/packages/decisions/agent/attempt_runner.h
@@ -3,6 +3,7 @@
 #include "decisions/admission/slot_gate.h"
 #include "decisions/keys/attempt_ledger.h"
 #include "decisions/streams/answer_buffer.h"
+#include "decisions/tracing/request_trace.h"
 #include "model/effects.h"
 
 #include <map>
@@ -11,6 +12,7 @@
 namespace appleramp {
 
 class configuration_register;
+class trace_id_generator;
 
 // Who an agent is, from its settings and its start.
 struct agent_identity {
@@ -27,6 +29,7 @@
     const agent_identity& self;
     configuration_register& configuration;
     slot_gate& gate;
+    trace_id_generator& traceIds;
     agent_effects& effects;
 
     void send(link_number link, link_message message) const;
@@ -57,13 +60,14 @@
         call_number call = 0;
         bool keyed = false;
         answer_buffer answer;
+        request_trace trace;
         std::optional<instant> ended;
     };
 
     std::optional<refusal> reasonToRefuse(const agent_context& context, const start_attempt& message) const;
     void refuse(const agent_context& context, link_number link, attempt_id attempt, refusal reason);
     kept_attempt* findByCall(call_number call);
-    void end(const agent_context& context, call_number call, attempt_state outcome);
+    void end(const agent_context& context, call_number call, attempt_state outcome, std::string_view spanOutcome);
 
     attempt_ledger m_ledger;
     std::map<attempt_id, kept_attempt> m_attempts;
--- a/packages/decisions/entry/entry_context.h
+++ b/packages/decisions/entry/entry_context.h
@@ -9,6 +9,7 @@
 
 class configuration_register;
 class endpoint_directory;
+class trace_id_generator;
 
 // Who an entry is, from its settings and its start.
 struct entry_identity {
@@ -28,6 +29,7 @@
     configuration_register& configuration;
     endpoint_directory& endpoints;
     operation_number& lastOperation;
+    trace_id_generator& traceIds;
     entry_effects& effects;
 
     operation_number call(platform_call call) const;
--- a/packages/decisions/entry/entry_reducer.cpp
+++ b/packages/decisions/entry/entry_reducer.cpp
@@ -105,13 +105,15 @@
 
 entry_reducer::entry_reducer(entry_identity identity)
     : m_identity(std::move(identity))
+    , m_traceIds(m_identity.life)
 {
 }
 
 entry_effects entry_reducer::apply(const entry_event& event)
 {
     entry_effects effects;
-    const entry_context context { event.at, m_identity, m_configuration, m_endpoints, m_lastOperation, effects };
+    const entry_context context { event.at, m_identity, m_configuration, m_endpoints, m_lastOperation, m_traceIds,
+        effects };
     const auto before = m_configuration.version();
     std::visit(event_visitor { *this, context }, event.body);
     afterEvent(context, before);
--- a/packages/decisions/entry/entry_reducer.h
+++ b/packages/decisions/entry/entry_reducer.h
@@ -7,6 +7,7 @@
 #include "decisions/membership/address_directory.h"
 #include "decisions/membership/link_directory.h"
 #include "decisions/placement/endpoint_directory.h"
+#include "decisions/tracing/trace_id_generator.h"
 
 #include <memory>
 #include <optional>
@@ -44,6 +45,7 @@
     address_directory m_addresses;
     request_router m_router;
     operation_number m_lastOperation = 0;
+    trace_id_generator m_traceIds;
     instant m_nextTick;
     instant m_nextListing;
     // Set once the process was asked to stop: callers may come until then with addresses they hold.
--- a/packages/decisions/entry/request_router.cpp
+++ b/packages/decisions/entry/request_router.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr duration retryWhenBusy = std::chrono::seconds(1);
+constexpr std::string_view requestOperation = "entry.request";
 constexpr duration retryInProgress = std::chrono::milliseconds(500);
 
 // Keys of different teams and services do not meet.
@@ -40,23 +41,27 @@
 void request_router::received(const entry_context& context, const request_received& event)
 {
     const bool repeatable = isRepeatable(event.request, context.configuration.current());
-    if (!accept(context, event, repeatable))
+    request_trace trace(event.request.traceparent, context.traceIds, context.now);
+    if (!accept(context, event, repeatable, trace))
         return;
     auto& request = m_requests[event.number];
     request.number = event.number;
     request.request = event.request;
     request.request.repeatable = repeatable;
+    request.trace = std::move(trace);
     request.deadline = context.now + event.request.timeout;
     if (event.request.key && !repeatable)
         request.boundKey = scopedKey(event.request);
     place(context, request);
 }
 
-bool request_router::accept(const entry_context& context, const request_received& event, bool repeatable)
+bool request_router::accept(const entry_context& context, const request_received& event, bool repeatable,
+    const request_trace& trace)
 {
     const auto refuse = [&](std::uint16_t status, execution outcome, std::string reason, std::string detail) {
         problem answer { status, outcome, std::move(reason), std::move(detail), std::nullopt };
-        context.decide(decision_kind::Refused, event.request.traceparent, answer.reason);
+        context.decide(decision_kind::Refused, trace.subject(), answer.reason);
+        context.effects.emplace_back(trace.end(requestOperation, answer.reason, context.now));
         context.effects.emplace_back(reply_problem { event.number, std::move(answer) });
         return false;
     };
@@ -97,7 +102,9 @@
     request.link = link;
     request.attempt = { context.self.life, ++m_lastAttempt };
     m_byAttempt[request.attempt] = request.number;
-    context.decide(decision_kind::Placed, request.request.traceparent,
+    context.effects.emplace_back(request.trace->endQueue(context.traceIds, context.now));
+    request.trace->beginAttempt(context.traceIds, context.now);
+    context.decide(decision_kind::Placed, request.trace->subject(),
         endpoint->description.endpoint.str() + " in " + endpoint->zone.str() + ", "
             + std::to_string(endpoint->inFlight) + " of " + std::to_string(endpoint->slots) + " slots in use");
     if (!request.boundKey) {
@@ -117,6 +124,7 @@
     ++request.sends;
     start_attempt message { request.attempt, request.request, false };
     message.request.timeout = request.deadline - context.now;
+    message.request.traceparent = request.trace->traceparent();
     // The agent remembers keys by their scope too.
     if (request.boundKey)
         message.request.key = request.boundKey;
@@ -130,7 +138,7 @@
         return;
     if (found->second.state == phase::Running)
         context.send(found->second.link, cancel_attempt { found->second.attempt });
-    forget(context, number);
+    forget(context, number, "caller_left");
 }
 
 void request_router::refused(const entry_context& context, link_number link, const attempt_refused& message)
@@ -139,8 +147,9 @@
     if (!request || request->state != phase::Running)
         return;
     returnSlot(context, *request);
+    endAttempt(context, *request, nameOf(message.reason));
     request->excluded.insert(link);
-    context.decide(decision_kind::Refused, request->request.traceparent, std::string(nameOf(message.reason)));
+    context.decide(decision_kind::Refused, request->trace->subject(), std::string(nameOf(message.reason)));
     if (message.reason == refusal::KeyUsed) {
         fail(context, request->number,
             { 409, execution::Unknown, "key_used", "the key's order has been started before", std::nullopt });
@@ -162,7 +171,8 @@
         fail(context, request.number, busy(outcomeIfUnsent(request)));
         return;
     }
-    context.decide(decision_kind::Retried, request.request.traceparent, "attempt proven not to have run");
+    context.decide(decision_kind::Retried, request.trace->subject(), "attempt proven not to have run");
+    request.trace->enqueue(context.now);
     place(context, request);
 }
 
@@ -172,6 +182,7 @@
     if (!request || request->state != phase::Running)
         return;
     returnSlot(context, *request);
+    endAttempt(context, *request, nameOf(message.cause));
     request->excluded.insert(request->link);
     if (message.outcome == execution::NotRun && request->boundKey) {
         request->state = phase::Releasing;
@@ -259,8 +270,8 @@
     }
     if (request.answer.isWhole()) {
         context.effects.emplace_back(reply_end { request.number });
-        context.decide(decision_kind::Completed, request.request.traceparent, "whole answer passed on");
-        forget(context, request.number);
+        context.decide(decision_kind::Completed, request.trace->subject(), "whole answer passed on");
+        forget(context, request.number, nameOf(execution::Completed));
         return;
     }
     if (request.answer.isCorrupt()) {
@@ -285,6 +296,7 @@
     for (const auto number : concerned) {
         auto& request = m_requests.at(number);
         request.holdsSlot = false;
+        endAttempt(context, request, "agent_lost");
         request.excluded.insert(link);
         if (request.request.repeatable && !request.headOut)
             requeue(context, request);
@@ -340,13 +352,14 @@
     request.keyVersion = result.version;
     switch (result.outcome) {
     case key_result::kind::Bound:
-        context.decide(decision_kind::KeyBound, request.request.traceparent, result.standing.endpoint.str());
+        context.decide(decision_kind::KeyBound, request.trace->subject(), result.standing.endpoint.str());
         if (context.endpoints.find(request.link)) {
             start(context, request);
             return;
         }
         // Bound but never sent: this entry alone could have sent it, so that is the proof.
         request.holdsSlot = false;
+        endAttempt(context, request, "agent_lost");
         request.state = phase::Releasing;
         m_keys.release(context, request.number, *request.boundKey, request.binding, request.keyVersion);
         return;
@@ -372,10 +385,11 @@
 void request_router::askHolder(const entry_context& context, routed_request& request, const key_result& result)
 {
     returnSlot(context, request);
+    endAttempt(context, request, "key_held");
     m_byAttempt.erase(request.attempt);
     const auto* holder = context.endpoints.findAgent(result.standing.agent, result.standing.agentLife);
     if (!holder) {
-        context.decide(decision_kind::KeyUnknown, request.request.traceparent, "the holder's agent is not linked");
+        context.decide(decision_kind::KeyUnknown, request.trace->subject(), "the holder's agent is not linked");
         fail(context, request.number,
             { 409, execution::Unknown, "key_unknown", "what became of an earlier send of this key is not known",
                 retryWhenBusy });
@@ -403,18 +417,27 @@
 void request_router::fail(const entry_context& context, request_number number, problem answer)
 {
     auto& request = m_requests.at(number);
-    context.decide(decision_kind::Failed, request.request.traceparent, answer.reason);
+    const std::string reason = answer.reason;
+    context.decide(decision_kind::Failed, request.trace->subject(), reason);
     if (request.headOut)
         context.effects.emplace_back(reply_aborted { number, std::move(answer) });
     else
         context.effects.emplace_back(reply_problem { number, std::move(answer) });
-    forget(context, number);
+    forget(context, number, reason);
 }
 
-void request_router::forget(const entry_context& context, request_number number)
+void request_router::endAttempt(const entry_context& context, routed_request& request, std::string_view outcome)
+{
+    if (auto span = request.trace->endAttempt(outcome, context.now))
+        context.effects.emplace_back(std::move(*span));
+}
+
+void request_router::forget(const entry_context& context, request_number number, std::string_view outcome)
 {
     auto& request = m_requests.at(number);
     returnSlot(context, request);
+    endAttempt(context, request, outcome);
+    context.effects.emplace_back(request.trace->end(requestOperation, outcome, context.now));
     m_byAttempt.erase(request.attempt);
     m_requests.erase(number);
 }
--- a/packages/decisions/entry/request_router.h
+++ b/packages/decisions/entry/request_router.h
@@ -3,6 +3,7 @@
 #include "decisions/entry/entry_context.h"
 #include "decisions/keys/caller_keys.h"
 #include "decisions/streams/answer_assembler.h"
+#include "decisions/tracing/request_trace.h"
 
 #include <deque>
 #include <map>
@@ -52,6 +53,8 @@
     struct routed_request {
         request_number number = 0;
         service_request request;
+        // Set when the request is accepted.
+        std::optional<request_trace> trace;
         instant deadline;
         phase state = phase::Queued;
         // The caller's key with its scope; set if the key must be bound before dispatch.
@@ -69,7 +72,8 @@
     };
 
     routed_request* findByAttempt(attempt_id attempt);
-    bool accept(const entry_context& context, const request_received& event, bool repeatable);
+    bool accept(const entry_context& context, const request_received& event, bool repeatable,
+        const request_trace& trace);
     void place(const entry_context& context, routed_request& request);
     void dispatch(const entry_context& context, routed_request& request, link_number link);
     void start(const entry_context& context, routed_request& request);
@@ -80,7 +84,8 @@
     void passOn(const entry_context& context, routed_request& request);
     // Ends the request with an error: a problem, or an abort if the head is out.
     void fail(const entry_context& context, request_number number, problem answer);
-    void forget(const entry_context& context, request_number number);
+    void forget(const entry_context& context, request_number number, std::string_view outcome);
+    void endAttempt(const entry_context& context, routed_request& request, std::string_view outcome);
     execution outcomeIfUnsent(const routed_request& request) const;
 
     std::map<request_number, routed_request> m_requests;
--- a/packages/entry/entry_process.cpp
+++ b/packages/entry/entry_process.cpp
@@ -9,6 +9,7 @@
 #include "observe/metrics_registry.h"
 #include "observe/span_exporter.h"
 #include "platform/platform_worker.h"
+#include "replay/trace_header.h"
 #include "runtime/link_transport.h"
 #include "runtime/platform_access.h"
 #include "runtime/reducer_loop.h"
@@ -34,9 +35,13 @@
     return identity;
 }
 
-std::unique_ptr<event_recorder> recorderFor(const std::string& path)
+std::unique_ptr<event_recorder> recorderFor(const std::string& path, const entry_identity& identity)
 {
-    return path.empty() ? nullptr : std::make_unique<event_recorder>(path);
+    if (path.empty())
+        return nullptr;
+    auto recorder = std::make_unique<event_recorder>(path);
+    recorder->write(encodeTraceHeader(identity));
+    return recorder;
 }
 
 } // namespace
@@ -52,7 +57,7 @@
         , m_platformOptions(platformOptions(settings.platform))
         , m_loop(
               entry_reducer(m_identity), [this](entry_effect&& effect) { carryOut(std::move(effect)); },
-              recorderFor(recordPath))
+              recorderFor(recordPath, m_identity))
         , m_services { [this](entry_event_body body) { m_loop.post(std::move(body)); }, m_replies, m_journal, m_metrics,
             settings.limits.maxBodyBytes, defaultTimeout }
         , m_platform(
--- a/packages/entry/operations_handler.cpp
+++ b/packages/entry/operations_handler.cpp
@@ -1,5 +1,6 @@
 #include "entry/operations_handler.h"
 
+#include "decisions/tracing/trace_context.h"
 #include "entry/caller_handler.h"
 #include "entry/reply_writer.h"
 #include "entry/request_reader.h"
@@ -30,6 +31,13 @@
         { "subject", entry.subject }, { "reason", entry.reason } };
 }
 
+// A request is known by its trace id; a whole traceparent names it as well.
+std::string subjectFrom(const std::string& text)
+{
+    const auto context = trace_context::parse(text);
+    return context ? context->traceId() : text;
+}
+
 // The change of {"change_id": "...", "change": {"type": "...", "value": {...}}}.
 change_requested readChange(const std::string& body)
 {
@@ -78,7 +86,7 @@
         return;
     }
     auto decisions = nlohmann::json::array();
-    for (const auto& entry : m_services.journal.find(parameters.front().second))
+    for (const auto& entry : m_services.journal.find(subjectFrom(parameters.front().second)))
         decisions.push_back(toJson(entry));
     sendText(response, "application/json", nlohmann::json { { "decisions", decisions } }.dump());
 }
