Observe: log lines and latency summaries of requests

Cause: processes logged nothing, with incarnation 0, and the metrics had no latencies. Change: the end of each request and endpoint call is a JSON line with request id, span and incarnation, as are changes of configuration and membership; appleramp_span_seconds summarises each hop; dropped spans are shown. Result: record_and_replay checks logs and metrics of real processes.

--- a/packages/agent/agent_process.cpp
+++ b/packages/agent/agent_process.cpp
@@ -3,6 +3,7 @@
 #include "agent/engine_client.h"
 #include "decisions/agent/agent_reducer.h"
 #include "observe/decision_journal.h"
+#include "observe/event_log.h"
 #include "observe/span_exporter.h"
 #include "platform/platform_worker.h"
 #include "replay/trace_header.h"
@@ -17,12 +18,12 @@
 // Room for the envelope around the largest body.
 constexpr std::size_t envelopeBytes = 64 * 1024;
 
-agent_identity identityOf(const process_settings& settings)
+agent_identity identityOf(const process_settings& settings, incarnation life)
 {
     agent_identity identity;
     identity.instance = settings.process.instance;
     identity.zone = settings.process.zone;
-    identity.life = newIncarnation();
+    identity.life = life;
     identity.endpoint = settings.endpoint.description;
     identity.limits.warmSlots = settings.endpoint.capacity;
     identity.limits.coldSlots = settings.endpoint.coldSlots;
@@ -42,9 +43,9 @@
 
 class agent_process::implementation {
 public:
-    implementation(const process_settings& settings, const std::string& recordPath)
+    implementation(const process_settings& settings, incarnation life, const std::string& recordPath)
         : m_settings(settings)
-        , m_identity(identityOf(settings))
+        , m_identity(identityOf(settings, life))
         , m_journal(settings.observe.journalEntries)
         , m_spans(settings.observe.spansUrl,
               { settings.process.instance, settings.process.zone, m_identity.life, wallClockAtZero() })
@@ -125,9 +126,17 @@
     void operator()(close_link&& effect) const { self.m_links.close(effect.link); }
     void operator()(call_platform&& effect) const { self.m_platform.post(effect.operation, std::move(effect.call)); }
     void operator()(list_instances&& /*effect*/) const { self.m_platform.postListInstances(); }
-    void operator()(record_decision&& effect) const { self.m_journal.record(std::move(effect.entry)); }
+    void operator()(record_decision&& effect) const
+    {
+        logDecision(effect.entry);
+        self.m_journal.record(std::move(effect.entry));
+    }
     void operator()(stop_process&& /*effect*/) const { self.m_loop.stop(); }
-    void operator()(finish_span&& effect) const { self.m_spans.add(std::move(effect)); }
+    void operator()(finish_span&& effect) const
+    {
+        logSpan(effect);
+        self.m_spans.add(std::move(effect));
+    }
     void operator()(call_engine&& effect) const { self.m_engine.start(std::move(effect)); }
     void operator()(cancel_engine_call&& effect) const { self.m_engine.cancel(effect.call); }
     void operator()(probe_engine&& /*effect*/) const { self.m_engine.probe(); }
@@ -138,8 +147,8 @@
     std::visit(effect_visitor { *this }, std::move(effect));
 }
 
-agent_process::agent_process(const process_settings& settings, const std::string& recordPath)
-    : m_implementation(std::make_unique<implementation>(settings, recordPath))
+agent_process::agent_process(const process_settings& settings, incarnation life, const std::string& recordPath)
+    : m_implementation(std::make_unique<implementation>(settings, life, recordPath))
 {
 }
 
--- a/packages/agent/agent_process.h
+++ b/packages/agent/agent_process.h
@@ -11,7 +11,7 @@
 class agent_process {
 public:
     // Listens at once; throws runtime_error. An empty path records nothing.
-    agent_process(const process_settings& settings, const std::string& recordPath);
+    agent_process(const process_settings& settings, incarnation life, const std::string& recordPath);
     ~agent_process();
     agent_process(const agent_process&) = delete;
     agent_process& operator=(const agent_process&) = delete;
--- a/packages/applerampd/main.cpp
+++ b/packages/applerampd/main.cpp
@@ -2,6 +2,7 @@
 #include "entry/entry_process.h"
 #include "model/errors.h"
 #include "observe/json_log.h"
+#include "runtime/process_clock.h"
 #include "runtime/stop_signal.h"
 #include "settings/settings.h"
 
@@ -49,23 +50,23 @@
 
 // The process exists only after the signals are blocked, since its threads inherit the mask.
 template <typename Process>
-void run(const process_settings& settings)
+void run(const process_settings& settings, incarnation life)
 {
     std::promise<Process*> started;
     const auto process = started.get_future().share();
     const stop_signal signal([process] { process.get()->requestStop(); });
-    Process running(settings, FLAGS_record);
+    Process running(settings, life, FLAGS_record);
     started.set_value(&running);
     reportPorts(running);
     running.run();
 }
 
-void runProcess(const process_settings& settings)
+void runProcess(const process_settings& settings, incarnation life)
 {
     if (settings.process.role == process_role::Entry)
-        run<entry_process>(settings);
+        run<entry_process>(settings, life);
     else
-        run<agent_process>(settings);
+        run<agent_process>(settings, life);
 }
 
 } // namespace
@@ -83,8 +84,11 @@
         const auto settings = loadSettings(FLAGS_settings);
         if (FLAGS_check_settings)
             return 0;
-        installJsonLog({ settings.process.instance, settings.process.zone, 0 }, severityOf(settings.observe.logLevel));
-        runProcess(settings);
+        const incarnation life = newIncarnation();
+        installJsonLog({ settings.process.instance, settings.process.zone, life }, severityOf(settings.observe.logLevel));
+        logInfo("started");
+        runProcess(settings, life);
+        logInfo("stopped");
         return 0;
     } catch (const error& cause) {
         std::cerr << "applerampd: " << cause.what() << '\n';
--- a/packages/entry/entry_process.cpp
+++ b/packages/entry/entry_process.cpp
@@ -6,8 +6,10 @@
 #include "entry/operations_handler.h"
 #include "model/enum_names.h"
 #include "observe/decision_journal.h"
+#include "observe/event_log.h"
 #include "observe/metrics_registry.h"
 #include "observe/span_exporter.h"
+#include "observe/span_metrics.h"
 #include "platform/platform_worker.h"
 #include "replay/trace_header.h"
 #include "runtime/link_transport.h"
@@ -25,12 +27,12 @@
 // Room for the envelope around the largest body.
 constexpr std::size_t envelopeBytes = 64 * 1024;
 
-entry_identity identityOf(const process_settings& settings)
+entry_identity identityOf(const process_settings& settings, incarnation life)
 {
     entry_identity identity;
     identity.instance = settings.process.instance;
     identity.zone = settings.process.zone;
-    identity.life = newIncarnation();
+    identity.life = life;
     identity.maxRequests = settings.limits.maxRequestsInFlight;
     return identity;
 }
@@ -48,9 +50,9 @@
 
 class entry_process::implementation {
 public:
-    implementation(const process_settings& settings, const std::string& recordPath)
+    implementation(const process_settings& settings, incarnation life, const std::string& recordPath)
         : m_settings(settings)
-        , m_identity(identityOf(settings))
+        , m_identity(identityOf(settings, life))
         , m_journal(settings.observe.journalEntries)
         , m_spans(settings.observe.spansUrl,
               { settings.process.instance, settings.process.zone, m_identity.life, wallClockAtZero() })
@@ -143,9 +145,19 @@
     void operator()(close_link&& effect) const { self.m_links.close(effect.link); }
     void operator()(call_platform&& effect) const { self.m_platform.post(effect.operation, std::move(effect.call)); }
     void operator()(list_instances&& /*effect*/) const { self.m_platform.postListInstances(); }
-    void operator()(record_decision&& effect) const { self.m_journal.record(std::move(effect.entry)); }
+    void operator()(record_decision&& effect) const
+    {
+        logDecision(effect.entry);
+        self.m_journal.record(std::move(effect.entry));
+    }
     void operator()(stop_process&& /*effect*/) const { self.m_loop.stop(); }
-    void operator()(finish_span&& effect) const { self.m_spans.add(std::move(effect)); }
+    void operator()(finish_span&& effect) const
+    {
+        logSpan(effect);
+        observeSpan(self.m_metrics, effect);
+        showExport(self.m_metrics, self.m_spans.counts());
+        self.m_spans.add(std::move(effect));
+    }
     void operator()(reply_problem&& effect) const
     {
         self.m_metrics.add(requestsMetric, { { "outcome", nameOf(effect.answer.outcome) } });
@@ -175,8 +187,8 @@
     std::visit(effect_visitor { *this }, std::move(effect));
 }
 
-entry_process::entry_process(const process_settings& settings, const std::string& recordPath)
-    : m_implementation(std::make_unique<implementation>(settings, recordPath))
+entry_process::entry_process(const process_settings& settings, incarnation life, const std::string& recordPath)
+    : m_implementation(std::make_unique<implementation>(settings, life, recordPath))
 {
 }
 
--- a/packages/entry/entry_process.h
+++ b/packages/entry/entry_process.h
@@ -17,7 +17,7 @@
 class entry_process {
 public:
     // Listens at once; throws runtime_error. An empty path records nothing.
-    entry_process(const process_settings& settings, const std::string& recordPath);
+    entry_process(const process_settings& settings, incarnation life, const std::string& recordPath);
     ~entry_process();
     entry_process(const entry_process&) = delete;
     entry_process& operator=(const entry_process&) = delete;
--- a/tests/processes/record_and_replay.py
+++ b/tests/processes/record_and_replay.py
@@ -72,6 +72,14 @@
     assert unknown.returncode == 1, unknown
 
 
+def check_metrics(operations):
+    text = call(operations, "GET", "/v1/metrics")[2]
+    for line in ['appleramp_requests_total{outcome="answered"} 1',
+                 'appleramp_span_seconds_count{operation="entry.request"} 1',
+                 'appleramp_span_seconds{operation="entry.queue",quantile="0.99"} ']:
+        assert line in text, text
+
+
 def check_spans(spans):
     """One span a hop, each below the one before, in the caller's trace."""
     named = {span["name"]: span for span in spans}
@@ -84,6 +92,16 @@
     assert named["agent.endpoint"]["parentSpanId"] == named["entry.attempt"]["spanId"]
 
 
+def check_log(fleet, name, operation):
+    """Every line is JSON with its writer; the request's line has request id, span and incarnation."""
+    lines = (pathlib.Path(fleet.folder.name) / f"{name}.log").read_text().splitlines()
+    entries = [json.loads(line) for line in lines]
+    assert entries and all(entry["instance"] == name and entry["incarnation"] > 0 for entry in entries), lines
+    ended = [entry for entry in entries if entry["message"].startswith(operation)]
+    assert [entry["request"] for entry in ended] == [TRACE_ID] and ended[0]["span"], lines
+    assert entries[-1]["message"] == "stopped", lines
+
+
 def replayed_span_ids(trace):
     run = appleramp("replay", trace)
     assert run.returncode == 0, run.stderr
@@ -108,9 +126,12 @@
                                {"Appleramp-Team": "kitchen", "Idempotency-Key": "k-1", "traceparent": TRACEPARENT})
         assert status == 200, (status, text)
         check_command_line(entry["operations"])
+        check_metrics(entry["operations"])
         stop(fleet, "entry-a")
         stop(fleet, "agent-a")
         check_spans(collector.spans)
+        check_log(fleet, "entry-a", "entry.request")
+        check_log(fleet, "agent-a", "agent.endpoint")
         replayed = replayed_span_ids(trace_of(fleet, "entry-a")) + replayed_span_ids(trace_of(fleet, "agent-a"))
         assert sorted(replayed) == sorted(span["spanId"] for span in collector.spans), (replayed, collector.spans)
     print("spans of", len(collector.spans), "hops exported; both traces replay to the same spans")
