Platform: outage backoff and call counters; Stand-ins: finished work is no load

Cause: a fleet that lost the platform together returned to it together, the platform's budgets could not be counted, and an engine still counted a request as running after its caller had the whole answer, so that a cold one could fall over. Change: outage_backoff spreads trials by a seeded generator; call_counters counts calls by kind and outcome; a call that has waited too long is answered unsent; engines end a request's load before its last bytes.

--- a/packages/platform/platform_client.cpp
+++ b/packages/platform/platform_client.cpp
@@ -1,5 +1,6 @@
 #include "platform/platform_client.h"
 
+#include "platform/call_counters.h"
 #include "platform/http_exchange.h"
 #include "platform/platform_error.h"
 #include "platform/platform_json.h"
@@ -29,12 +30,6 @@
     return uri.getPathAndQuery();
 }
 
-bool isWrite(const platform_call& call)
-{
-    return std::holds_alternative<table_put>(call) || std::holds_alternative<table_remove>(call)
-        || std::holds_alternative<object_put>(call);
-}
-
 platform_status lostReply(const platform_call& call)
 {
     return isWrite(call) ? platform_status::Unknown : platform_status::Unavailable;
@@ -164,6 +159,14 @@
     return results;
 }
 
+platform_health healthShownBy(const http_answer& answer)
+{
+    if (answer.outcome == exchange_outcome::ReplyLost)
+        return platform_health::ReplyLost;
+    const bool out = answer.outcome == exchange_outcome::NotConnected || answer.status == unavailableStatus;
+    return out ? platform_health::Out : platform_health::Answering;
+}
+
 const http_answer& demandSuccess(const http_answer& answer, const char* what)
 {
     if (answer.outcome == exchange_outcome::NotConnected)
@@ -189,9 +192,15 @@
 
 platform_client::~platform_client() = default;
 
+http_answer platform_client::observed(http_answer answer)
+{
+    m_health = healthShownBy(answer);
+    return answer;
+}
+
 platform_result platform_client::call(const platform_call& call)
 {
-    return resultOf(call, std::visit(call_sender { *m_exchange }, call));
+    return resultOf(call, observed(std::visit(call_sender { *m_exchange }, call)));
 }
 
 std::vector<platform_result> platform_client::callBatch(std::span<const platform_call> calls)
@@ -207,7 +216,7 @@
     } catch (const json::exception&) {
         throw platform_error("keys and values of table rows must be UTF-8 text");
     }
-    auto answer = m_exchange->send("POST", "/v1/table/batch", body);
+    auto answer = observed(m_exchange->send("POST", "/v1/table/batch", body));
     if (answer.outcome != exchange_outcome::Answered || answer.status != okStatus)
         return sameForAll(calls, answer);
     try {
@@ -220,7 +229,7 @@
 
 std::vector<listed_instance> platform_client::listInstances()
 {
-    const auto answer = m_exchange->send("GET", "/v1/instances");
+    const auto answer = observed(m_exchange->send("GET", "/v1/instances"));
     demandSuccess(answer, "instance list");
     try {
         const auto document = json::parse(answer.body);
--- a/packages/platform/platform_client.h
+++ b/packages/platform/platform_client.h
@@ -12,6 +12,14 @@
 namespace appleramp {
 
 class http_exchange;
+struct http_answer;
+
+enum class platform_health {
+    Answering,
+    // It cannot be reached or says that it is out.
+    Out,
+    ReplyLost,
+};
 
 struct platform_client_options {
     // Numeric host and port of the platform.
@@ -41,8 +49,14 @@
     void registerInstance(const listed_instance& instance);
     void deregisterInstance(const instance_id& instance);
 
+    // What the last call or batch showed of the platform itself.
+    platform_health lastHealth() const { return m_health; }
+
 private:
+    http_answer observed(http_answer answer);
+
     std::unique_ptr<http_exchange> m_exchange;
+    platform_health m_health = platform_health::Answering;
 };
 
 // Table calls can be batched; object calls cannot.
--- a/packages/platform/platform_worker.cpp
+++ b/packages/platform/platform_worker.cpp
@@ -2,17 +2,15 @@
 
 #include "platform/platform_error.h"
 
-#include <algorithm>
 #include <cassert>
 
 namespace appleramp {
 
 namespace {
 
-bool allUnavailable(const std::vector<platform_result>& results)
+instant monotonicNow()
 {
-    return std::all_of(results.begin(), results.end(),
-        [](const platform_result& result) { return result.status == platform_status::Unavailable; });
+    return instant(std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
 }
 
 } // namespace
@@ -22,6 +20,7 @@
     : m_options(std::move(options))
     , m_onResult(std::move(onResult))
     , m_onInstances(std::move(onInstances))
+    , m_backoff(m_options.seed, m_options.backoff)
 {
     for (std::size_t i = 0; i < m_options.threads; ++i)
         m_threads.emplace_back([this] { run(); });
@@ -37,10 +36,11 @@
     {
         const std::lock_guard lock(m_mutex);
         if (!m_stopping && m_waiting.size() < m_options.maxWaiting) {
-            m_waiting.push_back({ operation, std::move(call) });
+            m_waiting.push_back({ operation, std::move(call), monotonicNow() });
             m_wake.notify_one();
             return;
         }
+        m_counters.countUnsent(call);
     }
     m_onResult(operation, {});
 }
@@ -65,6 +65,12 @@
     answerWaiting();
 }
 
+call_counters platform_worker::counters() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_counters;
+}
+
 void platform_worker::run()
 {
     platform_client client(m_options.client);
@@ -76,27 +82,41 @@
 bool platform_worker::takeJob(job& taken)
 {
     std::unique_lock lock(m_mutex);
-    m_wake.wait(lock, [this] { return m_stopping || m_listWanted || !m_waiting.empty(); });
-    if (m_stopping)
-        return false;
-    if (m_listWanted) {
+    while (true) {
+        m_wake.wait(lock, [this] { return m_stopping || m_listWanted || !m_waiting.empty(); });
+        if (m_stopping)
+            return false;
+        const auto now = monotonicNow();
+        if (!m_waiting.empty()) {
+            taken = takeCalls(now);
+            return true;
+        }
         m_listWanted = false;
+        if (!m_backoff.admits(now))
+            continue;
         taken = instances_wanted {};
         return true;
     }
-    taken = takeCalls();
-    return true;
 }
 
-// The first waiting call, with the table calls that follow it if it is one itself.
-std::vector<platform_worker::waiting_call> platform_worker::takeCalls()
+// The first waiting call, with the table calls that follow it if it is one itself; or all that cannot be sent.
+platform_worker::job platform_worker::takeCalls(instant now)
 {
     std::vector<waiting_call> calls;
-    do {
+    const bool admitted = m_backoff.admits(now);
+    const auto next = [this]() -> const waiting_call& { return m_waiting.front(); };
+    const auto take = [&] {
         calls.push_back(std::move(m_waiting.front()));
         m_waiting.pop_front();
-    } while (!m_waiting.empty() && calls.size() < m_options.maxBatch && isTableCall(calls.front().call)
-        && isTableCall(m_waiting.front().call));
+    };
+    while (!m_waiting.empty() && (!admitted || now - next().posted > m_options.maxWait))
+        take();
+    if (!calls.empty())
+        return unsent_calls { std::move(calls) };
+    take();
+    const bool batched = isTableCall(calls.front().call);
+    while (batched && !m_waiting.empty() && calls.size() < m_options.maxBatch && isTableCall(next().call))
+        take();
     return calls;
 }
 
@@ -104,11 +124,20 @@
 {
     auto results = resultsOf(client, calls);
     assert(results.size() == calls.size());
-    const bool outage = allUnavailable(results);
+    countResults(calls, results);
     for (std::size_t i = 0; i < calls.size(); ++i)
         m_onResult(calls[i].operation, std::move(results[i]));
-    if (outage)
-        answerWaiting();
+}
+
+void platform_worker::carryOut(platform_client&, unsent_calls& unsent)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto& waiting : unsent.calls)
+            m_counters.countUnsent(waiting.call);
+    }
+    for (const auto& waiting : unsent.calls)
+        m_onResult(waiting.operation, {});
 }
 
 void platform_worker::carryOut(platform_client& client, instances_wanted)
@@ -117,8 +146,10 @@
     try {
         instances = client.listInstances();
     } catch (const platform_error&) {
+        reportHealth(client.lastHealth());
         return;
     }
+    reportHealth(client.lastHealth());
     if (m_onInstances)
         m_onInstances(std::move(instances));
 }
@@ -126,32 +157,65 @@
 std::vector<platform_result> platform_worker::resultsOf(
     platform_client& client, const std::vector<waiting_call>& calls)
 {
-    if (calls.size() == 1)
-        return { client.call(calls.front().call) };
     std::vector<platform_call> batch;
     batch.reserve(calls.size());
     for (const auto& waiting : calls)
         batch.push_back(waiting.call);
-    try {
-        return client.callBatch(batch);
-    } catch (const platform_error&) {
-        // A value that cannot be written as JSON spoils the batch before anything is sent: send one by one.
-        std::vector<platform_result> results;
-        results.reserve(batch.size());
-        for (const auto& call : batch)
+    std::vector<platform_result> results;
+    const auto callOneByOne = [&] {
+        for (const auto& call : batch) {
             results.push_back(client.call(call));
+            reportHealth(client.lastHealth());
+        }
+    };
+    if (batch.size() == 1) {
+        callOneByOne();
         return results;
     }
+    try {
+        results = client.callBatch(batch);
+        reportHealth(client.lastHealth());
+    } catch (const platform_error&) {
+        // A value that cannot be written as JSON spoils the batch before anything is sent.
+        callOneByOne();
+    }
+    return results;
+}
+
+void platform_worker::reportHealth(platform_health health)
+{
+    const std::lock_guard lock(m_mutex);
+    m_counters.countExchange();
+    switch (health) {
+    case platform_health::Answering:
+        return m_backoff.succeeded();
+    case platform_health::Out:
+        return m_backoff.failed(monotonicNow());
+    case platform_health::ReplyLost:
+        return m_backoff.lostReply(monotonicNow());
+    }
+}
+
+void platform_worker::countResults(
+    const std::vector<waiting_call>& calls, const std::vector<platform_result>& results)
+{
+    const std::lock_guard lock(m_mutex);
+    for (std::size_t i = 0; i < calls.size(); ++i)
+        m_counters.countSent(calls[i].call, results[i].status);
 }
 
 void platform_worker::answerWaiting()
 {
-    std::deque<waiting_call> unanswered;
+    unsent_calls unanswered;
     {
         const std::lock_guard lock(m_mutex);
-        unanswered.swap(m_waiting);
+        for (auto& waiting : m_waiting) {
+            m_counters.countUnsent(waiting.call);
+            unanswered.calls.push_back(std::move(waiting));
+        }
+        m_waiting.clear();
     }
-    for (const auto& waiting : unanswered)
+    for (const auto& waiting : unanswered.calls)
         m_onResult(waiting.operation, {});
 }
 
--- a/packages/platform/platform_worker.h
+++ b/packages/platform/platform_worker.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "decisions/platform/outage_backoff.h"
 #include "model/instance.h"
 #include "model/platform_call.h"
+#include "platform/call_counters.h"
 #include "platform/platform_client.h"
 
 #include <condition_variable>
@@ -20,12 +22,18 @@
     std::size_t threads = 2;
     // Calls that may wait; further ones are answered Unavailable at once.
     std::size_t maxWaiting = 4096;
+    // A call that has waited longer is answered Unavailable instead of being sent.
+    duration maxWait = std::chrono::seconds(5);
     // Table calls that travel in one exchange at most.
     std::size_t maxBatch = 64;
+    // Spreads the trials of processes during an outage; they need different ones.
+    std::uint64_t seed = 1;
+    outage_backoff_limits backoff;
 };
 
 // Carries out platform calls on threads of its own and hands each result to a handler, once for each call.
-// Waiting table calls travel together. While the platform cannot be reached, whatever waits is answered at once.
+// Waiting table calls travel together. During an outage calls are answered Unavailable at once, but for a trial now
+// and then, as outage_backoff decides.
 class platform_worker {
 public:
     // Called on the worker's threads, or on the poster's if the call cannot be queued.
@@ -44,28 +52,40 @@
     void postListInstances();
     void stop();
 
+    call_counters counters() const;
+
 private:
     struct waiting_call {
         operation_number operation = 0;
         platform_call call;
+        instant posted;
     };
     struct instances_wanted { };
-    using job = std::variant<std::vector<waiting_call>, instances_wanted>;
+    // Calls that are answered without being sent.
+    struct unsent_calls {
+        std::vector<waiting_call> calls;
+    };
+    using job = std::variant<std::vector<waiting_call>, unsent_calls, instances_wanted>;
 
     void run();
     bool takeJob(job& taken);
-    std::vector<waiting_call> takeCalls();
+    job takeCalls(instant now);
     void carryOut(platform_client& client, std::vector<waiting_call>& calls);
+    void carryOut(platform_client& client, unsent_calls& unsent);
     void carryOut(platform_client& client, instances_wanted);
     std::vector<platform_result> resultsOf(platform_client& client, const std::vector<waiting_call>& calls);
+    void reportHealth(platform_health health);
+    void countResults(const std::vector<waiting_call>& calls, const std::vector<platform_result>& results);
     void answerWaiting();
 
     const platform_worker_options m_options;
     const result_handler m_onResult;
     const instances_handler m_onInstances;
-    std::mutex m_mutex;
+    mutable std::mutex m_mutex;
     std::condition_variable m_wake;
     std::deque<waiting_call> m_waiting;
+    outage_backoff m_backoff;
+    call_counters m_counters;
     bool m_listWanted = false;
     bool m_stopping = false;
     std::vector<std::thread> m_threads;
--- a/stand_ins/engine_exchange.h
+++ b/stand_ins/engine_exchange.h
@@ -15,6 +15,8 @@
     std::string body;
     // Round of the engine's pause: ends when the engine falls over.
     std::uint64_t round = 0;
+    // The work is done and no load any more; at most the answer's last bytes are still to come.
+    bool finished = false;
 };
 
 } // namespace appleramp::stand_ins
--- a/stand_ins/engine_host.cpp
+++ b/stand_ins/engine_host.cpp
@@ -134,7 +134,6 @@
     case admission::Admitted:
         break;
     }
-    bool completed = false;
     try {
         std::chrono::milliseconds stall {};
         {
@@ -144,12 +143,22 @@
         if (takeDrop(&engine_faults::dropBeforeWork) || !m_pause.waitFor(exchange.round, stall))
             dropConnection(exchange.request);
         else
-            completed = m_work(exchange);
+            m_work(exchange);
     } catch (...) {
-        leave(false);
+        if (!exchange.finished)
+            leave();
         throw;
     }
-    leave(completed);
+    if (!exchange.finished)
+        leave();
+}
+
+void engine_host::finishWork(engine_exchange& exchange)
+{
+    const std::lock_guard lock(m_mutex);
+    exchange.finished = true;
+    --m_running;
+    ++m_completedSinceCold;
 }
 
 void engine_host::serveControl(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response)
@@ -227,12 +236,10 @@
     return admission::Admitted;
 }
 
-void engine_host::leave(bool completed)
+void engine_host::leave()
 {
     const std::lock_guard lock(m_mutex);
     --m_running;
-    if (completed)
-        ++m_completedSinceCold;
 }
 
 } // namespace appleramp::stand_ins
--- a/stand_ins/engine_host.h
+++ b/stand_ins/engine_host.h
@@ -31,8 +31,8 @@
 // control port that outlives crashes. The work itself is a handler's.
 class engine_host {
 public:
-    // Answers one exchange. True if its work was completed.
-    using worker = std::function<bool(engine_exchange&)>;
+    // Answers one exchange and calls finishWork() before the answer's last bytes, if it comes to that.
+    using worker = std::function<void(engine_exchange&)>;
 
     // Requests to the uncounted paths are no load.
     engine_host(engine_host_options options, worker work, std::set<std::string> uncountedPaths = {});
@@ -50,6 +50,9 @@
     void restart();
     void turnCold();
 
+    // From now on the exchange is no load. Before the last bytes, so that the caller's next request does not meet it.
+    void finishWork(engine_exchange& exchange);
+
     // True if the fault's count is not used up; takes one of it.
     bool takeDrop(std::uint32_t engine_faults::*remaining);
 
@@ -77,7 +80,7 @@
     void apply(const engine_incidents& incidents);
     bool crashesEngine(const std::string& body) const;
     admission enter();
-    void leave(bool completed);
+    void leave();
 
     const engine_host_options m_options;
     const worker m_work;
--- a/stand_ins/model_engine.cpp
+++ b/stand_ins/model_engine.cpp
@@ -32,7 +32,7 @@
 
 model_engine::model_engine(const model_engine_options& options)
     : m_options(options)
-    , m_host(options.host, [this](engine_exchange& exchange) { return work(exchange); })
+    , m_host(options.host, [this](engine_exchange& exchange) { work(exchange); })
 {
 }
 
@@ -46,21 +46,24 @@
     return "token" + std::to_string(number) + " ";
 }
 
-bool model_engine::work(engine_exchange& exchange)
+void model_engine::work(engine_exchange& exchange)
 {
     const auto& path = exchange.line.path;
     if (path != "/v1/chat/completions" && path != "/v1/completions") {
         sendError(exchange.response, 404, "no such path");
-        return false;
+        return;
     }
     completion wanted;
     try {
         wanted = readCompletion(exchange);
     } catch (const json::exception& failure) {
         sendError(exchange.response, 400, failure.what());
-        return false;
+        return;
     }
-    return wanted.streamed ? stream(exchange, wanted) : answerWhole(exchange, wanted);
+    if (wanted.streamed)
+        stream(exchange, wanted);
+    else
+        answerWhole(exchange, wanted);
 }
 
 model_engine::completion model_engine::readCompletion(const engine_exchange& exchange) const
@@ -70,11 +73,11 @@
         document.value("max_tokens", m_options.tokens), answerId(exchange.body) };
 }
 
-bool model_engine::stream(engine_exchange& exchange, const completion& wanted)
+void model_engine::stream(engine_exchange& exchange, const completion& wanted)
 {
     const auto start = interruptible_pause::clock::now();
     if (!awaitToken(exchange, start, 0))
-        return false;
+        return;
     exchange.response.setContentType("text/event-stream");
     exchange.response.setChunkedTransferEncoding(true);
     std::ostream& output = exchange.response.send();
@@ -83,36 +86,35 @@
     for (std::uint32_t number = 0; number < wanted.tokens; ++number) {
         if (!awaitToken(exchange, start, number)) {
             dropConnection(exchange.request);
-            return false;
+            return;
         }
         event["choices"] = json::array({ choiceOf(wanted.chat, tokenText(number), true) });
         output << "data: " << event.dump() << "\n\n"
                << std::flush;
         if (!output.good())
-            return false;
+            return;
     }
-    output << "data: [DONE]\n\n"
-           << std::flush;
-    return output.good();
+    m_host.finishWork(exchange);
+    output << "data: [DONE]\n\n" << std::flush;
 }
 
-bool model_engine::answerWhole(engine_exchange& exchange, const completion& wanted)
+void model_engine::answerWhole(engine_exchange& exchange, const completion& wanted)
 {
     const auto start = interruptible_pause::clock::now();
     std::string text;
     for (std::uint32_t number = 0; number < wanted.tokens; ++number) {
         if (!awaitToken(exchange, start, number)) {
             dropConnection(exchange.request);
-            return false;
+            return;
         }
         text += tokenText(number);
     }
+    m_host.finishWork(exchange);
     sendJson(exchange.response, 200,
         { { "id", wanted.id }, { "model", m_options.model },
             { "object", wanted.chat ? "chat.completion" : "text_completion" },
             { "choices", json::array({ choiceOf(wanted.chat, text, false) }) },
             { "usage", { { "completion_tokens", wanted.tokens } } } });
-    return true;
 }
 
 bool model_engine::awaitToken(
--- a/stand_ins/model_engine.h
+++ b/stand_ins/model_engine.h
@@ -33,10 +33,10 @@
 private:
     struct completion;
 
-    bool work(engine_exchange& exchange);
+    void work(engine_exchange& exchange);
     completion readCompletion(const engine_exchange& exchange) const;
-    bool stream(engine_exchange& exchange, const completion& wanted);
-    bool answerWhole(engine_exchange& exchange, const completion& wanted);
+    void stream(engine_exchange& exchange, const completion& wanted);
+    void answerWhole(engine_exchange& exchange, const completion& wanted);
     // False if the engine fell over before it was the token's time.
     bool awaitToken(const engine_exchange& exchange, interruptible_pause::clock::time_point start,
         std::uint32_t number);
--- a/stand_ins/plain_service.cpp
+++ b/stand_ins/plain_service.cpp
@@ -14,7 +14,7 @@
 plain_service::plain_service(const plain_service_options& options)
     : m_options(options)
     , m_host(
-          options.host, [this](engine_exchange& exchange) { return work(exchange); }, { executionsPath })
+          options.host, [this](engine_exchange& exchange) { work(exchange); }, { executionsPath })
 {
 }
 
@@ -31,28 +31,25 @@
     return m_executions;
 }
 
-bool plain_service::work(engine_exchange& exchange)
+void plain_service::work(engine_exchange& exchange)
 {
     const auto& line = exchange.line;
     if (line.path == executionsPath) {
-        answerExecutions(exchange);
-        return true;
+        return answerExecutions(exchange);
     }
     if (line.path == "/orders" && line.method == "POST")
         return placeOrder(exchange);
     if (line.path == "/availability" && line.method == "GET") {
-        sendJson(exchange.response, 200, { { "available", true } });
-        return true;
+        m_host.finishWork(exchange);
+        return sendJson(exchange.response, 200, { { "available", true } });
     }
     sendError(exchange.response, 404, "no such path");
-    return false;
 }
 
-bool plain_service::placeOrder(engine_exchange& exchange)
+void plain_service::placeOrder(engine_exchange& exchange)
 {
     if (!m_host.pause().waitFor(exchange.round, m_options.workTime)) {
-        dropConnection(exchange.request);
-        return false;
+        return dropConnection(exchange.request);
     }
     const auto key = exchange.request.get("Idempotency-Key", "");
     std::uint64_t number = 0;
@@ -62,11 +59,10 @@
         number = ++m_executions;
     }
     if (m_host.takeDrop(&engine_faults::dropAfterWork)) {
-        dropConnection(exchange.request);
-        return false;
+        return dropConnection(exchange.request);
     }
+    m_host.finishWork(exchange);
     sendJson(exchange.response, 200, { { "order", number }, { "key", key } });
-    return true;
 }
 
 void plain_service::answerExecutions(engine_exchange& exchange) const
--- a/stand_ins/plain_service.h
+++ b/stand_ins/plain_service.h
@@ -28,8 +28,8 @@
     std::uint64_t executions() const;
 
 private:
-    bool work(engine_exchange& exchange);
-    bool placeOrder(engine_exchange& exchange);
+    void work(engine_exchange& exchange);
+    void placeOrder(engine_exchange& exchange);
     void answerExecutions(engine_exchange& exchange) const;
 
     const plain_service_options m_options;
--- a/tests/platform/platform_worker_test.cpp
+++ b/tests/platform/platform_worker_test.cpp
@@ -132,6 +132,64 @@
         worker.post(operation, table_put { "k", "v", 0 });
     collector.awaitCount(calls);
     cr_assert(collector.allAnswered(calls, platform_status::Unavailable));
+    // Only trials were sent, far fewer than the calls.
+    const auto counters = worker.counters();
+    cr_assert_eq(counters.writes() + counters.unsent()[1], calls);
+    cr_assert_lt(counters.exchanges(), 5);
+}
+
+Test(platform_worker, returns_to_the_platform_after_an_outage)
+{
+    platform_stand_in platform;
+    platform.setFaults({ .down = true });
+    result_collector collector;
+    auto options = optionsFor(platform);
+    options.backoff = { 1ms, 2ms, 3 };
+    platform_worker worker(options, into(collector));
+    worker.post(0, table_get { "k" });
+    collector.awaitCount(1);
+    platform.setFaults({});
+    operation_number operation = 0;
+    while (worker.counters().sent()[0].notFound == 0) {
+        worker.post(++operation, table_get { "k" });
+        collector.awaitCount(operation + 1);
+    }
+    cr_assert_eq(collector.count(), operation + 1);
+}
+
+Test(platform_worker, call_that_waits_too_long_is_not_sent)
+{
+    platform_stand_in platform;
+    platform.setFaults({ .delay = 100ms });
+    result_collector collector;
+    auto options = optionsFor(platform);
+    options.maxWait = 50ms;
+    options.maxBatch = 1;
+    platform_worker worker(options, into(collector));
+    worker.post(0, table_put { "a", "v", 0 });
+    worker.post(1, table_put { "b", "v", 0 });
+    collector.awaitCount(2);
+    // The first call took longer than the second may wait. On a slow machine the first may be late as well.
+    cr_assert_leq(platform.exchanges(), 1);
+    cr_assert(platform.apply(table_get { "b" }).status == platform_status::NotFound);
+    cr_assert_eq(worker.counters().unsent()[1] + platform.exchanges(), 2);
+}
+
+Test(platform_worker, counts_calls_by_kind_and_outcome)
+{
+    platform_stand_in platform;
+    result_collector collector;
+    platform_worker worker(optionsFor(platform), into(collector));
+    worker.post(0, table_put { "a", "v", 0 });
+    worker.post(1, table_put { "a", "v", 0 });
+    worker.post(2, table_get { "a" });
+    worker.post(3, object_get { "none" });
+    collector.awaitCount(4);
+    const auto counters = worker.counters();
+    cr_assert(call_counters::kindName(1) == "table_put");
+    cr_assert(counters.sent()[1].done == 1 && counters.sent()[1].conflict == 1);
+    cr_assert(counters.reads() == 2 && counters.writes() == 2);
+    cr_assert(counters.sent()[4].notFound == 1);
 }
 
 Test(platform_worker, full_queue_is_answered_at_once)
