--- a/stand_ins/model_engine.cpp
+++ b/stand_ins/model_engine.cpp
@@ -95,7 +95,8 @@
             return;
     }
     m_host.finishWork(exchange);
-    output << "data: [DONE]\n\n" << std::flush;
+    output << "data: [DONE]\n\n"
+           << std::flush;
 }
 
 void model_engine::answerWhole(engine_exchange& exchange, const completion& wanted)
