--- a/stand_ins/engine_host.cpp
+++ b/stand_ins/engine_host.cpp
@@ -97,6 +97,12 @@
     return m_crashes;
 }
 
+bool engine_host::warm() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_completedSinceCold >= m_options.warmAfter;
+}
+
 void engine_host::serve(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response)
 {
     engine_exchange exchange { request, response, parseRequestLine(request), {}, m_pause.round() };
--- a/stand_ins/engine_host.h
+++ b/stand_ins/engine_host.h
@@ -63,6 +63,7 @@
     std::uint32_t running() const;
     std::uint32_t mostRunning() const;
     std::uint64_t crashes() const;
+    bool warm() const;
 
 private:
     enum class admission {
--- a/stand_ins/platform_stand_in.cpp
+++ b/stand_ins/platform_stand_in.cpp
@@ -173,6 +173,12 @@
     return m_exchanges;
 }
 
+void platform_stand_in::awaitExchanges(std::uint64_t count) const
+{
+    std::unique_lock lock(m_mutex);
+    m_exchanged.wait(lock, [&] { return m_exchanges >= count; });
+}
+
 void platform_stand_in::serve(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response)
 {
     const auto round = m_pause.round();
@@ -239,6 +245,7 @@
 {
     const std::lock_guard lock(m_mutex);
     ++m_exchanges;
+    m_exchanged.notify_all();
     return std::uniform_int_distribution<std::uint32_t>(1, hundredPercent)(m_random) <= m_faults.loseReplyPercent;
 }
 
--- a/stand_ins/platform_stand_in.h
+++ b/stand_ins/platform_stand_in.h
@@ -41,8 +41,9 @@
 
     // What a call finds without the network and its faults.
     platform_result apply(const platform_call& call) { return m_store.apply(call); }
-    // Table rows written and exchanges served so far.
+    // Requests that have taken effect so far, whether or not they were answered.
     std::uint64_t exchanges() const;
+    void awaitExchanges(std::uint64_t count) const;
 
 private:
     void serve(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response);
@@ -56,6 +57,7 @@
     interruptible_pause m_pause;
     mutable std::mutex m_mutex;
     std::condition_variable m_faultsChanged;
+    mutable std::condition_variable m_exchanged;
     platform_faults m_faults;
     std::uint64_t m_faultsNumber = 0;
     std::uint64_t m_exchanges = 0;
