--- /dev/null
+++ b/packages/decisions/maps/layer_packing.cpp
@@ -0,0 +1,260 @@
+#include "decisions/maps/layer_packing.h"
+
+#include "decisions/maps/maps_error.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <numeric>
+
+namespace appleramp {
+
+namespace {
+
+// Parts of the mean load below which a flow counts as nothing.
+constexpr auto negligiblePart = 1e-6;
+constexpr auto limitGrowth = 1.002;
+
+} // namespace
+
+layer_packing::layer_packing(const group_shape& shape)
+    : m_shape(shape)
+    , m_stride(shape.maxPlaces())
+    , m_load(shape.experts)
+    , m_capacity(shape.ranks.size())
+    , m_used(shape.ranks.size())
+    , m_deficit(shape.experts)
+    , m_slots(shape.ranks.size() * m_stride)
+    , m_replicas(shape.experts)
+    , m_expertSeen(shape.experts)
+    , m_rankSeen(shape.ranks.size())
+    , m_reachedFrom(shape.experts)
+    , m_reachedBy(shape.experts)
+{
+    std::uint32_t places = 0;
+    for (const auto& rank : shape.ranks) {
+        m_rankPlaces.push_back(rank.out ? 0 : rank.places);
+        m_speed.push_back(rank.out ? 0 : rank.speed);
+        m_severalZones = m_severalZones || rank.zone != shape.ranks.front().zone;
+        places += m_rankPlaces.back();
+    }
+    if (places < shape.experts)
+        throw maps_error("the group's ranks have fewer places than experts");
+}
+
+double layer_packing::smallest() const
+{
+    return m_mean * negligiblePart;
+}
+
+void layer_packing::start(std::span<const expert_place> today, std::span<const double> loads, double limit)
+{
+    const auto work = std::accumulate(loads.begin(), loads.end(), 0.0);
+    m_mean = work / double(m_speed.size());
+    // An expert without load still needs a place.
+    std::ranges::transform(loads, m_load.begin(), [this](double load) { return std::max(load, smallest() * 2); });
+    std::ranges::fill(m_used, 0.0);
+    std::ranges::fill(m_slots, slot {});
+    for (auto& replicas : m_replicas)
+        replicas.clear();
+    m_deficit = m_load;
+    setLimit(limit);
+    adoptPlaces(today);
+    trimOverload();
+    placeMissing();
+}
+
+void layer_packing::setLimit(double limit)
+{
+    m_limit = limit;
+    for (std::size_t rank = 0; rank < m_speed.size(); ++rank)
+        m_capacity[rank] = limit * m_speed[rank];
+}
+
+void layer_packing::adoptPlaces(std::span<const expert_place> today)
+{
+    for (place_index place = 0; place < today.size(); ++place) {
+        const auto& held = today[place];
+        if (held.expert == noExpert || held.expert >= m_load.size())
+            continue;
+        if (place % m_stride >= m_rankPlaces[rankOf(place)])
+            continue;
+        link(place, held.expert);
+        push(place, m_load[held.expert] * held.share / wholeShare);
+    }
+}
+
+void layer_packing::trimOverload()
+{
+    for (std::size_t index = 0; index < m_speed.size(); ++index) {
+        const auto rank = rank_index(index);
+        const auto excess = m_used[rank] - m_capacity[rank];
+        if (excess <= 0)
+            continue;
+        const auto keep = m_capacity[rank] / m_used[rank];
+        for (place_index place = rank * m_stride; place < rank * m_stride + m_rankPlaces[rank]; ++place) {
+            if (m_slots[place].expert != noExpert)
+                push(place, m_slots[place].flow * (keep - 1));
+        }
+    }
+}
+
+// Experts that no rank holds go, heaviest first, to the rank with most room: whole where that is possible.
+void layer_packing::placeMissing()
+{
+    std::vector<expert_index> missing;
+    for (std::size_t index = 0; index < m_load.size(); ++index) {
+        const auto expert = expert_index(index);
+        if (m_replicas[expert].empty())
+            missing.push_back(expert);
+    }
+    std::ranges::stable_sort(missing, [this](auto a, auto b) { return m_load[a] > m_load[b]; });
+    for (const auto expert : missing) {
+        auto place = roomiestFreePlace();
+        if (!place) {
+            for (place_index other = 0; other < m_slots.size() && !place; ++other) {
+                if (removable(other))
+                    place = other;
+            }
+        }
+        assert(place);
+        occupy(*place, expert);
+    }
+}
+
+void layer_packing::link(place_index place, expert_index expert)
+{
+    m_slots[place] = { expert, 0 };
+    m_replicas[expert].push_back(place);
+}
+
+void layer_packing::unlink(place_index place)
+{
+    auto& held = m_slots[place];
+    if (held.expert == noExpert)
+        return;
+    push(place, -held.flow);
+    std::erase(m_replicas[held.expert], place);
+    held = {};
+}
+
+void layer_packing::push(place_index place, double amount)
+{
+    auto& held = m_slots[place];
+    held.flow += amount;
+    m_used[rankOf(place)] += amount;
+    m_deficit[held.expert] -= amount;
+}
+
+double layer_packing::solve(bool allowMoves)
+{
+    auto additionsLeft = allowMoves ? 4 * (m_load.size() + m_speed.size()) : 0;
+    while (const auto expert = largestDeficit()) {
+        if (augment(*expert))
+            continue;
+        if (additionsLeft > 0) {
+            --additionsLeft;
+            if (addReplica(*expert))
+                continue;
+        }
+        raiseLimit(additionsLeft > 0);
+    }
+    return m_limit;
+}
+
+// Without moves the visited set needs its whole limit; with moves a little more room may open another way.
+void layer_packing::raiseLimit(bool movesLeft)
+{
+    const auto needed = limitOfVisited();
+    const auto raised = movesLeft ? std::min(needed, m_limit * limitGrowth) : needed;
+    setLimit(std::max(raised, m_limit * (1 + negligiblePart)));
+}
+
+std::optional<expert_index> layer_packing::largestDeficit() const
+{
+    const auto largest = std::ranges::max_element(m_deficit);
+    if (*largest <= smallest())
+        return std::nullopt;
+    return expert_index(largest - m_deficit.begin());
+}
+
+// Lets the expert's deficit flow along one path to a rank with room. If there is none, the visited set is closed.
+bool layer_packing::augment(expert_index from)
+{
+    std::ranges::fill(m_expertSeen, 0);
+    std::ranges::fill(m_rankSeen, 0);
+    m_queue.assign(1, from);
+    m_expertSeen[from] = 1;
+    for (std::size_t next = 0; next < m_queue.size(); ++next) {
+        const auto expert = m_queue[next];
+        for (const auto place : m_replicas[expert]) {
+            const auto rank = rankOf(place);
+            if (m_rankSeen[rank])
+                continue;
+            m_rankSeen[rank] = 1;
+            if (slack(rank) > smallest()) {
+                pushAlongPath(from, place);
+                return true;
+            }
+            const place_index first = rank * m_stride;
+            for (place_index other = first; other < first + m_rankPlaces[rank]; ++other) {
+                const auto& held = m_slots[other];
+                if (held.expert == noExpert || m_expertSeen[held.expert] || held.flow <= smallest())
+                    continue;
+                m_expertSeen[held.expert] = 1;
+                m_reachedFrom[held.expert] = other;
+                m_reachedBy[held.expert] = place;
+                m_queue.push_back(held.expert);
+            }
+        }
+    }
+    return false;
+}
+
+void layer_packing::pushAlongPath(expert_index from, place_index last)
+{
+    auto amount = std::min(m_deficit[from], slack(rankOf(last)));
+    for (auto expert = m_slots[last].expert; expert != from; expert = m_slots[m_reachedBy[expert]].expert)
+        amount = std::min(amount, m_slots[m_reachedFrom[expert]].flow);
+    auto place = last;
+    for (auto expert = m_slots[last].expert; expert != from; expert = m_slots[place].expert) {
+        push(place, amount);
+        push(m_reachedFrom[expert], -amount);
+        place = m_reachedBy[expert];
+    }
+    push(place, amount);
+}
+
+// All load of the visited experts lies on the visited ranks: their time cannot be less than this.
+double layer_packing::limitOfVisited() const
+{
+    double load = 0;
+    double speed = 0;
+    for (std::size_t expert = 0; expert < m_load.size(); ++expert)
+        load += m_expertSeen[expert] ? m_load[expert] : 0;
+    for (std::size_t rank = 0; rank < m_speed.size(); ++rank)
+        speed += m_rankSeen[rank] ? m_speed[rank] : 0;
+    return load / speed;
+}
+
+void layer_packing::write(std::span<expert_place> places) const
+{
+    for (place_index place = 0; place < places.size(); ++place)
+        places[place] = { m_slots[place].expert, 0 };
+    for (const auto& replicas : m_replicas) {
+        double flow = 0;
+        for (const auto place : replicas)
+            flow += m_slots[place].flow;
+        std::uint32_t given = 0;
+        place_index largest = replicas.front();
+        for (const auto place : replicas) {
+            places[place].share = std::uint16_t(std::floor(std::max(0.0, m_slots[place].flow) / flow * wholeShare));
+            given += places[place].share;
+            if (places[place].share > places[largest].share)
+                largest = place;
+        }
+        places[largest].share = std::uint16_t(places[largest].share + wholeShare - given);
+    }
+}
+
+} // namespace appleramp
