--- a/benchmarks/maps/map_simulation.cpp
+++ b/benchmarks/maps/map_simulation.cpp
@@ -63,9 +63,9 @@
             if (m_settings.drift == drift_kind::SlowRank && window == windows / 2)
                 m_truth.ranks[slowedRank].speed = slowedSpeed;
             const auto counts = m_process.next();
-            installReady();
             evaluate(counts);
             m_now += m_process.window();
+            installReady();
             decide(window, counts);
         }
         return figures();
@@ -74,6 +74,14 @@
 private:
     bool warming() const { return m_now.time_since_epoch() < warmUp; }
 
+    // The part of the coming window that passes before the map on its way takes force.
+    double partBeforeInstall() const
+    {
+        if (!m_pending || m_pending->ready >= m_now + m_process.window())
+            return 1;
+        return double((m_pending->ready - m_now).count()) / double(m_process.window().count());
+    }
+
     void installReady()
     {
         if (!m_pending || m_pending->ready > m_now)
@@ -87,6 +95,7 @@
         if (warming())
             return;
         ++m_windows;
+        const auto before = partBeforeInstall();
         m_loads.assign(counts.begin(), counts.end());
         double speed = 0;
         for (const auto& rank : m_truth.ranks)
@@ -98,7 +107,9 @@
             double work = 0;
             for (const auto load : loads)
                 work += load;
-            const auto time = layerTime(m_map, layer, loads, m_truth);
+            auto time = layerTime(m_map, layer, loads, m_truth);
+            if (before < 1)
+                time = before * time + (1 - before) * layerTime(m_pending->map, layer, loads, m_truth);
             const auto bound = layerTimeBound(loads, m_truth);
             m_skews.push_back(float(time / (work / speed)));
             m_ratios.push_back(float(time / bound));
