Entry: bad input gets a clear error in bounded memory

Cause: headers over max_header_bytes and malformed paths were not refused clearly, names that are no text reached writers that throw on them, and a body of 1 MiB of '[' took about 70 MB while its model's name was looked for.

--- a/packages/entry/caller_handler.cpp
+++ b/packages/entry/caller_handler.cpp
@@ -48,6 +48,10 @@
 
 void caller_handler::handleRequest(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response)
 {
+    if (const auto refused = checkHead(request, m_services.maxHeaderBytes)) {
+        reply_writer(request, response).write(reply_problem { 0, *refused });
+        return;
+    }
     const Poco::URI uri(request.getURI());
     if (uri.getPath() == "/v1/addresses") {
         const team_id team(queryValue(uri, "team"));
--- a/packages/entry/entry_process.cpp
+++ b/packages/entry/entry_process.cpp
@@ -61,7 +61,7 @@
               entry_reducer(m_identity), [this](entry_effect&& effect) { carryOut(std::move(effect)); },
               recorderFor(recordPath, m_identity))
         , m_services { [this](entry_event_body body) { m_loop.post(std::move(body)); }, m_replies, m_journal, m_metrics,
-            settings.limits.maxBodyBytes, defaultTimeout }
+            settings.limits.maxBodyBytes, settings.limits.maxHeaderBytes, defaultTimeout }
         , m_platform(
               { m_platformOptions },
               [this](operation_number operation, platform_result result) {
--- a/packages/entry/entry_services.h
+++ b/packages/entry/entry_services.h
@@ -17,6 +17,7 @@
     decision_journal& journal;
     metrics_registry& metrics;
     std::size_t maxBodyBytes = 0;
+    std::size_t maxHeaderBytes = 0;
     duration defaultTimeout {};
 };
 
--- a/packages/entry/operations_handler.cpp
+++ b/packages/entry/operations_handler.cpp
@@ -57,6 +57,10 @@
 
 void operations_handler::handleRequest(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response)
 {
+    if (const auto refused = checkHead(request, m_services.maxHeaderBytes)) {
+        reply_writer(request, response).write(reply_problem { 0, *refused });
+        return;
+    }
     const Poco::URI uri(request.getURI());
     const auto& path = uri.getPath();
     if (path == "/v1/status")
--- a/packages/entry/reply_writer.cpp
+++ b/packages/entry/reply_writer.cpp
@@ -36,7 +36,7 @@
         { "reason", answer.reason }, { "detail", answer.detail }, { "execution", nameOf(answer.outcome) } };
     if (answer.retryAfter)
         document["retry_after_ms"] = std::chrono::ceil<std::chrono::milliseconds>(*answer.retryAfter).count();
-    return document.dump();
+    return document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 struct reply_writer::piece_visitor {
--- a/packages/entry/request_reader.cpp
+++ b/packages/entry/request_reader.cpp
@@ -1,5 +1,6 @@
 #include "entry/request_reader.h"
 
+#include "entry/model_name_reader.h"
 #include "model/enum_names.h"
 #include "model/errors.h"
 
@@ -7,7 +8,7 @@
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/NumberParser.h>
 #include <Poco/String.h>
-#include <nlohmann/json.hpp>
+#include <Poco/URI.h>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -19,7 +20,7 @@
 
 constexpr std::string_view servicesPrefix = "/v1/services/";
 constexpr std::size_t readChunkBytes = 16384;
-constexpr std::size_t maxKeyBytes = 256;
+constexpr std::size_t maxNameBytes = 256;
 constexpr duration maxTimeout = std::chrono::hours(1);
 // Prompt prefixes are hashed at multiples of this length.
 constexpr std::size_t prefixStepBytes = 1024;
@@ -50,6 +51,16 @@
     return hashes;
 }
 
+// Names travel through messages, rows and answers that hold text only.
+template <typename Identifier>
+Identifier readName(const std::string& text, const std::string& what)
+{
+    const bool isPrintable = std::all_of(text.begin(), text.end(), [](char c) { return c >= ' ' && c <= '~'; });
+    if (text.empty() || text.size() > maxNameBytes || !isPrintable)
+        throw invalid_request(what + " must have 1 to 256 printable ASCII characters");
+    return Identifier(text);
+}
+
 duration readTimeout(const Poco::Net::HTTPServerRequest& request, duration defaultTimeout)
 {
     const auto text = request.get("Appleramp-Timeout-Ms", "");
@@ -76,31 +87,28 @@
     if (uri.starts_with(servicesPrefix)) {
         const auto rest = uri.substr(servicesPrefix.size());
         const auto slash = rest.find('/');
-        request.service = service_id(rest.substr(0, slash));
+        request.service = readName<service_id>(rest.substr(0, slash), "the service's name");
         request.path = slash == std::string::npos ? "/" : rest.substr(slash);
         return;
     }
     request.path = uri;
-    const auto document = nlohmann::json::parse(request.body, nullptr, false);
-    if (!document.is_object() || !document.contains("model") || !document["model"].is_string())
+    const auto name = readModelName(request.body);
+    if (!name)
         throw invalid_request("the body must be a JSON object with a string 'model'");
-    request.service = service_id(document["model"].get<std::string>());
+    request.service = readName<service_id>(*name, "the model's name");
     request.prefixHashes = hashPrefixes(request.body);
 }
 
 void readHeaders(service_request& request, const Poco::Net::HTTPServerRequest& source, duration defaultTimeout)
 {
-    request.team = team_id(source.get("Appleramp-Team", ""));
-    if (request.team.empty())
-        throw invalid_request("send the header Appleramp-Team");
+    request.team = readName<team_id>(source.get("Appleramp-Team", ""), "the header Appleramp-Team");
     request.urgency = readPriority(source);
     request.timeout = readTimeout(source, defaultTimeout);
     request.traceparent = source.get("traceparent", "");
-    request.adapter = adapter_id(source.get("Appleramp-Adapter", ""));
+    if (source.has("Appleramp-Adapter"))
+        request.adapter = readName<adapter_id>(source.get("Appleramp-Adapter"), "the header Appleramp-Adapter");
     if (source.has("Idempotency-Key"))
-        request.key = idempotency_key(source.get("Idempotency-Key"));
-    if (request.key && (request.key->empty() || request.key->str().size() > maxKeyBytes))
-        throw invalid_request("Idempotency-Key must have 1 to 256 bytes");
+        request.key = readName<idempotency_key>(source.get("Idempotency-Key"), "the header Idempotency-Key");
     for (const auto name : forwardedHeaders) {
         if (source.has(std::string(name)))
             request.headers.push_back({ std::string(name), source.get(std::string(name)) });
@@ -109,6 +117,22 @@
 
 } // namespace
 
+std::optional<problem> checkHead(const Poco::Net::HTTPServerRequest& request, std::size_t maxHeaderBytes)
+{
+    std::size_t bytes = request.getURI().size();
+    for (const auto& [name, value] : request)
+        bytes += name.size() + value.size();
+    if (bytes > maxHeaderBytes)
+        return problem { 431, execution::NotStarted, "headers_too_large",
+            "path and headers may have " + std::to_string(maxHeaderBytes) + " bytes", std::nullopt };
+    try {
+        const Poco::URI parsed(request.getURI());
+        return std::nullopt;
+    } catch (const Poco::SyntaxException&) {
+        return badRequest("the path is malformed");
+    }
+}
+
 std::variant<std::string, problem> readBody(Poco::Net::HTTPServerRequest& request, std::size_t maxBytes)
 {
     const problem tooLarge { 413, execution::NotStarted, "body_too_large",
--- a/packages/entry/request_reader.h
+++ b/packages/entry/request_reader.h
@@ -3,6 +3,7 @@
 #include "model/effects.h"
 #include "model/request.h"
 
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -15,6 +16,9 @@
 // Reads the body of a request, or says why not: it is larger than allowed or cut short.
 std::variant<std::string, problem> readBody(Poco::Net::HTTPServerRequest& request, std::size_t maxBytes);
 
+// Says what is wrong with a request's line and headers before anything else is read, if anything is.
+std::optional<problem> checkHead(const Poco::Net::HTTPServerRequest& request, std::size_t maxHeaderBytes);
+
 // Makes a typed request of a caller's HTTP request, or says what is wrong with it. Whether the route may be repeated is
 // not decided here.
 std::variant<service_request, problem> readServiceRequest(Poco::Net::HTTPServerRequest& request,
