--- a/scripts/packages.sh
+++ b/scripts/packages.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 PACKAGES=(g++ cmake ninja-build ccache git clang-format clang-tidy python3
     libpoco-dev libwebsocketpp-dev libboost-dev libgflags-dev libgoogle-glog-dev
-    libcriterion-dev nlohmann-json3-dev libxxhash-dev libbenchmark-dev)
+    libcriterion-dev nlohmann-json3-dev libxxhash-dev libbenchmark-dev iproute2)
 missing=()
 for package in "${PACKAGES[@]}"; do
     dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'install ok installed' || missing+=("$package")
