--- /dev/null
+++ b/benchmarks/agent_slopes.cpp
@@ -0,0 +1,95 @@
+#include "agent_fixture.h"
+#include "entry_fixture.h"
+
+#include <benchmark/benchmark.h>
+
+using namespace appleramp;
+
+namespace {
+
+void sizes(benchmark::internal::Benchmark* measured)
+{
+    measured->RangeMultiplier(4)->Range(4, 1024);
+}
+
+void agentRequestByEntries(benchmark::State& state)
+{
+    agent_fixture agent(static_cast<std::uint64_t>(state.range(0)));
+    for (auto _ : state)
+        agent.complete(1, false);
+}
+
+void agentRequestByKeptAnswers(benchmark::State& state)
+{
+    agent_fixture agent(1);
+    agent.complete(static_cast<std::uint64_t>(state.range(0)), false);
+    for (auto _ : state)
+        agent.complete(1, false);
+}
+
+void agentTokenFrameByRequestsInFlight(benchmark::State& state)
+{
+    agent_fixture agent(1);
+    for (std::int64_t i = 0; i < state.range(0); ++i)
+        agent.begin(false);
+    const auto call = agent.begin(false);
+    agent.apply(engine_head { call, 200, {} });
+    for (auto _ : state)
+        agent.apply(engine_data { call, "data: {\"token\":1}\n\n" });
+}
+
+void agentTickByKeptAnswers(benchmark::State& state)
+{
+    agent_fixture agent(1);
+    agent.complete(static_cast<std::uint64_t>(state.range(0)), false);
+    for (auto _ : state) {
+        // Less than the answers are kept for, in all.
+        agent.advance(std::chrono::microseconds(1));
+        agent.apply(time_passed {});
+    }
+}
+
+// Every half second each linked entry gets its grant anew.
+void agentGrantsByEntries(benchmark::State& state)
+{
+    agent_fixture agent(static_cast<std::uint64_t>(state.range(0)));
+    for (auto _ : state) {
+        agent.advance(std::chrono::milliseconds(500));
+        benchmark::DoNotOptimize(agent.apply(time_passed {}));
+    }
+}
+
+void agentHeartbeatByEntries(benchmark::State& state)
+{
+    agent_fixture agent(static_cast<std::uint64_t>(state.range(0)));
+    std::uint64_t sequence = 0;
+    for (auto _ : state)
+        agent.receive(1, heartbeat { ++sequence });
+}
+
+void agentChangeByEntries(benchmark::State& state)
+{
+    agent_fixture agent(static_cast<std::uint64_t>(state.range(0)));
+    configuration_version version = 0;
+    for (auto _ : state)
+        agent.receive(1, configuration_news { { exceptionChange(++version) }, std::nullopt });
+}
+
+void agentKeyedRequestByKeys(benchmark::State& state)
+{
+    agent_fixture agent(1);
+    agent.complete(static_cast<std::uint64_t>(state.range(0)), true);
+    for (auto _ : state)
+        agent.complete(1, true);
+}
+
+} // namespace
+
+BENCHMARK(agentRequestByEntries)->Apply(sizes);
+BENCHMARK(agentRequestByKeptAnswers)->Apply(sizes);
+BENCHMARK(agentTokenFrameByRequestsInFlight)->Apply(sizes);
+BENCHMARK(agentTickByKeptAnswers)->Apply(sizes);
+BENCHMARK(agentGrantsByEntries)->Apply(sizes);
+BENCHMARK(agentHeartbeatByEntries)->Apply(sizes);
+BENCHMARK(agentChangeByEntries)->Apply(sizes);
+BENCHMARK(agentKeyedRequestByKeys)->Apply(sizes);
--- a/benchmarks/request_load.cpp
+++ b/benchmarks/request_load.cpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <iostream>
 #include <mutex>
@@ -20,6 +21,7 @@
 DEFINE_string(body, "{}", "Body of each request");
 DEFINE_string(headers, "", "NAME=VALUE, separated by commas");
 DEFINE_uint32(requests, 1000, "Requests to each target by all connections together");
+DEFINE_string(key_prefix, "", "If set, each request has an Idempotency-Key of its own that begins so");
 DEFINE_uint32(connections, 1, "Connections to each target at a time");
 
 namespace {
@@ -49,6 +51,9 @@
         const auto equals = header.find('=');
         request.set(header.substr(0, equals), header.substr(equals + 1));
     }
+    static std::atomic<std::uint64_t> lastKey = 0;
+    if (!FLAGS_key_prefix.empty())
+        request.set("Idempotency-Key", FLAGS_key_prefix + std::to_string(++lastKey));
     return request;
 }
 
