--- /dev/null
+++ b/packages/decisions/admission/turnover_meter.cpp
@@ -0,0 +1,28 @@
+#include "decisions/admission/turnover_meter.h"
+
+namespace appleramp {
+
+namespace {
+
+constexpr std::size_t maxSamples = 32;
+constexpr std::size_t minSamples = 8;
+constexpr duration longestWindow = std::chrono::seconds(5);
+
+} // namespace
+
+void turnover_meter::placed(instant now)
+{
+    m_recent.push_back(now);
+    if (m_recent.size() > maxSamples)
+        m_recent.pop_front();
+}
+
+std::optional<duration> turnover_meter::waitBehind(std::size_t others, instant now) const
+{
+    if (m_recent.size() < minSamples || m_recent.front() + longestWindow < now)
+        return std::nullopt;
+    const auto each = (now - m_recent.front()) / static_cast<std::int64_t>(m_recent.size());
+    return each * static_cast<std::int64_t>(others + 1);
+}
+
+} // namespace appleramp
--- a/packages/decisions/agent/agent_reducer.cpp
+++ b/packages/decisions/agent/agent_reducer.cpp
@@ -6,7 +6,8 @@
 
 constexpr duration tickInterval = std::chrono::milliseconds(50);
 constexpr duration probeInterval = std::chrono::milliseconds(500);
-constexpr duration grantInterval = std::chrono::milliseconds(500);
+// A leaving agent stays so long after its last attempt, so that entries can ask for frames again.
+constexpr duration lingerTime = std::chrono::seconds(2);
 
 } // namespace
 
@@ -20,12 +21,13 @@
         if (message.role != process_role::Entry)
             return;
         self.m_entries.insert(link);
-        self.m_gate.entryJoined(link);
+        self.m_gate.entryJoined(link, context.now);
         self.sendNews(context, link, 0);
-        self.sendGrants(context);
+        if (auto records = self.m_suspects.all(); !records.empty())
+            context.send(link, suspect_news { std::move(records) });
     }
     void operator()(const heartbeat& message) const { context.send(link, heartbeat_ack { message.sequence }); }
-    void operator()(const slot_demand& message) const { self.m_gate.demanded(link, message.wanted); }
+    void operator()(const slot_demand& message) const { self.m_gate.demanded(link, message, context.now); }
     void operator()(const start_attempt& message) const { self.m_runner.start(context, link, message); }
     void operator()(const cancel_attempt& message) const { self.m_runner.cancel(context, message.attempt); }
     void operator()(const resume_attempt& message) const { self.m_runner.resume(context, link, message); }
@@ -35,8 +37,20 @@
         if (message.document)
             context.configuration.adopt(*message.document);
         context.configuration.adopt(message.changes);
+        if (message.inquiry > 0)
+            self.m_refresh.answered(message.inquiry);
+    }
+    void operator()(const configuration_request& message) const
+    {
+        // While its own news may be old it has none to give.
+        if (!self.m_refresh.isPending())
+            self.sendNews(context, link, message.have, message.inquiry);
+    }
+    void operator()(const suspect_news& message) const
+    {
+        for (const auto& record : message.records)
+            self.m_suspects.heard(record, context.now);
     }
-    void operator()(const configuration_request& message) const { self.sendNews(context, link, message.have); }
     // What only entries receive is of no meaning here.
     template <typename Other>
     void operator()(const Other& /*message*/) const
@@ -61,6 +75,7 @@
     {
         self.m_entries.erase(event.link);
         self.m_gate.entryLeft(event.link);
+        self.m_runner.linkClosed(context, event.link);
     }
     void operator()(const message_received& event) const
     {
@@ -76,7 +91,11 @@
     void operator()(const engine_data& event) const { self.m_runner.engineData(context, event); }
     void operator()(const engine_end& event) const { self.m_runner.engineEnd(context, event); }
     void operator()(const engine_failed& event) const { self.m_runner.engineFailed(context, event); }
-    void operator()(const engine_probed& event) const { self.m_gate.probed(event); }
+    void operator()(const engine_probed& event) const
+    {
+        self.m_gate.probed(event);
+        self.m_runner.engineProbed(context, event);
+    }
 };
 
 agent_reducer::agent_reducer(agent_identity identity)
@@ -88,56 +107,75 @@
 agent_effects agent_reducer::apply(const agent_event& event)
 {
     agent_effects effects;
-    const agent_context context { event.at, m_identity, m_configuration, m_gate, effects };
+    const agent_context context { event.at, m_identity, m_configuration, m_gate, m_suspects, m_entries, effects };
     const auto before = m_configuration.version();
-    const auto capacityBefore = m_gate.capacity();
+    m_refresh.sees(event.at);
+    m_gate.setHeldBack(m_refresh.isPending());
     std::visit(event_visitor { *this, context }, event.body);
-    m_gate.setClosed(isOutOfService(context));
-    if (m_gate.capacity() != capacityBefore)
-        sendGrants(context);
     afterEvent(context, before);
     return effects;
 }
 
 void agent_reducer::afterEvent(const agent_context& context, configuration_version before)
 {
+    m_gate.setClosed(isOutOfService(context));
+    m_gate.setHeldBack(m_refresh.isPending());
     if (m_configuration.version() > before) {
         context.decide(decision_kind::ConfigurationAdopted, "configuration",
             "version " + std::to_string(m_configuration.version()));
-        sendGrants(context);
     }
     if (context.now >= m_nextTick)
         tick(context);
+    askAround(context);
+    m_runner.startAlone(context);
+    m_gate.setReserved(m_runner.isReserved());
+    context.sendSuspects();
+    sendGrants(context);
 }
 
 void agent_reducer::tick(const agent_context& context)
 {
     m_nextTick = context.now + tickInterval;
     m_runner.forgetOld(context);
+    m_suspects.forgetOld(context.now);
+    m_gate.checkWaiting(context.now);
     if (context.now >= m_nextProbe) {
         m_nextProbe = context.now + probeInterval;
         context.effects.emplace_back(probe_engine {});
     }
-    if (context.now >= m_nextGrant)
-        sendGrants(context);
-    if (m_leaving && m_runner.running() == 0)
+    if (isDone(context))
         context.effects.emplace_back(stop_process {});
 }
 
+bool agent_reducer::isDone(const agent_context& context) const
+{
+    return m_leaving && m_runner.running() == 0 && m_runner.lastEnd() + lingerTime <= context.now;
+}
+
 void agent_reducer::sendGrants(const agent_context& context)
 {
-    m_nextGrant = context.now + grantInterval;
-    for (const auto& [link, grant] : m_gate.grants())
+    for (const auto& [link, grant] : m_gate.takeGrants(context.now))
         context.send(link, grant);
 }
 
-void agent_reducer::sendNews(const agent_context& context, link_number link, configuration_version have)
+void agent_reducer::askAround(const agent_context& context)
+{
+    const auto inquiry = m_refresh.inquiryDue(context.now);
+    if (inquiry == 0)
+        return;
+    for (const auto link : m_entries)
+        context.send(link, configuration_request { m_configuration.version(), inquiry });
+}
+
+void agent_reducer::sendNews(const agent_context& context, link_number link, configuration_version have,
+    std::uint64_t inquiry)
 {
-    if (m_configuration.version() <= have)
+    if (m_configuration.version() <= have && inquiry == 0)
         return;
     configuration_news news;
+    news.inquiry = inquiry;
     news.changes = m_configuration.changesSince(have);
-    if (news.changes.empty())
+    if (news.changes.empty() && m_configuration.version() > have)
         news.document = m_configuration.current();
     context.send(link, std::move(news));
 }
--- a/packages/decisions/agent/agent_reducer.h
+++ b/packages/decisions/agent/agent_reducer.h
@@ -3,6 +3,8 @@
 #include "decisions/admission/slot_gate.h"
 #include "decisions/agent/attempt_runner.h"
 #include "decisions/configuration/configuration_register.h"
+#include "decisions/detection/news_refresh.h"
+#include "decisions/suspects/suspect_registry.h"
 
 #include <set>
 
@@ -26,18 +28,21 @@
     void afterEvent(const agent_context& context, configuration_version before);
     void tick(const agent_context& context);
     void sendGrants(const agent_context& context);
-    void sendNews(const agent_context& context, link_number link, configuration_version have);
+    void sendNews(const agent_context& context, link_number link, configuration_version have, std::uint64_t inquiry = 0);
+    void askAround(const agent_context& context);
+    bool isDone(const agent_context& context) const;
     bool isOutOfService(const agent_context& context) const;
 
     agent_identity m_identity;
     configuration_register m_configuration;
     slot_gate m_gate;
+    news_refresh m_refresh;
+    suspect_registry m_suspects;
     attempt_runner m_runner;
     std::set<link_number> m_entries;
     bool m_leaving = false;
     instant m_nextTick;
     instant m_nextProbe;
-    instant m_nextGrant;
 };
 
 } // namespace appleramp
--- a/packages/decisions/agent/attempt_runner.cpp
+++ b/packages/decisions/agent/attempt_runner.cpp
@@ -4,6 +4,7 @@
 #include "model/enum_names.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace appleramp {
 
@@ -11,6 +12,19 @@
 
 constexpr duration answerRetention = std::chrono::seconds(30);
 constexpr duration retryWhenFull = std::chrono::milliseconds(200);
+// How long an attempt that may be repeated goes on without a link to its entry.
+constexpr duration abandonedTime = std::chrono::seconds(5);
+constexpr std::size_t maxWaitingAlone = 8;
+constexpr duration reportDelay = std::chrono::milliseconds(200);
+constexpr std::uint16_t statusTooManyRequests = 429;
+constexpr std::uint16_t statusUnavailable = 503;
+
+// A model engine that answers so has begun nothing. A plain service may mean anything by it.
+bool refusesLoad(const agent_context& context, std::uint16_t status)
+{
+    const bool isModel = context.self.endpoint.kind == endpoint_kind::ModelEngine;
+    return isModel && (status == statusTooManyRequests || status == statusUnavailable);
+}
 
 } // namespace
 
@@ -24,12 +38,68 @@
     effects.emplace_back(record_decision { { now, kind, std::move(subject), std::move(reason) } });
 }
 
+void agent_context::sendSuspects() const
+{
+    const auto risen = suspects.takeRisen();
+    if (risen.empty())
+        return;
+    for (const auto link : entries)
+        send(link, suspect_news { risen });
+}
+
 void attempt_runner::start(const agent_context& context, link_number link, const start_attempt& message)
 {
+    const auto level = context.suspects.levelOf(message.request.contentHash);
+    const bool alone = message.suspect || level == suspicion::Suspected;
     if (const auto reason = reasonToRefuse(context, message)) {
         refuse(context, link, message.attempt, *reason);
         return;
     }
+    if (!alone) {
+        const bool isNew = !m_attempts.contains(message.attempt);
+        if (isNew && !context.gate.admits(link, context.now))
+            refuse(context, link, message.attempt, refusal::NoSlot);
+        else
+            begin(context, link, message);
+        return;
+    }
+    if (m_waitingAlone.size() >= maxWaitingAlone) {
+        refuse(context, link, message.attempt, refusal::NoSlot);
+        return;
+    }
+    m_waitingAlone.push_back({ link, message, context.now + message.request.timeout });
+    context.decide(decision_kind::Suspect, message.request.traceparent, "waits to run alone");
+    startAlone(context);
+}
+
+void attempt_runner::startAlone(const agent_context& context)
+{
+    while (!m_waitingAlone.empty()) {
+        auto& next = m_waitingAlone.front();
+        const bool isLate = next.deadline <= context.now;
+        const bool isConvicted = context.suspects.levelOf(next.message.request.contentHash) == suspicion::Convicted;
+        const bool isClosed = context.gate.openSlots() == 0;
+        if (!isLate && !isConvicted && !isClosed && (m_alone || !context.gate.admitsAlone()))
+            return;
+        const auto waiting = std::move(next);
+        m_waitingAlone.pop_front();
+        if (isLate)
+            refuse(context, waiting.link, waiting.message.attempt, refusal::Expired);
+        else if (isConvicted)
+            refuse(context, waiting.link, waiting.message.attempt, refusal::SuspectRefused);
+        else if (isClosed)
+            refuse(context, waiting.link, waiting.message.attempt, refusal::NoSlot);
+        else {
+            begin(context, waiting.link, waiting.message);
+            const auto started = m_attempts.find(waiting.message.attempt);
+            if (started != m_attempts.end() && !started->second.ended)
+                m_alone = started->second.call;
+        }
+    }
+}
+
+void attempt_runner::begin(const agent_context& context, link_number link, const start_attempt& message)
+{
     const auto key = message.request.repeatable ? std::nullopt : message.request.key;
     switch (m_ledger.begin(message.attempt, key, context.now)) {
     case attempt_ledger::verdict::Repeated:
@@ -45,9 +115,9 @@
     }
     const auto call = ++m_lastCall;
     m_attempts.emplace(message.attempt,
-        kept_attempt { link, call, key.has_value(), answer_buffer(message.attempt), std::nullopt });
+        kept_attempt { link, call, key.has_value(), message.request.contentHash, answer_buffer(message.attempt) });
     m_byCall[call] = message.attempt;
-    context.gate.started();
+    context.gate.started(call, link, context.now);
     context.decide(decision_kind::Placed, message.request.traceparent, "started at the endpoint");
     context.effects.emplace_back(call_engine { call, message.request });
 }
@@ -66,8 +136,8 @@
         return refusal::NotServed;
     if (message.request.timeout <= duration::zero())
         return refusal::Expired;
-    if (!context.gate.admits())
-        return refusal::NoSlot;
+    if (context.suspects.levelOf(message.request.contentHash) == suspicion::Convicted)
+        return refusal::SuspectRefused;
     return std::nullopt;
 }
 
@@ -95,6 +165,9 @@
         return;
     }
     found->second.link = link;
+    found->second.abandoned.reset();
+    if (!found->second.ended)
+        context.gate.moved(found->second.call, link);
     for (auto& frame : found->second.answer.from(message.nextFrame))
         context.send(link, std::move(frame));
 }
@@ -106,14 +179,23 @@
 
 void attempt_runner::engineHead(const agent_context& context, const engine_head& event)
 {
-    if (auto* kept = findByCall(event.call))
-        context.send(kept->link, kept->answer.addHead(event.status, event.headers));
+    auto* kept = findByCall(event.call);
+    if (!kept)
+        return;
+    if (refusesLoad(context, event.status)) {
+        engineFailed(context, { event.call, failure_cause::LoadRefused, true });
+        return;
+    }
+    context.send(kept->link, kept->answer.addHead(event.status, event.headers));
 }
 
 void attempt_runner::engineData(const agent_context& context, const engine_data& event)
 {
-    if (auto* kept = findByCall(event.call))
-        context.send(kept->link, kept->answer.addBody(event.data));
+    auto* kept = findByCall(event.call);
+    if (!kept)
+        return;
+    context.gate.firstToken(event.call, context.now);
+    context.send(kept->link, kept->answer.addBody(event.data));
 }
 
 void attempt_runner::engineEnd(const agent_context& context, const engine_end& event)
@@ -122,21 +204,60 @@
     if (!kept)
         return;
     context.send(kept->link, kept->answer.finish());
-    context.gate.completed();
+    if (runsAlone(event.call))
+        context.suspects.completedAlone(kept->contentHash, context.now);
+    context.gate.completed(event.call);
     end(context, event.call, attempt_state::Completed);
 }
 
 void attempt_runner::engineFailed(const agent_context& context, const engine_failed& event)
 {
-    auto* kept = findByCall(event.call);
+    const auto* kept = findByCall(event.call);
     if (!kept)
         return;
+    const bool mayHaveCrashed = event.cause == failure_cause::EndpointCrashed && !event.neverSent;
+    if (mayHaveCrashed && runsAlone(event.call)) {
+        m_verdict = { event, m_bootId, context.now };
+        context.effects.emplace_back(probe_engine {});
+        return;
+    }
+    if (mayHaveCrashed) {
+        context.suspects.crashed(kept->contentHash, false, context.now);
+        context.decide(decision_kind::Suspect, context.self.endpoint.endpoint.str(), "ran when the endpoint crashed");
+    }
+    finishFailed(context, event);
+}
+
+void attempt_runner::engineProbed(const agent_context& context, const engine_probed& report)
+{
+    if (report.healthy && !m_verdict)
+        m_bootId = report.bootId;
+    if (!m_verdict)
+        return;
+    const bool crashed = !report.healthy || report.bootId != m_verdict->bootId;
+    // A report that was on its way when the call broke proves no innocence.
+    if (!crashed && context.now < m_verdict->at + reportDelay)
+        return;
+    const auto verdict = *std::exchange(m_verdict, std::nullopt);
+    if (crashed) {
+        const auto hash = findByCall(verdict.failure.call)->contentHash;
+        context.suspects.crashed(hash, true, context.now);
+        context.decide(decision_kind::Suspect, context.self.endpoint.endpoint.str(), "crashed the endpoint alone");
+    }
+    finishFailed(context, verdict.failure);
+}
+
+void attempt_runner::finishFailed(const agent_context& context, const engine_failed& event)
+{
+    const auto attempt = m_byCall.at(event.call);
     const auto outcome = event.neverSent ? execution::NotRun : execution::Unknown;
-    context.send(kept->link, attempt_failed { m_byCall.at(event.call), event.cause, outcome });
+    // What is known of the content goes first, so that the entry does not send it anew as an innocent.
+    context.sendSuspects();
+    context.send(m_attempts.at(attempt).link, attempt_failed { attempt, event.cause, outcome });
     if (event.cause == failure_cause::Cancelled)
-        context.gate.completed();
+        context.gate.cancelled(event.call);
     else
-        context.gate.failed();
+        context.gate.failed(event.call);
     end(context, event.call, event.neverSent ? attempt_state::NeverStarted : attempt_state::Failed);
 }
 
@@ -145,7 +266,11 @@
     const auto attempt = m_byCall.at(call);
     m_ledger.finish(attempt, outcome);
     m_attempts.at(attempt).ended = context.now;
+    m_abandoned.erase(attempt);
     m_byCall.erase(call);
+    m_lastEnd = context.now;
+    if (m_alone == call)
+        m_alone.reset();
 }
 
 attempt_runner::kept_attempt* attempt_runner::findByCall(call_number call)
@@ -154,8 +279,34 @@
     return attempt == m_byCall.end() ? nullptr : &m_attempts.at(attempt->second);
 }
 
+void attempt_runner::linkClosed(const agent_context& context, link_number link)
+{
+    std::erase_if(m_waitingAlone, [link](const auto& waiting) { return waiting.link == link; });
+    for (const auto& [call, attempt] : m_byCall) {
+        auto& kept = m_attempts.at(attempt);
+        if (kept.link != link || kept.keyed)
+            continue;
+        kept.abandoned = context.now;
+        m_abandoned.insert(attempt);
+    }
+}
+
+void attempt_runner::cancelAbandoned(const agent_context& context)
+{
+    std::erase_if(m_abandoned, [&](const auto& attempt) {
+        const auto& kept = m_attempts.at(attempt);
+        if (!kept.abandoned)
+            return true;
+        if (context.now < *kept.abandoned + abandonedTime)
+            return false;
+        context.effects.emplace_back(cancel_engine_call { kept.call });
+        return true;
+    });
+}
+
 void attempt_runner::forgetOld(const agent_context& context)
 {
+    cancelAbandoned(context);
     const auto keyRetention = context.configuration.current().defaults.keyRetention;
     std::erase_if(m_attempts, [&](const auto& item) {
         const auto retention = item.second.keyed ? keyRetention : answerRetention;
--- a/packages/decisions/agent/attempt_runner.h
+++ b/packages/decisions/agent/attempt_runner.h
@@ -3,10 +3,13 @@
 #include "decisions/admission/slot_gate.h"
 #include "decisions/keys/attempt_ledger.h"
 #include "decisions/streams/answer_buffer.h"
+#include "decisions/suspects/suspect_registry.h"
 #include "model/effects.h"
 
+#include <deque>
 #include <map>
 #include <optional>
+#include <set>
 
 namespace appleramp {
 
@@ -27,10 +30,14 @@
     const agent_identity& self;
     configuration_register& configuration;
     slot_gate& gate;
+    suspect_registry& suspects;
+    const std::set<link_number>& entries;
     agent_effects& effects;
 
     void send(link_number link, link_message message) const;
     void decide(decision_kind kind, std::string subject, std::string reason) const;
+    // Tells all entries which contents' records have risen.
+    void sendSuspects() const;
 };
 
 // Runs attempts at the endpoint: each at most once, each with its answer kept for sending again. Works with slot_gate,
@@ -46,20 +53,49 @@
     void engineData(const agent_context& context, const engine_data& event);
     void engineEnd(const agent_context& context, const engine_end& event);
     void engineFailed(const agent_context& context, const engine_failed& event);
+    // The endpoint's own report settles whether an attempt that ran alone has crashed it.
+    void engineProbed(const agent_context& context, const engine_probed& report);
 
+    // The link is gone: what may be repeated and is not resumed in time is cancelled.
+    void linkClosed(const agent_context& context, link_number link);
+    // Starts what waits to run alone once nothing else runs, and lets go what has waited too long.
+    void startAlone(const agent_context& context);
     // Forgets answers and attempts that are past their retention.
     void forgetOld(const agent_context& context);
     std::size_t running() const { return m_byCall.size(); }
+    // True if an attempt waits to run alone or does.
+    bool isReserved() const { return m_alone.has_value() || !m_waitingAlone.empty(); }
+    // When the last attempt ended.
+    instant lastEnd() const { return m_lastEnd; }
 
 private:
+    struct waiting_attempt {
+        link_number link = 0;
+        start_attempt message;
+        instant deadline;
+    };
     struct kept_attempt {
         link_number link = 0;
         call_number call = 0;
         bool keyed = false;
+        std::uint64_t contentHash = 0;
         answer_buffer answer;
         std::optional<instant> ended;
+        // Set while the link is gone.
+        std::optional<instant> abandoned;
+    };
+
+    void begin(const agent_context& context, link_number link, const start_attempt& message);
+    // An attempt that ran alone when its call broke: the verdict awaits the endpoint's next report.
+    struct pending_verdict {
+        engine_failed failure;
+        std::string bootId;
+        instant at;
     };
 
+    void finishFailed(const agent_context& context, const engine_failed& event);
+    bool runsAlone(call_number call) const { return m_alone == call; }
+    void cancelAbandoned(const agent_context& context);
     std::optional<refusal> reasonToRefuse(const agent_context& context, const start_attempt& message) const;
     void refuse(const agent_context& context, link_number link, attempt_id attempt, refusal reason);
     kept_attempt* findByCall(call_number call);
@@ -68,7 +104,13 @@
     attempt_ledger m_ledger;
     std::map<attempt_id, kept_attempt> m_attempts;
     std::map<call_number, attempt_id> m_byCall;
+    std::set<attempt_id> m_abandoned;
+    std::deque<waiting_attempt> m_waitingAlone;
+    std::optional<call_number> m_alone;
+    std::optional<pending_verdict> m_verdict;
+    std::string m_bootId;
     call_number m_lastCall = 0;
+    instant m_lastEnd;
 };
 
 } // namespace appleramp
--- a/packages/decisions/entry/entry_context.h
+++ b/packages/decisions/entry/entry_context.h
@@ -8,7 +8,10 @@
 namespace appleramp {
 
 class configuration_register;
+class demand_planner;
 class endpoint_directory;
+class news_refresh;
+class suspect_registry;
 
 // Who an entry is, from its settings and its start.
 struct entry_identity {
@@ -27,6 +30,9 @@
     const entry_identity& self;
     configuration_register& configuration;
     endpoint_directory& endpoints;
+    demand_planner& demands;
+    suspect_registry& suspects;
+    const news_refresh& refresh;
     operation_number& lastOperation;
     entry_effects& effects;
 
--- a/packages/decisions/entry/entry_reducer.cpp
+++ b/packages/decisions/entry/entry_reducer.cpp
@@ -25,6 +25,9 @@
     {
         self.m_links.greeted(context, link, sender, message);
         self.sendNews(context, link, 0);
+        if (auto records = self.m_suspects.all(); !records.empty())
+            context.send(link, suspect_news { std::move(records) });
+        self.m_router.agentGreeted(context, link);
     }
     void operator()(const heartbeat& message) const { context.send(link, heartbeat_ack { message.sequence }); }
     void operator()(const slot_grant& message) const
@@ -43,8 +46,20 @@
         if (message.document)
             context.configuration.adopt(*message.document);
         context.configuration.adopt(message.changes);
+        if (message.inquiry > 0)
+            self.m_refresh.answered(message.inquiry);
+    }
+    void operator()(const configuration_request& message) const
+    {
+        // While its own news may be old it has none to give.
+        if (!self.m_refresh.isPending())
+            self.sendNews(context, link, message.have, message.inquiry);
+    }
+    void operator()(const suspect_news& message) const
+    {
+        for (const auto& record : message.records)
+            self.m_suspects.heard(record, context.now);
     }
-    void operator()(const configuration_request& message) const { self.sendNews(context, link, message.have); }
     // What only agents receive is of no meaning here.
     template <typename Other>
     void operator()(const Other& /*message*/) const
@@ -105,14 +120,17 @@
 
 entry_reducer::entry_reducer(entry_identity identity)
     : m_identity(std::move(identity))
+    , m_router(m_identity.life)
 {
 }
 
 entry_effects entry_reducer::apply(const entry_event& event)
 {
     entry_effects effects;
-    const entry_context context { event.at, m_identity, m_configuration, m_endpoints, m_lastOperation, effects };
+    const entry_context context { event.at, m_identity, m_configuration, m_endpoints, m_demands, m_suspects, m_refresh,
+        m_lastOperation, effects };
     const auto before = m_configuration.version();
+    m_refresh.sees(event.at);
     std::visit(event_visitor { *this, context }, event.body);
     afterEvent(context, before);
     return effects;
@@ -126,6 +144,27 @@
     }
     if (context.now >= m_nextTick)
         tick(context);
+    askAround(context);
+    sendSuspects(context);
+    m_demands.plan(context, m_router.waitingByService());
+}
+
+void entry_reducer::askAround(const entry_context& context)
+{
+    const auto inquiry = m_refresh.inquiryDue(context.now);
+    if (inquiry == 0)
+        return;
+    for (const auto& [link, peer] : m_links.peers())
+        context.send(link, configuration_request { m_configuration.version(), inquiry });
+}
+
+void entry_reducer::sendSuspects(const entry_context& context)
+{
+    const auto risen = m_suspects.takeRisen();
+    if (risen.empty())
+        return;
+    for (const auto& [link, peer] : m_links.peers())
+        context.send(link, suspect_news { risen });
 }
 
 void entry_reducer::tick(const entry_context& context)
@@ -133,6 +172,7 @@
     m_nextTick = context.now + tickInterval;
     m_router.expire(context);
     m_router.drain(context);
+    m_suspects.forgetOld(context.now);
     m_writer.poll(context);
     if (context.now >= m_nextListing) {
         m_nextListing = context.now + listingInterval;
@@ -142,13 +182,15 @@
         context.effects.emplace_back(stop_process {});
 }
 
-void entry_reducer::sendNews(const entry_context& context, link_number link, configuration_version have)
+void entry_reducer::sendNews(const entry_context& context, link_number link, configuration_version have,
+    std::uint64_t inquiry)
 {
-    if (m_configuration.version() <= have)
+    if (m_configuration.version() <= have && inquiry == 0)
         return;
     configuration_news news;
+    news.inquiry = inquiry;
     news.changes = m_configuration.changesSince(have);
-    if (news.changes.empty())
+    if (news.changes.empty() && m_configuration.version() > have)
         news.document = m_configuration.current();
     context.send(link, std::move(news));
 }
--- a/packages/decisions/entry/entry_reducer.h
+++ b/packages/decisions/entry/entry_reducer.h
@@ -2,11 +2,14 @@
 
 #include "decisions/configuration/configuration_register.h"
 #include "decisions/configuration/configuration_writer.h"
+#include "decisions/detection/news_refresh.h"
 #include "decisions/entry/entry_context.h"
 #include "decisions/entry/request_router.h"
 #include "decisions/membership/address_directory.h"
 #include "decisions/membership/link_directory.h"
+#include "decisions/placement/demand_planner.h"
 #include "decisions/placement/endpoint_directory.h"
+#include "decisions/suspects/suspect_registry.h"
 
 #include <memory>
 #include <optional>
@@ -31,7 +34,10 @@
     struct message_visitor;
 
     void afterEvent(const entry_context& context, configuration_version before);
-    void sendNews(const entry_context& context, link_number link, configuration_version have);
+    void sendNews(const entry_context& context, link_number link, configuration_version have,
+        std::uint64_t inquiry = 0);
+    void sendSuspects(const entry_context& context);
+    void askAround(const entry_context& context);
     void tick(const entry_context& context);
     void answerAddresses(const entry_context& context, const addresses_requested& request);
     void answerStatus(const entry_context& context, request_number number);
@@ -40,6 +46,9 @@
     configuration_register m_configuration;
     configuration_writer m_writer;
     endpoint_directory m_endpoints;
+    demand_planner m_demands;
+    suspect_registry m_suspects;
+    news_refresh m_refresh;
     link_directory m_links;
     address_directory m_addresses;
     request_router m_router;
--- a/packages/decisions/entry/request_router.cpp
+++ b/packages/decisions/entry/request_router.cpp
@@ -30,11 +30,6 @@
         [&request](const auto& route) { return request.path.starts_with(route); });
 }
 
-problem busy(execution outcome)
-{
-    return { 503, outcome, "no_capacity", "no endpoint has a free slot", retryWhenBusy };
-}
-
 } // namespace
 
 void request_router::received(const entry_context& context, const request_received& event)
@@ -47,6 +42,8 @@
     request.request = event.request;
     request.request.repeatable = repeatable;
     request.deadline = context.now + event.request.timeout;
+    m_deadlines.emplace(request.deadline, request.number);
+    context.demands.used(request.request.service, context.now);
     if (event.request.key && !repeatable)
         request.boundKey = scopedKey(event.request);
     place(context, request);
@@ -74,55 +71,6 @@
     return true;
 }
 
-void request_router::place(const entry_context& context, routed_request& request)
-{
-    const auto link = context.endpoints.choose(request.request, context.self.zone, request.excluded,
-        context.configuration.current(), context.now);
-    if (link) {
-        dispatch(context, request, *link);
-        return;
-    }
-    request.state = phase::Queued;
-    // An endpoint that refused once may have a slot by the time the next one frees.
-    request.excluded.clear();
-    m_queue.push_back(request.number);
-}
-
-void request_router::dispatch(const entry_context& context, routed_request& request, link_number link)
-{
-    const auto* endpoint = context.endpoints.find(link);
-    assert(endpoint);
-    context.endpoints.takeSlot(link);
-    request.holdsSlot = true;
-    request.link = link;
-    request.attempt = { context.self.life, ++m_lastAttempt };
-    m_byAttempt[request.attempt] = request.number;
-    context.decide(decision_kind::Placed, request.request.traceparent,
-        endpoint->description.endpoint.str() + " in " + endpoint->zone.str() + ", "
-            + std::to_string(endpoint->inFlight) + " of " + std::to_string(endpoint->slots) + " slots in use");
-    if (!request.boundKey) {
-        start(context, request);
-        return;
-    }
-    request.state = phase::Claiming;
-    request.binding = { request.attempt, endpoint->description.endpoint, endpoint->instance, endpoint->agentLife,
-        request.request.contentHash, binding_state::Bound };
-    m_keys.claim(context, request.number, *request.boundKey, request.binding, request.keyVersion);
-}
-
-void request_router::start(const entry_context& context, routed_request& request)
-{
-    request.state = phase::Running;
-    request.answer = answer_assembler();
-    ++request.sends;
-    start_attempt message { request.attempt, request.request, false };
-    message.request.timeout = request.deadline - context.now;
-    // The agent remembers keys by their scope too.
-    if (request.boundKey)
-        message.request.key = request.boundKey;
-    context.send(request.link, std::move(message));
-}
-
 void request_router::callerLeft(const entry_context& context, request_number number)
 {
     const auto found = m_requests.find(number);
@@ -133,61 +81,6 @@
     forget(context, number);
 }
 
-void request_router::refused(const entry_context& context, link_number link, const attempt_refused& message)
-{
-    auto* request = findByAttempt(message.attempt);
-    if (!request || request->state != phase::Running)
-        return;
-    returnSlot(context, *request);
-    request->excluded.insert(link);
-    context.decide(decision_kind::Refused, request->request.traceparent, std::string(nameOf(message.reason)));
-    if (message.reason == refusal::KeyUsed) {
-        fail(context, request->number,
-            { 409, execution::Unknown, "key_used", "the key's order has been started before", std::nullopt });
-        return;
-    }
-    if (!request->boundKey) {
-        requeue(context, *request);
-        return;
-    }
-    request->state = phase::Releasing;
-    m_keys.release(context, request->number, *request->boundKey, request->binding, request->keyVersion);
-}
-
-void request_router::requeue(const entry_context& context, routed_request& request)
-{
-    m_byAttempt.erase(request.attempt);
-    const auto maxSends = 1 + context.configuration.current().defaults.maxRetries;
-    if (request.sends >= maxSends) {
-        fail(context, request.number, busy(outcomeIfUnsent(request)));
-        return;
-    }
-    context.decide(decision_kind::Retried, request.request.traceparent, "attempt proven not to have run");
-    place(context, request);
-}
-
-void request_router::failed(const entry_context& context, const attempt_failed& message)
-{
-    auto* request = findByAttempt(message.attempt);
-    if (!request || request->state != phase::Running)
-        return;
-    returnSlot(context, *request);
-    request->excluded.insert(request->link);
-    if (message.outcome == execution::NotRun && request->boundKey) {
-        request->state = phase::Releasing;
-        m_keys.release(context, request->number, *request->boundKey, request->binding, request->keyVersion);
-        return;
-    }
-    const bool maySendAgain = message.outcome == execution::NotRun || request->request.repeatable;
-    if (maySendAgain && !request->headOut) {
-        requeue(context, *request);
-        return;
-    }
-    fail(context, request->number,
-        { 502, request->request.repeatable ? execution::NotStarted : execution::Unknown,
-            std::string(nameOf(message.cause)), "the endpoint gave no whole answer", std::nullopt });
-}
-
 void request_router::reported(const entry_context& context, const attempt_report& message)
 {
     const auto asking = std::find_if(m_requests.begin(), m_requests.end(), [&](const auto& item) {
@@ -199,6 +92,7 @@
     switch (message.state) {
     case attempt_state::NeverStarted:
         // The tombstone is the proof: take the key over from the standing row's version.
+        request.mayHaveRun = false;
         place(context, request);
         return;
     case attempt_state::Completed:
@@ -209,6 +103,12 @@
         context.send(request.link, resume_attempt { message.attempt, 0 });
         return;
     case attempt_state::Running:
+        if (request.attempt == message.attempt) {
+            // Its own attempt, asked after because the link was lost.
+            request.state = phase::Running;
+            context.send(request.link, resume_attempt { message.attempt, request.answer.nextFrame() });
+            return;
+        }
         fail(context, request.number,
             { 409, execution::NotStarted, "key_in_progress", "an earlier send of this key is running",
                 retryInProgress });
@@ -247,6 +147,7 @@
 
 void request_router::passOn(const entry_context& context, routed_request& request)
 {
+    request.lastFrame = context.now;
     for (auto& frame : request.answer.takeReady()) {
         request.resumeAsked = false;
         if (auto* head = std::get_if<response_head>(&frame)) {
@@ -274,57 +175,6 @@
     }
 }
 
-void request_router::linkClosed(const entry_context& context, link_number link)
-{
-    std::vector<request_number> concerned;
-    for (const auto& [number, request] : m_requests) {
-        const bool uses = request.link == link && request.state != phase::Queued;
-        if (uses && request.state != phase::Claiming && request.state != phase::Releasing)
-            concerned.push_back(number);
-    }
-    for (const auto number : concerned) {
-        auto& request = m_requests.at(number);
-        request.holdsSlot = false;
-        request.excluded.insert(link);
-        if (request.request.repeatable && !request.headOut)
-            requeue(context, request);
-        else
-            fail(context, number,
-                { 502, execution::Unknown, "agent_lost", "the link to the endpoint's agent was lost", std::nullopt });
-    }
-}
-
-void request_router::drain(const entry_context& context)
-{
-    for (auto left = m_queue.size(); left > 0; --left) {
-        const auto number = m_queue.front();
-        m_queue.pop_front();
-        const auto found = m_requests.find(number);
-        if (found != m_requests.end() && found->second.state == phase::Queued)
-            place(context, found->second);
-    }
-}
-
-void request_router::expire(const entry_context& context)
-{
-    std::vector<request_number> late;
-    for (const auto& [number, request] : m_requests) {
-        if (request.deadline <= context.now)
-            late.push_back(number);
-    }
-    for (const auto number : late) {
-        auto& request = m_requests.at(number);
-        if (request.state == phase::Queued) {
-            fail(context, number, busy(outcomeIfUnsent(request)));
-            continue;
-        }
-        if (request.state == phase::Running)
-            context.send(request.link, cancel_attempt { request.attempt });
-        const auto outcome = request.state == phase::Claiming ? execution::NotStarted : execution::Unknown;
-        fail(context, number, { 504, outcome, "timeout", "the answer is not whole in time", std::nullopt });
-    }
-}
-
 void request_router::platformReplied(const entry_context& context, const platform_replied& reply)
 {
     const auto result = m_keys.replied(context, reply);
@@ -363,7 +213,7 @@
         return;
     case key_result::kind::StoreDown:
         fail(context, request.number,
-            { 503, execution::NotStarted, "store_down", "the key can't be bound now; send the same key again",
+            { 503, outcomeIfUnsent(request), "store_down", "the key can't be bound now; send the same key again",
                 retryWhenBusy });
         return;
     }
@@ -415,12 +265,15 @@
 {
     auto& request = m_requests.at(number);
     returnSlot(context, request);
+    leaveQueues(request);
     m_byAttempt.erase(request.attempt);
     m_requests.erase(number);
 }
 
 execution request_router::outcomeIfUnsent(const routed_request& request) const
 {
+    if (request.mayHaveRun)
+        return execution::Unknown;
     // For a key only the holder of the proof may say that the order has not run.
     return request.request.key ? execution::NotStarted : execution::NotRun;
 }
--- a/packages/decisions/entry/request_router.h
+++ b/packages/decisions/entry/request_router.h
@@ -1,7 +1,12 @@
 #pragma once
 
+#include "decisions/admission/fair_queue.h"
+#include "decisions/admission/turnover_meter.h"
 #include "decisions/entry/entry_context.h"
 #include "decisions/keys/caller_keys.h"
+#include "decisions/placement/demand_planner.h"
+#include "decisions/retries/backoff.h"
+#include "decisions/retries/retry_budget.h"
 #include "decisions/streams/answer_assembler.h"
 
 #include <deque>
@@ -12,9 +17,15 @@
 namespace appleramp {
 
 // Carries each request from its arrival to its one final answer: place, bind the key, dispatch, pass the answer on,
-// retry where that is safe. Works with endpoint_directory for places and caller_keys for the right to run.
+// retry where that is safe. Works with endpoint_directory for places, caller_keys for the right to run, fair_queue for
+// the order of those that wait and retry_budget for further sends.
 class request_router {
 public:
+    explicit request_router(std::uint64_t seed)
+        : m_backoff(seed)
+    {
+    }
+
     void received(const entry_context& context, const request_received& event);
     void callerLeft(const entry_context& context, request_number number);
 
@@ -26,6 +37,8 @@
     void answered(const entry_context& context, const response_end& frame);
 
     void linkClosed(const entry_context& context, link_number link);
+    // An agent has greeted: attempts that ran there when its link was lost go on.
+    void agentGreeted(const entry_context& context, link_number link);
     // Places waiting requests where slots have become free.
     void drain(const entry_context& context);
     // Ends what is past its time.
@@ -35,7 +48,9 @@
     void platformReplied(const entry_context& context, const platform_replied& reply);
 
     std::size_t size() const { return m_requests.size(); }
-    std::size_t waiting() const { return m_queue.size(); }
+    std::size_t waiting() const;
+    // Requests that wait for a slot, by service.
+    waiting_counts waitingByService() const;
 
 private:
     enum class phase {
@@ -47,6 +62,12 @@
         Asking,
         // The attempt was refused with proof; the key is being freed.
         Releasing,
+        // Waits until it may be sent again.
+        BackingOff,
+        // Waits to run alone, as its content may crash endpoints.
+        Suspected,
+        // The link to the agent is gone; the attempt may live on there.
+        Relinking,
     };
 
     struct routed_request {
@@ -60,8 +81,18 @@
         key_binding binding;
         attempt_id attempt;
         link_number link = 0;
+        instance_id agent;
+        incarnation agentLife = 0;
         bool holdsSlot = false;
+        bool alone = false;
         std::uint32_t sends = 0;
+        std::uint32_t placements = 0;
+        // An attempt was started and is not proven to have begun nothing.
+        bool mayHaveRun = false;
+        instant queuedAt;
+        // Until when the link to the agent may come back.
+        instant relinksUntil;
+        instant lastFrame;
         std::set<link_number> excluded;
         answer_assembler answer;
         bool headOut = false;
@@ -71,6 +102,23 @@
     routed_request* findByAttempt(attempt_id attempt);
     bool accept(const entry_context& context, const request_received& event, bool repeatable);
     void place(const entry_context& context, routed_request& request);
+    // Sends the request to the best endpoint with a free slot; false if there is none.
+    bool tryPlace(const entry_context& context, routed_request& request);
+    void enqueue(const entry_context& context, routed_request& request);
+    // False if the request, or another in its place, must be refused at once.
+    bool hasRoom(const entry_context& context, const routed_request& request);
+    duration maxQueueWait(const entry_context& context, const routed_request& request) const;
+    void leaveQueues(const routed_request& request);
+    void drainQueue(const entry_context& context, const service_id& service);
+    void placeSuspects(const entry_context& context);
+    void endBackoffs(const entry_context& context);
+    void shedLate(const entry_context& context);
+    void askAgain(const entry_context& context);
+    // Sends the request again after a wait, within the budgets.
+    void retry(const entry_context& context, routed_request& request, problem otherwise);
+    void recordPlacing(const entry_context& context, const routed_request& request) const;
+    void queryOrResume(const entry_context& context, routed_request& request);
+    problem busy(const entry_context& context, const routed_request& request) const;
     void dispatch(const entry_context& context, routed_request& request, link_number link);
     void start(const entry_context& context, routed_request& request);
     void returnSlot(const entry_context& context, routed_request& request);
@@ -83,9 +131,23 @@
     void forget(const entry_context& context, request_number number);
     execution outcomeIfUnsent(const routed_request& request) const;
 
+    struct service_queue {
+        fair_queue queue;
+        turnover_meter turnover;
+    };
+
     std::map<request_number, routed_request> m_requests;
     std::map<attempt_id, request_number> m_byAttempt;
-    std::deque<request_number> m_queue;
+    std::map<service_id, service_queue> m_queues;
+    std::set<std::pair<instant, request_number>> m_deadlines;
+    std::set<std::pair<instant, request_number>> m_backingOff;
+    // Requests in order of when they entered a queue.
+    std::set<std::pair<instant, request_number>> m_queuedSince;
+    std::deque<request_number> m_suspects;
+    std::optional<request_number> m_runsAlone;
+    retry_budget m_budget;
+    backoff m_backoff;
+    instant m_nextAskAgain;
     caller_keys m_keys;
     std::uint64_t m_lastAttempt = 0;
 };
--- a/packages/decisions/placement/endpoint_directory.cpp
+++ b/packages/decisions/placement/endpoint_directory.cpp
@@ -8,21 +8,18 @@
 
 namespace {
 
-bool isInService(const linked_endpoint& endpoint, const fleet_configuration& configuration)
-{
-    return !configuration.zonesOut.contains(endpoint.zone) && !configuration.instancesOut.contains(endpoint.instance);
-}
-
 bool hasAdapter(const linked_endpoint& endpoint, const adapter_id& adapter)
 {
     const auto& loaded = endpoint.description.adapters;
     return adapter.empty() || std::find(loaded.begin(), loaded.end(), adapter) != loaded.end();
 }
 
+// Costs are in shares of an endpoint's slots.
+constexpr double otherZoneCost = 0.1;
+
 // Smaller is better; compared member by member.
 struct preference {
-    bool otherZone = false;
-    double usedShare = 0;
+    double cost = 0;
     duration expectedWait {};
     link_number link = 0;
 
@@ -32,11 +29,17 @@
 preference rate(const linked_endpoint& endpoint, const availability_zone_id& preferred)
 {
     const double usedShare = static_cast<double>(endpoint.inFlight) / endpoint.slots;
-    return { endpoint.zone != preferred, usedShare, endpoint.expectedWait, endpoint.link };
+    const double zoneCost = endpoint.zone == preferred ? 0 : otherZoneCost;
+    return { usedShare + zoneCost, endpoint.expectedWait, endpoint.link };
 }
 
 } // namespace
 
+bool isInService(const linked_endpoint& endpoint, const fleet_configuration& configuration)
+{
+    return !configuration.zonesOut.contains(endpoint.zone) && !configuration.instancesOut.contains(endpoint.instance);
+}
+
 void endpoint_directory::add(link_number link, incarnation agentLife, const hello& greeting)
 {
     assert(greeting.endpoint);
@@ -49,6 +52,7 @@
     for (const auto& service : endpoint.description.services)
         m_byService[service].insert(link);
     m_endpoints[link] = std::move(endpoint);
+    ++m_grantChanges;
 }
 
 void endpoint_directory::remove(link_number link)
@@ -63,6 +67,7 @@
             m_byService.erase(service);
     }
     m_endpoints.erase(found);
+    ++m_grantChanges;
 }
 
 void endpoint_directory::grant(link_number link, const slot_grant& grant, instant now)
@@ -72,6 +77,10 @@
         return;
     auto& endpoint = found->second;
     endpoint.grantSequence = grant.sequence;
+    if (grant.slots < endpoint.slots) {
+        endpoint.wasCut = true;
+        ++m_grantChanges;
+    }
     endpoint.slots = grant.slots;
     endpoint.grantEnds = now + grant.lifetime;
     endpoint.expectedWait = grant.expectedWait;
@@ -113,6 +122,37 @@
     return best ? std::optional(best->link) : std::nullopt;
 }
 
+std::optional<link_number> endpoint_directory::chooseAlone(const service_request& request,
+    const std::set<link_number>& excluded, const fleet_configuration& configuration, instant now) const
+{
+    const auto candidates = m_byService.find(request.service);
+    if (candidates == m_byService.end())
+        return std::nullopt;
+    const linked_endpoint* best = nullptr;
+    for (const auto link : candidates->second) {
+        const auto& endpoint = m_endpoints.at(link);
+        const bool isOpen = now < endpoint.grantEnds && !excluded.contains(link);
+        if (!isOpen || !isInService(endpoint, configuration) || !hasAdapter(endpoint, request.adapter))
+            continue;
+        if (!best || endpoint.inFlight < best->inFlight)
+            best = &endpoint;
+    }
+    return best ? std::optional(best->link) : std::nullopt;
+}
+
+void endpoint_directory::demanded(link_number link, const slot_demand& demand)
+{
+    auto& endpoint = m_endpoints.at(link);
+    endpoint.demand = demand;
+    endpoint.wasCut = false;
+}
+
+std::size_t endpoint_directory::countServing(const service_id& service) const
+{
+    const auto found = m_byService.find(service);
+    return found == m_byService.end() ? 0 : found->second.size();
+}
+
 void endpoint_directory::takeSlot(link_number link) { ++m_endpoints.at(link).inFlight; }
 
 void endpoint_directory::returnSlot(link_number link)
--- a/packages/decisions/placement/endpoint_directory.h
+++ b/packages/decisions/placement/endpoint_directory.h
@@ -25,10 +25,21 @@
     bool cold = false;
     // Attempts of this entry that hold a slot.
     std::uint32_t inFlight = 0;
+    // The demand that was sent last; its agent may rest on the grant named there.
+    slot_demand demand;
+    // True if the grant has shrunk since that demand.
+    bool wasCut = false;
 
     bool hasFreeSlot(instant now) const { return now < grantEnds && inFlight < slots; }
+    bool owesAnswerTo(const slot_demand& next) const
+    {
+        return wasCut || next.waiting != demand.waiting || next.spare != demand.spare;
+    }
 };
 
+// True if neither the endpoint's zone nor its instance is out of service.
+bool isInService(const linked_endpoint& endpoint, const fleet_configuration& configuration);
+
 // The endpoints that this entry is linked to, by service, and the choice among them. Works with request_router,
 // which takes and returns slots.
 class endpoint_directory {
@@ -38,23 +49,33 @@
     // An older grant than the one in force is ignored.
     void grant(link_number link, const slot_grant& grant, instant now);
 
+    // Rises whenever a grant has shrunk or an endpoint has come or gone.
+    std::uint64_t grantChanges() const { return m_grantChanges; }
+    void demanded(link_number link, const slot_demand& demand);
+
+    std::size_t countServing(const service_id& service) const;
     bool serves(const service_id& service) const { return m_byService.contains(service); }
     const linked_endpoint* find(link_number link) const;
     // The link to this life of an agent, if it is open.
     const linked_endpoint* findAgent(const instance_id& instance, incarnation life) const;
     const std::map<link_number, linked_endpoint>& all() const { return m_endpoints; }
 
-    // The endpoint that a request should go to: in service, with a free slot, in the preferred zone if one is there,
-    // then with the least share of its slots in use.
+    // The endpoint that a request should go to: in service, with a free slot, and the least cost by load, zone and
+    // cached prefix.
     std::optional<link_number> choose(const service_request& request, const availability_zone_id& preferred,
         const std::set<link_number>& excluded, const fleet_configuration& configuration, instant now) const;
 
+    // The endpoint where a request should run alone: in service, with the least work of this entry.
+    std::optional<link_number> chooseAlone(const service_request& request, const std::set<link_number>& excluded,
+        const fleet_configuration& configuration, instant now) const;
+
     void takeSlot(link_number link);
     void returnSlot(link_number link);
 
 private:
     std::map<link_number, linked_endpoint> m_endpoints;
     std::map<service_id, std::set<link_number>> m_byService;
+    std::uint64_t m_grantChanges = 0;
 };
 
 } // namespace appleramp
--- /dev/null
+++ b/packages/decisions/suspects/suspect_registry.cpp
@@ -0,0 +1,70 @@
+#include "decisions/suspects/suspect_registry.h"
+
+#include <utility>
+
+namespace appleramp {
+
+namespace {
+
+constexpr duration suspectRetention = std::chrono::minutes(10);
+constexpr duration convictRetention = std::chrono::hours(24);
+
+} // namespace
+
+std::optional<suspicion> suspect_registry::levelOf(std::uint64_t contentHash) const
+{
+    const auto found = m_records.find(contentHash);
+    return found == m_records.end() ? std::nullopt : std::optional(found->second.record.level);
+}
+
+void suspect_registry::crashed(std::uint64_t contentHash, bool alone, instant now)
+{
+    suspect_record next { contentHash, 1, alone ? suspicion::Convicted : suspicion::Suspected };
+    const auto found = m_records.find(contentHash);
+    if (found != m_records.end()) {
+        const auto& known = found->second.record;
+        const bool isNewRound = known.level == suspicion::Cleared && !alone;
+        next.round = known.round + (isNewRound ? 1 : 0);
+    }
+    heard(next, now);
+}
+
+void suspect_registry::completedAlone(std::uint64_t contentHash, instant now)
+{
+    const auto found = m_records.find(contentHash);
+    if (found != m_records.end())
+        heard({ contentHash, found->second.record.round, suspicion::Cleared }, now);
+}
+
+void suspect_registry::heard(const suspect_record& record, instant now)
+{
+    const auto found = m_records.find(record.contentHash);
+    if (found != m_records.end()) {
+        const auto& known = found->second.record;
+        if (std::pair(record.round, record.level) <= std::pair(known.round, known.level))
+            return;
+    }
+    m_records[record.contentHash] = { record, now };
+    m_risen.push_back(record);
+}
+
+std::vector<suspect_record> suspect_registry::takeRisen() { return std::exchange(m_risen, {}); }
+
+std::vector<suspect_record> suspect_registry::all() const
+{
+    std::vector<suspect_record> records;
+    records.reserve(m_records.size());
+    for (const auto& [hash, kept] : m_records)
+        records.push_back(kept.record);
+    return records;
+}
+
+void suspect_registry::forgetOld(instant now)
+{
+    std::erase_if(m_records, [now](const auto& item) {
+        const bool convicted = item.second.record.level == suspicion::Convicted;
+        return item.second.risen + (convicted ? convictRetention : suspectRetention) < now;
+    });
+}
+
+} // namespace appleramp
--- a/packages/model/enum_names.h
+++ b/packages/model/enum_names.h
@@ -41,8 +41,12 @@
 };
 template <>
 struct enum_names<failure_cause> {
-    static constexpr std::array<std::string_view, 4> names { "endpoint_crashed", "endpoint_timeout", "cancelled",
-        "agent_forgot" };
+    static constexpr std::array<std::string_view, 5> names { "endpoint_crashed", "endpoint_timeout", "cancelled",
+        "agent_forgot", "load_refused" };
+};
+template <>
+struct enum_names<suspicion> {
+    static constexpr std::array<std::string_view, 3> names { "suspected", "cleared", "convicted" };
 };
 template <>
 struct enum_names<attempt_state> {
--- a/packages/model/messages.h
+++ b/packages/model/messages.h
@@ -51,10 +51,16 @@
     std::uint64_t sequence = 0;
 };
 
-// Entry to agent: how much work the entry would like to place.
+// Entry to agent: how much work the entry would like to place. It also acknowledges grants: after it, no attempt that
+// rests on an older grant comes on this link.
 struct slot_demand {
     static constexpr const char* name = "slot_demand";
-    std::uint32_t wanted = 0;
+    // Requests that wait for a slot, without those that run.
+    std::uint32_t waiting = 0;
+    // Idle slots that the entry would like to hold for requests to come.
+    std::uint32_t spare = 0;
+    // Sequence of the newest grant that the entry has received.
+    std::uint64_t grantSequence = 0;
 };
 
 // Agent to entry: requests that the entry may have in flight at this endpoint. Replaces the grant before it.
@@ -141,6 +147,8 @@
     EndpointTimeout,
     Cancelled,
     AgentForgot,
+    // The endpoint refused the request because of its load and began nothing.
+    LoadRefused,
 };
 
 // Agent to entry: the attempt was started and will yield no whole answer.
@@ -191,16 +199,44 @@
     static constexpr const char* name = "configuration_news";
     std::vector<accepted_change> changes;
     std::optional<fleet_configuration> document;
+    // The inquiry that this answers; zero if it answers none.
+    std::uint64_t inquiry = 0;
 };
 
 struct configuration_request {
     static constexpr const char* name = "configuration_request";
     configuration_version have = 0;
+    // If not zero, the answer is wanted even if there is nothing newer.
+    std::uint64_t inquiry = 0;
+};
+
+// How sure it is that a request's content crashes the endpoints that run it. Higher replaces lower.
+enum class suspicion {
+    // It was running when an endpoint crashed: it may run alone.
+    Suspected,
+    // It completed alone.
+    Cleared,
+    // An endpoint crashed while it ran alone: it is refused.
+    Convicted,
+};
+
+// What is known of one content. A higher round replaces a lower one; within a round, higher suspicion replaces lower.
+struct suspect_record {
+    std::uint64_t contentHash = 0;
+    std::uint64_t round = 0;
+    suspicion level = suspicion::Suspected;
+};
+
+// In both directions: contents whose records have risen.
+struct suspect_news {
+    static constexpr const char* name = "suspect_news";
+    std::vector<suspect_record> records;
 };
 
 using link_message = std::variant<hello, heartbeat, heartbeat_ack, slot_demand, slot_grant, start_attempt,
     cancel_attempt, resume_attempt, attempt_refused, response_head, response_body, response_end, attempt_failed,
-    query_attempt, attempt_report, request_key_block, grant_key_block, configuration_news, configuration_request>;
+    query_attempt, attempt_report, request_key_block, grant_key_block, configuration_news, configuration_request,
+    suspect_news>;
 
 // What travels on a link: every message carries its sender's incarnation and configuration version.
 struct link_envelope {
--- a/packages/wire/json_messages.h
+++ b/packages/wire/json_messages.h
@@ -39,8 +39,8 @@
 }
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(service_policy, repeatableRoutes, teamLimit)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(fleet_defaults, teamLimit, maxRetries, retryBudgetPercent, requestTimeout,
-    addressValidity, keyRetention)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(fleet_defaults, teamLimit, maxRetries, retryBudgetPercent, maxQueueWait,
+    requestTimeout, addressValidity, keyRetention)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(team_exception, team, teamLimit, reason)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(set_defaults, defaults)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(put_service, service, policy)
@@ -58,7 +58,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(hello, instance, role, zone, endpoint)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(heartbeat, sequence)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(heartbeat_ack, sequence)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(slot_demand, wanted)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(slot_demand, waiting, spare, grantSequence)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(slot_grant, sequence, slots, lifetime, cold, expectedWait)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(start_attempt, attempt, request, suspect)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(cancel_attempt, attempt)
@@ -84,8 +84,10 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(attempt_report, attempt, state)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(request_key_block, count)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(grant_key_block, first, count, lifetime)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(configuration_news, changes, document)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(configuration_request, have)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(configuration_news, changes, document, inquiry)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(configuration_request, have, inquiry)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(suspect_record, contentHash, round, level)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(suspect_news, records)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(link_envelope, sender, configuration, message)
 
 } // namespace appleramp
