--- a/benchmarks/zones/appleramp_fleet.cpp
+++ b/benchmarks/zones/appleramp_fleet.cpp
@@ -105,7 +105,7 @@
 private:
     request_number requestOf(const send_message& effect) const
     {
-        return std::stoull(std::get<start_attempt>(effect.envelope.message).request.traceparent);
+        return std::get<start_attempt>(effect.envelope.message).request.contentHash;
     }
     void end(request_number number, bool answered) const
     {
@@ -318,7 +318,6 @@
         received.request.path = "/v1/completions";
         received.request.contentHash = number;
         received.request.timeout = callerTimeout;
-        received.request.traceparent = std::to_string(number);
         apply(index, entry_event_body(std::move(received)));
     });
 }
--- a/packages/decisions/admission/slot_gate.cpp
+++ b/packages/decisions/admission/slot_gate.cpp
@@ -62,7 +62,11 @@
     m_bootId = report.bootId;
     if (report.capacity > 0 && report.capacity < m_capacity)
         turnCold();
-    m_changed = m_changed || m_reported != report.capacity;
+    // This agent's own work can't begin before its first report, and not before what it finds there has ended.
+    const auto foreign = m_reportSeen && m_foreign == 0 ? 0 : report.running;
+    m_changed = m_changed || m_reported != report.capacity || m_foreign != foreign || !m_reportSeen;
+    m_foreign = foreign;
+    m_reportSeen = true;
     m_reported = report.capacity;
 }
 
@@ -199,7 +203,7 @@
 
 std::uint32_t slot_gate::openSlots() const
 {
-    if (m_closed || m_heldBack || !m_healthy)
+    if (m_closed || m_heldBack || !m_healthy || m_foreign > 0)
         return 0;
     return m_reported > 0 ? std::min(m_capacity, m_reported) : m_capacity;
 }
--- a/packages/decisions/admission/slot_gate.h
+++ b/packages/decisions/admission/slot_gate.h
@@ -39,7 +39,8 @@
     void entryLeft(link_number link);
     void demanded(link_number link, const slot_demand& demand, instant now);
 
-    // The endpoint's boot id, health and load as it reports them. A new boot id makes it cold.
+    // The endpoint's boot id, health and load as it reports them. A new boot id makes it cold. Nothing is admitted while
+    // work of an earlier agent runs there.
     void probed(const engine_probed& report);
     // No new work at all while closed: the zone is out or the endpoint is leaving. An endpoint that is opened again is
     // cold.
@@ -126,6 +127,9 @@
     std::uint32_t m_capacity;
     // What the endpoint itself says that it bears; zero if it has not said.
     std::uint32_t m_reported = 0;
+    // Requests that another agent, before this one, gave the endpoint and that still run there.
+    std::uint32_t m_foreign = 0;
+    bool m_reportSeen = false;
     std::uint32_t m_completedSinceRaise = 0;
     std::string m_bootId;
     bool m_healthy = false;
--- a/packages/decisions/agent/agent_reducer.h
+++ b/packages/decisions/agent/agent_reducer.h
@@ -5,6 +5,7 @@
 #include "decisions/configuration/configuration_register.h"
 #include "decisions/detection/news_refresh.h"
 #include "decisions/suspects/suspect_registry.h"
+#include "decisions/tracing/trace_id_generator.h"
 
 #include <set>
 
@@ -39,6 +40,7 @@
     news_refresh m_refresh;
     suspect_registry m_suspects;
     attempt_runner m_runner;
+    trace_id_generator m_traceIds;
     std::set<link_number> m_entries;
     bool m_leaving = false;
     instant m_nextTick;
--- a/packages/decisions/agent/attempt_runner.cpp
+++ b/packages/decisions/agent/attempt_runner.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr duration answerRetention = std::chrono::seconds(30);
+constexpr std::string_view endpointOperation = "agent.endpoint";
 constexpr duration retryWhenFull = std::chrono::milliseconds(200);
 // How long an attempt that may be repeated goes on without a link to its entry.
 constexpr duration abandonedTime = std::chrono::seconds(5);
@@ -114,12 +115,15 @@
         break;
     }
     const auto call = ++m_lastCall;
+    const request_trace trace(message.request.traceparent, context.traceIds, context.now);
     m_attempts.emplace(message.attempt,
-        kept_attempt { link, call, key.has_value(), message.request.contentHash, answer_buffer(message.attempt) });
+        kept_attempt { link, call, key.has_value(), message.request.contentHash, answer_buffer(message.attempt), trace });
     m_byCall[call] = message.attempt;
     context.gate.started(call, link, context.now);
-    context.decide(decision_kind::Placed, message.request.traceparent, "started at the endpoint");
-    context.effects.emplace_back(call_engine { call, message.request });
+    context.decide(decision_kind::Placed, trace.subject(), "started at the endpoint");
+    call_engine effect { call, message.request };
+    effect.request.traceparent = trace.traceparent();
+    context.effects.emplace_back(std::move(effect));
 }
 
 std::optional<refusal> attempt_runner::reasonToRefuse(const agent_context& context, const start_attempt& message) const
@@ -207,7 +211,7 @@
     if (runsAlone(event.call))
         context.suspects.completedAlone(kept->contentHash, context.now);
     context.gate.completed(event.call);
-    end(context, event.call, attempt_state::Completed);
+    end(context, event.call, attempt_state::Completed, nameOf(attempt_state::Completed));
 }
 
 void attempt_runner::engineFailed(const agent_context& context, const engine_failed& event)
@@ -258,14 +262,17 @@
         context.gate.cancelled(event.call);
     else
         context.gate.failed(event.call);
-    end(context, event.call, event.neverSent ? attempt_state::NeverStarted : attempt_state::Failed);
+    end(context, event.call, event.neverSent ? attempt_state::NeverStarted : attempt_state::Failed, nameOf(event.cause));
 }
 
-void attempt_runner::end(const agent_context& context, call_number call, attempt_state outcome)
+void attempt_runner::end(const agent_context& context, call_number call, attempt_state outcome,
+    std::string_view spanOutcome)
 {
     const auto attempt = m_byCall.at(call);
     m_ledger.finish(attempt, outcome);
-    m_attempts.at(attempt).ended = context.now;
+    auto& kept = m_attempts.at(attempt);
+    kept.ended = context.now;
+    context.effects.emplace_back(kept.trace.end(endpointOperation, spanOutcome, context.now));
     m_abandoned.erase(attempt);
     m_byCall.erase(call);
     m_lastEnd = context.now;
--- a/packages/decisions/agent/attempt_runner.h
+++ b/packages/decisions/agent/attempt_runner.h
@@ -4,6 +4,7 @@
 #include "decisions/keys/attempt_ledger.h"
 #include "decisions/streams/answer_buffer.h"
 #include "decisions/suspects/suspect_registry.h"
+#include "decisions/tracing/request_trace.h"
 #include "model/effects.h"
 
 #include <deque>
@@ -14,6 +15,7 @@
 namespace appleramp {
 
 class configuration_register;
+class trace_id_generator;
 
 // Who an agent is, from its settings and its start.
 struct agent_identity {
@@ -32,6 +34,7 @@
     slot_gate& gate;
     suspect_registry& suspects;
     const std::set<link_number>& entries;
+    trace_id_generator& traceIds;
     agent_effects& effects;
 
     void send(link_number link, link_message message) const;
@@ -80,6 +83,7 @@
         bool keyed = false;
         std::uint64_t contentHash = 0;
         answer_buffer answer;
+        request_trace trace;
         std::optional<instant> ended;
         // Set while the link is gone.
         std::optional<instant> abandoned;
@@ -99,7 +103,7 @@
     std::optional<refusal> reasonToRefuse(const agent_context& context, const start_attempt& message) const;
     void refuse(const agent_context& context, link_number link, attempt_id attempt, refusal reason);
     kept_attempt* findByCall(call_number call);
-    void end(const agent_context& context, call_number call, attempt_state outcome);
+    void end(const agent_context& context, call_number call, attempt_state outcome, std::string_view spanOutcome);
 
     attempt_ledger m_ledger;
     std::map<attempt_id, kept_attempt> m_attempts;
--- a/packages/decisions/entry/entry_context.h
+++ b/packages/decisions/entry/entry_context.h
@@ -12,6 +12,7 @@
 class endpoint_directory;
 class news_refresh;
 class suspect_registry;
+class trace_id_generator;
 
 // Who an entry is, from its settings and its start.
 struct entry_identity {
@@ -34,6 +35,7 @@
     suspect_registry& suspects;
     const news_refresh& refresh;
     operation_number& lastOperation;
+    trace_id_generator& traceIds;
     entry_effects& effects;
 
     operation_number call(platform_call call) const;
--- a/packages/decisions/entry/entry_reducer.cpp
+++ b/packages/decisions/entry/entry_reducer.cpp
@@ -121,6 +121,7 @@
 entry_reducer::entry_reducer(entry_identity identity)
     : m_identity(std::move(identity))
     , m_router(m_identity.life)
+    , m_traceIds(m_identity.life)
 {
 }
 
@@ -128,7 +129,7 @@
 {
     entry_effects effects;
     const entry_context context { event.at, m_identity, m_configuration, m_endpoints, m_demands, m_suspects, m_refresh,
-        m_lastOperation, effects };
+        m_lastOperation, m_traceIds, effects };
     const auto before = m_configuration.version();
     m_refresh.sees(event.at);
     std::visit(event_visitor { *this, context }, event.body);
--- a/packages/decisions/entry/request_router.cpp
+++ b/packages/decisions/entry/request_router.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr duration retryWhenBusy = std::chrono::seconds(1);
+constexpr std::string_view requestOperation = "entry.request";
 constexpr duration retryInProgress = std::chrono::milliseconds(500);
 
 // Keys of different teams and services do not meet.
@@ -35,12 +36,14 @@
 void request_router::received(const entry_context& context, const request_received& event)
 {
     const bool repeatable = isRepeatable(event.request, context.configuration.current());
-    if (!accept(context, event, repeatable))
+    request_trace trace(event.request.traceparent, context.traceIds, context.now);
+    if (!accept(context, event, repeatable, trace))
         return;
     auto& request = m_requests[event.number];
     request.number = event.number;
     request.request = event.request;
     request.request.repeatable = repeatable;
+    request.trace = std::move(trace);
     request.deadline = context.now + event.request.timeout;
     m_deadlines.emplace(request.deadline, request.number);
     context.demands.used(request.request.service, context.now);
@@ -49,11 +52,13 @@
     place(context, request);
 }
 
-bool request_router::accept(const entry_context& context, const request_received& event, bool repeatable)
+bool request_router::accept(const entry_context& context, const request_received& event, bool repeatable,
+    const request_trace& trace)
 {
     const auto refuse = [&](std::uint16_t status, execution outcome, std::string reason, std::string detail) {
         problem answer { status, outcome, std::move(reason), std::move(detail), std::nullopt };
-        context.decide(decision_kind::Refused, event.request.traceparent, answer.reason);
+        context.decide(decision_kind::Refused, trace.subject(), answer.reason);
+        context.effects.emplace_back(trace.end(requestOperation, answer.reason, context.now));
         context.effects.emplace_back(reply_problem { event.number, std::move(answer) });
         return false;
     };
@@ -78,7 +83,7 @@
         return;
     if (found->second.state == phase::Running)
         context.send(found->second.link, cancel_attempt { found->second.attempt });
-    forget(context, number);
+    forget(context, number, "caller_left");
 }
 
 void request_router::reported(const entry_context& context, const attempt_report& message)
@@ -160,8 +165,8 @@
     }
     if (request.answer.isWhole()) {
         context.effects.emplace_back(reply_end { request.number });
-        context.decide(decision_kind::Completed, request.request.traceparent, "whole answer passed on");
-        forget(context, request.number);
+        context.decide(decision_kind::Completed, request.trace->subject(), "whole answer passed on");
+        forget(context, request.number, nameOf(execution::Completed));
         return;
     }
     if (request.answer.isCorrupt()) {
@@ -190,13 +195,14 @@
     request.keyVersion = result.version;
     switch (result.outcome) {
     case key_result::kind::Bound:
-        context.decide(decision_kind::KeyBound, request.request.traceparent, result.standing.endpoint.str());
+        context.decide(decision_kind::KeyBound, request.trace->subject(), result.standing.endpoint.str());
         if (context.endpoints.find(request.link)) {
             start(context, request);
             return;
         }
         // Bound but never sent: this entry alone could have sent it, so that is the proof.
         request.holdsSlot = false;
+        endAttempt(context, request, "agent_lost");
         request.state = phase::Releasing;
         m_keys.release(context, request.number, *request.boundKey, request.binding, request.keyVersion);
         return;
@@ -222,10 +228,11 @@
 void request_router::askHolder(const entry_context& context, routed_request& request, const key_result& result)
 {
     returnSlot(context, request);
+    endAttempt(context, request, "key_held");
     m_byAttempt.erase(request.attempt);
     const auto* holder = context.endpoints.findAgent(result.standing.agent, result.standing.agentLife);
     if (!holder) {
-        context.decide(decision_kind::KeyUnknown, request.request.traceparent, "the holder's agent is not linked");
+        context.decide(decision_kind::KeyUnknown, request.trace->subject(), "the holder's agent is not linked");
         fail(context, request.number,
             { 409, execution::Unknown, "key_unknown", "what became of an earlier send of this key is not known",
                 retryWhenBusy });
@@ -253,19 +260,28 @@
 void request_router::fail(const entry_context& context, request_number number, problem answer)
 {
     auto& request = m_requests.at(number);
-    context.decide(decision_kind::Failed, request.request.traceparent, answer.reason);
+    const std::string reason = answer.reason;
+    context.decide(decision_kind::Failed, request.trace->subject(), reason);
     if (request.headOut)
         context.effects.emplace_back(reply_aborted { number, std::move(answer) });
     else
         context.effects.emplace_back(reply_problem { number, std::move(answer) });
-    forget(context, number);
+    forget(context, number, reason);
 }
 
-void request_router::forget(const entry_context& context, request_number number)
+void request_router::endAttempt(const entry_context& context, routed_request& request, std::string_view outcome)
+{
+    if (auto span = request.trace->endAttempt(outcome, context.now))
+        context.effects.emplace_back(std::move(*span));
+}
+
+void request_router::forget(const entry_context& context, request_number number, std::string_view outcome)
 {
     auto& request = m_requests.at(number);
     returnSlot(context, request);
     leaveQueues(request);
+    endAttempt(context, request, outcome);
+    context.effects.emplace_back(request.trace->end(requestOperation, outcome, context.now));
     m_byAttempt.erase(request.attempt);
     m_requests.erase(number);
 }
--- a/packages/decisions/entry/request_router_placing.cpp
+++ b/packages/decisions/entry/request_router_placing.cpp
@@ -70,7 +70,7 @@
     request.excluded.clear();
     m_queues[request.request.service].queue.push(request.number, request.request.team, request.request.urgency);
     m_queuedSince.emplace(context.now, request.number);
-    context.decide(decision_kind::Queued, request.request.traceparent, "no free slot");
+    context.decide(decision_kind::Queued, request.trace->subject(), "no free slot");
 }
 
 bool request_router::hasRoom(const entry_context& context, const routed_request& request)
@@ -146,6 +146,8 @@
     request.agentLife = endpoint->agentLife;
     request.attempt = { context.self.life, ++m_lastAttempt };
     m_byAttempt[request.attempt] = request.number;
+    context.effects.emplace_back(request.trace->endQueue(context.traceIds, context.now));
+    request.trace->beginAttempt(context.traceIds, context.now);
     recordPlacing(context, request);
     if (!request.boundKey) {
         start(context, request);
@@ -169,6 +171,7 @@
     }
     start_attempt message { request.attempt, request.request, request.alone };
     message.request.timeout = request.deadline - context.now;
+    message.request.traceparent = request.trace->traceparent();
     // The agent remembers keys by their scope too.
     if (request.boundKey)
         message.request.key = request.boundKey;
@@ -178,7 +181,7 @@
 void request_router::recordPlacing(const entry_context& context, const routed_request& request) const
 {
     const auto& endpoint = *context.endpoints.find(request.link);
-    context.decide(decision_kind::Placed, request.request.traceparent,
+    context.decide(decision_kind::Placed, request.trace->subject(),
         endpoint.description.endpoint.str() + " in " + endpoint.zone.str() + ", " + std::to_string(endpoint.inFlight)
             + " of " + std::to_string(endpoint.slots) + " slots in use" + (request.alone ? ", alone" : ""));
 }
--- a/packages/decisions/entry/request_router_retries.cpp
+++ b/packages/decisions/entry/request_router_retries.cpp
@@ -25,9 +25,10 @@
     if (!request || request->state != phase::Running)
         return;
     returnSlot(context, *request);
+    endAttempt(context, *request, nameOf(message.reason));
     request->excluded.insert(link);
     --request->sends;
-    context.decide(decision_kind::Refused, request->request.traceparent, std::string(nameOf(message.reason)));
+    context.decide(decision_kind::Refused, request->trace->subject(), std::string(nameOf(message.reason)));
     if (message.reason == refusal::KeyUsed) {
         fail(context, request->number,
             { statusConflict, execution::Unknown, "key_used", "the key's order has been started before", std::nullopt });
@@ -52,7 +53,8 @@
         fail(context, request.number, busy(context, request));
         return;
     }
-    context.decide(decision_kind::Retried, request.request.traceparent, "attempt proven not to have run");
+    context.decide(decision_kind::Retried, request.trace->subject(), "attempt proven not to have run");
+    request.trace->enqueue(context.now);
     place(context, request);
 }
 
@@ -67,7 +69,7 @@
     const bool isInTime = context.now + wait < request.deadline;
     const bool mayRetry = request.sends <= defaults.maxRetries && isInTime;
     if (!mayRetry || !m_budget.take(request.request.team, request.request.service, context.now)) {
-        context.decide(decision_kind::Refused, request.request.traceparent,
+        context.decide(decision_kind::Refused, request.trace->subject(),
             mayRetry ? "retry budget used up" : "no further retry");
         fail(context, request.number, std::move(otherwise));
         return;
@@ -75,7 +77,8 @@
     request.state = phase::BackingOff;
     request.queuedAt = context.now + wait;
     m_backingOff.emplace(request.queuedAt, request.number);
-    context.decide(decision_kind::Retried, request.request.traceparent, "sent again after a wait");
+    context.decide(decision_kind::Retried, request.trace->subject(), "sent again after a wait");
+    request.trace->enqueue(context.now);
 }
 
 void request_router::failed(const entry_context& context, const attempt_failed& message)
@@ -84,6 +87,7 @@
     if (!request || (request->state != phase::Running && request->state != phase::Asking))
         return;
     returnSlot(context, *request);
+    endAttempt(context, *request, nameOf(message.cause));
     request->excluded.insert(request->link);
     if (message.outcome == execution::NotRun && request->boundKey) {
         request->state = phase::Releasing;
@@ -114,6 +118,7 @@
         request.excluded.insert(link);
         request.mayHaveRun = true;
         if (request.request.repeatable && !request.headOut && request.state == phase::Running) {
+            endAttempt(context, request, "agent_lost");
             retry(context, request,
                 { statusBadGateway, execution::Unknown, "agent_lost", "the link to the endpoint's agent was lost",
                     std::nullopt });
--- a/tests/decisions/admission/slot_gate_test.cpp
+++ b/tests/decisions/admission/slot_gate_test.cpp
@@ -172,6 +172,23 @@
     cr_expect_eq(afterWarmUp([](auto& fixture) { fixture.runOne(1, milliseconds(60)); }), warmSlots);
 }
 
+Test(slot_gate, waits_until_work_of_an_earlier_agent_has_ended)
+{
+    gate_fixture fixture;
+    fixture.gate = slot_gate({ warmSlots, 1, lifetime, warmAfter });
+    fixture.join(1);
+    fixture.gate.probed({ true, "boot-1", 3, 0 });
+    fixture.demand(1, 1);
+    cr_assert_not(fixture.gate.admits(1, fixture.now));
+    fixture.gate.probed({ true, "boot-1", 0, 0 });
+    fixture.deliver();
+    cr_assert(fixture.gate.admits(1, fixture.now));
+    fixture.start(1);
+    // Its own work is no reason to stop.
+    fixture.gate.probed({ true, "boot-1", 1, 0 });
+    cr_assert_eq(fixture.gate.openSlots(), 1U);
+}
+
 Test(slot_gate, admits_nothing_while_closed)
 {
     gate_fixture fixture;
