Maps: the popularity estimate trusts noise less and drift more

Cause: under noise the estimate's gain stayed near a third, so the map chased the noise; under drift it was cut off at 0.6, so the map lagged. Change: the gain is the square of the tracking signal, up to 0.9. A deviation counts as drift from a signal of 0.75, as noise reached 0.6 under the new gain (the observer's test on noise failed until then).

--- a/packages/decisions/maps/popularity_observer.cpp
+++ b/packages/decisions/maps/popularity_observer.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 // Ratio of smoothed to absolute error from which a deviation counts as one-sided.
-constexpr auto driftSignal = 0.6F;
+constexpr auto driftSignal = 0.75F;
 
 constexpr auto longestRun = 100;
 
@@ -115,7 +115,7 @@
     m_error[cell] += smoothing * float(believed - m_error[cell]);
     m_absoluteError[cell] += smoothing * float(std::abs(believed) - m_absoluteError[cell]);
     const auto signal = std::abs(m_error[cell]) / std::max(m_absoluteError[cell], float(usual / m_settings.clipErrors));
-    const auto gain = std::clamp(double(signal), m_settings.minGain, m_settings.maxGain);
+    const auto gain = std::clamp(double(signal * signal), m_settings.minGain, m_settings.maxGain);
     m_levels[cell] = std::max(0.0, m_levels[cell] + gain * believed);
 
     if (std::abs(error) > clip && !lasts)
--- a/packages/decisions/maps/popularity_observer.h
+++ b/packages/decisions/maps/popularity_observer.h
@@ -39,7 +39,7 @@
     std::uint32_t openWindows = 2;
     double errorSmoothing = 0.2;
     double minGain = 0.05;
-    double maxGain = 0.6;
+    double maxGain = 0.9;
     // Mean absolute errors beyond which a deviation is cut off until it has lasted.
     double clipErrors = 4.0;
     // Windows that a deviation of one sign must last.
