Maps: a change in all layers at once is believed a window earlier

Cause: after a sudden change of workload three windows passed before the estimate followed, at several times the bound; a spike of single experts looks the same to each expert alone. Change: when 4% of the load deviates in the mean over all layers, two windows of one sign are enough.

--- a/packages/decisions/maps/popularity_observer.cpp
+++ b/packages/decisions/maps/popularity_observer.cpp
@@ -108,7 +108,8 @@
     const auto usual = std::max(double(m_absoluteError[cell]), std::sqrt(m_levels[cell] * precision));
     const auto clip = m_settings.clipErrors * usual;
     m_run[cell] = continueRun(m_run[cell], error, usual);
-    const auto lasts = std::uint32_t(std::abs(m_run[cell])) >= m_settings.confirmWindows;
+    const auto lasts = std::uint32_t(std::abs(m_run[cell]))
+        >= (m_broad ? m_settings.confirmBroadWindows : m_settings.confirmWindows);
     const auto believed = lasts ? error : std::clamp(error, -clip, clip);
 
     const auto smoothing = float(m_settings.errorSmoothing);
@@ -131,6 +132,7 @@
     m_spikePart /= m_layers;
     m_driftPart /= m_layers;
     m_noisePart /= m_layers;
+    m_broad = m_spikePart >= m_settings.broadPart;
     if (m_driftPart >= m_settings.notablePart && m_driftPart >= m_spikePart)
         m_change = popularity_change::Drift;
     else if (m_spikePart >= m_settings.notablePart)
--- a/packages/decisions/maps/popularity_observer.h
+++ b/packages/decisions/maps/popularity_observer.h
@@ -44,6 +44,9 @@
     double clipErrors = 4.0;
     // Windows that a deviation of one sign must last.
     std::uint32_t confirmWindows = 3;
+    // The same, when this part of the load deviates in all layers at once: single experts spike, a changed workload does not.
+    std::uint32_t confirmBroadWindows = 2;
+    double broadPart = 0.04;
     // Parts of a layer's load that must deviate for the change to be named.
     double notablePart = 0.02;
 };
@@ -97,6 +100,7 @@
     double m_spikePart = 0;
     double m_driftPart = 0;
     double m_noisePart = 0;
+    bool m_broad = false;
     popularity_change m_change = popularity_change::Steady;
     std::uint64_t m_closed = 0;
     std::uint64_t m_discarded = 0;
