Benchmarks: ranks report every minute under sudden changes

Cause: two windows of five minutes pass before a sudden change is believed; the length of a window is ours to choose. Change: the sudden drift is played, reported and evaluated minute by minute, for all policies. The schedules draw no fault any more once faults have ended: one struck while the harness was mending the others.

--- a/benchmarks/maps/popularity_process.cpp
+++ b/benchmarks/maps/popularity_process.cpp
@@ -17,6 +17,8 @@
 constexpr auto spikeProbability = 0.0005;
 constexpr auto spikeFactor = 4.0;
 constexpr auto swappedPart = 0.1;
+// Six hours of one minute each.
+constexpr auto swapWindows = 360U;
 constexpr auto tokensPerSecond = 650'000.0;
 constexpr auto dayHours = 24.0;
 constexpr auto monthEndFirst = 26 * dayHours;
@@ -61,7 +63,9 @@
 
 duration popularity_process::window() const
 {
-    return m_kind == drift_kind::Monthly ? std::chrono::minutes(30) : std::chrono::minutes(5);
+    if (m_kind == drift_kind::Monthly)
+        return std::chrono::minutes(30);
+    return m_kind == drift_kind::Sudden ? std::chrono::minutes(1) : std::chrono::minutes(5);
 }
 
 std::uint32_t popularity_process::windows() const
@@ -102,8 +106,8 @@
 {
     const auto seconds = std::chrono::duration<double>(window()).count();
     const auto hours = m_window * seconds / 3600;
-    constexpr auto swapEvery = 72U; // windows
-    if (m_kind == drift_kind::Sudden && m_window > 0 && m_window % swapEvery == 0)
+
+    if (m_kind == drift_kind::Sudden && m_window > 0 && m_window % swapWindows == 0)
         swapSome();
     std::normal_distribution<double> normal;
     std::uniform_real_distribution<double> uniform;
--- a/tests/decisions/maps/schedules/map_schedule.cpp
+++ b/tests/decisions/maps/schedules/map_schedule.cpp
@@ -217,7 +217,7 @@
 
     void strike(rank_index from, const send_map_message& effect)
     {
-        if (m_time.now() >= faultsEnd)
+        if (m_healed)
             return;
         const auto number = ++m_sent[effect.message.index()];
         for (const auto& fault : m_plan.faults) {
@@ -333,6 +333,7 @@
     // What is broken works again, but a store that stays down does so if every agent has learnt its number.
     void healAll()
     {
+        m_healed = true;
         m_plan.loss = 0;
         m_plan.doubling = 0;
         m_plan.lateness = 0;
@@ -368,6 +369,7 @@
     bool m_keepJournal;
     schedule_result m_result;
     std::array<std::uint32_t, std::variant_size_v<map_message>> m_sent {};
+    bool m_healed = false;
     bool m_loseNext = false;
     bool m_doubleNext = false;
     duration m_delayNext {};
