Maps: an ending names the life of the agent that runs it

Cause: endings were numbered from the agent's incarnation shifted by 32 bits, which loses the upper bits of an incarnation that is a time stamp. Change: map_round carries that incarnation and a number beside it.

--- a/packages/decisions/maps/map_coordinator.cpp
+++ b/packages/decisions/maps/map_coordinator.cpp
@@ -9,13 +9,11 @@
 
 // Separates the coordinator's calls from those of the guard in the same process.
 constexpr operation_number firstOperation = 1'000'000'000;
-// Endings that one life of an agent can start.
-constexpr auto endingBits = 32;
 
 std::string describe(const map_round& round)
 {
     auto text = "round " + std::to_string(round.fencing) + "." + std::to_string(round.number);
-    if (round.ending)
+    if (round.endingAgent)
         text += " ending without its holder";
     return text;
 }
@@ -106,7 +104,7 @@
     if (promised.fencing == m_fencing)
         m_number = std::max(m_number, promised.number);
     m_concluded = false;
-    m_runner.start(m_now, { m_fencing, ++m_number, 0 }, std::move(content), m_effects);
+    m_runner.start(m_now, { m_fencing, ++m_number }, std::move(content), m_effects);
 }
 
 // Only the agent of rank 0 ends rounds, so that endings of the same round have one owner each.
@@ -120,7 +118,8 @@
         return;
     }
     auto round = m_runner.highestPromised();
-    round.ending = std::max(round.ending, m_agent << endingBits) + 1;
+    round.ending = round.endingAgent == m_agent ? round.ending + 1 : 1;
+    round.endingAgent = m_agent;
     m_concluded = false;
     m_runner.start(m_now, round, std::nullopt, m_effects);
 }
--- a/packages/decisions/maps/map_messages.h
+++ b/packages/decisions/maps/map_messages.h
@@ -16,7 +16,9 @@
     // Of the holder whose round it is, or whose round is being ended.
     fencing_number fencing = 0;
     std::uint64_t number = 0;
-    // Zero for a holder's round; else an attempt by the ranks' agents to end that round without its holder.
+    // Zero for a holder's round. Else one of the attempts, by this life of the agent of rank 0, to end that round
+    // without its holder.
+    incarnation endingAgent = 0;
     std::uint64_t ending = 0;
 
     friend auto operator<=>(const map_round&, const map_round&) = default;
--- a/tests/decisions/maps/rank_guard_test.cpp
+++ b/tests/decisions/maps/rank_guard_test.cpp
@@ -85,7 +85,7 @@
     }
 };
 
-constexpr map_round first { 3, 1, 0 };
+constexpr map_round first { 3, 1 };
 
 guarded_rank collected()
 {
@@ -146,7 +146,7 @@
 Test(rank_guard, refuses_a_round_once_it_has_answered_to_a_later_one)
 {
     auto rank = collected();
-    rank.order(collect_rank { { 4, 1, 0 } });
+    rank.order(collect_rank { { 4, 1 } });
     rank.order(hold_rank { first, rank.session(), 7 });
     cr_assert_eq(rank.last<rank_refused>().reason, order_refusal::Stale);
     cr_assert_eq(rank.changes, 0);
@@ -155,11 +155,11 @@
 Test(rank_guard, an_ending_closes_its_round_but_not_the_next)
 {
     auto rank = collected();
-    rank.order(collect_rank { { 3, 1, 5 } });
+    rank.order(collect_rank { { 3, 1, 1, 5 } });
     rank.order(hold_rank { first, rank.session(), 7 });
     cr_assert_eq(rank.last<rank_refused>().reason, order_refusal::Stale);
-    rank.order(collect_rank { { 3, 2, 0 } });
-    cr_assert((rank.last<rank_snapshot>().round == map_round { 3, 2, 0 }));
+    rank.order(collect_rank { { 3, 2 } });
+    cr_assert((rank.last<rank_snapshot>().round == map_round { 3, 2 }));
 }
 
 Test(rank_guard, refuses_orders_meant_for_an_earlier_life)
@@ -179,7 +179,7 @@
 Test(rank_guard, refuses_a_round_to_which_it_gave_no_snapshot)
 {
     auto rank = collected();
-    rank.order(hold_rank { { 3, 2, 0 }, rank.session(), 7 });
+    rank.order(hold_rank { { 3, 2 }, rank.session(), 7 });
     cr_assert_eq(rank.last<rank_refused>().reason, order_refusal::OutOfOrder);
 }
 
@@ -218,7 +218,7 @@
     rank.deaf = true;
     rank.order(hold_rank { first, rank.session(), 7 });
     rank.answer.reset();
-    rank.order(collect_rank { { 4, 1, 0 } });
+    rank.order(collect_rank { { 4, 1 } });
     cr_assert_not(rank.answer.has_value());
 }
 
