--- a/packages/decisions/maps/popularity_observer.cpp
+++ b/packages/decisions/maps/popularity_observer.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 // Ratio of smoothed to absolute error from which a deviation counts as one-sided.
-constexpr auto driftSignal = 0.6F;
+constexpr auto driftSignal = 0.75F;
 
 constexpr auto longestRun = 100;
 
@@ -108,14 +108,15 @@
     const auto usual = std::max(double(m_absoluteError[cell]), std::sqrt(m_levels[cell] * precision));
     const auto clip = m_settings.clipErrors * usual;
     m_run[cell] = continueRun(m_run[cell], error, usual);
-    const auto lasts = std::uint32_t(std::abs(m_run[cell])) >= m_settings.confirmWindows;
+    const auto lasts = std::uint32_t(std::abs(m_run[cell]))
+        >= (m_broad ? m_settings.confirmBroadWindows : m_settings.confirmWindows);
     const auto believed = lasts ? error : std::clamp(error, -clip, clip);
 
     const auto smoothing = float(m_settings.errorSmoothing);
     m_error[cell] += smoothing * float(believed - m_error[cell]);
     m_absoluteError[cell] += smoothing * float(std::abs(believed) - m_absoluteError[cell]);
     const auto signal = std::abs(m_error[cell]) / std::max(m_absoluteError[cell], float(usual / m_settings.clipErrors));
-    const auto gain = std::clamp(double(signal), m_settings.minGain, m_settings.maxGain);
+    const auto gain = std::clamp(double(signal * signal), m_settings.minGain, m_settings.maxGain);
     m_levels[cell] = std::max(0.0, m_levels[cell] + gain * believed);
 
     if (std::abs(error) > clip && !lasts)
@@ -131,6 +132,7 @@
     m_spikePart /= m_layers;
     m_driftPart /= m_layers;
     m_noisePart /= m_layers;
+    m_broad = m_spikePart >= m_settings.broadPart;
     if (m_driftPart >= m_settings.notablePart && m_driftPart >= m_spikePart)
         m_change = popularity_change::Drift;
     else if (m_spikePart >= m_settings.notablePart)
