--- a/packages/applerampd/main.cpp
+++ b/packages/applerampd/main.cpp
@@ -13,6 +13,7 @@
 
 DEFINE_string(settings, "", "settings file of this process");
 DEFINE_bool(check_settings, false, "check the settings file and exit");
+DEFINE_bool(describe_settings, false, "print the reference of all settings and exit");
 DEFINE_string(record, "", "file to which every event is written, for replay");
 
 namespace {
@@ -76,6 +77,10 @@
     gflags::SetUsageMessage("one process of the load balancer, entry or agent as its settings say\n"
                             "  applerampd --settings FILE [--check_settings] [--record FILE]");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (FLAGS_describe_settings) {
+        std::cout << describeSettings();
+        return 0;
+    }
     if (FLAGS_settings.empty() || argc > 1) {
         std::cerr << "applerampd: name a settings file: applerampd --settings FILE\n";
         return exitUsage;
