--- a/packages/replay/trace_header.cpp
+++ b/packages/replay/trace_header.cpp
@@ -42,7 +42,8 @@
         { "adapters", namesOf(self.endpoint.adapters) } };
     return { { "role", nameOf(process_role::Agent) }, { "instance", self.instance.str() }, { "zone", self.zone.str() },
         { "life", self.life }, { "endpoint", endpoint }, { "warmSlots", self.limits.warmSlots },
-        { "coldSlots", self.limits.coldSlots }, { "grantLifetime", self.limits.grantLifetime.count() } };
+        { "coldSlots", self.limits.coldSlots }, { "warmAfter", self.limits.warmAfter },
+        { "grantLifetime", self.limits.grantLifetime.count() } };
 }
 
 entry_identity entryFromJson(const nlohmann::json& json)
@@ -79,6 +80,7 @@
     self.endpoint = endpointFromJson(json.at("endpoint"));
     json.at("warmSlots").get_to(self.limits.warmSlots);
     json.at("coldSlots").get_to(self.limits.coldSlots);
+    json.at("warmAfter").get_to(self.limits.warmAfter);
     self.limits.grantLifetime = duration(json.at("grantLifetime").get<duration::rep>());
     return self;
 }
