--- a/packages/decisions/admission/slot_gate.h
+++ b/packages/decisions/admission/slot_gate.h
@@ -55,6 +55,8 @@
     // While set, nothing is admitted and nothing granted: an attempt waits to run alone, or does.
     void setReserved(bool reserved) { set(m_reserved, reserved); }
 
+    bool isReserved() const { return m_reserved; }
+
     void started(call_number call, link_number link, instant now);
     // The first byte of the call's answer came.
     void firstToken(call_number call, instant now);
--- a/packages/decisions/agent/agent_reducer.h
+++ b/packages/decisions/agent/agent_reducer.h
@@ -21,6 +21,7 @@
     instant nextWakeUp() const { return m_nextTick; }
 
     const fleet_configuration& configuration() const { return m_configuration.current(); }
+    const slot_gate& gate() const { return m_gate; }
 
 private:
     struct event_visitor;
--- a/packages/decisions/entry/entry_reducer.cpp
+++ b/packages/decisions/entry/entry_reducer.cpp
@@ -109,7 +109,14 @@
         problem answer { 501, execution::NotRun, "not_supported", "issued keys are not available yet", std::nullopt };
         context.effects.emplace_back(reply_problem { event.number, std::move(answer) });
     }
-    void operator()(const change_requested& event) const { self.m_writer.request(context, event); }
+    void operator()(const change_requested& event) const
+    {
+        const auto* change = std::get_if<take_zone_out>(&event.change);
+        if (change && self.isLastZone(change->zone))
+            self.refuseLastZone(context, event.number);
+        else
+            self.m_writer.request(context, event);
+    }
     void operator()(const status_requested& event) const { self.answerStatus(context, event.number); }
     void operator()(const configuration_requested& event) const
     {
@@ -211,6 +218,25 @@
     context.effects.emplace_back(reply_document { request.number, 200, answer.dump() });
 }
 
+bool entry_reducer::isLastZone(const availability_zone_id& zone) const
+{
+    const auto& out = m_configuration.current().zonesOut;
+    if (out.contains(zone))
+        return false;
+    const auto& endpoints = m_endpoints.all();
+    return !endpoints.empty() && std::all_of(endpoints.begin(), endpoints.end(), [&](const auto& item) {
+        return item.second.zone == zone || out.contains(item.second.zone);
+    });
+}
+
+void entry_reducer::refuseLastZone(const entry_context& context, request_number number) const
+{
+    context.effects.emplace_back(reply_problem { number,
+        { 409, execution::NotRun, "last_zone",
+            "no endpoint would be left in service; take another zone in first, or take instances out one by one",
+            std::nullopt } });
+}
+
 void entry_reducer::answerStatus(const entry_context& context, request_number number)
 {
     auto endpoints = nlohmann::json::array();
--- a/packages/decisions/entry/entry_reducer.h
+++ b/packages/decisions/entry/entry_reducer.h
@@ -41,6 +41,9 @@
     void askAround(const entry_context& context);
     void tick(const entry_context& context);
     void answerAddresses(const entry_context& context, const addresses_requested& request);
+    // True if no endpoint would be left in service without this zone.
+    bool isLastZone(const availability_zone_id& zone) const;
+    void refuseLastZone(const entry_context& context, request_number number) const;
     void answerStatus(const entry_context& context, request_number number);
 
     entry_identity m_identity;
