--- a/benchmarks/zones/measure_zones.cpp
+++ b/benchmarks/zones/measure_zones.cpp
@@ -42,7 +42,7 @@
 std::vector<measured_run> plan()
 {
     const std::vector<std::pair<std::string, policy>> policies { { "appleramp", policy::Appleramp },
-        { "round_robin", policy::RoundRobin }, { "least_outstanding", policy::LeastOutstanding } };
+        { "round_robin", policy::RoundRobin }, { "least_outstanding", policy::LeastOutstanding }, { "one_queue", policy::OneQueue } };
     std::vector<measured_run> runs;
     // The largest first, so that none is left to run last alone.
     for (const std::size_t scale : { 5, 1 }) {
--- a/benchmarks/zones/scenario.h
+++ b/benchmarks/zones/scenario.h
@@ -74,6 +74,7 @@
     instant ended;
 };
 
+constexpr duration firstTokenBound = std::chrono::milliseconds(310);
 constexpr duration lateAfter = std::chrono::seconds(3);
 constexpr duration callerTimeout = std::chrono::seconds(10);
 
--- a/benchmarks/zones/zone_run.cpp
+++ b/benchmarks/zones/zone_run.cpp
@@ -2,6 +2,7 @@
 
 #include "appleramp_fleet.h"
 #include "baseline_fleet.h"
+#include "one_queue_fleet.h"
 
 #include <nlohmann/json.hpp>
 
@@ -13,7 +14,6 @@
 
 namespace {
 
-constexpr duration firstTokenBound = std::chrono::milliseconds(310);
 // Capacity that is back cold is not counted as capacity for so long.
 constexpr duration warmUpAllowance = std::chrono::seconds(30);
 constexpr duration recoveryWindow = std::chrono::seconds(5);
@@ -151,6 +151,20 @@
     return secondsOf(log.ended - log.returned);
 }
 
+// Requests of the outage that were refused, and that were answered late.
+std::pair<std::size_t, std::size_t> missed(const run_log& log)
+{
+    std::size_t refused = 0;
+    std::size_t late = 0;
+    for (const auto& record : log.callers) {
+        if (record.sent < log.taken || record.sent >= log.returned)
+            continue;
+        refused += record.answered ? 0 : 1;
+        late += record.answered && !isOnTime(record) ? 1 : 0;
+    }
+    return { refused, late };
+}
+
 double attemptsPerRequest(const run_log& log)
 {
     std::size_t started = 0;
@@ -170,6 +184,11 @@
         play(time, scenario, fleet, log);
         return log;
     }
+    if (policy == policy::OneQueue) {
+        one_queue_fleet fleet(time, scenario, log);
+        play(time, scenario, fleet, log);
+        return log;
+    }
     const auto rule
         = policy == policy::RoundRobin ? baseline_policy::RoundRobin : baseline_policy::LeastOutstanding;
     baseline_fleet fleet(time, scenario, rule, log);
@@ -182,7 +201,8 @@
     return { { "on_time_share", onTimeShare(scenario, log) }, { "first_token_p95_s", firstTokenP95(log) },
         { "between_tokens_p95_ms", percentile(log.betweenTokensMs, 0.95) }, { "cold_overloads", log.coldOverloads },
         { "late_zone_work", log.lateZoneWork }, { "attempts_per_request", attemptsPerRequest(log) },
-        { "recovery_s", recovery(scenario, log) }, { "requests", log.callers.size() } };
+        { "recovery_s", recovery(scenario, log) }, { "requests", log.callers.size() },
+        { "refused_in_outage", missed(log).first }, { "late_in_outage", missed(log).second } };
 }
 
 } // namespace appleramp::zones
--- a/benchmarks/zones/zone_run.h
+++ b/benchmarks/zones/zone_run.h
@@ -10,6 +10,8 @@
     Appleramp,
     RoundRobin,
     LeastOutstanding,
+    // The reference: see one_queue_fleet.
+    OneQueue,
 };
 
 // Plays one scenario under one policy: load, the zone out, the zone back cold.
