Entry: slow, chunked and cut-short bodies are refused

Cause: a body that drips held its thread as long as it liked, and the end of a chunked body that is cut short can't be told from a whole one, so that half an order could be passed on. Change: [limits] request_read_timeout_ms bounds silence and the time for a body (408 body_too_slow); chunked request bodies get 411 length_required.

--- a/packages/entry/caller_handler.cpp
+++ b/packages/entry/caller_handler.cpp
@@ -69,7 +69,7 @@
         reply_writer(request, response).write(reply_problem { 0, notFound(uri.getPath()) });
         return;
     }
-    auto read = readServiceRequest(request, m_services.maxBodyBytes, m_services.defaultTimeout);
+    auto read = readServiceRequest(request, limitsOf(m_services), m_services.defaultTimeout);
     if (const auto* refused = std::get_if<problem>(&read)) {
         reply_writer(request, response).write(reply_problem { 0, *refused });
         return;
--- a/packages/entry/entry_process.cpp
+++ b/packages/entry/entry_process.cpp
@@ -61,7 +61,8 @@
               entry_reducer(m_identity), [this](entry_effect&& effect) { carryOut(std::move(effect)); },
               recorderFor(recordPath, m_identity))
         , m_services { [this](entry_event_body body) { m_loop.post(std::move(body)); }, m_replies, m_journal, m_metrics,
-            settings.limits.maxBodyBytes, settings.limits.maxHeaderBytes, defaultTimeout }
+            settings.limits.maxBodyBytes, settings.limits.maxHeaderBytes, settings.limits.requestReadTimeout,
+            defaultTimeout }
         , m_platform(
               { m_platformOptions },
               [this](operation_number operation, platform_result result) {
@@ -71,9 +72,9 @@
         , m_links(linkCallbacks(), settings.limits.maxBodyBytes + envelopeBytes)
         , m_linkPort(m_links.listen(settings.listen.links.host, settings.listen.links.port))
         , m_callers(settings.listen.callers.host, settings.listen.callers.port,
-              static_cast<int>(settings.entry.maxCallers), [this] { return new caller_handler(m_services); })
+              static_cast<int>(settings.entry.maxCallers), settings.limits.requestReadTimeout, [this] { return new caller_handler(m_services); })
         , m_operations(settings.listen.operations.host, settings.listen.operations.port, operationsThreads,
-              [this] { return new operations_handler(m_services); })
+              settings.limits.requestReadTimeout, [this] { return new operations_handler(m_services); })
     {
     }
 
--- a/packages/entry/entry_services.h
+++ b/packages/entry/entry_services.h
@@ -18,6 +18,7 @@
     metrics_registry& metrics;
     std::size_t maxBodyBytes = 0;
     std::size_t maxHeaderBytes = 0;
+    duration requestReadTimeout {};
     duration defaultTimeout {};
 };
 
--- a/packages/entry/http_listener.cpp
+++ b/packages/entry/http_listener.cpp
@@ -20,8 +20,6 @@
 constexpr int minThreads = 4;
 constexpr int idleThreadSeconds = 60;
 constexpr int maxQueuedConnections = 128;
-// A sender slower than this between two reads is cut off.
-constexpr int receiveTimeoutSeconds = 20;
 constexpr int keepAliveSeconds = 15;
 
 class handler_factory : public Poco::Net::HTTPRequestHandlerFactory {
@@ -39,12 +37,12 @@
     http_listener::handler_maker m_make;
 };
 
-Poco::Net::HTTPServerParams::Ptr parameters(int maxThreads)
+Poco::Net::HTTPServerParams::Ptr parameters(int maxThreads, duration readTimeout)
 {
     Poco::Net::HTTPServerParams::Ptr parameters(new Poco::Net::HTTPServerParams);
     parameters->setMaxThreads(maxThreads);
     parameters->setMaxQueued(maxQueuedConnections);
-    parameters->setTimeout(Poco::Timespan(receiveTimeoutSeconds, 0));
+    parameters->setTimeout(Poco::Timespan(readTimeout.count()));
     parameters->setKeepAliveTimeout(Poco::Timespan(keepAliveSeconds, 0));
     return parameters;
 }
@@ -53,10 +51,12 @@
 
 class http_listener::implementation {
 public:
-    implementation(const std::string& host, std::uint16_t port, int maxThreads, handler_maker makeHandler)
+    implementation(const std::string& host, std::uint16_t port, int maxThreads, duration readTimeout,
+        handler_maker makeHandler)
         : m_threads(minThreads, std::max(maxThreads, minThreads), idleThreadSeconds)
         , m_socket(Poco::Net::SocketAddress(host, port))
-        , m_server(new handler_factory(std::move(makeHandler)), m_threads, m_socket, parameters(maxThreads))
+        , m_server(new handler_factory(std::move(makeHandler)), m_threads, m_socket,
+              parameters(maxThreads, readTimeout))
     {
         m_server.start();
     }
@@ -75,10 +75,11 @@
     Poco::Net::HTTPServer m_server;
 };
 
-http_listener::http_listener(const std::string& host, std::uint16_t port, int maxThreads, handler_maker makeHandler)
+http_listener::http_listener(const std::string& host, std::uint16_t port, int maxThreads, duration readTimeout,
+    handler_maker makeHandler)
 {
     try {
-        m_implementation = std::make_unique<implementation>(host, port, maxThreads, std::move(makeHandler));
+        m_implementation = std::make_unique<implementation>(host, port, maxThreads, readTimeout, std::move(makeHandler));
     } catch (const Poco::Exception& cause) {
         throw runtime_error("listen on " + host + ":" + std::to_string(port) + ": " + cause.displayText());
     }
--- a/packages/entry/http_listener.h
+++ b/packages/entry/http_listener.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "model/time.h"
+
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -16,8 +18,9 @@
 public:
     using handler_maker = std::function<Poco::Net::HTTPRequestHandler*()>;
 
-    // Throws runtime_error if the address can't be bound.
-    http_listener(const std::string& host, std::uint16_t port, int maxThreads, handler_maker makeHandler);
+    // A sender that is silent for longer than the timeout is cut off. Throws runtime_error if the address can't be bound.
+    http_listener(const std::string& host, std::uint16_t port, int maxThreads, duration readTimeout,
+        handler_maker makeHandler);
     ~http_listener();
     http_listener(const http_listener&) = delete;
     http_listener& operator=(const http_listener&) = delete;
--- a/packages/entry/operations_handler.cpp
+++ b/packages/entry/operations_handler.cpp
@@ -97,7 +97,7 @@
 
 void operations_handler::change(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response)
 {
-    const auto body = readBody(request, m_services.maxBodyBytes);
+    const auto body = readBody(request, limitsOf(m_services));
     if (const auto* refused = std::get_if<problem>(&body)) {
         reply_writer(request, response).write(reply_problem { 0, *refused });
         return;
--- a/packages/entry/reply_writer.cpp
+++ b/packages/entry/reply_writer.cpp
@@ -97,7 +97,7 @@
     if (answer.retryAfter)
         m_response.set("Retry-After", std::to_string(retrySeconds(*answer.retryAfter)));
     // What is left of a body that was refused must not be read as the next request.
-    if (answer.status == Poco::Net::HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE)
+    if (answer.outcome == execution::NotStarted && answer.status < Poco::Net::HTTPResponse::HTTP_INTERNAL_SERVER_ERROR)
         m_response.setKeepAlive(false);
     const auto body = problemDocument(answer);
     m_response.sendBuffer(body.data(), body.size());
--- a/packages/entry/request_reader.cpp
+++ b/packages/entry/request_reader.cpp
@@ -1,8 +1,10 @@
 #include "entry/request_reader.h"
 
+#include "entry/entry_services.h"
 #include "entry/model_name_reader.h"
 #include "model/enum_names.h"
 #include "model/errors.h"
+#include "runtime/process_clock.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPServerRequest.h>
@@ -13,6 +15,7 @@
 
 #include <algorithm>
 #include <array>
+#include <istream>
 
 namespace appleramp {
 
@@ -32,6 +35,23 @@
     return { 400, execution::NotStarted, "bad_request", std::move(detail), std::nullopt };
 }
 
+// Takes what has arrived, piece by piece, so that a slow sender is noticed.
+std::variant<std::string, problem> receive(std::istream& stream, std::size_t length, instant deadline)
+{
+    std::string body;
+    std::string piece(readChunkBytes, '\0');
+    while (body.size() < length && stream.get(piece.front())) {
+        const auto further = stream.readsome(piece.data() + 1, static_cast<std::streamsize>(piece.size()) - 1);
+        body.append(piece, 0, 1 + static_cast<std::size_t>(further));
+        if (monotonicNow() > deadline)
+            return problem { 408, execution::NotStarted, "body_too_slow", "the body did not arrive in time",
+                std::nullopt };
+    }
+    if (body.size() < length)
+        return badRequest("the body is cut short");
+    return body;
+}
+
 class invalid_request : public error {
 public:
     using error::error;
@@ -133,30 +153,25 @@
     }
 }
 
-std::variant<std::string, problem> readBody(Poco::Net::HTTPServerRequest& request, std::size_t maxBytes)
+body_limits limitsOf(const entry_services& services) { return { services.maxBodyBytes, services.requestReadTimeout }; }
+
+std::variant<std::string, problem> readBody(Poco::Net::HTTPServerRequest& request, body_limits limits)
 {
-    const problem tooLarge { 413, execution::NotStarted, "body_too_large",
-        "the body may have " + std::to_string(maxBytes) + " bytes", std::nullopt };
-    const auto announced = request.getContentLength64();
-    if (announced > 0 && static_cast<std::size_t>(announced) > maxBytes)
-        return tooLarge;
-    std::string body;
-    std::string chunk(readChunkBytes, '\0');
-    auto& stream = request.stream();
-    while (stream.read(chunk.data(), static_cast<std::streamsize>(chunk.size())) || stream.gcount() > 0) {
-        body.append(chunk, 0, static_cast<std::size_t>(stream.gcount()));
-        if (body.size() > maxBytes)
-            return tooLarge;
-    }
-    if (announced > 0 && body.size() < static_cast<std::size_t>(announced))
-        return badRequest("the body is cut short");
-    return body;
+    // The end of a chunked body that is cut short can't be told from a whole one.
+    if (request.getChunkedTransferEncoding())
+        return problem { 411, execution::NotStarted, "length_required", "send the body with its Content-Length",
+            std::nullopt };
+    const auto announced = request.hasContentLength() ? request.getContentLength64() : 0;
+    if (announced < 0 || static_cast<std::size_t>(announced) > limits.maxBytes)
+        return problem { 413, execution::NotStarted, "body_too_large",
+            "the body may have " + std::to_string(limits.maxBytes) + " bytes", std::nullopt };
+    return receive(request.stream(), static_cast<std::size_t>(announced), monotonicNow() + limits.readTimeout);
 }
 
 std::variant<service_request, problem> readServiceRequest(Poco::Net::HTTPServerRequest& request,
-    std::size_t maxBodyBytes, duration defaultTimeout)
+    body_limits limits, duration defaultTimeout)
 {
-    auto body = readBody(request, maxBodyBytes);
+    auto body = readBody(request, limits);
     if (auto* refused = std::get_if<problem>(&body))
         return *refused;
     service_request result;
--- a/packages/settings/process_settings.h
+++ b/packages/settings/process_settings.h
@@ -64,6 +64,8 @@
     std::uint64_t maxBodyBytes = 0;
     std::uint32_t maxHeaderBytes = 0;
     std::uint32_t maxRequestsInFlight = 0;
+    // For a request to arrive whole.
+    duration requestReadTimeout {};
 };
 
 // Entry only.
--- a/packages/settings/setting_descriptor.cpp
+++ b/packages/settings/setting_descriptor.cpp
@@ -237,6 +237,15 @@
             .maximum = 100'000,
             .doc = "Requests that the process holds at the same time, queued ones included.",
             .assign = [](settings& s, const value& v) { s.limits.maxRequestsInFlight = number<std::uint32_t>(v); } },
+        { .section = "limits",
+            .key = "request_read_timeout_ms",
+            .type = setting_type::Integer,
+            .unit = "milliseconds",
+            .defaultValue = "20000",
+            .minimum = 100,
+            .maximum = 600'000,
+            .doc = "Longest silence while a request arrives, and longest time for its body to arrive whole.",
+            .assign = [](settings& s, const value& v) { s.limits.requestReadTimeout = milliseconds(v); } },
     };
 }
 
--- a/tests/processes/bad_input.py
+++ b/tests/processes/bad_input.py
@@ -16,6 +16,7 @@
 # Room for one body of the largest size per connection and the allocator's slack.
 MAX_GROWTH_BYTES = 64 * MEBIBYTE
 ANSWER_SECONDS = 30
+READ_TIMEOUT_MS = 1000
 
 
 def exchange(port, data, seconds=ANSWER_SECONDS):
@@ -70,6 +71,9 @@
         b"Content-Length: 0", b"Content-Length: 999999999999"), {413}
     yield "oversized body", post(chat, b"a" * (5 * MEBIBYTE), [TEAM]), {413, None}
     yield "body cut short", post(chat, b"{}", [TEAM]).replace(b"Content-Length: 2", b"Content-Length: 99"), {400, None}
+    yield "chunked body cut short", post(chat, b"", [TEAM, b"Transfer-Encoding: chunked"]).replace(
+        b"Content-Length: 0\r\n", b"") + b"ff\r\n{", {411}
+    yield "negative length", post(chat, headers=[TEAM]).replace(b"Content-Length: 0", b"Content-Length: -5"), {400, 413}
     yield "body that is no JSON", post(chat, b"\xff\xfe{", [TEAM]), {400}
     yield "deeply nested body", post(chat, b"[" * (4 * MEBIBYTE), [TEAM]), {400}
     yield "deeply nested member", post(chat, b'{"x":' * (MEBIBYTE // 2), [TEAM]), {400}
@@ -167,6 +171,23 @@
     assert status == 200, (key, status, text)
 
 
+def check_slow_body(port):
+    """A body that drips is refused although it is never silent for long."""
+    head = post("/v1/chat/completions", headers=[TEAM]).replace(b"Content-Length: 0", b"Content-Length: 100000")
+    with socket.create_connection(("127.0.0.1", port), timeout=ANSWER_SECONDS) as connection:
+        connection.sendall(head)
+        connection.settimeout(READ_TIMEOUT_MS / 1000 / 10)
+        for _ in range(100):
+            connection.sendall(b"a")
+            try:
+                answer = connection.recv(65536)
+            except TimeoutError:
+                continue
+            assert status_of(answer) == 408, answer
+            return
+    raise AssertionError("no answer to a slow body")
+
+
 def check_http(fleet, name, port, callers):
     for case, data, expected in http_cases(port == callers):
         status = status_of(exchange(port, data))
@@ -180,7 +201,7 @@
     with Fleet() as fleet:
         engine = fleet.engine("engine", "model", "--model=assistant")
         agent = fleet.agent("agent-a", "zone-a", "model", "assistant", engine)
-        entry = fleet.entry("entry-a", "zone-a")
+        entry = fleet.entry("entry-a", f"zone-a\n[limits]\nrequest_read_timeout_ms = {READ_TIMEOUT_MS}")
         wait_until("slots", lambda: any(endpoint["slots"] for endpoint in
                                         get_json(entry["operations"], "/v1/status")["endpoints"]))
         before = {name: resident_bytes(fleet.processes[name]) for name in ("entry-a", "agent-a")}
@@ -188,6 +209,7 @@
         with socket.create_connection(("127.0.0.1", entry["callers"])) as slow:
             slow.sendall(b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n")
             check_http(fleet, "callers", entry["callers"], entry["callers"])
+            check_slow_body(entry["callers"])
             check_http(fleet, "operations", entry["operations"], entry["callers"])
         for name, port in (("entry-a", entry["links"]), ("agent-a", agent["links"])):
             check_links(port)
