Applerampd: an unknown flag gets one line and exit code 2

Cause: gflags ended the process with its own words and exit code 1; nothing tested that wrong settings keep a process from starting.

--- a/packages/applerampd/main.cpp
+++ b/packages/applerampd/main.cpp
@@ -8,8 +8,12 @@
 
 #include <gflags/gflags.h>
 
+#include <algorithm>
 #include <future>
 #include <iostream>
+#include <optional>
+#include <span>
+#include <string>
 
 DEFINE_string(settings, "", "settings file of this process");
 DEFINE_bool(check_settings, false, "check the settings file and exit");
@@ -36,6 +40,23 @@
     return log_severity::Info;
 }
 
+// The first flag that gflags does not know; it would end the process with its own words.
+std::optional<std::string> unknownFlag(std::span<char* const> arguments)
+{
+    for (const std::string argument : arguments) {
+        if (!argument.starts_with("-"))
+            continue;
+        std::string name = argument.substr(0, argument.find('='));
+        name.erase(0, name.find_first_not_of('-'));
+        std::replace(name.begin(), name.end(), '-', '_');
+        gflags::CommandLineFlagInfo known;
+        const bool isNegation = name.starts_with("no") && gflags::GetCommandLineFlagInfo(name.substr(2).c_str(), &known);
+        if (!isNegation && !gflags::GetCommandLineFlagInfo(name.c_str(), &known))
+            return argument;
+    }
+    return std::nullopt;
+}
+
 // The ports in use, as one JSON line: with port 0 in the settings nobody else knows them.
 void reportPorts(const entry_process& process)
 {
@@ -75,7 +96,12 @@
 int main(int argc, char** argv)
 {
     gflags::SetUsageMessage("one process of the load balancer, entry or agent as its settings say\n"
-                            "  applerampd --settings FILE [--check_settings] [--record FILE]");
+                            "  applerampd --settings FILE [--check-settings] [--record FILE]\n"
+                            "  applerampd --describe-settings");
+    if (const auto flag = unknownFlag(std::span(argv, static_cast<std::size_t>(argc)).subspan(1))) {
+        std::cerr << "applerampd: unknown flag '" << *flag << "'; see applerampd --help\n";
+        return exitUsage;
+    }
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     if (FLAGS_describe_settings) {
         std::cout << describeSettings();
