Agent: metrics and explanations at its operations address

Change: http_listener moves to packages/runtime; agents serve /v1/metrics and /v1/operations/explain; the JSON of an explanation has one writer, in packages/observe. Result: record_and_replay asks an agent for both; bad_input tries that port too.

--- a/packages/agent/agent_process.cpp
+++ b/packages/agent/agent_process.cpp
@@ -1,12 +1,16 @@
 #include "agent/agent_process.h"
 
+#include "agent/agent_operations_handler.h"
 #include "agent/engine_client.h"
 #include "decisions/agent/agent_reducer.h"
 #include "observe/decision_journal.h"
 #include "observe/event_log.h"
+#include "observe/metrics_registry.h"
 #include "observe/span_exporter.h"
+#include "observe/span_metrics.h"
 #include "platform/platform_worker.h"
 #include "replay/trace_header.h"
+#include "runtime/http_listener.h"
 #include "runtime/link_transport.h"
 #include "runtime/platform_access.h"
 #include "runtime/reducer_loop.h"
@@ -15,6 +19,7 @@
 
 namespace {
 
+constexpr int operationsThreads = 4;
 // Room for the envelope around the largest body.
 constexpr std::size_t envelopeBytes = 64 * 1024;
 
@@ -62,15 +67,20 @@
         , m_engine(settings.endpoint.url, [this](agent_event_body event) { m_loop.post(std::move(event)); })
         , m_links(linkCallbacks(), settings.limits.maxBodyBytes + envelopeBytes)
         , m_linkPort(m_links.listen(settings.listen.links.host, settings.listen.links.port))
+        , m_operations(settings.listen.operations.host, settings.listen.operations.port, operationsThreads,
+              settings.limits.requestReadTimeout,
+              [this] { return new agent_operations_handler(m_journal, m_metrics); })
     {
     }
 
     std::uint16_t linkPort() const { return m_linkPort; }
+    std::uint16_t operationsPort() const { return m_operations.port(); }
 
     void run()
     {
         announceAs(instance_state::Live);
         m_loop.run();
+        m_operations.stop();
         m_platform.stop();
         m_engine.stop();
         m_links.stop();
@@ -109,6 +119,7 @@
     process_settings m_settings;
     agent_identity m_identity;
     decision_journal m_journal;
+    metrics_registry m_metrics;
     span_exporter m_spans;
     platform_client_options m_platformOptions;
     reducer_loop<agent_reducer, agent_event, agent_effect> m_loop;
@@ -116,6 +127,7 @@
     engine_client m_engine;
     link_transport m_links;
     std::uint16_t m_linkPort;
+    http_listener m_operations;
 };
 
 struct agent_process::implementation::effect_visitor {
@@ -135,6 +147,8 @@
     void operator()(finish_span&& effect) const
     {
         logSpan(effect);
+        observeSpan(self.m_metrics, effect);
+        showExport(self.m_metrics, self.m_spans.counts());
         self.m_spans.add(std::move(effect));
     }
     void operator()(call_engine&& effect) const { self.m_engine.start(std::move(effect)); }
@@ -154,6 +168,7 @@
 
 agent_process::~agent_process() = default;
 std::uint16_t agent_process::linkPort() const { return m_implementation->linkPort(); }
+std::uint16_t agent_process::operationsPort() const { return m_implementation->operationsPort(); }
 void agent_process::run() { m_implementation->run(); }
 void agent_process::requestStop() { m_implementation->requestStop(); }
 
--- a/packages/agent/agent_process.h
+++ b/packages/agent/agent_process.h
@@ -17,6 +17,7 @@
     agent_process& operator=(const agent_process&) = delete;
 
     std::uint16_t linkPort() const;
+    std::uint16_t operationsPort() const;
     // Serves until a requested stop is complete.
     void run();
     // Begins a graceful shutdown. May be called from any thread.
--- a/packages/applerampd/main.cpp
+++ b/packages/applerampd/main.cpp
@@ -67,7 +67,8 @@
 
 void reportPorts(const agent_process& process)
 {
-    std::cout << "{\"links\":" << process.linkPort() << "}" << std::endl;
+    std::cout << "{\"operations\":" << process.operationsPort() << ",\"links\":" << process.linkPort() << "}"
+              << std::endl;
 }
 
 // The process exists only after the signals are blocked, since its threads inherit the mask.
--- a/packages/entry/entry_process.cpp
+++ b/packages/entry/entry_process.cpp
@@ -2,7 +2,6 @@
 
 #include "decisions/entry/entry_reducer.h"
 #include "entry/caller_handler.h"
-#include "entry/http_listener.h"
 #include "entry/operations_handler.h"
 #include "model/enum_names.h"
 #include "observe/decision_journal.h"
@@ -12,6 +11,7 @@
 #include "observe/span_metrics.h"
 #include "platform/platform_worker.h"
 #include "replay/trace_header.h"
+#include "runtime/http_listener.h"
 #include "runtime/link_transport.h"
 #include "runtime/platform_access.h"
 #include "runtime/reducer_loop.h"
--- a/packages/entry/operations_handler.cpp
+++ b/packages/entry/operations_handler.cpp
@@ -1,11 +1,9 @@
 #include "entry/operations_handler.h"
 
-#include "decisions/tracing/trace_context.h"
 #include "entry/caller_handler.h"
 #include "entry/reply_writer.h"
 #include "entry/request_reader.h"
-#include "model/enum_names.h"
-#include "observe/decision_journal.h"
+#include "observe/explanation.h"
 #include "observe/metrics_registry.h"
 #include "wire/configuration_codec.h"
 #include "wire/wire_error.h"
@@ -25,19 +23,6 @@
     response.sendBuffer(text.data(), text.size());
 }
 
-nlohmann::json toJson(const decision& entry)
-{
-    return { { "at_us", entry.at.time_since_epoch().count() }, { "kind", nameOf(entry.kind) },
-        { "subject", entry.subject }, { "reason", entry.reason } };
-}
-
-// A request is known by its trace id; a whole traceparent names it as well.
-std::string subjectFrom(const std::string& text)
-{
-    const auto context = trace_context::parse(text);
-    return context ? context->traceId() : text;
-}
-
 // The change of {"change_id": "...", "change": {"type": "...", "value": {...}}}.
 change_requested readChange(const std::string& body)
 {
@@ -89,10 +74,7 @@
             .write(reply_problem { 0, { 400, execution::NotStarted, "bad_request", "name a subject=", {} } });
         return;
     }
-    auto decisions = nlohmann::json::array();
-    for (const auto& entry : m_services.journal.find(subjectFrom(parameters.front().second)))
-        decisions.push_back(toJson(entry));
-    sendText(response, "application/json", nlohmann::json { { "decisions", decisions } }.dump());
+    sendText(response, "application/json", explanationJson(m_services.journal, parameters.front().second));
 }
 
 void operations_handler::change(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response)
--- a/packages/entry/http_listener.cpp
+++ b/packages/runtime/http_listener.cpp
@@ -1,4 +1,4 @@
-#include "entry/http_listener.h"
+#include "runtime/http_listener.h"
 
 #include "runtime/runtime_error.h"
 
--- a/packages/entry/http_listener.h
+++ b/packages/runtime/http_listener.h
@@ -13,7 +13,7 @@
 
 namespace appleramp {
 
-// One HTTP address of an entry, served by a bounded number of threads.
+// One HTTP address of a process, served by a bounded number of threads.
 class http_listener {
 public:
     using handler_maker = std::function<Poco::Net::HTTPRequestHandler*()>;
--- a/tests/processes/bad_input.py
+++ b/tests/processes/bad_input.py
@@ -49,17 +49,21 @@
 TEAM = b"Appleramp-Team: kitchen"
 
 
-def http_cases(is_callers):
+def http_cases(port_name):
     """Name, bytes, and the statuses that are right; None stands for a closed connection."""
     yield "no HTTP", b"\x00\x01\x02nonsense\r\n\r\n", {400, None}
     yield "oversized header", post("/v1/status", headers=[b"X: " + b"a" * 200_000]), {400, 431, None}
     yield "many headers", post("/v1/status", headers=[f"X-{i}: a".encode() for i in range(5000)]), {400, 431, None}
     yield "headers over the limit", post(
-        "/v1/status", headers=[f"X-{i}: ".encode() + b"a" * 4000 for i in range(50)]), {431}
+        "/v1/status", headers=[f"X-{i}: ".encode() + b"a" * 4000 for i in range(50)]), {404} if port_name == "agent" else {431}
     yield "oversized path", post("/" + "a" * 100_000), {400, 404, 414, None}
     yield "wrong path", post("/nothing/here"), {404}
     yield "malformed path", b"GET /%zz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", {400}
-    if not is_callers:
+    if port_name == "agent":
+        yield "explain without subject", b"GET /v1/operations/explain HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", {400}
+        yield "body that nobody reads", post("/v1/operations/changes", b"a" * MEBIBYTE), {404, None}
+        return
+    if port_name == "operations":
         yield "change that is no JSON", post("/v1/operations/changes", b"\xff{"), {400}
         yield "change of unknown type", post(
             "/v1/operations/changes", b'{"change_id":"a","change":{"type":"x","value":{}}}'), {400}
@@ -189,10 +193,11 @@
 
 
 def check_http(fleet, name, port, callers):
-    for case, data, expected in http_cases(port == callers):
+    for case, data, expected in http_cases(name):
         status = status_of(exchange(port, data))
         assert status in expected, (name, case, status, expected)
-        assert fleet.processes["entry-a"].poll() is None, (name, case, "the entry ended")
+        for process in ("entry-a", "agent-a"):
+            assert fleet.processes[process].poll() is None, (name, case, process, "ended")
         # Another request does not suffer.
         ask(callers, f"{name} {case}".replace(" ", "-"))
 
@@ -211,6 +216,7 @@
             check_http(fleet, "callers", entry["callers"], entry["callers"])
             check_slow_body(entry["callers"])
             check_http(fleet, "operations", entry["operations"], entry["callers"])
+            check_http(fleet, "agent", agent["operations"], entry["callers"])
         for name, port in (("entry-a", entry["links"]), ("agent-a", agent["links"])):
             check_links(port)
             assert fleet.processes[name].poll() is None, name
--- a/tests/processes/record_and_replay.py
+++ b/tests/processes/record_and_replay.py
@@ -80,6 +80,14 @@
         assert line in text, text
 
 
+def check_agent(operations):
+    assert 'appleramp_span_seconds_count{operation="agent.endpoint"} 1' in call(operations, "GET", "/v1/metrics")[2]
+    explained = appleramp("explain", TRACE_ID, f"--entry=127.0.0.1:{operations}")
+    assert "started at the endpoint" in explained.stdout, explained
+    status = appleramp("status", f"--entry=127.0.0.1:{operations}")
+    assert status.returncode == 1 and "unknown_path" in status.stderr, status
+
+
 def check_spans(spans):
     """One span a hop, each below the one before, in the caller's trace."""
     named = {span["name"]: span for span in spans}
@@ -114,7 +122,7 @@
     collector = Collector()
     with Fleet() as fleet:
         engine = fleet.engine("engine", "model", "--model=assistant")
-        start(fleet, "agent-a", "role = agent\n[listen]\noperations = 127.0.0.1:0\nlinks = 127.0.0.1:0\n"
+        agent = start(fleet, "agent-a", "role = agent\n[listen]\noperations = 127.0.0.1:0\nlinks = 127.0.0.1:0\n"
               f"[endpoint]\nid = engine-a\nkind = model\nurl = http://127.0.0.1:{engine}\nservices = assistant\n",
               collector)
         entry = start(fleet, "entry-a", "role = entry\n[listen]\ncallers = 127.0.0.1:0\noperations = 127.0.0.1:0\n"
@@ -127,6 +135,7 @@
         assert status == 200, (status, text)
         check_command_line(entry["operations"])
         check_metrics(entry["operations"])
+        check_agent(agent["operations"])
         stop(fleet, "entry-a")
         stop(fleet, "agent-a")
         check_spans(collector.spans)
