--- a/packages/entry/http_listener.h
+++ b/packages/runtime/http_listener.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "model/time.h"
+
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -11,13 +13,14 @@
 
 namespace appleramp {
 
-// One HTTP address of an entry, served by a bounded number of threads.
+// One HTTP address of a process, served by a bounded number of threads.
 class http_listener {
 public:
     using handler_maker = std::function<Poco::Net::HTTPRequestHandler*()>;
 
-    // Throws runtime_error if the address can't be bound.
-    http_listener(const std::string& host, std::uint16_t port, int maxThreads, handler_maker makeHandler);
+    // A sender that is silent for longer than the timeout is cut off. Throws runtime_error if the address can't be bound.
+    http_listener(const std::string& host, std::uint16_t port, int maxThreads, duration readTimeout,
+        handler_maker makeHandler);
     ~http_listener();
     http_listener(const http_listener&) = delete;
     http_listener& operator=(const http_listener&) = delete;
--- a/tests/processes/bad_input.py
+++ b/tests/processes/bad_input.py
@@ -16,6 +16,7 @@
 # Room for one body of the largest size per connection and the allocator's slack.
 MAX_GROWTH_BYTES = 64 * MEBIBYTE
 ANSWER_SECONDS = 30
+READ_TIMEOUT_MS = 1000
 
 
 def exchange(port, data, seconds=ANSWER_SECONDS):
@@ -48,17 +49,21 @@
 TEAM = b"Appleramp-Team: kitchen"
 
 
-def http_cases(is_callers):
+def http_cases(port_name):
     """Name, bytes, and the statuses that are right; None stands for a closed connection."""
     yield "no HTTP", b"\x00\x01\x02nonsense\r\n\r\n", {400, None}
     yield "oversized header", post("/v1/status", headers=[b"X: " + b"a" * 200_000]), {400, 431, None}
     yield "many headers", post("/v1/status", headers=[f"X-{i}: a".encode() for i in range(5000)]), {400, 431, None}
     yield "headers over the limit", post(
-        "/v1/status", headers=[f"X-{i}: ".encode() + b"a" * 4000 for i in range(50)]), {431}
+        "/v1/status", headers=[f"X-{i}: ".encode() + b"a" * 4000 for i in range(50)]), {404} if port_name == "agent" else {431}
     yield "oversized path", post("/" + "a" * 100_000), {400, 404, 414, None}
     yield "wrong path", post("/nothing/here"), {404}
     yield "malformed path", b"GET /%zz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", {400}
-    if not is_callers:
+    if port_name == "agent":
+        yield "explain without subject", b"GET /v1/operations/explain HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", {400}
+        yield "body that nobody reads", post("/v1/operations/changes", b"a" * MEBIBYTE), {404, None}
+        return
+    if port_name == "operations":
         yield "change that is no JSON", post("/v1/operations/changes", b"\xff{"), {400}
         yield "change of unknown type", post(
             "/v1/operations/changes", b'{"change_id":"a","change":{"type":"x","value":{}}}'), {400}
@@ -70,6 +75,9 @@
         b"Content-Length: 0", b"Content-Length: 999999999999"), {413}
     yield "oversized body", post(chat, b"a" * (5 * MEBIBYTE), [TEAM]), {413, None}
     yield "body cut short", post(chat, b"{}", [TEAM]).replace(b"Content-Length: 2", b"Content-Length: 99"), {400, None}
+    yield "chunked body cut short", post(chat, b"", [TEAM, b"Transfer-Encoding: chunked"]).replace(
+        b"Content-Length: 0\r\n", b"") + b"ff\r\n{", {411}
+    yield "negative length", post(chat, headers=[TEAM]).replace(b"Content-Length: 0", b"Content-Length: -5"), {400, 413}
     yield "body that is no JSON", post(chat, b"\xff\xfe{", [TEAM]), {400}
     yield "deeply nested body", post(chat, b"[" * (4 * MEBIBYTE), [TEAM]), {400}
     yield "deeply nested member", post(chat, b'{"x":' * (MEBIBYTE // 2), [TEAM]), {400}
@@ -167,11 +175,29 @@
     assert status == 200, (key, status, text)
 
 
+def check_slow_body(port):
+    """A body that drips is refused although it is never silent for long."""
+    head = post("/v1/chat/completions", headers=[TEAM]).replace(b"Content-Length: 0", b"Content-Length: 100000")
+    with socket.create_connection(("127.0.0.1", port), timeout=ANSWER_SECONDS) as connection:
+        connection.sendall(head)
+        connection.settimeout(READ_TIMEOUT_MS / 1000 / 10)
+        for _ in range(100):
+            connection.sendall(b"a")
+            try:
+                answer = connection.recv(65536)
+            except TimeoutError:
+                continue
+            assert status_of(answer) == 408, answer
+            return
+    raise AssertionError("no answer to a slow body")
+
+
 def check_http(fleet, name, port, callers):
-    for case, data, expected in http_cases(port == callers):
+    for case, data, expected in http_cases(name):
         status = status_of(exchange(port, data))
         assert status in expected, (name, case, status, expected)
-        assert fleet.processes["entry-a"].poll() is None, (name, case, "the entry ended")
+        for process in ("entry-a", "agent-a"):
+            assert fleet.processes[process].poll() is None, (name, case, process, "ended")
         # Another request does not suffer.
         ask(callers, f"{name} {case}".replace(" ", "-"))
 
@@ -180,7 +206,7 @@
     with Fleet() as fleet:
         engine = fleet.engine("engine", "model", "--model=assistant")
         agent = fleet.agent("agent-a", "zone-a", "model", "assistant", engine)
-        entry = fleet.entry("entry-a", "zone-a")
+        entry = fleet.entry("entry-a", f"zone-a\n[limits]\nrequest_read_timeout_ms = {READ_TIMEOUT_MS}")
         wait_until("slots", lambda: any(endpoint["slots"] for endpoint in
                                         get_json(entry["operations"], "/v1/status")["endpoints"]))
         before = {name: resident_bytes(fleet.processes[name]) for name in ("entry-a", "agent-a")}
@@ -188,7 +214,9 @@
         with socket.create_connection(("127.0.0.1", entry["callers"])) as slow:
             slow.sendall(b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n")
             check_http(fleet, "callers", entry["callers"], entry["callers"])
+            check_slow_body(entry["callers"])
             check_http(fleet, "operations", entry["operations"], entry["callers"])
+            check_http(fleet, "agent", agent["operations"], entry["callers"])
         for name, port in (("entry-a", entry["links"]), ("agent-a", agent["links"])):
             check_links(port)
             assert fleet.processes[name].poll() is None, name
