Maps: planning looks up ranks and zones instead of computing them

Change: rank, zone number and usability of each place are kept; cheap conditions come first. The maps are the same.

--- a/packages/decisions/maps/layer_packing.cpp
+++ b/packages/decisions/maps/layer_packing.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
+#include <map>
 #include <numeric>
 
 namespace appleramp {
@@ -18,8 +19,7 @@
 } // namespace
 
 layer_packing::layer_packing(const group_shape& shape)
-    : m_shape(shape)
-    , m_stride(shape.maxPlaces())
+    : m_stride(shape.maxPlaces())
     , m_load(shape.experts)
     , m_capacity(shape.ranks.size())
     , m_used(shape.ranks.size())
@@ -32,12 +32,19 @@
     , m_reachedBy(shape.experts)
 {
     std::uint32_t places = 0;
+    std::map<availability_zone_id, std::uint16_t> zones;
     for (const auto& rank : shape.ranks) {
         m_rankPlaces.push_back(rank.out ? 0 : rank.places);
         m_speed.push_back(rank.out ? 0 : rank.speed);
-        m_severalZones = m_severalZones || rank.zone != shape.ranks.front().zone;
+
         places += m_rankPlaces.back();
+        m_zone.push_back(zones.try_emplace(rank.zone, std::uint16_t(zones.size())).first->second);
+        for (std::uint32_t place = 0; place < m_stride; ++place) {
+            m_rankOfPlace.push_back(rank_index(m_zone.size() - 1));
+            m_usable.push_back(place < m_rankPlaces.back() ? 1 : 0);
+        }
     }
+    m_severalZones = zones.size() > 1;
     if (places < shape.experts)
         throw maps_error("the group's ranks have fewer places than experts");
 }
@@ -77,7 +84,7 @@
         const auto& held = today[place];
         if (held.expert == noExpert || held.expert >= m_load.size())
             continue;
-        if (place % m_stride >= m_rankPlaces[rankOf(place)])
+        if (!m_usable[place])
             continue;
         link(place, held.expert);
         push(place, m_load[held.expert] * held.share / wholeShare);
--- a/packages/decisions/maps/layer_packing.h
+++ b/packages/decisions/maps/layer_packing.h
@@ -53,7 +53,7 @@
         place_index home = 0;
     };
 
-    rank_index rankOf(place_index place) const { return rank_index(place / m_stride); }
+    rank_index rankOf(place_index place) const { return m_rankOfPlace[place]; }
     double slack(rank_index rank) const { return m_capacity[rank] - m_used[rank]; }
     double smallest() const;
 
@@ -87,10 +87,14 @@
     void occupy(place_index place, expert_index expert);
     void drainInto(place_index place);
 
-    const group_shape& m_shape;
     std::uint32_t m_stride = 0;
     bool m_severalZones = false;
     std::vector<std::uint16_t> m_rankPlaces;
+    // Of each place: its rank, and whether the rank can use it.
+    std::vector<rank_index> m_rankOfPlace;
+    std::vector<char> m_usable;
+    // A number for the zone of each rank.
+    std::vector<std::uint16_t> m_zone;
     std::vector<double> m_speed;
 
     double m_limit = 0;
--- a/packages/decisions/maps/layer_packing_moves.cpp
+++ b/packages/decisions/maps/layer_packing_moves.cpp
@@ -42,13 +42,13 @@
 bool layer_packing::zoneHolds(rank_index rank, expert_index expert) const
 {
     return std::ranges::any_of(m_replicas[expert],
-        [&](auto place) { return m_shape.ranks[rankOf(place)].zone == m_shape.ranks[rank].zone; });
+        [&](auto place) { return m_zone[rankOf(place)] == m_zone[rank]; });
 }
 
 bool layer_packing::removable(place_index place) const
 {
     const auto expert = m_slots[place].expert;
-    if (place % m_stride >= m_rankPlaces[rankOf(place)])
+    if (!m_usable[place])
         return false;
     return expert == noExpert || m_replicas[expert].size() > 1;
 }
@@ -65,13 +65,13 @@
     std::optional<addition> best;
     const auto deficit = m_deficit[expert];
     for (place_index place = 0; place < m_slots.size(); ++place) {
-        if (!removable(place))
-            continue;
         const auto rank = rankOf(place);
         const auto lost = m_slots[place].flow;
         const auto room = slack(rank) + lost;
         const auto gain = std::min(deficit, room) - lost;
-        if (gain < leastGainPart * m_mean || (best && gain < best->gain - smallest()) || rankHolds(rank, expert))
+        if (gain < leastGainPart * m_mean || (best && gain < best->gain - smallest()))
+            continue;
+        if (!removable(place) || rankHolds(rank, expert))
             continue;
         auto fit = -room;
         if (m_severalZones && !zoneHolds(rank, expert))
@@ -85,9 +85,13 @@
 std::optional<layer_packing::place_index> layer_packing::roomiestFreePlace() const
 {
     std::optional<place_index> best;
+    double most = 0;
     for (place_index place = 0; place < m_slots.size(); ++place) {
-        if (isFree(place) && (!best || slack(rankOf(place)) > slack(rankOf(*best))))
+        const auto room = slack(rankOf(place));
+        if ((!best || room > most) && isFree(place)) {
             best = place;
+            most = room;
+        }
     }
     return best;
 }
