--- a/packages/decisions/maps/rank_speed_observer.cpp
+++ b/packages/decisions/maps/rank_speed_observer.cpp
@@ -20,6 +20,7 @@
 
 rank_speed_observer::rank_speed_observer(std::uint32_t ranks)
     : m_ranks(ranks)
+    , m_journalled(ranks, rank_condition::Sound)
 {
 }
 
@@ -95,6 +96,20 @@
     return name + " sound: works at " + percent;
 }
 
+std::vector<decision> rank_speed_observer::journalChanges(instant now, const group_id& group)
+{
+    std::vector<decision> entries;
+    for (std::size_t index = 0; index < m_ranks.size(); ++index) {
+        const auto rank = rank_index(index);
+        const auto current = condition(rank);
+        if (current == m_journalled[rank])
+            continue;
+        m_journalled[rank] = current;
+        entries.push_back({ now, decision_kind::ExpertMap, group.str(), explain(rank) });
+    }
+    return entries;
+}
+
 bool rank_speed_observer::apply(group_shape& shape) const
 {
     bool changed = false;
--- a/packages/decisions/maps/rank_speed_observer.h
+++ b/packages/decisions/maps/rank_speed_observer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decisions/maps/popularity_observer.h"
+#include "model/journal.h"
 
 #include <cstdint>
 #include <string>
@@ -29,6 +30,8 @@
     double speed(rank_index rank) const;
     rank_condition condition(rank_index rank) const;
     std::string explain(rank_index rank) const;
+    // An entry for each rank whose condition is not the one that was journalled last.
+    std::vector<decision> journalChanges(instant now, const group_id& group);
     // Sets the speed of each rank in the shape. True if one changed enough to plan anew.
     bool apply(group_shape& shape) const;
 
@@ -43,6 +46,7 @@
     std::uint64_t missedWindows(rank_index rank) const;
 
     std::vector<rank_record> m_ranks;
+    std::vector<rank_condition> m_journalled;
     std::uint64_t m_latestWindow = 0;
 };
 
--- a/tests/decisions/maps/rank_speed_observer_test.cpp
+++ b/tests/decisions/maps/rank_speed_observer_test.cpp
@@ -51,3 +51,16 @@
     cr_assert_float_eq(shape.ranks[2].speed, 0.7, 1e-9);
     cr_assert_not(observer.apply(shape));
 }
+
+Test(rank_speed_observer, a_change_of_condition_is_journalled_once)
+{
+    rank_speed_observer observer(4);
+    const group_id group("g");
+    play(observer, 0, 10, { 1, 1, 1, 1 });
+    cr_assert(observer.journalChanges(instant {}, group).empty());
+    play(observer, 10, 30, { 1, 0.3, 1, 1 });
+    const auto entries = observer.journalChanges(instant {}, group);
+    cr_assert_eq(entries.size(), 1);
+    cr_assert_eq(entries.front().reason, "rank 1 stalled: works at 30% of the median rank's speed");
+    cr_assert(observer.journalChanges(instant {}, group).empty());
+}
