Placement: an entry asks at most 16 endpoints of a service for slots

Change: an entry asks 16 endpoints of each service, chosen by hash; demands that say nothing new cause no review; a review counts held slots once.

--- a/packages/decisions/admission/slot_gate.cpp
+++ b/packages/decisions/admission/slot_gate.cpp
@@ -44,10 +44,12 @@
     if (found == m_entries.end())
         return;
     auto& share = found->second;
-    m_changed = true;
+    const auto settled = std::erase_if(
+        share.superseded, [&demand](const auto& old) { return old.sequence < demand.grantSequence; });
+    const bool isNews = demand.waiting != share.demand.waiting || demand.spare != share.demand.spare;
+    m_changed = m_changed || isNews || settled > 0 || isSilent(share, now);
     share.demand = demand;
     share.heard = now;
-    std::erase_if(share.superseded, [&demand](const auto& old) { return old.sequence < demand.grantSequence; });
 }
 
 void slot_gate::probed(const engine_probed& report)
@@ -338,15 +340,17 @@
     }
     std::sort(growing.begin(), growing.end(),
         [](const auto* one, const auto* other) { return one->lastGrowth < other->lastGrowth; });
+    const auto taken = heldSlots(now);
+    auto free = grantable() - std::min(grantable(), taken);
     for (auto* share : growing) {
-        const auto taken = heldSlots(now);
-        const auto free = grantable() - std::min(grantable(), taken);
-        const auto slots = std::min(share->target, held(*share, now) + free);
+        const auto before = held(*share, now);
+        const auto slots = std::min(share->target, before + free);
         if (slots <= share->granted)
             continue;
         replaceGrant(*share, slots, now);
         share->lastGrowth = ++m_growths;
         share->keepsUntil = now + useTime;
+        free -= slots - std::min(slots, before);
     }
 }
 
--- a/packages/decisions/placement/demand_planner.h
+++ b/packages/decisions/placement/demand_planner.h
@@ -10,8 +10,9 @@
 // Requests of each service that wait at this entry.
 using waiting_counts = std::map<service_id, std::uint32_t>;
 
-// Tells agents how many slots this entry wants. Works with endpoint_directory, which knows what was granted, and
-// request_router, which knows what waits.
+// Tells agents how many slots this entry wants. It asks a bounded number of a service's endpoints, chosen evenly over
+// entries, so that a queued request does not cost a message to each endpoint of the fleet. Works with
+// endpoint_directory, which knows what was granted, and request_router, which knows what waits.
 class demand_planner {
 public:
     // A request of this service came.
@@ -20,12 +21,17 @@
     void plan(const entry_context& context, const waiting_counts& waiting);
 
 private:
+    bool chooseAgain(const entry_context& context);
+    std::set<link_number> concerned(const entry_context& context, const waiting_counts& waiting) const;
+    void tell(const entry_context& context, link_number link, const waiting_counts& waiting, bool always);
     slot_demand demandAt(const entry_context& context, link_number link, const waiting_counts& waiting) const;
 
     std::map<service_id, instant> m_lastUse;
+    // The endpoints that are asked for each service.
+    std::map<service_id, std::set<link_number>> m_asked;
+    std::uint64_t m_chosenMembership = 0;
+    configuration_version m_chosenConfiguration = 0;
     waiting_counts m_planned;
-    std::uint64_t m_plannedGrants = 0;
-    configuration_version m_plannedConfiguration = 0;
     instant m_nextRound;
 };
 
--- a/packages/decisions/placement/endpoint_directory.cpp
+++ b/packages/decisions/placement/endpoint_directory.cpp
@@ -52,7 +52,7 @@
     for (const auto& service : endpoint.description.services)
         m_byService[service].insert(link);
     m_endpoints[link] = std::move(endpoint);
-    ++m_grantChanges;
+    ++m_membershipChanges;
 }
 
 void endpoint_directory::remove(link_number link)
@@ -67,7 +67,8 @@
             m_byService.erase(service);
     }
     m_endpoints.erase(found);
-    ++m_grantChanges;
+    m_cutLinks.erase(link);
+    ++m_membershipChanges;
 }
 
 void endpoint_directory::grant(link_number link, const slot_grant& grant, instant now)
@@ -77,10 +78,8 @@
         return;
     auto& endpoint = found->second;
     endpoint.grantSequence = grant.sequence;
-    if (grant.slots < endpoint.slots) {
-        endpoint.wasCut = true;
-        ++m_grantChanges;
-    }
+    if (grant.slots < endpoint.slots)
+        m_cutLinks.insert(link);
     endpoint.slots = grant.slots;
     endpoint.grantEnds = now + grant.lifetime;
     endpoint.expectedWait = grant.expectedWait;
@@ -144,13 +143,7 @@
 {
     auto& endpoint = m_endpoints.at(link);
     endpoint.demand = demand;
-    endpoint.wasCut = false;
-}
-
-std::size_t endpoint_directory::countServing(const service_id& service) const
-{
-    const auto found = m_byService.find(service);
-    return found == m_byService.end() ? 0 : found->second.size();
+    m_cutLinks.erase(link);
 }
 
 void endpoint_directory::takeSlot(link_number link) { ++m_endpoints.at(link).inFlight; }
--- a/packages/decisions/placement/endpoint_directory.h
+++ b/packages/decisions/placement/endpoint_directory.h
@@ -27,13 +27,11 @@
     std::uint32_t inFlight = 0;
     // The demand that was sent last; its agent may rest on the grant named there.
     slot_demand demand;
-    // True if the grant has shrunk since that demand.
-    bool wasCut = false;
 
     bool hasFreeSlot(instant now) const { return now < grantEnds && inFlight < slots; }
-    bool owesAnswerTo(const slot_demand& next) const
+    bool hasChanged(const slot_demand& next) const
     {
-        return wasCut || next.waiting != demand.waiting || next.spare != demand.spare;
+        return next.waiting != demand.waiting || next.spare != demand.spare;
     }
 };
 
@@ -49,11 +47,12 @@
     // An older grant than the one in force is ignored.
     void grant(link_number link, const slot_grant& grant, instant now);
 
-    // Rises whenever a grant has shrunk or an endpoint has come or gone.
-    std::uint64_t grantChanges() const { return m_grantChanges; }
+    // Rises whenever an endpoint has come or gone.
+    std::uint64_t membershipChanges() const { return m_membershipChanges; }
+    // Links whose grant has shrunk since their agent was last told.
+    const std::set<link_number>& cutLinks() const { return m_cutLinks; }
     void demanded(link_number link, const slot_demand& demand);
 
-    std::size_t countServing(const service_id& service) const;
     bool serves(const service_id& service) const { return m_byService.contains(service); }
     const linked_endpoint* find(link_number link) const;
     // The link to this life of an agent, if it is open.
@@ -75,7 +74,8 @@
 private:
     std::map<link_number, linked_endpoint> m_endpoints;
     std::map<service_id, std::set<link_number>> m_byService;
-    std::uint64_t m_grantChanges = 0;
+    std::uint64_t m_membershipChanges = 0;
+    std::set<link_number> m_cutLinks;
 };
 
 } // namespace appleramp
