Admission: requests to models may wait 115 ms for a slot

Cause: with 0.31 s to the first token, 180 ms of it the engine's and up to 9 ms on the way, requests were refused although they could still have been on time. Change: maxQueueWait 115 ms in place of 100 ms.

--- a/packages/model/configuration.h
+++ b/packages/model/configuration.h
@@ -29,7 +29,7 @@
     // Retries as a share of first sends, per team and per service, in percent.
     std::uint32_t retryBudgetPercent = 10;
     // How long a request to a model may wait for a slot before it is refused.
-    duration maxQueueWait = std::chrono::milliseconds(100);
+    duration maxQueueWait = std::chrono::milliseconds(115);
     duration requestTimeout = std::chrono::seconds(60);
     duration addressValidity = std::chrono::seconds(30);
     // How long an agent remembers the outcome of a keyed request.
