Placement: what must run alone goes to one endpoint

Cause: after one endpoint's crash each entry sent its suspects to the endpoint where it had least work, so that up to one endpoint for each entry was emptied at the same time. Change: all entries choose the same endpoint, by instance name.

--- a/packages/decisions/entry/request_router_placing.cpp
+++ b/packages/decisions/entry/request_router_placing.cpp
@@ -229,8 +229,7 @@
         place(context, request);
         return;
     }
-    const auto link = context.endpoints.chooseAlone(request.request, request.excluded,
-        context.configuration.current(), context.now);
+    const auto link = context.endpoints.chooseAlone(request.request, request.excluded, context.configuration.current());
     if (!link) {
         request.excluded.clear();
         return;
--- a/packages/decisions/placement/endpoint_directory.cpp
+++ b/packages/decisions/placement/endpoint_directory.cpp
@@ -122,7 +122,7 @@
 }
 
 std::optional<link_number> endpoint_directory::chooseAlone(const service_request& request,
-    const std::set<link_number>& excluded, const fleet_configuration& configuration, instant now) const
+    const std::set<link_number>& excluded, const fleet_configuration& configuration) const
 {
     const auto candidates = m_byService.find(request.service);
     if (candidates == m_byService.end())
@@ -130,10 +130,9 @@
     const linked_endpoint* best = nullptr;
     for (const auto link : candidates->second) {
         const auto& endpoint = m_endpoints.at(link);
-        const bool isOpen = now < endpoint.grantEnds && !excluded.contains(link);
-        if (!isOpen || !isInService(endpoint, configuration) || !hasAdapter(endpoint, request.adapter))
+        if (excluded.contains(link) || !isInService(endpoint, configuration) || !hasAdapter(endpoint, request.adapter))
             continue;
-        if (!best || endpoint.inFlight < best->inFlight)
+        if (!best || endpoint.instance < best->instance)
             best = &endpoint;
     }
     return best ? std::optional(best->link) : std::nullopt;
--- a/packages/decisions/placement/endpoint_directory.h
+++ b/packages/decisions/placement/endpoint_directory.h
@@ -64,9 +64,10 @@
     std::optional<link_number> choose(const service_request& request, const availability_zone_id& preferred,
         const std::set<link_number>& excluded, const fleet_configuration& configuration, instant now) const;
 
-    // The endpoint where a request should run alone: in service, with the least work of this entry.
+    // The endpoint where a request should run alone: the same for all entries that are linked to it, so that the requests
+    // that were running when an endpoint crashed do not empty many others.
     std::optional<link_number> chooseAlone(const service_request& request, const std::set<link_number>& excluded,
-        const fleet_configuration& configuration, instant now) const;
+        const fleet_configuration& configuration) const;
 
     void takeSlot(link_number link);
     void returnSlot(link_number link);
