--- a/packages/agent/engine_call.cpp
+++ b/packages/agent/engine_call.cpp
@@ -4,6 +4,7 @@
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/StreamSocket.h>
 
 namespace appleramp {
@@ -70,9 +71,13 @@
         stream.write(request.body.data(), static_cast<std::streamsize>(request.body.size()));
         stream.flush();
         return true;
+    } catch (const Poco::Net::ConnectionRefusedException&) {
+        // The connection never came to be, which proves that the endpoint received nothing.
+        fail(failure_cause::EndpointCrashed, true);
+        return false;
     } catch (const Poco::Exception&) {
-        // Only a connection that never came to be proves that the endpoint received nothing.
-        fail(failure_cause::EndpointCrashed, !m_session->connected());
+        // The session closes itself on any failure, so its state does not tell whether something was sent.
+        fail(failure_cause::EndpointCrashed, false);
         return false;
     }
 }
--- a/packages/decisions/agent/agent_reducer.cpp
+++ b/packages/decisions/agent/agent_reducer.cpp
@@ -29,7 +29,8 @@
     void operator()(const start_attempt& message) const { self.m_runner.start(context, link, message); }
     void operator()(const cancel_attempt& message) const { self.m_runner.cancel(context, message.attempt); }
     void operator()(const resume_attempt& message) const { self.m_runner.resume(context, link, message); }
-    void operator()(const query_attempt& message) const { self.m_runner.query(context, link, message.attempt); }
+    void operator()(const query_attempt& message) const { self.m_runner.query(context, link, message); }
+    void operator()(const request_key_block& message) const { self.m_runner.grantKeys(context, link, message); }
     void operator()(const configuration_news& message) const
     {
         if (message.document)
--- a/packages/decisions/agent/attempt_runner.cpp
+++ b/packages/decisions/agent/attempt_runner.cpp
@@ -1,17 +1,34 @@
 #include "decisions/agent/attempt_runner.h"
 
 #include "decisions/configuration/configuration_register.h"
+#include "decisions/keys/issued_key.h"
 #include "model/enum_names.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <cassert>
 
 namespace appleramp {
 
 namespace {
 
 constexpr duration answerRetention = std::chrono::seconds(30);
+// How long a repeatable attempt's id is remembered after its arrival.
+constexpr duration repeatableRetention = std::chrono::minutes(10);
+// Answers of keyed attempts beyond this are dropped, oldest first; that they completed is still remembered.
+constexpr std::size_t maxStoredBytes = std::size_t(64) << 20U;
 constexpr duration retryWhenFull = std::chrono::milliseconds(200);
 
+// Nothing for a repeatable request. An issued key is not scoped by team, so its content is.
+std::optional<attempt_ledger::keyed_content> contentOf(const service_request& request)
+{
+    if (request.repeatable || !request.key)
+        return std::nullopt;
+    const auto& team = request.team.str();
+    return attempt_ledger::keyed_content { *request.key, XXH64(team.data(), team.size(), request.contentHash) };
+}
+
 } // namespace
 
 void agent_context::send(link_number link, link_message message) const
@@ -26,36 +43,75 @@
 
 void attempt_runner::start(const agent_context& context, link_number link, const start_attempt& message)
 {
-    if (const auto reason = reasonToRefuse(context, message)) {
-        refuse(context, link, message.attempt, *reason);
-        return;
-    }
-    const auto key = message.request.repeatable ? std::nullopt : message.request.key;
-    switch (m_ledger.begin(message.attempt, key, context.now)) {
-    case attempt_ledger::verdict::Repeated:
-        return;
-    case attempt_ledger::verdict::Refused:
-        refuse(context, link, message.attempt, refusal::Tombstone);
+    if (!mayStillStart(context, link, message))
         return;
-    case attempt_ledger::verdict::KeyUsed:
-        refuse(context, link, message.attempt, refusal::KeyUsed);
+    if (const auto reason = reasonToRefuse(context, message)) {
+        refuse(context, link, message, *reason);
         return;
-    case attempt_ledger::verdict::Start:
-        break;
     }
+    const auto content = contentOf(message.request);
+    const auto verdict = m_ledger.begin(message.attempt, content, context.now);
+    assert(verdict == attempt_ledger::verdict::Start);
     const auto call = ++m_lastCall;
     m_attempts.emplace(message.attempt,
-        kept_attempt { link, call, key.has_value(), answer_buffer(message.attempt), std::nullopt });
+        kept_attempt { link, call, content.has_value(), answer_buffer(message.attempt), std::nullopt });
     m_byCall[call] = message.attempt;
     context.gate.started();
     context.decide(decision_kind::Placed, message.request.traceparent, "started at the endpoint");
     context.effects.emplace_back(call_engine { call, message.request });
 }
 
+bool attempt_runner::mayStillStart(const agent_context& context, link_number link, const start_attempt& message)
+{
+    // Another life's memory is gone, and with it any proof.
+    if (message.agentLife != context.self.life) {
+        tellUnknown(context, link, message.attempt);
+        return false;
+    }
+    const auto content = contentOf(message.request);
+    switch (m_ledger.judge(message.attempt, content)) {
+    case attempt_ledger::verdict::Repeated:
+        return false;
+    case attempt_ledger::verdict::Refused:
+        refuse(context, link, message, refusal::Tombstone);
+        return false;
+    case attempt_ledger::verdict::KeyUsed:
+        refuse(context, link, message, refusal::KeyUsed);
+        return false;
+    case attempt_ledger::verdict::KeyReused:
+        refuse(context, link, message, refusal::KeyReused);
+        return false;
+    case attempt_ledger::verdict::Forgotten:
+        tellUnknown(context, link, message.attempt);
+        return false;
+    case attempt_ledger::verdict::Start:
+        break;
+    }
+    if (!content || !looksIssued(content->key))
+        return true;
+    const auto issued = decodeIssuedKey(content->key, message.request.service);
+    if (!issued || issued->agentLife != context.self.life) {
+        refuse(context, link, message, refusal::KeyInvalid);
+        return false;
+    }
+    switch (m_grants.judge(*issued, context.now, m_ledger.lastForgotten())) {
+    case key_grants::standing::Valid:
+        return true;
+    case key_grants::standing::Expired:
+        refuse(context, link, message, refusal::KeyExpired);
+        return false;
+    case key_grants::standing::Forgotten:
+        tellUnknown(context, link, message.attempt);
+        return false;
+    case key_grants::standing::Invalid:
+        refuse(context, link, message, refusal::KeyInvalid);
+        return false;
+    }
+    return false;
+}
+
 std::optional<refusal> attempt_runner::reasonToRefuse(const agent_context& context, const start_attempt& message) const
 {
-    if (m_attempts.contains(message.attempt))
-        return std::nullopt;
     const auto& configuration = context.configuration.current();
     if (configuration.zonesOut.contains(context.self.zone))
         return refusal::ZoneOut;
@@ -71,11 +127,21 @@
     return std::nullopt;
 }
 
-void attempt_runner::refuse(const agent_context& context, link_number link, attempt_id attempt, refusal reason)
+void attempt_runner::refuse(const agent_context& context, link_number link, const start_attempt& message,
+    refusal reason)
 {
-    m_ledger.refuse(attempt, context.now);
+    const auto content = contentOf(message.request);
+    m_ledger.refuse(message.attempt, content.has_value(), context.now);
     context.decide(decision_kind::Refused, context.self.endpoint.endpoint.str(), std::string(nameOf(reason)));
-    context.send(link, attempt_refused { attempt, reason, retryWhenFull });
+    attempt_refused answer { message.attempt, reason, retryWhenFull, std::nullopt };
+    if (reason == refusal::KeyUsed)
+        answer.earlier = m_ledger.startedWith(content->key);
+    context.send(link, answer);
+}
+
+void attempt_runner::tellUnknown(const agent_context& context, link_number link, attempt_id attempt) const
+{
+    context.send(link, attempt_failed { attempt, failure_cause::AgentForgot, execution::Unknown });
 }
 
 void attempt_runner::cancel(const agent_context& context, attempt_id attempt)
@@ -91,7 +157,9 @@
 {
     const auto found = m_attempts.find(message.attempt);
     if (found == m_attempts.end()) {
-        context.send(link, attempt_failed { message.attempt, failure_cause::AgentForgot, execution::Unknown });
+        const bool completed = m_ledger.find(message.attempt) == attempt_state::Completed;
+        const auto outcome = completed ? execution::Completed : execution::Unknown;
+        context.send(link, attempt_failed { message.attempt, failure_cause::AgentForgot, outcome });
         return;
     }
     found->second.link = link;
@@ -99,9 +167,16 @@
         context.send(link, std::move(frame));
 }
 
-void attempt_runner::query(const agent_context& context, link_number link, attempt_id attempt)
+void attempt_runner::query(const agent_context& context, link_number link, const query_attempt& message)
 {
-    context.send(link, attempt_report { attempt, m_ledger.query(attempt, context.now) });
+    const bool ownLife = message.agentLife == context.self.life;
+    const auto state = ownLife ? m_ledger.query(message.attempt, context.now) : attempt_state::Forgotten;
+    context.send(link, attempt_report { message.attempt, state });
+}
+
+void attempt_runner::grantKeys(const agent_context& context, link_number link, const request_key_block& message)
+{
+    context.send(link, m_grants.grant(message.count, context.now));
 }
 
 void attempt_runner::engineHead(const agent_context& context, const engine_head& event)
@@ -143,9 +218,25 @@
 void attempt_runner::end(const agent_context& context, call_number call, attempt_state outcome)
 {
     const auto attempt = m_byCall.at(call);
+    auto& kept = m_attempts.at(attempt);
     m_ledger.finish(attempt, outcome);
-    m_attempts.at(attempt).ended = context.now;
+    kept.ended = context.now;
     m_byCall.erase(call);
+    if (!kept.keyed)
+        return;
+    m_storedAnswers.push_back(attempt);
+    m_storedBytes += kept.answer.bytes();
+    boundAnswers();
+}
+
+void attempt_runner::boundAnswers()
+{
+    while (m_storedBytes > maxStoredBytes) {
+        const auto found = m_attempts.find(m_storedAnswers.front());
+        m_storedAnswers.pop_front();
+        m_storedBytes -= found->second.answer.bytes();
+        m_attempts.erase(found);
+    }
 }
 
 attempt_runner::kept_attempt* attempt_runner::findByCall(call_number call)
@@ -158,10 +249,19 @@
 {
     const auto keyRetention = context.configuration.current().defaults.keyRetention;
     std::erase_if(m_attempts, [&](const auto& item) {
-        const auto retention = item.second.keyed ? keyRetention : answerRetention;
-        return item.second.ended && *item.second.ended + retention < context.now;
+        return !item.second.keyed && item.second.ended && *item.second.ended + answerRetention < context.now;
     });
-    m_ledger.forgetBefore(context.now - keyRetention);
+    while (!m_storedAnswers.empty()) {
+        const auto found = m_attempts.find(m_storedAnswers.front());
+        if (*found->second.ended + keyRetention >= context.now)
+            break;
+        m_storedBytes -= found->second.answer.bytes();
+        m_attempts.erase(found);
+        m_storedAnswers.pop_front();
+    }
+    m_ledger.forgetBefore(context.now - keyRetention, context.now - repeatableRetention);
+    if (const auto forgotten = m_ledger.lastForgotten())
+        m_grants.forgetThrough(*forgotten);
 }
 
 } // namespace appleramp
--- a/packages/decisions/entry/entry_reducer.cpp
+++ b/packages/decisions/entry/entry_reducer.cpp
@@ -33,11 +33,12 @@
         self.m_router.drain(context);
     }
     void operator()(const attempt_refused& message) const { self.m_router.refused(context, link, message); }
-    void operator()(const attempt_failed& message) const { self.m_router.failed(context, message); }
-    void operator()(const attempt_report& message) const { self.m_router.reported(context, message); }
+    void operator()(const attempt_failed& message) const { self.m_router.failed(context, link, message); }
+    void operator()(const attempt_report& message) const { self.m_router.reported(context, link, message); }
     void operator()(const response_head& message) const { self.m_router.answered(context, message); }
     void operator()(const response_body& message) const { self.m_router.answered(context, message); }
     void operator()(const response_end& message) const { self.m_router.answered(context, message); }
+    void operator()(const grant_key_block& message) const { self.m_keyPool.granted(context, link, message); }
     void operator()(const configuration_news& message) const
     {
         if (message.document)
@@ -60,6 +61,7 @@
     void operator()(const link_closed& event) const
     {
         self.m_links.closed(context, event);
+        self.m_keyPool.linkClosed(event.link);
         self.m_router.linkClosed(context, event.link);
     }
     void operator()(const message_received& event) const
@@ -87,12 +89,15 @@
             self.m_servesUntil = self.m_lastAddressAnswer + context.configuration.current().defaults.addressValidity;
     }
     void operator()(const request_received& event) const { self.m_router.received(context, event); }
-    void operator()(const caller_left& event) const { self.m_router.callerLeft(context, event.number); }
+    void operator()(const caller_left& event) const
+    {
+        self.m_keyPool.callerLeft(event.number);
+        self.m_router.callerLeft(context, event.number);
+    }
     void operator()(const addresses_requested& event) const { self.answerAddresses(context, event); }
     void operator()(const keys_requested& event) const
     {
-        problem answer { 501, execution::NotRun, "not_supported", "issued keys are not available yet", std::nullopt };
-        context.effects.emplace_back(reply_problem { event.number, std::move(answer) });
+        self.m_keyPool.requested(context, event);
     }
     void operator()(const change_requested& event) const { self.m_writer.request(context, event); }
     void operator()(const status_requested& event) const { self.answerStatus(context, event.number); }
@@ -133,6 +138,7 @@
     m_nextTick = context.now + tickInterval;
     m_router.expire(context);
     m_router.drain(context);
+    m_keyPool.expire(context);
     m_writer.poll(context);
     if (context.now >= m_nextListing) {
         m_nextListing = context.now + listingInterval;
--- a/packages/decisions/entry/entry_reducer.h
+++ b/packages/decisions/entry/entry_reducer.h
@@ -4,6 +4,7 @@
 #include "decisions/configuration/configuration_writer.h"
 #include "decisions/entry/entry_context.h"
 #include "decisions/entry/request_router.h"
+#include "decisions/keys/key_pool.h"
 #include "decisions/membership/address_directory.h"
 #include "decisions/membership/link_directory.h"
 #include "decisions/placement/endpoint_directory.h"
@@ -43,6 +44,7 @@
     link_directory m_links;
     address_directory m_addresses;
     request_router m_router;
+    key_pool m_keyPool;
     operation_number m_lastOperation = 0;
     instant m_nextTick;
     instant m_nextListing;
--- a/packages/decisions/entry/request_router.cpp
+++ b/packages/decisions/entry/request_router.cpp
@@ -1,6 +1,7 @@
 #include "decisions/entry/request_router.h"
 
 #include "decisions/configuration/configuration_register.h"
+#include "decisions/keys/key_scope.h"
 #include "decisions/placement/endpoint_directory.h"
 #include "model/enum_names.h"
 
@@ -12,13 +13,6 @@
 namespace {
 
 constexpr duration retryWhenBusy = std::chrono::seconds(1);
-constexpr duration retryInProgress = std::chrono::milliseconds(500);
-
-// Keys of different teams and services do not meet.
-idempotency_key scopedKey(const service_request& request)
-{
-    return idempotency_key(request.team.str() + "/" + request.service.str() + "/" + request.key->str());
-}
 
 bool isRepeatable(const service_request& request, const fleet_configuration& configuration)
 {
@@ -27,7 +21,7 @@
         return false;
     const auto& routes = policy->second.repeatableRoutes;
     return std::any_of(routes.begin(), routes.end(),
-        [&request](const auto& route) { return request.path.starts_with(route); });
+        [&request](const auto& route) { return isRepeatablePath(request.path, route); });
 }
 
 problem busy(execution outcome)
@@ -47,8 +41,11 @@
     request.request = event.request;
     request.request.repeatable = repeatable;
     request.deadline = context.now + event.request.timeout;
-    if (event.request.key && !repeatable)
-        request.boundKey = scopedKey(event.request);
+    if (!repeatable)
+        request.issued = decodeIssuedKey(*event.request.key, event.request.service);
+    request.keyed = !repeatable && !request.issued;
+    if (request.keyed)
+        m_keys.add(request.number, event.request);
     place(context, request);
 }
 
@@ -64,6 +61,8 @@
     if (!repeatable && !request.key)
         return refuse(400, execution::NotRun, "key_required",
             "this route is non-repeatable: send an Idempotency-Key header");
+    if (!repeatable && looksIssued(*request.key) && !decodeIssuedKey(*request.key, request.service))
+        return refuse(400, execution::NotStarted, "key_invalid", "this is not a whole issued key of this service");
     const bool configured = context.configuration.current().services.contains(request.service);
     if (!configured && !context.endpoints.serves(request.service))
         return refuse(404, execution::NotStarted, "unknown_service",
@@ -76,9 +75,12 @@
 
 void request_router::place(const entry_context& context, routed_request& request)
 {
-    const auto link = context.endpoints.choose(request.request, context.self.zone, request.excluded,
-        context.configuration.current(), context.now);
-    if (link) {
+    if (request.issued && context.endpoints.isReplaced(request.issued->agent, request.issued->agentLife)) {
+        fail(context, request.number,
+            { 409, execution::Unknown, "key_unknown", "the agent that issued this key was replaced", std::nullopt });
+        return;
+    }
+    if (const auto link = choose(context, request)) {
         dispatch(context, request, *link);
         return;
     }
@@ -88,6 +90,17 @@
     m_queue.push_back(request.number);
 }
 
+std::optional<link_number> request_router::choose(const entry_context& context, const routed_request& request) const
+{
+    const auto& configuration = context.configuration.current();
+    if (!request.issued)
+        return context.endpoints.choose(request.request, context.self.zone, request.excluded, configuration,
+            context.now);
+    const auto* agent = context.endpoints.findAgent(request.issued->agent, request.issued->agentLife);
+    const bool mayStart = agent && agent->hasFreeSlot(context.now) && isInService(*agent, configuration);
+    return mayStart ? std::optional(agent->link) : std::nullopt;
+}
+
 void request_router::dispatch(const entry_context& context, routed_request& request, link_number link)
 {
     const auto* endpoint = context.endpoints.find(link);
@@ -96,18 +109,16 @@
     request.holdsSlot = true;
     request.link = link;
     request.attempt = { context.self.life, ++m_lastAttempt };
-    m_byAttempt[request.attempt] = request.number;
+    m_byAttempt[request.attempt].insert(request.number);
     context.decide(decision_kind::Placed, request.request.traceparent,
         endpoint->description.endpoint.str() + " in " + endpoint->zone.str() + ", "
             + std::to_string(endpoint->inFlight) + " of " + std::to_string(endpoint->slots) + " slots in use");
-    if (!request.boundKey) {
+    if (!request.keyed) {
         start(context, request);
         return;
     }
     request.state = phase::Claiming;
-    request.binding = { request.attempt, endpoint->description.endpoint, endpoint->instance, endpoint->agentLife,
-        request.request.contentHash, binding_state::Bound };
-    m_keys.claim(context, request.number, *request.boundKey, request.binding, request.keyVersion);
+    m_keys.claim(context, request.number, request.attempt, *endpoint);
 }
 
 void request_router::start(const entry_context& context, routed_request& request)
@@ -115,11 +126,13 @@
     request.state = phase::Running;
     request.answer = answer_assembler();
     ++request.sends;
-    start_attempt message { request.attempt, request.request, false };
+    const auto* endpoint = context.endpoints.find(request.link);
+    assert(endpoint);
+    start_attempt message { request.attempt, endpoint->agentLife, request.request, false };
     message.request.timeout = request.deadline - context.now;
     // The agent remembers keys by their scope too.
-    if (request.boundKey)
-        message.request.key = request.boundKey;
+    if (request.keyed)
+        message.request.key = m_keys.scopedKeyOf(request.number);
     context.send(request.link, std::move(message));
 }
 
@@ -135,28 +148,56 @@
 
 void request_router::refused(const entry_context& context, link_number link, const attempt_refused& message)
 {
-    auto* request = findByAttempt(message.attempt);
-    if (!request || request->state != phase::Running)
+    auto* request = findSender(message.attempt, link);
+    if (!request)
         return;
     returnSlot(context, *request);
     request->excluded.insert(link);
     context.decide(decision_kind::Refused, request->request.traceparent, std::string(nameOf(message.reason)));
-    if (message.reason == refusal::KeyUsed) {
-        fail(context, request->number,
-            { 409, execution::Unknown, "key_used", "the key's order has been started before", std::nullopt });
+    if (message.reason >= refusal::KeyUsed) {
+        refusedForKey(context, *request, message);
         return;
     }
-    if (!request->boundKey) {
+    if (!request->keyed) {
         requeue(context, *request);
         return;
     }
     request->state = phase::Releasing;
-    m_keys.release(context, request->number, *request->boundKey, request->binding, request->keyVersion);
+    m_keys.release(context, request->number);
+}
+
+void request_router::refusedForKey(const entry_context& context, routed_request& request,
+    const attempt_refused& message)
+{
+    const auto* agent = context.endpoints.find(request.link);
+    switch (message.reason) {
+    case refusal::KeyReused:
+        fail(context, request.number,
+            { 422, execution::NotStarted, "key_reused", "this key stands for a request with other content",
+                std::nullopt });
+        return;
+    case refusal::KeyExpired:
+        fail(context, request.number,
+            { 410, execution::NotRun, "key_expired", "the issued key was not used in time", std::nullopt });
+        return;
+    case refusal::KeyInvalid:
+        fail(context, request.number,
+            { 400, execution::NotStarted, "key_invalid", "the agent that it names issued no such key", std::nullopt });
+        return;
+    default:
+        break;
+    }
+    if (message.earlier && agent) {
+        follow(context, m_keys.ask(context, request.number, *message.earlier, *agent));
+        return;
+    }
+    fail(context, request.number,
+        { 409, execution::Unknown, "key_used", "the key's order has been started before", std::nullopt });
 }
 
 void request_router::requeue(const entry_context& context, routed_request& request)
 {
-    m_byAttempt.erase(request.attempt);
+    disown(request);
     const auto maxSends = 1 + context.configuration.current().defaults.maxRetries;
     if (request.sends >= maxSends) {
         fail(context, request.number, busy(outcomeIfUnsent(request)));
@@ -166,84 +207,67 @@
     place(context, request);
 }
 
-void request_router::failed(const entry_context& context, const attempt_failed& message)
+void request_router::failed(const entry_context& context, link_number link, const attempt_failed& message)
 {
-    auto* request = findByAttempt(message.attempt);
-    if (!request || request->state != phase::Running)
-        return;
-    returnSlot(context, *request);
-    request->excluded.insert(request->link);
-    if (message.outcome == execution::NotRun && request->boundKey) {
-        request->state = phase::Releasing;
-        m_keys.release(context, request->number, *request->boundKey, request->binding, request->keyVersion);
-        return;
-    }
-    const bool maySendAgain = message.outcome == execution::NotRun || request->request.repeatable;
-    if (maySendAgain && !request->headOut) {
-        requeue(context, *request);
+    const auto concerned = m_byAttempt.find(message.attempt);
+    if (concerned == m_byAttempt.end())
         return;
+    for (const auto number : std::set<request_number>(concerned->second)) {
+        auto& request = m_requests.at(number);
+        if (request.state == phase::Running && request.link == link)
+            attemptFailed(context, request, message);
     }
-    fail(context, request->number,
-        { 502, request->request.repeatable ? execution::NotStarted : execution::Unknown,
-            std::string(nameOf(message.cause)), "the endpoint gave no whole answer", std::nullopt });
 }
 
-void request_router::reported(const entry_context& context, const attempt_report& message)
+void request_router::attemptFailed(const entry_context& context, routed_request& request,
+    const attempt_failed& message)
 {
-    const auto asking = std::find_if(m_requests.begin(), m_requests.end(), [&](const auto& item) {
-        return item.second.state == phase::Asking && item.second.binding.attempt == message.attempt;
-    });
-    if (asking == m_requests.end())
-        return;
-    auto& request = asking->second;
-    switch (message.state) {
-    case attempt_state::NeverStarted:
-        // The tombstone is the proof: take the key over from the standing row's version.
-        place(context, request);
-        return;
-    case attempt_state::Completed:
-        request.state = phase::Running;
-        request.attempt = message.attempt;
-        m_byAttempt[request.attempt] = request.number;
-        request.answer = answer_assembler();
-        context.send(request.link, resume_attempt { message.attempt, 0 });
+    const bool isSender = request.holdsSlot;
+    returnSlot(context, request);
+    request.excluded.insert(request.link);
+    if (message.outcome == execution::NotRun && request.keyed && isSender) {
+        request.state = phase::Releasing;
+        m_keys.release(context, request.number);
         return;
-    case attempt_state::Running:
-        fail(context, request.number,
-            { 409, execution::NotStarted, "key_in_progress", "an earlier send of this key is running",
-                retryInProgress });
+    }
+    const bool maySendAgain = message.outcome == execution::NotRun || request.request.repeatable;
+    if (maySendAgain && !request.headOut) {
+        requeue(context, request);
         return;
-    case attempt_state::Failed:
+    }
+    if (message.outcome == execution::Completed) {
         fail(context, request.number,
-            { 409, execution::Unknown, "key_unknown", "an earlier send of this key ended without an answer",
+            { 409, execution::Completed, "already_completed", "the order has run; its answer is no longer kept",
                 std::nullopt });
         return;
     }
+    fail(context, request.number,
+        { 502, request.request.repeatable ? execution::NotStarted : execution::Unknown,
+            std::string(nameOf(message.cause)), "the endpoint gave no whole answer", std::nullopt });
 }
 
-void request_router::answered(const entry_context& context, const response_head& frame)
+void request_router::reported(const entry_context& context, link_number link, const attempt_report& message)
 {
-    if (auto* request = findByAttempt(frame.attempt)) {
-        request->answer.add(frame);
-        passOn(context, *request);
-    }
+    for (const auto& decision : m_keys.reported(context, link, message))
+        follow(context, decision);
 }
 
-void request_router::answered(const entry_context& context, const response_body& frame)
+template <typename Frame>
+void request_router::addFrame(const entry_context& context, const Frame& frame)
 {
-    if (auto* request = findByAttempt(frame.attempt)) {
-        request->answer.add(frame);
-        passOn(context, *request);
+    const auto concerned = m_byAttempt.find(frame.attempt);
+    if (concerned == m_byAttempt.end())
+        return;
+    for (const auto number : std::set<request_number>(concerned->second)) {
+        auto& request = m_requests.at(number);
+        request.answer.add(frame);
+        passOn(context, request);
     }
 }
 
-void request_router::answered(const entry_context& context, const response_end& frame)
-{
-    if (auto* request = findByAttempt(frame.attempt)) {
-        request->answer.add(frame);
-        passOn(context, *request);
-    }
-}
+void request_router::answered(const entry_context& context, const response_head& frame) { addFrame(context, frame); }
+void request_router::answered(const entry_context& context, const response_body& frame) { addFrame(context, frame); }
+void request_router::answered(const entry_context& context, const response_end& frame) { addFrame(context, frame); }
 
 void request_router::passOn(const entry_context& context, routed_request& request)
 {
@@ -327,70 +351,79 @@
 
 void request_router::platformReplied(const entry_context& context, const platform_replied& reply)
 {
-    const auto result = m_keys.replied(context, reply);
-    if (!result)
-        return;
-    const auto found = m_requests.find(result->request);
-    if (found != m_requests.end())
-        keyResolved(context, found->second, *result);
+    if (const auto decision = m_keys.replied(context, reply))
+        follow(context, *decision);
 }
 
-void request_router::keyResolved(const entry_context& context, routed_request& request, const key_result& result)
-{
-    request.keyVersion = result.version;
-    switch (result.outcome) {
-    case key_result::kind::Bound:
-        context.decide(decision_kind::KeyBound, request.request.traceparent, result.standing.endpoint.str());
-        if (context.endpoints.find(request.link)) {
-            start(context, request);
-            return;
-        }
-        // Bound but never sent: this entry alone could have sent it, so that is the proof.
-        request.holdsSlot = false;
-        request.state = phase::Releasing;
-        m_keys.release(context, request.number, *request.boundKey, request.binding, request.keyVersion);
-        return;
-    case key_result::kind::Released:
-        requeue(context, request);
-        return;
-    case key_result::kind::HeldByOther:
-        askHolder(context, request, result);
-        return;
-    case key_result::kind::OtherContent:
-        fail(context, request.number,
-            { 422, execution::NotStarted, "key_reused", "this key stands for a request with other content",
-                std::nullopt });
-        return;
-    case key_result::kind::StoreDown:
-        fail(context, request.number,
-            { 503, execution::NotStarted, "store_down", "the key can't be bound now; send the same key again",
-                retryWhenBusy });
-        return;
+struct request_router::key_step_visitor {
+    request_router& self;
+    const entry_context& context;
+    routed_request& request;
+
+    void operator()(const dispatch_bound& /*step*/) const
+    {
+        context.decide(decision_kind::KeyBound, request.request.traceparent, "key bound to the attempt");
+        self.start(context, request);
     }
+    void operator()(const place_again& step) const
+    {
+        self.returnSlot(context, request);
+        if (step.isRetry)
+            self.requeue(context, request);
+        else
+            self.place(context, request);
+    }
+    void operator()(const await_holder& step) const
+    {
+        self.returnSlot(context, request);
+        self.disown(request);
+        request.state = phase::Asking;
+        request.link = step.link;
+    }
+    void operator()(const attach_attempt& step) const
+    {
+        request.state = phase::Running;
+        request.attempt = step.attempt;
+        request.link = step.link;
+        self.m_byAttempt[step.attempt].insert(request.number);
+        request.answer = answer_assembler();
+        context.send(step.link, resume_attempt { step.attempt, 0 });
+    }
+    void operator()(const end_request& step) const
+    {
+        if (step.answer.outcome == execution::Unknown)
+            context.decide(decision_kind::KeyUnknown, request.request.traceparent, step.answer.detail);
+        self.fail(context, request.number, step.answer);
+    }
+};
+
+void request_router::follow(const entry_context& context, const key_decision& decision)
+{
+    auto& request = m_requests.at(decision.number);
+    std::visit(key_step_visitor { *this, context, request }, decision.step);
 }
 
-void request_router::askHolder(const entry_context& context, routed_request& request, const key_result& result)
+request_router::routed_request* request_router::findSender(attempt_id attempt, link_number link)
 {
-    returnSlot(context, request);
-    m_byAttempt.erase(request.attempt);
-    const auto* holder = context.endpoints.findAgent(result.standing.agent, result.standing.agentLife);
-    if (!holder) {
-        context.decide(decision_kind::KeyUnknown, request.request.traceparent, "the holder's agent is not linked");
-        fail(context, request.number,
-            { 409, execution::Unknown, "key_unknown", "what became of an earlier send of this key is not known",
-                retryWhenBusy });
-        return;
+    const auto concerned = m_byAttempt.find(attempt);
+    if (concerned == m_byAttempt.end())
+        return nullptr;
+    for (const auto number : concerned->second) {
+        auto& request = m_requests.at(number);
+        if (request.holdsSlot && request.state == phase::Running && request.link == link)
+            return &request;
     }
-    request.state = phase::Asking;
-    request.binding = result.standing;
-    request.link = holder->link;
-    context.send(holder->link, query_attempt { result.standing.attempt });
+    return nullptr;
 }
 
-request_router::routed_request* request_router::findByAttempt(attempt_id attempt)
+void request_router::disown(routed_request& request)
 {
-    const auto number = m_byAttempt.find(attempt);
-    return number == m_byAttempt.end() ? nullptr : &m_requests.at(number->second);
+    const auto concerned = m_byAttempt.find(request.attempt);
+    if (concerned == m_byAttempt.end())
+        return;
+    concerned->second.erase(request.number);
+    if (concerned->second.empty())
+        m_byAttempt.erase(concerned);
 }
 
 void request_router::returnSlot(const entry_context& context, routed_request& request)
@@ -415,7 +448,8 @@
 {
     auto& request = m_requests.at(number);
     returnSlot(context, request);
-    m_byAttempt.erase(request.attempt);
+    disown(request);
+    m_keys.forget(number);
     m_requests.erase(number);
 }
 
--- a/packages/decisions/entry/request_router.h
+++ b/packages/decisions/entry/request_router.h
@@ -1,7 +1,8 @@
 #pragma once
 
 #include "decisions/entry/entry_context.h"
-#include "decisions/keys/caller_keys.h"
+#include "decisions/keys/issued_key.h"
+#include "decisions/keys/request_keys.h"
 #include "decisions/streams/answer_assembler.h"
 
 #include <deque>
@@ -12,15 +13,15 @@
 namespace appleramp {
 
 // Carries each request from its arrival to its one final answer: place, bind the key, dispatch, pass the answer on,
-// retry where that is safe. Works with endpoint_directory for places and caller_keys for the right to run.
+// retry where that is safe. Works with endpoint_directory for places and request_keys for the right to run.
 class request_router {
 public:
     void received(const entry_context& context, const request_received& event);
     void callerLeft(const entry_context& context, request_number number);
 
     void refused(const entry_context& context, link_number link, const attempt_refused& message);
-    void failed(const entry_context& context, const attempt_failed& message);
-    void reported(const entry_context& context, const attempt_report& message);
+    void failed(const entry_context& context, link_number link, const attempt_failed& message);
+    void reported(const entry_context& context, link_number link, const attempt_report& message);
     void answered(const entry_context& context, const response_head& frame);
     void answered(const entry_context& context, const response_body& frame);
     void answered(const entry_context& context, const response_end& frame);
@@ -54,10 +55,10 @@
         service_request request;
         instant deadline;
         phase state = phase::Queued;
-        // The caller's key with its scope; set if the key must be bound before dispatch.
-        std::optional<idempotency_key> boundKey;
-        row_version keyVersion = 0;
-        key_binding binding;
+        // True if the caller's key must be bound before dispatch.
+        bool keyed = false;
+        // Set if the key names the one agent that may run the request.
+        std::optional<issued_key> issued;
         attempt_id attempt;
         link_number link = 0;
         bool holdsSlot = false;
@@ -68,15 +69,25 @@
         bool resumeAsked = false;
     };
 
-    routed_request* findByAttempt(attempt_id attempt);
+    struct key_step_visitor;
+
+    // The request that sent the attempt, if it is still running.
+    routed_request* findSender(attempt_id attempt, link_number link);
+    template <typename Frame>
+    void addFrame(const entry_context& context, const Frame& frame);
     bool accept(const entry_context& context, const request_received& event, bool repeatable);
     void place(const entry_context& context, routed_request& request);
+    // The link where the request should go now, if there is one.
+    std::optional<link_number> choose(const entry_context& context, const routed_request& request) const;
+    void attemptFailed(const entry_context& context, routed_request& request, const attempt_failed& message);
+    void refusedForKey(const entry_context& context, routed_request& request, const attempt_refused& message);
     void dispatch(const entry_context& context, routed_request& request, link_number link);
     void start(const entry_context& context, routed_request& request);
     void returnSlot(const entry_context& context, routed_request& request);
     void requeue(const entry_context& context, routed_request& request);
-    void keyResolved(const entry_context& context, routed_request& request, const key_result& result);
-    void askHolder(const entry_context& context, routed_request& request, const key_result& result);
+    void follow(const entry_context& context, const key_decision& decision);
+    // The attempt's frames no longer answer this request.
+    void disown(routed_request& request);
     void passOn(const entry_context& context, routed_request& request);
     // Ends the request with an error: a problem, or an abort if the head is out.
     void fail(const entry_context& context, request_number number, problem answer);
@@ -84,9 +95,10 @@
     execution outcomeIfUnsent(const routed_request& request) const;
 
     std::map<request_number, routed_request> m_requests;
-    std::map<attempt_id, request_number> m_byAttempt;
+    // The requests that an attempt's frames answer: its sender's, and repeated sends of the same key.
+    std::map<attempt_id, std::set<request_number>> m_byAttempt;
     std::deque<request_number> m_queue;
-    caller_keys m_keys;
+    request_keys m_keys;
     std::uint64_t m_lastAttempt = 0;
 };
 
--- a/packages/decisions/keys/attempt_ledger.cpp
+++ b/packages/decisions/keys/attempt_ledger.cpp
@@ -1,28 +1,51 @@
 #include "decisions/keys/attempt_ledger.h"
 
+#include <algorithm>
 #include <cassert>
 
 namespace appleramp {
 
-attempt_ledger::verdict attempt_ledger::begin(attempt_id attempt, const std::optional<idempotency_key>& key, instant now)
+namespace {
+
+constexpr std::size_t maxForgottenLives = 65536;
+
+} // namespace
+
+attempt_ledger::verdict attempt_ledger::judge(attempt_id attempt, const std::optional<keyed_content>& content) const
 {
     const auto known = m_attempts.find(attempt);
     if (known != m_attempts.end())
         return known->second.state == attempt_state::NeverStarted ? verdict::Refused : verdict::Repeated;
-    if (key && m_byKey.contains(*key)) {
-        refuse(attempt, now);
-        return verdict::KeyUsed;
-    }
-    remember(attempt, { attempt_state::Running, key }, now);
-    if (key)
-        m_byKey.emplace(*key, attempt);
+    if (isForgotten(attempt))
+        return verdict::Forgotten;
+    if (!content)
+        return verdict::Start;
+    const auto started = m_byKey.find(content->key);
+    if (started == m_byKey.end())
+        return verdict::Start;
+    const bool sameContent = m_attempts.at(started->second).content->contentHash == content->contentHash;
+    return sameContent ? verdict::KeyUsed : verdict::KeyReused;
+}
+
+attempt_ledger::verdict attempt_ledger::begin(attempt_id attempt, const std::optional<keyed_content>& content,
+    instant now)
+{
+    const auto judged = judge(attempt, content);
+    if (judged == verdict::KeyUsed || judged == verdict::KeyReused)
+        refuse(attempt, true, now);
+    if (judged != verdict::Start)
+        return judged;
+    remember(attempt, { attempt_state::Running, content }, content.has_value(), now);
+    if (content)
+        m_byKey.emplace(content->key, attempt);
     return verdict::Start;
 }
 
-void attempt_ledger::refuse(attempt_id attempt, instant now)
+void attempt_ledger::refuse(attempt_id attempt, bool keyed, instant now)
 {
+    assert(!isForgotten(attempt) || m_attempts.contains(attempt));
     if (!m_attempts.contains(attempt))
-        remember(attempt, { attempt_state::NeverStarted, std::nullopt }, now);
+        remember(attempt, { attempt_state::NeverStarted, std::nullopt }, keyed, now);
 }
 
 void attempt_ledger::finish(attempt_id attempt, attempt_state outcome)
@@ -31,33 +54,84 @@
     assert(known != m_attempts.end() && known->second.state == attempt_state::Running);
     known->second.state = outcome;
     // The endpoint began nothing, so another attempt may have the key.
-    if (outcome == attempt_state::NeverStarted && known->second.key)
-        m_byKey.erase(*known->second.key);
+    if (outcome == attempt_state::NeverStarted && known->second.content)
+        m_byKey.erase(known->second.content->key);
 }
 
 attempt_state attempt_ledger::query(attempt_id attempt, instant now)
 {
-    refuse(attempt, now);
-    return m_attempts.at(attempt).state;
+    if (const auto known = find(attempt))
+        return *known;
+    refuse(attempt, true, now);
+    return attempt_state::NeverStarted;
 }
 
-void attempt_ledger::forgetBefore(instant oldest)
+std::optional<attempt_state> attempt_ledger::find(attempt_id attempt) const
 {
-    while (!m_arrivals.empty() && m_arrivals.front().at < oldest) {
-        const auto known = m_attempts.find(m_arrivals.front().attempt);
-        if (known->second.state == attempt_state::Running)
-            return;
-        if (known->second.key)
-            m_byKey.erase(*known->second.key);
-        m_attempts.erase(known);
-        m_arrivals.pop_front();
+    const auto known = m_attempts.find(attempt);
+    if (known != m_attempts.end())
+        return known->second.state;
+    return isForgotten(attempt) ? std::optional(attempt_state::Forgotten) : std::nullopt;
+}
+
+std::optional<attempt_id> attempt_ledger::startedWith(const idempotency_key& key) const
+{
+    const auto started = m_byKey.find(key);
+    return started == m_byKey.end() ? std::nullopt : std::optional(started->second);
+}
+
+void attempt_ledger::forgetBefore(instant oldestKeyed, instant oldestRepeatable)
+{
+    const auto isRunning = [this](attempt_id attempt) {
+        return m_attempts.at(attempt).state == attempt_state::Running;
+    };
+    while (!m_keyed.empty() && m_keyed.front().at < oldestKeyed && !isRunning(m_keyed.front().attempt)) {
+        m_lastForgotten = m_keyed.front().at;
+        noteForgotten(m_keyed.front().attempt);
+        forget(m_keyed.front().attempt);
+        m_keyed.pop_front();
+    }
+    while (!m_repeatable.empty() && m_repeatable.front().at < oldestRepeatable
+        && !isRunning(m_repeatable.front().attempt)) {
+        forget(m_repeatable.front().attempt);
+        m_repeatable.pop_front();
     }
 }
 
-void attempt_ledger::remember(attempt_id attempt, remembered entry, instant now)
+void attempt_ledger::remember(attempt_id attempt, remembered entry, bool keyed, instant now)
 {
     m_attempts.emplace(attempt, std::move(entry));
-    m_arrivals.push_back({ now, attempt });
+    (keyed ? m_keyed : m_repeatable).push_back({ now, attempt });
+}
+
+bool attempt_ledger::isForgotten(attempt_id attempt) const
+{
+    if (attempt.entry <= m_forgottenLives)
+        return true;
+    const auto highest = m_forgotten.find(attempt.entry);
+    return highest != m_forgotten.end() && attempt.number <= highest->second;
+}
+
+void attempt_ledger::forget(attempt_id attempt)
+{
+    const auto known = m_attempts.find(attempt);
+    const auto& content = known->second.content;
+    if (content) {
+        const auto started = m_byKey.find(content->key);
+        if (started != m_byKey.end() && started->second == attempt)
+            m_byKey.erase(started);
+    }
+    m_attempts.erase(known);
+}
+
+void attempt_ledger::noteForgotten(attempt_id attempt)
+{
+    auto& highest = m_forgotten[attempt.entry];
+    highest = std::max(highest, attempt.number);
+    if (m_forgotten.size() <= maxForgottenLives)
+        return;
+    m_forgottenLives = std::max(m_forgottenLives, m_forgotten.begin()->first);
+    m_forgotten.erase(m_forgotten.begin());
 }
 
 } // namespace appleramp
--- a/packages/decisions/keys/caller_keys.cpp
+++ b/packages/decisions/keys/caller_keys.cpp
@@ -1,6 +1,7 @@
 #include "decisions/keys/caller_keys.h"
 
 #include "wire/key_binding_codec.h"
+#include "wire/wire_error.h"
 
 #include <cassert>
 
@@ -20,6 +21,16 @@
     return wanted.state == binding_state::Bound ? key_result::kind::Bound : key_result::kind::Released;
 }
 
+// Nothing if the row can't be read: then nothing is known of the key.
+std::optional<key_binding> readBinding(const table_row& row)
+{
+    try {
+        return decodeKeyBinding(row.value);
+    } catch (const wire_error&) {
+        return std::nullopt;
+    }
+}
+
 } // namespace
 
 void caller_keys::claim(const entry_context& context, request_number request, const idempotency_key& key,
@@ -51,10 +62,7 @@
         return judgeRow(context, step, rows.at(0));
     case platform_status::NotFound:
         // The lost write did not take effect, or the row has gone since: a conditional write decides.
-        if (step.expected != 0)
-            return downFor(step.request);
-        write(context, std::move(step));
-        return std::nullopt;
+        return rowIsGone(context, step);
     case platform_status::Unknown:
         if (++step.tries > maxTries)
             return downFor(step.request);
@@ -66,6 +74,18 @@
     return downFor(step.request);
 }
 
+std::optional<key_result> caller_keys::rowIsGone(const entry_context& context, const pending_step& step)
+{
+    if (step.wanted.state == binding_state::Released)
+        return key_result { step.request, key_result::kind::Released, step.wanted, 0 };
+    auto next = step;
+    next.expected = 0;
+    if (++next.tries > maxTries)
+        return downFor(step.request);
+    write(context, std::move(next));
+    return std::nullopt;
+}
+
 void caller_keys::write(const entry_context& context, pending_step step)
 {
     step.isReadBack = false;
@@ -83,7 +103,12 @@
 std::optional<key_result> caller_keys::judgeRow(const entry_context& context, const pending_step& step,
     const table_row& row)
 {
-    const auto standing = decodeKeyBinding(row.value);
+    if (row.version == 0)
+        return rowIsGone(context, step);
+    const auto decoded = readBinding(row);
+    if (!decoded)
+        return downFor(step.request);
+    const auto& standing = *decoded;
     if (standing.attempt == step.wanted.attempt && standing.state == step.wanted.state)
         return key_result { step.request, reached(step.wanted), standing, row.version };
     if (standing.contentHash != step.wanted.contentHash)
--- a/packages/decisions/keys/caller_keys.h
+++ b/packages/decisions/keys/caller_keys.h
@@ -57,6 +57,8 @@
 
     void write(const entry_context& context, pending_step step);
     void readBack(const entry_context& context, pending_step step);
+    // The key's row is past its retention and was removed.
+    std::optional<key_result> rowIsGone(const entry_context& context, const pending_step& step);
     std::optional<key_result> judgeRow(const entry_context& context, const pending_step& step, const table_row& row);
 
     std::map<operation_number, pending_step> m_pending;
--- /dev/null
+++ b/packages/decisions/keys/key_grants.cpp
@@ -0,0 +1,46 @@
+#include "decisions/keys/key_grants.h"
+
+#include <algorithm>
+
+namespace appleramp {
+
+namespace {
+
+constexpr std::uint32_t maxBlock = 4096;
+constexpr duration blockLifetime = std::chrono::hours(1);
+
+} // namespace
+
+grant_key_block key_grants::grant(std::uint32_t count, instant now)
+{
+    const auto granted = std::min(count, maxBlock);
+    const granted_block block { m_next, granted, now, now + blockLifetime };
+    m_next += granted;
+    if (granted > 0)
+        m_blocks.push_back(block);
+    return { block.first, block.count, blockLifetime, block.expires };
+}
+
+key_grants::standing key_grants::judge(const issued_key& key, instant now, std::optional<instant> lastForgotten) const
+{
+    if (key.number == 0 || key.number >= m_next)
+        return standing::Invalid;
+    const auto after = std::upper_bound(m_blocks.begin(), m_blocks.end(), key.number,
+        [](std::uint64_t number, const auto& block) { return number < block.first; });
+    if (after == m_blocks.begin())
+        return standing::Forgotten;
+    const auto& block = *std::prev(after);
+    if (block.expires != key.expires)
+        return standing::Invalid;
+    if (lastForgotten && block.granted <= *lastForgotten)
+        return standing::Forgotten;
+    return now < block.expires ? standing::Valid : standing::Expired;
+}
+
+void key_grants::forgetThrough(instant lastForgotten)
+{
+    while (!m_blocks.empty() && m_blocks.front().granted <= lastForgotten)
+        m_blocks.pop_front();
+}
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/decisions/keys/request_keys.cpp
@@ -0,0 +1,195 @@
+#include "decisions/keys/request_keys.h"
+
+#include "decisions/configuration/configuration_register.h"
+#include "decisions/keys/key_scope.h"
+#include "decisions/placement/endpoint_directory.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace appleramp {
+
+namespace {
+
+constexpr duration retryWhenBusy = std::chrono::seconds(1);
+constexpr duration retryInProgress = std::chrono::milliseconds(500);
+
+key_decision end(request_number number, std::uint16_t status, execution outcome, std::string reason,
+    std::string detail, std::optional<duration> retryAfter = std::nullopt)
+{
+    return { number, end_request { { status, outcome, std::move(reason), std::move(detail), retryAfter } } };
+}
+
+bool mayReceive(const entry_context& context, link_number link)
+{
+    const auto* endpoint = context.endpoints.find(link);
+    return endpoint && isInService(*endpoint, context.configuration.current());
+}
+
+} // namespace
+
+void request_keys::add(request_number number, const service_request& request)
+{
+    m_requests[number] = { scopedKey(request), request.contentHash, phase::Idle, {}, 0, 0, false };
+}
+
+void request_keys::claim(const entry_context& context, request_number number, attempt_id attempt,
+    const linked_endpoint& endpoint)
+{
+    auto& request = m_requests.at(number);
+    request.state = phase::Claiming;
+    request.link = endpoint.link;
+    request.binding = { attempt, endpoint.description.endpoint, endpoint.instance, endpoint.agentLife,
+        request.contentHash, binding_state::Bound };
+    m_table.claim(context, number, request.key, request.binding, request.version);
+}
+
+void request_keys::release(const entry_context& context, request_number number)
+{
+    auto& request = m_requests.at(number);
+    assert(request.state == phase::Bound);
+    request.state = phase::Releasing;
+    m_table.release(context, number, request.key, request.binding, request.version);
+}
+
+key_decision request_keys::ask(const entry_context& context, request_number number, attempt_id attempt,
+    const linked_endpoint& endpoint)
+{
+    auto& request = m_requests[number];
+    request.binding.attempt = attempt;
+    request.binding.agent = endpoint.instance;
+    request.binding.agentLife = endpoint.agentLife;
+    return askHolder(context, number, request);
+}
+
+void request_keys::forget(request_number number)
+{
+    const auto found = m_requests.find(number);
+    if (found == m_requests.end())
+        return;
+    auto& request = found->second;
+    if (request.state == phase::Claiming || request.state == phase::Releasing) {
+        request.abandoned = true;
+        return;
+    }
+    if (request.state == phase::Asking) {
+        const auto asking = m_asking.find(request.binding.attempt);
+        std::erase(asking->second, number);
+        if (asking->second.empty())
+            m_asking.erase(asking);
+    }
+    m_requests.erase(found);
+}
+
+std::optional<key_decision> request_keys::replied(const entry_context& context, const platform_replied& reply)
+{
+    const auto result = m_table.replied(context, reply);
+    if (!result)
+        return std::nullopt;
+    const auto number = result->request;
+    auto& request = m_requests.at(number);
+    if (request.abandoned) {
+        freeAbandoned(context, number, *result);
+        return std::nullopt;
+    }
+    return resolve(context, number, request, *result);
+}
+
+std::optional<key_decision> request_keys::resolve(const entry_context& context, request_number number,
+    keyed_request& request, const key_result& result)
+{
+    request.state = phase::Idle;
+    request.version = result.version;
+    switch (result.outcome) {
+    case key_result::kind::Bound:
+        return bound(context, number, request);
+    case key_result::kind::Released:
+        return key_decision { number, place_again { true } };
+    case key_result::kind::HeldByOther:
+        request.binding = result.standing;
+        return askHolder(context, number, request);
+    case key_result::kind::OtherContent:
+        return end(number, 422, execution::NotStarted, "key_reused", "this key stands for a request with other content");
+    case key_result::kind::StoreDown:
+        return end(number, 503, execution::NotStarted, "store_down",
+            "the key can't be bound now; send the same key again", retryWhenBusy);
+    }
+    return std::nullopt;
+}
+
+std::optional<key_decision> request_keys::bound(const entry_context& context, request_number number,
+    keyed_request& request)
+{
+    request.state = phase::Bound;
+    if (mayReceive(context, request.link))
+        return key_decision { number, dispatch_bound {} };
+    // Bound but never sent: this entry alone could have sent it, so that is the proof.
+    release(context, number);
+    return std::nullopt;
+}
+
+key_decision request_keys::askHolder(const entry_context& context, request_number number, keyed_request& request)
+{
+    const auto& standing = request.binding;
+    const auto* holder = context.endpoints.findAgent(standing.agent, standing.agentLife);
+    if (!holder) {
+        request.state = phase::Idle;
+        return end(number, 409, execution::Unknown, "key_unknown",
+            "what became of an earlier send of this key is not known", retryWhenBusy);
+    }
+    request.state = phase::Asking;
+    m_asking[standing.attempt].push_back(number);
+    context.send(holder->link, query_attempt { standing.attempt, standing.agentLife });
+    return { number, await_holder { holder->link } };
+}
+
+std::vector<key_decision> request_keys::reported(const entry_context& /*context*/, link_number link,
+    const attempt_report& report)
+{
+    std::vector<key_decision> decisions;
+    const auto asking = m_asking.find(report.attempt);
+    if (asking == m_asking.end())
+        return decisions;
+    const auto numbers = std::move(asking->second);
+    m_asking.erase(asking);
+    for (const auto number : numbers) {
+        m_requests.at(number).state = phase::Idle;
+        switch (report.state) {
+        case attempt_state::NeverStarted:
+            // The tombstone is the proof: the key is taken over from the standing row's version.
+            decisions.push_back({ number, place_again { false } });
+            break;
+        case attempt_state::Completed:
+            decisions.push_back({ number, attach_attempt { report.attempt, link } });
+            break;
+        case attempt_state::Running:
+            decisions.push_back(end(number, 409, execution::NotStarted, "key_in_progress",
+                "an earlier send of this key is running", retryInProgress));
+            break;
+        case attempt_state::Failed:
+            decisions.push_back(end(number, 409, execution::Unknown, "key_unknown",
+                "an earlier send of this key ended without an answer"));
+            break;
+        case attempt_state::Forgotten:
+            decisions.push_back(end(number, 409, execution::Unknown, "key_unknown",
+                "the key is past its retention, or its agent was replaced"));
+            break;
+        }
+    }
+    return decisions;
+}
+
+void request_keys::freeAbandoned(const entry_context& context, request_number number, const key_result& result)
+{
+    auto& request = m_requests.at(number);
+    const bool neverSent = result.outcome == key_result::kind::Bound && request.state == phase::Claiming;
+    if (!neverSent) {
+        m_requests.erase(number);
+        return;
+    }
+    request.version = result.version;
+    request.state = phase::Bound;
+    release(context, number);
+}
+
+} // namespace appleramp
--- a/packages/decisions/placement/endpoint_directory.cpp
+++ b/packages/decisions/placement/endpoint_directory.cpp
@@ -8,11 +8,6 @@
 
 namespace {
 
-bool isInService(const linked_endpoint& endpoint, const fleet_configuration& configuration)
-{
-    return !configuration.zonesOut.contains(endpoint.zone) && !configuration.instancesOut.contains(endpoint.instance);
-}
-
 bool hasAdapter(const linked_endpoint& endpoint, const adapter_id& adapter)
 {
     const auto& loaded = endpoint.description.adapters;
@@ -37,6 +32,11 @@
 
 } // namespace
 
+bool isInService(const linked_endpoint& endpoint, const fleet_configuration& configuration)
+{
+    return !configuration.zonesOut.contains(endpoint.zone) && !configuration.instancesOut.contains(endpoint.instance);
+}
+
 void endpoint_directory::add(link_number link, incarnation agentLife, const hello& greeting)
 {
     assert(greeting.endpoint);
@@ -48,6 +48,7 @@
     endpoint.description = *greeting.endpoint;
     for (const auto& service : endpoint.description.services)
         m_byService[service].insert(link);
+    m_byAgent[endpoint.instance][agentLife] = link;
     m_endpoints[link] = std::move(endpoint);
 }
 
@@ -62,6 +63,7 @@
         if (links.empty())
             m_byService.erase(service);
     }
+    removeAgent(found->second);
     m_endpoints.erase(found);
 }
 
@@ -86,10 +88,35 @@
 
 const linked_endpoint* endpoint_directory::findAgent(const instance_id& instance, incarnation life) const
 {
-    const auto found = std::find_if(m_endpoints.begin(), m_endpoints.end(), [&](const auto& item) {
-        return item.second.instance == instance && item.second.agentLife == life;
-    });
-    return found == m_endpoints.end() ? nullptr : &found->second;
+    const auto lives = m_byAgent.find(instance);
+    if (lives == m_byAgent.end())
+        return nullptr;
+    const auto link = lives->second.find(life);
+    return link == lives->second.end() ? nullptr : find(link->second);
+}
+
+bool endpoint_directory::isReplaced(const instance_id& instance, incarnation life) const
+{
+    const auto lives = m_byAgent.find(instance);
+    return lives != m_byAgent.end() && lives->second.rbegin()->first > life && !lives->second.contains(life);
+}
+
+void endpoint_directory::removeAgent(const linked_endpoint& endpoint)
+{
+    const auto lives = m_byAgent.find(endpoint.instance);
+    const auto life = lives->second.find(endpoint.agentLife);
+    // A second link to the same life may have taken the place.
+    if (life == lives->second.end() || life->second != endpoint.link)
+        return;
+    lives->second.erase(life);
+    if (lives->second.empty())
+        m_byAgent.erase(lives);
+}
+
+std::set<link_number> endpoint_directory::linksServing(const service_id& service) const
+{
+    const auto links = m_byService.find(service);
+    return links == m_byService.end() ? std::set<link_number>() : links->second;
 }
 
 std::optional<link_number> endpoint_directory::choose(const service_request& request,
--- a/packages/decisions/placement/endpoint_directory.h
+++ b/packages/decisions/placement/endpoint_directory.h
@@ -29,6 +29,9 @@
     bool hasFreeSlot(instant now) const { return now < grantEnds && inFlight < slots; }
 };
 
+// True if neither the endpoint's zone nor its agent's instance is out.
+bool isInService(const linked_endpoint& endpoint, const fleet_configuration& configuration);
+
 // The endpoints that this entry is linked to, by service, and the choice among them. Works with request_router,
 // which takes and returns slots.
 class endpoint_directory {
@@ -42,6 +45,9 @@
     const linked_endpoint* find(link_number link) const;
     // The link to this life of an agent, if it is open.
     const linked_endpoint* findAgent(const instance_id& instance, incarnation life) const;
+    // True if another life of this agent is linked and this one is not.
+    bool isReplaced(const instance_id& instance, incarnation life) const;
+    std::set<link_number> linksServing(const service_id& service) const;
     const std::map<link_number, linked_endpoint>& all() const { return m_endpoints; }
 
     // The endpoint that a request should go to: in service, with a free slot, in the preferred zone if one is there,
@@ -53,8 +59,11 @@
     void returnSlot(link_number link);
 
 private:
+    void removeAgent(const linked_endpoint& endpoint);
+
     std::map<link_number, linked_endpoint> m_endpoints;
     std::map<service_id, std::set<link_number>> m_byService;
+    std::map<instance_id, std::map<incarnation, link_number>> m_byAgent;
 };
 
 } // namespace appleramp
--- a/packages/entry/request_reader.cpp
+++ b/packages/entry/request_reader.cpp
@@ -50,6 +50,11 @@
     return hashes;
 }
 
+bool isVisibleAscii(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(), [](char letter) { return letter > ' ' && letter <= '~'; });
+}
+
 duration readTimeout(const Poco::Net::HTTPServerRequest& request, duration defaultTimeout)
 {
     const auto text = request.get("Appleramp-Timeout-Ms", "");
@@ -101,6 +106,8 @@
         request.key = idempotency_key(source.get("Idempotency-Key"));
     if (request.key && (request.key->empty() || request.key->str().size() > maxKeyBytes))
         throw invalid_request("Idempotency-Key must have 1 to 256 bytes");
+    if (request.key && !isVisibleAscii(request.key->str()))
+        throw invalid_request("Idempotency-Key must have visible ASCII characters only");
     for (const auto name : forwardedHeaders) {
         if (source.has(std::string(name)))
             request.headers.push_back({ std::string(name), source.get(std::string(name)) });
--- a/packages/model/enum_names.h
+++ b/packages/model/enum_names.h
@@ -36,8 +36,8 @@
 };
 template <>
 struct enum_names<refusal> {
-    static constexpr std::array<std::string_view, 8> names { "no_slot", "leaving", "zone_out", "expired", "tombstone",
-        "not_served", "suspect_refused", "key_used" };
+    static constexpr std::array<std::string_view, 11> names { "no_slot", "leaving", "zone_out", "expired", "tombstone",
+        "not_served", "suspect_refused", "key_used", "key_reused", "key_expired", "key_invalid" };
 };
 template <>
 struct enum_names<failure_cause> {
@@ -46,7 +46,8 @@
 };
 template <>
 struct enum_names<attempt_state> {
-    static constexpr std::array<std::string_view, 4> names { "never_started", "running", "completed", "failed" };
+    static constexpr std::array<std::string_view, 5> names { "never_started", "running", "completed", "failed",
+        "forgotten" };
 };
 template <>
 struct enum_names<platform_status> {
--- a/packages/model/messages.h
+++ b/packages/model/messages.h
@@ -73,6 +73,8 @@
 struct start_attempt {
     static constexpr const char* name = "start_attempt";
     attempt_id attempt;
+    // The agent's life that it is meant for: no other may run it.
+    incarnation agentLife = 0;
     service_request request;
     // True if the content may have crashed an endpoint: it runs alone.
     bool suspect = false;
@@ -98,7 +100,14 @@
     Tombstone,
     NotServed,
     SuspectRefused,
+    // Another attempt with this key has started here.
     KeyUsed,
+    // This key stands for a request with other content.
+    KeyReused,
+    // The issued key is past its expiry, never started, and never will.
+    KeyExpired,
+    // The agent granted no such key.
+    KeyInvalid,
 };
 
 // Agent to entry: the attempt was not started and never will be.
@@ -107,6 +116,8 @@
     attempt_id attempt;
     refusal reason = refusal::NoSlot;
     duration retryAfter {};
+    // For KeyUsed: the attempt that started.
+    std::optional<attempt_id> earlier;
 };
 
 // Frame 0 of an answer.
@@ -148,7 +159,7 @@
     static constexpr const char* name = "attempt_failed";
     attempt_id attempt;
     failure_cause cause = failure_cause::EndpointCrashed;
-    // NotRun only if the endpoint is known to have begun nothing.
+    // NotRun only if the endpoint is known to have begun nothing; Completed if only the answer is no longer kept.
     execution outcome = execution::Unknown;
 };
 
@@ -156,6 +167,7 @@
 struct query_attempt {
     static constexpr const char* name = "query_attempt";
     attempt_id attempt;
+    incarnation agentLife = 0;
 };
 
 enum class attempt_state {
@@ -164,6 +176,8 @@
     Running,
     Completed,
     Failed,
+    // Past the agent's memory, or of another life: it may have run.
+    Forgotten,
 };
 
 struct attempt_report {
@@ -184,6 +198,8 @@
     std::uint64_t first = 0;
     std::uint32_t count = 0;
     duration lifetime {};
+    // When the block expires, by the agent's clock: part of each key's text.
+    instant expires;
 };
 
 // Changes in ascending order without a gap, or a whole document where the receiver is too far behind.
--- /dev/null
+++ b/tests/decisions/keys/request_keys_test.cpp
@@ -0,0 +1,197 @@
+#include "decisions/keys/request_keys.h"
+
+#include "decisions/configuration/configuration_register.h"
+#include "decisions/placement/endpoint_directory.h"
+#include "wire/key_binding_codec.h"
+
+#include <criterion/criterion.h>
+
+using namespace appleramp;
+
+namespace {
+
+constexpr incarnation agentLife = 50;
+constexpr link_number agentLink = 3;
+
+// One entry's keys with an agent on link 3, and the row as the test sets it.
+struct bench {
+    entry_identity self;
+    configuration_register configuration;
+    endpoint_directory endpoints;
+    operation_number lastOperation = 0;
+    entry_effects effects;
+    request_keys keys;
+
+    bench()
+    {
+        hello greeting;
+        greeting.instance = instance_id("agent-1");
+        greeting.role = process_role::Agent;
+        greeting.endpoint = endpoint_description { endpoint_id("ledger"), endpoint_kind::PlainService,
+            { service_id("orders") }, {} };
+        endpoints.add(agentLink, agentLife, greeting);
+    }
+
+    entry_context context() { return { instant(), self, configuration, endpoints, lastOperation, effects }; }
+
+    void begin(request_number number, attempt_id attempt)
+    {
+        service_request request;
+        request.key = idempotency_key("k");
+        request.contentHash = 9;
+        keys.add(number, request);
+        keys.claim(context(), number, attempt, *endpoints.find(agentLink));
+    }
+    std::optional<key_decision> reply(platform_status status, std::vector<table_row> rows = {})
+    {
+        return keys.replied(context(), { lastOperation, { status, std::move(rows) } });
+    }
+    template <typename Effect>
+    std::size_t count() const
+    {
+        std::size_t found = 0;
+        for (const auto& effect : effects)
+            found += std::holds_alternative<Effect>(effect) ? 1 : 0;
+        return found;
+    }
+    template <typename Call>
+    Call lastCall() const
+    {
+        return std::get<Call>(std::get<call_platform>(effects.back()).call);
+    }
+};
+
+table_row rowOf(attempt_id attempt, row_version version, binding_state state = binding_state::Bound,
+    incarnation life = agentLife, std::uint64_t hash = 9)
+{
+    const key_binding binding { attempt, endpoint_id("ledger"), instance_id("agent-1"), life, hash, state };
+    return { "row", encodeKeyBinding(binding), version };
+}
+
+template <typename Step>
+bool is(const std::optional<key_decision>& decision)
+{
+    return decision && std::holds_alternative<Step>(decision->step);
+}
+
+execution outcomeOf(const key_decision& decision) { return std::get<end_request>(decision.step).answer.outcome; }
+
+} // namespace
+
+Test(request_keys, dispatches_only_once_the_binding_stands)
+{
+    bench b;
+    b.begin(1, { 7, 1 });
+    cr_assert_eq(b.count<send_message>(), 0U);
+    cr_assert(is<dispatch_bound>(b.reply(platform_status::Done, { rowOf({ 7, 1 }, 4) })));
+}
+
+Test(request_keys, reads_a_lost_reply_back)
+{
+    bench b;
+    b.begin(1, { 7, 1 });
+    cr_assert(!b.reply(platform_status::Unknown));
+    cr_assert_eq(b.lastCall<table_get>().key.empty(), false);
+    cr_assert(is<dispatch_bound>(b.reply(platform_status::Done, { rowOf({ 7, 1 }, 4) })));
+}
+
+Test(request_keys, says_not_started_while_the_store_is_down)
+{
+    bench b;
+    b.begin(1, { 7, 1 });
+    const auto decision = b.reply(platform_status::Unavailable);
+    cr_assert(is<end_request>(decision));
+    cr_assert(outcomeOf(*decision) == execution::NotStarted);
+}
+
+Test(request_keys, asks_the_holder_and_takes_over_on_its_tombstone)
+{
+    bench b;
+    b.begin(1, { 7, 1 });
+    cr_assert(is<await_holder>(b.reply(platform_status::Conflict, { rowOf({ 8, 1 }, 4) })));
+    const auto decisions = b.keys.reported(b.context(), agentLink, { { 8, 1 }, attempt_state::NeverStarted });
+    cr_assert_eq(decisions.size(), 1U);
+    cr_assert(std::holds_alternative<place_again>(decisions[0].step));
+    b.keys.claim(b.context(), 1, { 7, 2 }, *b.endpoints.find(agentLink));
+    cr_assert_eq(b.lastCall<table_put>().expected, 4U);
+}
+
+Test(request_keys, answers_every_send_that_waits_for_one_attempt)
+{
+    bench b;
+    for (const request_number number : { 1, 2 }) {
+        b.begin(number, { 7, number });
+        b.reply(platform_status::Conflict, { rowOf({ 8, 1 }, 4) });
+    }
+    cr_assert_eq(b.keys.reported(b.context(), agentLink, { { 8, 1 }, attempt_state::Completed }).size(), 2U);
+}
+
+Test(request_keys, calls_the_order_unknown_if_the_holder_is_of_another_life)
+{
+    bench b;
+    b.begin(1, { 7, 1 });
+    const auto decision = b.reply(platform_status::Conflict,
+        { rowOf({ 8, 1 }, 4, binding_state::Bound, agentLife - 1) });
+    cr_assert(is<end_request>(decision));
+    cr_assert(outcomeOf(*decision) == execution::Unknown);
+}
+
+Test(request_keys, calls_the_order_unknown_if_the_agent_has_forgotten)
+{
+    bench b;
+    b.begin(1, { 7, 1 });
+    b.reply(platform_status::Conflict, { rowOf({ 8, 1 }, 4) });
+    const auto decisions = b.keys.reported(b.context(), agentLink, { { 8, 1 }, attempt_state::Forgotten });
+    cr_assert(outcomeOf(decisions.at(0)) == execution::Unknown);
+}
+
+Test(request_keys, refuses_other_content_under_the_same_key)
+{
+    bench b;
+    b.begin(1, { 7, 1 });
+    const auto decision = b.reply(platform_status::Conflict,
+        { rowOf({ 8, 1 }, 4, binding_state::Released, agentLife, 10) });
+    cr_assert(is<end_request>(decision));
+    cr_assert_eq(std::get<end_request>(decision->step).answer.reason, "key_reused");
+}
+
+Test(request_keys, frees_a_binding_whose_request_has_ended_before_it_was_sent)
+{
+    bench b;
+    b.begin(1, { 7, 1 });
+    b.keys.forget(1);
+    cr_assert(!b.reply(platform_status::Done, { rowOf({ 7, 1 }, 4) }));
+    const auto put = b.lastCall<table_put>();
+    cr_assert_eq(put.expected, 4U);
+    cr_assert(decodeKeyBinding(put.value).state == binding_state::Released);
+    cr_assert(!b.reply(platform_status::Done, { rowOf({ 7, 1 }, 5, binding_state::Released) }));
+}
+
+Test(request_keys, frees_a_binding_whose_endpoint_has_gone_out_meanwhile)
+{
+    bench b;
+    b.begin(1, { 7, 1 });
+    b.endpoints.remove(agentLink);
+    cr_assert(!b.reply(platform_status::Done, { rowOf({ 7, 1 }, 4) }));
+    cr_assert(is<place_again>(b.reply(platform_status::Done, { rowOf({ 7, 1 }, 5, binding_state::Released) })));
+}
+
+Test(request_keys, binds_anew_where_the_row_is_past_its_retention)
+{
+    bench b;
+    b.begin(1, { 7, 1 });
+    b.reply(platform_status::Conflict, { rowOf({ 8, 1 }, 4) });
+    b.keys.reported(b.context(), agentLink, { { 8, 1 }, attempt_state::NeverStarted });
+    b.keys.claim(b.context(), 1, { 7, 2 }, *b.endpoints.find(agentLink));
+    cr_assert(!b.reply(platform_status::Conflict, { { "row", "", 0 } }));
+    cr_assert_eq(b.lastCall<table_put>().expected, 0U);
+}
+
+Test(request_keys, says_not_started_if_the_row_can_not_be_read)
+{
+    bench b;
+    b.begin(1, { 7, 1 });
+    const auto decision = b.reply(platform_status::Conflict, { { "row", "not json", 4 } });
+    cr_assert(is<end_request>(decision));
+    cr_assert(outcomeOf(*decision) == execution::NotStarted);
+}
