--- a/packages/decisions/agent/attempt_runner.cpp
+++ b/packages/decisions/agent/attempt_runner.cpp
@@ -18,6 +18,7 @@
 constexpr duration repeatableRetention = std::chrono::minutes(10);
 // Answers of keyed attempts beyond this are dropped, oldest first; that they completed is still remembered.
 constexpr std::size_t maxStoredBytes = std::size_t(64) << 20U;
+constexpr std::string_view endpointOperation = "agent.endpoint";
 constexpr duration retryWhenFull = std::chrono::milliseconds(200);
 
 // Nothing for a repeatable request. An issued key is not scoped by team, so its content is.
@@ -53,12 +54,15 @@
     const auto verdict = m_ledger.begin(message.attempt, content, context.now);
     assert(verdict == attempt_ledger::verdict::Start);
     const auto call = ++m_lastCall;
+    const request_trace trace(message.request.traceparent, context.traceIds, context.now);
     m_attempts.emplace(message.attempt,
-        kept_attempt { link, call, content.has_value(), answer_buffer(message.attempt), std::nullopt });
+        kept_attempt { link, call, content.has_value(), answer_buffer(message.attempt), trace, std::nullopt });
     m_byCall[call] = message.attempt;
     context.gate.started();
-    context.decide(decision_kind::Placed, message.request.traceparent, "started at the endpoint");
-    context.effects.emplace_back(call_engine { call, message.request });
+    context.decide(decision_kind::Placed, trace.subject(), "started at the endpoint");
+    call_engine effect { call, message.request };
+    effect.request.traceparent = trace.traceparent();
+    context.effects.emplace_back(std::move(effect));
 }
 
 bool attempt_runner::mayStillStart(const agent_context& context, link_number link, const start_attempt& message)
@@ -198,7 +202,7 @@
         return;
     context.send(kept->link, kept->answer.finish());
     context.gate.completed();
-    end(context, event.call, attempt_state::Completed);
+    end(context, event.call, attempt_state::Completed, nameOf(attempt_state::Completed));
 }
 
 void attempt_runner::engineFailed(const agent_context& context, const engine_failed& event)
@@ -212,15 +216,17 @@
         context.gate.completed();
     else
         context.gate.failed();
-    end(context, event.call, event.neverSent ? attempt_state::NeverStarted : attempt_state::Failed);
+    end(context, event.call, event.neverSent ? attempt_state::NeverStarted : attempt_state::Failed, nameOf(event.cause));
 }
 
-void attempt_runner::end(const agent_context& context, call_number call, attempt_state outcome)
+void attempt_runner::end(const agent_context& context, call_number call, attempt_state outcome,
+    std::string_view spanOutcome)
 {
     const auto attempt = m_byCall.at(call);
     auto& kept = m_attempts.at(attempt);
     m_ledger.finish(attempt, outcome);
     kept.ended = context.now;
+    context.effects.emplace_back(kept.trace.end(endpointOperation, spanOutcome, context.now));
     m_byCall.erase(call);
     if (!kept.keyed)
         return;
--- a/packages/decisions/agent/attempt_runner.h
+++ b/packages/decisions/agent/attempt_runner.h
@@ -4,6 +4,7 @@
 #include "decisions/keys/attempt_ledger.h"
 #include "decisions/keys/key_grants.h"
 #include "decisions/streams/answer_buffer.h"
+#include "decisions/tracing/request_trace.h"
 #include "model/effects.h"
 
 #include <deque>
@@ -13,6 +14,7 @@
 namespace appleramp {
 
 class configuration_register;
+class trace_id_generator;
 
 // Who an agent is, from its settings and its start.
 struct agent_identity {
@@ -29,6 +31,7 @@
     const agent_identity& self;
     configuration_register& configuration;
     slot_gate& gate;
+    trace_id_generator& traceIds;
     agent_effects& effects;
 
     void send(link_number link, link_message message) const;
@@ -61,6 +64,7 @@
         call_number call = 0;
         bool keyed = false;
         answer_buffer answer;
+        request_trace trace;
         std::optional<instant> ended;
     };
 
@@ -71,7 +75,7 @@
     void tellUnknown(const agent_context& context, link_number link, attempt_id attempt) const;
     void boundAnswers();
     kept_attempt* findByCall(call_number call);
-    void end(const agent_context& context, call_number call, attempt_state outcome);
+    void end(const agent_context& context, call_number call, attempt_state outcome, std::string_view spanOutcome);
 
     attempt_ledger m_ledger;
     key_grants m_grants;
--- a/packages/decisions/entry/entry_reducer.h
+++ b/packages/decisions/entry/entry_reducer.h
@@ -8,6 +8,7 @@
 #include "decisions/membership/address_directory.h"
 #include "decisions/membership/link_directory.h"
 #include "decisions/placement/endpoint_directory.h"
+#include "decisions/tracing/trace_id_generator.h"
 
 #include <memory>
 #include <optional>
@@ -46,6 +47,7 @@
     request_router m_router;
     key_pool m_keyPool;
     operation_number m_lastOperation = 0;
+    trace_id_generator m_traceIds;
     instant m_nextTick;
     instant m_nextListing;
     // Set once the process was asked to stop: callers may come until then with addresses they hold.
--- a/packages/decisions/entry/request_router.cpp
+++ b/packages/decisions/entry/request_router.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr duration retryWhenBusy = std::chrono::seconds(1);
+constexpr std::string_view requestOperation = "entry.request";
 
 bool isRepeatable(const service_request& request, const fleet_configuration& configuration)
 {
@@ -34,12 +35,14 @@
 void request_router::received(const entry_context& context, const request_received& event)
 {
     const bool repeatable = isRepeatable(event.request, context.configuration.current());
-    if (!accept(context, event, repeatable))
+    request_trace trace(event.request.traceparent, context.traceIds, context.now);
+    if (!accept(context, event, repeatable, trace))
         return;
     auto& request = m_requests[event.number];
     request.number = event.number;
     request.request = event.request;
     request.request.repeatable = repeatable;
+    request.trace = std::move(trace);
     request.deadline = context.now + event.request.timeout;
     if (!repeatable)
         request.issued = decodeIssuedKey(*event.request.key, event.request.service);
@@ -49,11 +52,13 @@
     place(context, request);
 }
 
-bool request_router::accept(const entry_context& context, const request_received& event, bool repeatable)
+bool request_router::accept(const entry_context& context, const request_received& event, bool repeatable,
+    const request_trace& trace)
 {
     const auto refuse = [&](std::uint16_t status, execution outcome, std::string reason, std::string detail) {
         problem answer { status, outcome, std::move(reason), std::move(detail), std::nullopt };
-        context.decide(decision_kind::Refused, event.request.traceparent, answer.reason);
+        context.decide(decision_kind::Refused, trace.subject(), answer.reason);
+        context.effects.emplace_back(trace.end(requestOperation, answer.reason, context.now));
         context.effects.emplace_back(reply_problem { event.number, std::move(answer) });
         return false;
     };
@@ -110,7 +115,9 @@
     request.link = link;
     request.attempt = { context.self.life, ++m_lastAttempt };
     m_byAttempt[request.attempt].insert(request.number);
-    context.decide(decision_kind::Placed, request.request.traceparent,
+    context.effects.emplace_back(request.trace->endQueue(context.traceIds, context.now));
+    request.trace->beginAttempt(context.traceIds, context.now);
+    context.decide(decision_kind::Placed, request.trace->subject(),
         endpoint->description.endpoint.str() + " in " + endpoint->zone.str() + ", "
             + std::to_string(endpoint->inFlight) + " of " + std::to_string(endpoint->slots) + " slots in use");
     if (!request.keyed) {
@@ -130,6 +137,7 @@
     assert(endpoint);
     start_attempt message { request.attempt, endpoint->agentLife, request.request, false };
     message.request.timeout = request.deadline - context.now;
+    message.request.traceparent = request.trace->traceparent();
     // The agent remembers keys by their scope too.
     if (request.keyed)
         message.request.key = m_keys.scopedKeyOf(request.number);
@@ -143,7 +151,7 @@
         return;
     if (found->second.state == phase::Running)
         context.send(found->second.link, cancel_attempt { found->second.attempt });
-    forget(context, number);
+    forget(context, number, "caller_left");
 }
 
 void request_router::refused(const entry_context& context, link_number link, const attempt_refused& message)
@@ -152,8 +160,9 @@
     if (!request)
         return;
     returnSlot(context, *request);
+    endAttempt(context, *request, nameOf(message.reason));
     request->excluded.insert(link);
-    context.decide(decision_kind::Refused, request->request.traceparent, std::string(nameOf(message.reason)));
+    context.decide(decision_kind::Refused, request->trace->subject(), std::string(nameOf(message.reason)));
     if (message.reason >= refusal::KeyUsed) {
         refusedForKey(context, *request, message);
         return;
@@ -203,7 +212,8 @@
         fail(context, request.number, busy(outcomeIfUnsent(request)));
         return;
     }
-    context.decide(decision_kind::Retried, request.request.traceparent, "attempt proven not to have run");
+    context.decide(decision_kind::Retried, request.trace->subject(), "attempt proven not to have run");
+    request.trace->enqueue(context.now);
     place(context, request);
 }
 
@@ -224,6 +234,7 @@
 {
     const bool isSender = request.holdsSlot;
     returnSlot(context, request);
+    endAttempt(context, request, nameOf(message.cause));
     request.excluded.insert(request.link);
     if (message.outcome == execution::NotRun && request.keyed && isSender) {
         request.state = phase::Releasing;
@@ -283,8 +294,8 @@
     }
     if (request.answer.isWhole()) {
         context.effects.emplace_back(reply_end { request.number });
-        context.decide(decision_kind::Completed, request.request.traceparent, "whole answer passed on");
-        forget(context, request.number);
+        context.decide(decision_kind::Completed, request.trace->subject(), "whole answer passed on");
+        forget(context, request.number, nameOf(execution::Completed));
         return;
     }
     if (request.answer.isCorrupt()) {
@@ -309,6 +320,7 @@
     for (const auto number : concerned) {
         auto& request = m_requests.at(number);
         request.holdsSlot = false;
+        endAttempt(context, request, "agent_lost");
         request.excluded.insert(link);
         if (request.request.repeatable && !request.headOut)
             requeue(context, request);
@@ -362,12 +374,13 @@
 
     void operator()(const dispatch_bound& /*step*/) const
     {
-        context.decide(decision_kind::KeyBound, request.request.traceparent, "key bound to the attempt");
+        context.decide(decision_kind::KeyBound, request.trace->subject(), "key bound to the attempt");
         self.start(context, request);
     }
     void operator()(const place_again& step) const
     {
         self.returnSlot(context, request);
+        self.endAttempt(context, request, "key_freed");
         if (step.isRetry)
             self.requeue(context, request);
         else
@@ -376,6 +389,7 @@
     void operator()(const await_holder& step) const
     {
         self.returnSlot(context, request);
+        self.endAttempt(context, request, "key_held");
         self.disown(request);
         request.state = phase::Asking;
         request.link = step.link;
@@ -392,7 +406,7 @@
     void operator()(const end_request& step) const
     {
         if (step.answer.outcome == execution::Unknown)
-            context.decide(decision_kind::KeyUnknown, request.request.traceparent, step.answer.detail);
+            context.decide(decision_kind::KeyUnknown, request.trace->subject(), step.answer.detail);
         self.fail(context, request.number, step.answer);
     }
 };
@@ -436,18 +450,27 @@
 void request_router::fail(const entry_context& context, request_number number, problem answer)
 {
     auto& request = m_requests.at(number);
-    context.decide(decision_kind::Failed, request.request.traceparent, answer.reason);
+    const std::string reason = answer.reason;
+    context.decide(decision_kind::Failed, request.trace->subject(), reason);
     if (request.headOut)
         context.effects.emplace_back(reply_aborted { number, std::move(answer) });
     else
         context.effects.emplace_back(reply_problem { number, std::move(answer) });
-    forget(context, number);
+    forget(context, number, reason);
 }
 
-void request_router::forget(const entry_context& context, request_number number)
+void request_router::endAttempt(const entry_context& context, routed_request& request, std::string_view outcome)
+{
+    if (auto span = request.trace->endAttempt(outcome, context.now))
+        context.effects.emplace_back(std::move(*span));
+}
+
+void request_router::forget(const entry_context& context, request_number number, std::string_view outcome)
 {
     auto& request = m_requests.at(number);
     returnSlot(context, request);
+    endAttempt(context, request, outcome);
+    context.effects.emplace_back(request.trace->end(requestOperation, outcome, context.now));
     disown(request);
     m_keys.forget(number);
     m_requests.erase(number);
--- a/packages/decisions/entry/request_router.h
+++ b/packages/decisions/entry/request_router.h
@@ -4,6 +4,7 @@
 #include "decisions/keys/issued_key.h"
 #include "decisions/keys/request_keys.h"
 #include "decisions/streams/answer_assembler.h"
+#include "decisions/tracing/request_trace.h"
 
 #include <deque>
 #include <map>
@@ -53,6 +54,8 @@
     struct routed_request {
         request_number number = 0;
         service_request request;
+        // Set when the request is accepted.
+        std::optional<request_trace> trace;
         instant deadline;
         phase state = phase::Queued;
         // True if the caller's key must be bound before dispatch.
@@ -75,7 +78,8 @@
     routed_request* findSender(attempt_id attempt, link_number link);
     template <typename Frame>
     void addFrame(const entry_context& context, const Frame& frame);
-    bool accept(const entry_context& context, const request_received& event, bool repeatable);
+    bool accept(const entry_context& context, const request_received& event, bool repeatable,
+        const request_trace& trace);
     void place(const entry_context& context, routed_request& request);
     // The link where the request should go now, if there is one.
     std::optional<link_number> choose(const entry_context& context, const routed_request& request) const;
@@ -91,7 +95,8 @@
     void passOn(const entry_context& context, routed_request& request);
     // Ends the request with an error: a problem, or an abort if the head is out.
     void fail(const entry_context& context, request_number number, problem answer);
-    void forget(const entry_context& context, request_number number);
+    void forget(const entry_context& context, request_number number, std::string_view outcome);
+    void endAttempt(const entry_context& context, routed_request& request, std::string_view outcome);
     execution outcomeIfUnsent(const routed_request& request) const;
 
     std::map<request_number, routed_request> m_requests;
--- a/packages/decisions/keys/key_scope.cpp
+++ b/packages/decisions/keys/key_scope.cpp
@@ -17,7 +17,8 @@
 
 idempotency_key scopedKey(const service_request& request)
 {
-    return idempotency_key(measured(request.team.str()) + measured(request.service.str()) + request.key->str());
+    return idempotency_key(measured(request.team.str()) + measured(request.service.str()) + '/'
+        + request.key->str());
 }
 
 bool isRepeatablePath(std::string_view path, std::string_view route)
--- a/tests/decisions/keys/request_keys_test.cpp
+++ b/tests/decisions/keys/request_keys_test.cpp
@@ -2,6 +2,7 @@
 
 #include "decisions/configuration/configuration_register.h"
 #include "decisions/placement/endpoint_directory.h"
+#include "decisions/tracing/trace_id_generator.h"
 #include "wire/key_binding_codec.h"
 
 #include <criterion/criterion.h>
@@ -19,6 +20,7 @@
     configuration_register configuration;
     endpoint_directory endpoints;
     operation_number lastOperation = 0;
+    trace_id_generator traceIds { 1 };
     entry_effects effects;
     request_keys keys;
 
@@ -32,7 +34,7 @@
         endpoints.add(agentLink, agentLife, greeting);
     }
 
-    entry_context context() { return { instant(), self, configuration, endpoints, lastOperation, effects }; }
+    entry_context context() { return { instant(), self, configuration, endpoints, lastOperation, traceIds, effects }; }
 
     void begin(request_number number, attempt_id attempt)
     {
