--- a/packages/decisions/entry/request_router.cpp
+++ b/packages/decisions/entry/request_router.cpp
@@ -14,6 +14,7 @@
 
 constexpr duration retryWhenBusy = std::chrono::seconds(1);
 constexpr std::string_view requestOperation = "entry.request";
+constexpr duration retryInProgress = std::chrono::milliseconds(500);
 
 bool isRepeatable(const service_request& request, const fleet_configuration& configuration)
 {
@@ -25,11 +26,6 @@
         [&request](const auto& route) { return isRepeatablePath(request.path, route); });
 }
 
-problem busy(execution outcome)
-{
-    return { 503, outcome, "no_capacity", "no endpoint has a free slot", retryWhenBusy };
-}
-
 } // namespace
 
 void request_router::received(const entry_context& context, const request_received& event)
@@ -44,6 +40,8 @@
     request.request.repeatable = repeatable;
     request.trace = std::move(trace);
     request.deadline = context.now + event.request.timeout;
+    m_deadlines.emplace(request.deadline, request.number);
+    context.demands.used(request.request.service, context.now);
     if (!repeatable)
         request.issued = decodeIssuedKey(*event.request.key, event.request.service);
     request.keyed = !repeatable && !request.issued;
@@ -78,72 +76,6 @@
     return true;
 }
 
-void request_router::place(const entry_context& context, routed_request& request)
-{
-    if (request.issued && context.endpoints.isReplaced(request.issued->agent, request.issued->agentLife)) {
-        fail(context, request.number,
-            { 409, execution::Unknown, "key_unknown", "the agent that issued this key was replaced", std::nullopt });
-        return;
-    }
-    if (const auto link = choose(context, request)) {
-        dispatch(context, request, *link);
-        return;
-    }
-    request.state = phase::Queued;
-    // An endpoint that refused once may have a slot by the time the next one frees.
-    request.excluded.clear();
-    m_queue.push_back(request.number);
-}
-
-std::optional<link_number> request_router::choose(const entry_context& context, const routed_request& request) const
-{
-    const auto& configuration = context.configuration.current();
-    if (!request.issued)
-        return context.endpoints.choose(request.request, context.self.zone, request.excluded, configuration,
-            context.now);
-    const auto* agent = context.endpoints.findAgent(request.issued->agent, request.issued->agentLife);
-    const bool mayStart = agent && agent->hasFreeSlot(context.now) && isInService(*agent, configuration);
-    return mayStart ? std::optional(agent->link) : std::nullopt;
-}
-
-void request_router::dispatch(const entry_context& context, routed_request& request, link_number link)
-{
-    const auto* endpoint = context.endpoints.find(link);
-    assert(endpoint);
-    context.endpoints.takeSlot(link);
-    request.holdsSlot = true;
-    request.link = link;
-    request.attempt = { context.self.life, ++m_lastAttempt };
-    m_byAttempt[request.attempt].insert(request.number);
-    context.effects.emplace_back(request.trace->endQueue(context.traceIds, context.now));
-    request.trace->beginAttempt(context.traceIds, context.now);
-    context.decide(decision_kind::Placed, request.trace->subject(),
-        endpoint->description.endpoint.str() + " in " + endpoint->zone.str() + ", "
-            + std::to_string(endpoint->inFlight) + " of " + std::to_string(endpoint->slots) + " slots in use");
-    if (!request.keyed) {
-        start(context, request);
-        return;
-    }
-    request.state = phase::Claiming;
-    m_keys.claim(context, request.number, request.attempt, *endpoint);
-}
-
-void request_router::start(const entry_context& context, routed_request& request)
-{
-    request.state = phase::Running;
-    request.answer = answer_assembler();
-    ++request.sends;
-    const auto* endpoint = context.endpoints.find(request.link);
-    assert(endpoint);
-    start_attempt message { request.attempt, endpoint->agentLife, request.request, false };
-    message.request.timeout = request.deadline - context.now;
-    message.request.traceparent = request.trace->traceparent();
-    // The agent remembers keys by their scope too.
-    if (request.keyed)
-        message.request.key = m_keys.scopedKeyOf(request.number);
-    context.send(request.link, std::move(message));
-}
-
 void request_router::callerLeft(const entry_context& context, request_number number)
 {
     const auto found = m_requests.find(number);
@@ -154,112 +86,9 @@
     forget(context, number, "caller_left");
 }
 
-void request_router::refused(const entry_context& context, link_number link, const attempt_refused& message)
-{
-    auto* request = findSender(message.attempt, link);
-    if (!request)
-        return;
-    returnSlot(context, *request);
-    endAttempt(context, *request, nameOf(message.reason));
-    request->excluded.insert(link);
-    context.decide(decision_kind::Refused, request->trace->subject(), std::string(nameOf(message.reason)));
-    if (message.reason >= refusal::KeyUsed) {
-        refusedForKey(context, *request, message);
-        return;
-    }
-    if (!request->keyed) {
-        requeue(context, *request);
-        return;
-    }
-    request->state = phase::Releasing;
-    m_keys.release(context, request->number);
-}
-
-void request_router::refusedForKey(const entry_context& context, routed_request& request,
-    const attempt_refused& message)
-{
-    const auto* agent = context.endpoints.find(request.link);
-    switch (message.reason) {
-    case refusal::KeyReused:
-        fail(context, request.number,
-            { 422, execution::NotStarted, "key_reused", "this key stands for a request with other content",
-                std::nullopt });
-        return;
-    case refusal::KeyExpired:
-        fail(context, request.number,
-            { 410, execution::NotRun, "key_expired", "the issued key was not used in time", std::nullopt });
-        return;
-    case refusal::KeyInvalid:
-        fail(context, request.number,
-            { 400, execution::NotStarted, "key_invalid", "the agent that it names issued no such key", std::nullopt });
-        return;
-    default:
-        break;
-    }
-    if (message.earlier && agent) {
-        follow(context, m_keys.ask(context, request.number, *message.earlier, *agent));
-        return;
-    }
-    fail(context, request.number,
-        { 409, execution::Unknown, "key_used", "the key's order has been started before", std::nullopt });
-}
-
-void request_router::requeue(const entry_context& context, routed_request& request)
-{
-    disown(request);
-    const auto maxSends = 1 + context.configuration.current().defaults.maxRetries;
-    if (request.sends >= maxSends) {
-        fail(context, request.number, busy(outcomeIfUnsent(request)));
-        return;
-    }
-    context.decide(decision_kind::Retried, request.trace->subject(), "attempt proven not to have run");
-    request.trace->enqueue(context.now);
-    place(context, request);
-}
-
-void request_router::failed(const entry_context& context, link_number link, const attempt_failed& message)
-{
-    const auto concerned = m_byAttempt.find(message.attempt);
-    if (concerned == m_byAttempt.end())
-        return;
-    for (const auto number : std::set<request_number>(concerned->second)) {
-        auto& request = m_requests.at(number);
-        if (request.state == phase::Running && request.link == link)
-            attemptFailed(context, request, message);
-    }
-}
-
-void request_router::attemptFailed(const entry_context& context, routed_request& request,
-    const attempt_failed& message)
-{
-    const bool isSender = request.holdsSlot;
-    returnSlot(context, request);
-    endAttempt(context, request, nameOf(message.cause));
-    request.excluded.insert(request.link);
-    if (message.outcome == execution::NotRun && request.keyed && isSender) {
-        request.state = phase::Releasing;
-        m_keys.release(context, request.number);
-        return;
-    }
-    const bool maySendAgain = message.outcome == execution::NotRun || request.request.repeatable;
-    if (maySendAgain && !request.headOut) {
-        requeue(context, request);
-        return;
-    }
-    if (message.outcome == execution::Completed) {
-        fail(context, request.number,
-            { 409, execution::Completed, "already_completed", "the order has run; its answer is no longer kept",
-                std::nullopt });
-        return;
-    }
-    fail(context, request.number,
-        { 502, request.request.repeatable ? execution::NotStarted : execution::Unknown,
-            std::string(nameOf(message.cause)), "the endpoint gave no whole answer", std::nullopt });
-}
-
 void request_router::reported(const entry_context& context, link_number link, const attempt_report& message)
 {
-    for (const auto& decision : m_keys.reported(context, link, message))
+    for (const auto& decision : m_keys.reported(link, message))
         follow(context, decision);
 }
 
@@ -282,6 +111,7 @@
 
 void request_router::passOn(const entry_context& context, routed_request& request)
 {
+    request.lastFrame = context.now;
     for (auto& frame : request.answer.takeReady()) {
         request.resumeAsked = false;
         if (auto* head = std::get_if<response_head>(&frame)) {
@@ -309,58 +139,6 @@
     }
 }
 
-void request_router::linkClosed(const entry_context& context, link_number link)
-{
-    std::vector<request_number> concerned;
-    for (const auto& [number, request] : m_requests) {
-        const bool uses = request.link == link && request.state != phase::Queued;
-        if (uses && request.state != phase::Claiming && request.state != phase::Releasing)
-            concerned.push_back(number);
-    }
-    for (const auto number : concerned) {
-        auto& request = m_requests.at(number);
-        request.holdsSlot = false;
-        endAttempt(context, request, "agent_lost");
-        request.excluded.insert(link);
-        if (request.request.repeatable && !request.headOut)
-            requeue(context, request);
-        else
-            fail(context, number,
-                { 502, execution::Unknown, "agent_lost", "the link to the endpoint's agent was lost", std::nullopt });
-    }
-}
-
-void request_router::drain(const entry_context& context)
-{
-    for (auto left = m_queue.size(); left > 0; --left) {
-        const auto number = m_queue.front();
-        m_queue.pop_front();
-        const auto found = m_requests.find(number);
-        if (found != m_requests.end() && found->second.state == phase::Queued)
-            place(context, found->second);
-    }
-}
-
-void request_router::expire(const entry_context& context)
-{
-    std::vector<request_number> late;
-    for (const auto& [number, request] : m_requests) {
-        if (request.deadline <= context.now)
-            late.push_back(number);
-    }
-    for (const auto number : late) {
-        auto& request = m_requests.at(number);
-        if (request.state == phase::Queued) {
-            fail(context, number, busy(outcomeIfUnsent(request)));
-            continue;
-        }
-        if (request.state == phase::Running)
-            context.send(request.link, cancel_attempt { request.attempt });
-        const auto outcome = request.state == phase::Claiming ? execution::NotStarted : execution::Unknown;
-        fail(context, number, { 504, outcome, "timeout", "the answer is not whole in time", std::nullopt });
-    }
-}
-
 void request_router::platformReplied(const entry_context& context, const platform_replied& reply)
 {
     if (const auto decision = m_keys.replied(context, reply))
@@ -381,6 +159,7 @@
     {
         self.returnSlot(context, request);
         self.endAttempt(context, request, "key_freed");
+        request.mayHaveRun = false;
         if (step.isRetry)
             self.requeue(context, request);
         else
@@ -392,22 +171,38 @@
         self.endAttempt(context, request, "key_held");
         self.disown(request);
         request.state = phase::Asking;
-        request.link = step.link;
+        self.follows(context, request, step.link);
     }
     void operator()(const attach_attempt& step) const
     {
         request.state = phase::Running;
         request.attempt = step.attempt;
-        request.link = step.link;
+        request.lastFrame = context.now;
+        self.follows(context, request, step.link);
         self.m_byAttempt[step.attempt].insert(request.number);
         request.answer = answer_assembler();
         context.send(step.link, resume_attempt { step.attempt, 0 });
     }
+    void operator()(const attempt_running& step) const
+    {
+        if (self.answers(step.attempt, request)) {
+            // Its own attempt, asked after because the link was lost.
+            request.state = phase::Running;
+            context.send(step.link, resume_attempt { step.attempt, request.answer.nextFrame() });
+            return;
+        }
+        self.fail(context, request.number,
+            { 409, execution::NotStarted, "key_in_progress", "an earlier send of this key is running",
+                retryInProgress });
+    }
     void operator()(const end_request& step) const
     {
         if (step.answer.outcome == execution::Unknown)
             context.decide(decision_kind::KeyUnknown, request.trace->subject(), step.answer.detail);
-        self.fail(context, request.number, step.answer);
+        auto answer = step.answer;
+        if (request.mayHaveRun && answer.outcome == execution::NotStarted)
+            answer.outcome = execution::Unknown;
+        self.fail(context, request.number, std::move(answer));
     }
 };
 
@@ -430,6 +225,20 @@
     return nullptr;
 }
 
+bool request_router::answers(attempt_id attempt, const routed_request& request) const
+{
+    const auto concerned = m_byAttempt.find(attempt);
+    return concerned != m_byAttempt.end() && concerned->second.contains(request.number);
+}
+
+void request_router::follows(const entry_context& context, routed_request& request, link_number link)
+{
+    const auto* endpoint = context.endpoints.find(link);
+    request.link = link;
+    request.agent = endpoint ? endpoint->instance : instance_id();
+    request.agentLife = endpoint ? endpoint->agentLife : 0;
+}
+
 void request_router::disown(routed_request& request)
 {
     const auto concerned = m_byAttempt.find(request.attempt);
@@ -469,6 +278,7 @@
 {
     auto& request = m_requests.at(number);
     returnSlot(context, request);
+    leaveQueues(request);
     endAttempt(context, request, outcome);
     context.effects.emplace_back(request.trace->end(requestOperation, outcome, context.now));
     disown(request);
@@ -478,6 +288,8 @@
 
 execution request_router::outcomeIfUnsent(const routed_request& request) const
 {
+    if (request.mayHaveRun)
+        return execution::Unknown;
     // For a key only the holder of the proof may say that the order has not run.
     return request.request.key ? execution::NotStarted : execution::NotRun;
 }
--- a/packages/decisions/keys/request_keys.cpp
+++ b/packages/decisions/keys/request_keys.cpp
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr duration retryWhenBusy = std::chrono::seconds(1);
-constexpr duration retryInProgress = std::chrono::milliseconds(500);
 
 key_decision end(request_number number, std::uint16_t status, execution outcome, std::string reason,
     std::string detail, std::optional<duration> retryAfter = std::nullopt)
@@ -30,7 +29,7 @@
 
 void request_keys::add(request_number number, const service_request& request)
 {
-    m_requests[number] = { scopedKey(request), request.contentHash, phase::Idle, {}, 0, 0, false };
+    m_requests[number] = { scopedKey(request), request.contentHash };
 }
 
 void request_keys::claim(const entry_context& context, request_number number, attempt_id attempt,
@@ -47,21 +46,44 @@
 void request_keys::release(const entry_context& context, request_number number)
 {
     auto& request = m_requests.at(number);
-    assert(request.state == phase::Bound);
+    assert(request.isBound);
+    request.isBound = false;
     request.state = phase::Releasing;
     m_table.release(context, number, request.key, request.binding, request.version);
 }
 
+bool request_keys::holds(request_number number, attempt_id attempt) const
+{
+    const auto found = m_requests.find(number);
+    return found != m_requests.end() && found->second.isBound && found->second.binding.attempt == attempt;
+}
+
 key_decision request_keys::ask(const entry_context& context, request_number number, attempt_id attempt,
     const linked_endpoint& endpoint)
 {
     auto& request = m_requests[number];
+    request.isBound = false;
     request.binding.attempt = attempt;
     request.binding.agent = endpoint.instance;
     request.binding.agentLife = endpoint.agentLife;
     return askHolder(context, number, request);
 }
 
+void request_keys::askAgain(const entry_context& context, request_number number, link_number link)
+{
+    auto& request = m_requests.at(number);
+    await(number, request);
+    context.send(link, query_attempt { request.binding.attempt, request.binding.agentLife });
+}
+
+void request_keys::await(request_number number, keyed_request& request)
+{
+    request.state = phase::Asking;
+    auto& waiting = m_asking[request.binding.attempt];
+    if (std::find(waiting.begin(), waiting.end(), number) == waiting.end())
+        waiting.push_back(number);
+}
+
 void request_keys::forget(request_number number)
 {
     const auto found = m_requests.find(number);
@@ -99,6 +121,7 @@
     keyed_request& request, const key_result& result)
 {
     request.state = phase::Idle;
+    request.isBound = false;
     request.version = result.version;
     switch (result.outcome) {
     case key_result::kind::Bound:
@@ -120,7 +143,7 @@
 std::optional<key_decision> request_keys::bound(const entry_context& context, request_number number,
     keyed_request& request)
 {
-    request.state = phase::Bound;
+    request.isBound = true;
     if (mayReceive(context, request.link))
         return key_decision { number, dispatch_bound {} };
     // Bound but never sent: this entry alone could have sent it, so that is the proof.
@@ -137,14 +160,12 @@
         return end(number, 409, execution::Unknown, "key_unknown",
             "what became of an earlier send of this key is not known", retryWhenBusy);
     }
-    request.state = phase::Asking;
-    m_asking[standing.attempt].push_back(number);
+    await(number, request);
     context.send(holder->link, query_attempt { standing.attempt, standing.agentLife });
     return { number, await_holder { holder->link } };
 }
 
-std::vector<key_decision> request_keys::reported(const entry_context& /*context*/, link_number link,
-    const attempt_report& report)
+std::vector<key_decision> request_keys::reported(link_number link, const attempt_report& report)
 {
     std::vector<key_decision> decisions;
     const auto asking = m_asking.find(report.attempt);
@@ -153,18 +174,19 @@
     const auto numbers = std::move(asking->second);
     m_asking.erase(asking);
     for (const auto number : numbers) {
-        m_requests.at(number).state = phase::Idle;
+        auto& request = m_requests.at(number);
+        request.state = phase::Idle;
         switch (report.state) {
         case attempt_state::NeverStarted:
             // The tombstone is the proof: the key is taken over from the standing row's version.
+            request.isBound = false;
             decisions.push_back({ number, place_again { false } });
             break;
         case attempt_state::Completed:
             decisions.push_back({ number, attach_attempt { report.attempt, link } });
             break;
         case attempt_state::Running:
-            decisions.push_back(end(number, 409, execution::NotStarted, "key_in_progress",
-                "an earlier send of this key is running", retryInProgress));
+            decisions.push_back({ number, attempt_running { report.attempt, link } });
             break;
         case attempt_state::Failed:
             decisions.push_back(end(number, 409, execution::Unknown, "key_unknown",
@@ -188,7 +210,7 @@
         return;
     }
     request.version = result.version;
-    request.state = phase::Bound;
+    request.isBound = true;
     release(context, number);
 }
 
--- a/packages/decisions/keys/request_keys.h
+++ b/packages/decisions/keys/request_keys.h
@@ -31,10 +31,15 @@
     attempt_id attempt;
     link_number link = 0;
 };
+// The attempt that was asked after is still running.
+struct attempt_running {
+    attempt_id attempt;
+    link_number link = 0;
+};
 struct end_request {
     problem answer;
 };
-using key_step = std::variant<dispatch_bound, place_again, await_holder, attach_attempt, end_request>;
+using key_step = std::variant<dispatch_bound, place_again, await_holder, attach_attempt, attempt_running, end_request>;
 
 struct key_decision {
     request_number number = 0;
@@ -51,22 +56,25 @@
     void claim(const entry_context& context, request_number number, attempt_id attempt, const linked_endpoint& endpoint);
     // Frees the key. Only with the proof that the bound attempt has not run and never will.
     void release(const entry_context& context, request_number number);
-    // Asks the agent of an attempt that has started with an issued key.
+    // True if the key is bound to this attempt for this request.
+    bool holds(request_number number, attempt_id attempt) const;
+    // Asks the agent of an attempt that has started or may have.
     key_decision ask(const entry_context& context, request_number number, attempt_id attempt,
         const linked_endpoint& endpoint);
+    // Asks again on a new link to the agent that was asked, or that runs the bound attempt.
+    void askAgain(const entry_context& context, request_number number, link_number link);
     void forget(request_number number);
 
     const idempotency_key& scopedKeyOf(request_number number) const { return m_requests.at(number).key; }
     bool owns(operation_number operation) const { return m_table.owns(operation); }
     std::optional<key_decision> replied(const entry_context& context, const platform_replied& reply);
     // One decision for each request that waits for this report.
-    std::vector<key_decision> reported(const entry_context& context, link_number link, const attempt_report& report);
+    std::vector<key_decision> reported(link_number link, const attempt_report& report);
 
 private:
     enum class phase {
         Idle,
         Claiming,
-        Bound,
         Asking,
         Releasing,
     };
@@ -76,6 +84,8 @@
         phase state = phase::Idle;
         key_binding binding;
         row_version version = 0;
+        // True while the row names the own attempt.
+        bool isBound = false;
         link_number link = 0;
         // The request has ended while its claim was on the way.
         bool abandoned = false;
@@ -85,6 +95,7 @@
         const key_result& result);
     std::optional<key_decision> bound(const entry_context& context, request_number number, keyed_request& request);
     key_decision askHolder(const entry_context& context, request_number number, keyed_request& request);
+    void await(request_number number, keyed_request& request);
     void freeAbandoned(const entry_context& context, request_number number, const key_result& result);
 
     std::map<request_number, keyed_request> m_requests;
--- a/tests/decisions/keys/request_keys_test.cpp
+++ b/tests/decisions/keys/request_keys_test.cpp
@@ -1,7 +1,10 @@
 #include "decisions/keys/request_keys.h"
 
 #include "decisions/configuration/configuration_register.h"
+#include "decisions/detection/news_refresh.h"
+#include "decisions/placement/demand_planner.h"
 #include "decisions/placement/endpoint_directory.h"
+#include "decisions/suspects/suspect_registry.h"
 #include "decisions/tracing/trace_id_generator.h"
 #include "wire/key_binding_codec.h"
 
@@ -19,6 +22,9 @@
     entry_identity self;
     configuration_register configuration;
     endpoint_directory endpoints;
+    demand_planner demands;
+    suspect_registry suspects;
+    news_refresh refresh;
     operation_number lastOperation = 0;
     trace_id_generator traceIds { 1 };
     entry_effects effects;
@@ -34,7 +40,7 @@
         endpoints.add(agentLink, agentLife, greeting);
     }
 
-    entry_context context() { return { instant(), self, configuration, endpoints, lastOperation, traceIds, effects }; }
+    entry_context context() { return { instant(), self, configuration, endpoints, demands, suspects, refresh, lastOperation, traceIds, effects }; }
 
     void begin(request_number number, attempt_id attempt)
     {
@@ -111,7 +117,7 @@
     bench b;
     b.begin(1, { 7, 1 });
     cr_assert(is<await_holder>(b.reply(platform_status::Conflict, { rowOf({ 8, 1 }, 4) })));
-    const auto decisions = b.keys.reported(b.context(), agentLink, { { 8, 1 }, attempt_state::NeverStarted });
+    const auto decisions = b.keys.reported(agentLink, { { 8, 1 }, attempt_state::NeverStarted });
     cr_assert_eq(decisions.size(), 1U);
     cr_assert(std::holds_alternative<place_again>(decisions[0].step));
     b.keys.claim(b.context(), 1, { 7, 2 }, *b.endpoints.find(agentLink));
@@ -125,7 +131,7 @@
         b.begin(number, { 7, number });
         b.reply(platform_status::Conflict, { rowOf({ 8, 1 }, 4) });
     }
-    cr_assert_eq(b.keys.reported(b.context(), agentLink, { { 8, 1 }, attempt_state::Completed }).size(), 2U);
+    cr_assert_eq(b.keys.reported(agentLink, { { 8, 1 }, attempt_state::Completed }).size(), 2U);
 }
 
 Test(request_keys, calls_the_order_unknown_if_the_holder_is_of_another_life)
@@ -143,7 +149,7 @@
     bench b;
     b.begin(1, { 7, 1 });
     b.reply(platform_status::Conflict, { rowOf({ 8, 1 }, 4) });
-    const auto decisions = b.keys.reported(b.context(), agentLink, { { 8, 1 }, attempt_state::Forgotten });
+    const auto decisions = b.keys.reported(agentLink, { { 8, 1 }, attempt_state::Forgotten });
     cr_assert(outcomeOf(decisions.at(0)) == execution::Unknown);
 }
 
@@ -183,7 +189,7 @@
     bench b;
     b.begin(1, { 7, 1 });
     b.reply(platform_status::Conflict, { rowOf({ 8, 1 }, 4) });
-    b.keys.reported(b.context(), agentLink, { { 8, 1 }, attempt_state::NeverStarted });
+    b.keys.reported(agentLink, { { 8, 1 }, attempt_state::NeverStarted });
     b.keys.claim(b.context(), 1, { 7, 2 }, *b.endpoints.find(agentLink));
     cr_assert(!b.reply(platform_status::Conflict, { { "row", "", 0 } }));
     cr_assert_eq(b.lastCall<table_put>().expected, 0U);
--- a/tests/schedules/schedule_runner.cpp
+++ b/tests/schedules/schedule_runner.cpp
@@ -2,6 +2,7 @@
 
 #include "schedules/fake_callers.h"
 #include "schedules/fake_operators.h"
+#include "schedules/issued_key_callers.h"
 #include "schedules/order_book.h"
 #include "schedules/schedule_world.h"
 
@@ -44,6 +45,7 @@
     order_book orders(result.broken);
     fake_operators operators(world);
     fake_callers callers(world, orders, {});
+    issued_key_callers issuedKeys(world, orders, {});
     world.queue().at(firstChanges, [&operators] { declareServices(operators); });
     planFaults(world, operators, faults);
     world.run(scheduleEnd);
@@ -53,6 +55,8 @@
     result.prompts = callers.prompts();
     result.promptsAnswered = callers.promptsAnswered();
     result.orders = callers.orders();
+    result.issuedKeys = issuedKeys.keysGiven();
+    result.issuedOrdersCompleted = issuedKeys.ordersCompleted();
     result.ordersCompleted = callers.ordersCompleted();
     return result;
 }
