--- a/packages/decisions/agent/attempt_runner.cpp
+++ b/packages/decisions/agent/attempt_runner.cpp
@@ -1,11 +1,8 @@
 #include "decisions/agent/attempt_runner.h"
 
 #include "decisions/configuration/configuration_register.h"
-#include "decisions/keys/issued_key.h"
 #include "model/enum_names.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <cassert>
 #include <utility>
@@ -18,8 +15,6 @@
 constexpr std::string_view endpointOperation = "agent.endpoint";
 // How long a repeatable attempt's id is remembered after its arrival.
 constexpr duration repeatableRetention = std::chrono::minutes(10);
-// Answers of keyed attempts beyond this are dropped, oldest first; that they completed is still remembered.
-constexpr std::size_t maxStoredBytes = std::size_t(64) << 20U;
 constexpr duration retryWhenFull = std::chrono::milliseconds(200);
 // How long an attempt that may be repeated goes on without a link to its entry.
 constexpr duration abandonedTime = std::chrono::seconds(5);
@@ -35,15 +30,6 @@
     return isModel && (status == statusTooManyRequests || status == statusUnavailable);
 }
 
-// Nothing for a repeatable request. An issued key is not scoped by team, so its content is.
-std::optional<attempt_ledger::keyed_content> contentOf(const service_request& request)
-{
-    if (request.repeatable || !request.key)
-        return std::nullopt;
-    const auto& team = request.team.str();
-    return attempt_ledger::keyed_content { *request.key, XXH64(team.data(), team.size(), request.contentHash) };
-}
-
 } // namespace
 
 void agent_context::send(link_number link, link_message message) const
@@ -134,55 +120,6 @@
     context.effects.emplace_back(std::move(effect));
 }
 
-bool attempt_runner::mayStillStart(const agent_context& context, link_number link, const start_attempt& message)
-{
-    // Another life's memory is gone, and with it any proof.
-    if (message.agentLife != context.self.life) {
-        tellUnknown(context, link, message.attempt);
-        return false;
-    }
-    const auto content = contentOf(message.request);
-    switch (m_ledger.judge(message.attempt, content)) {
-    case attempt_ledger::verdict::Repeated:
-        return false;
-    case attempt_ledger::verdict::Refused:
-        refuse(context, link, message, refusal::Tombstone);
-        return false;
-    case attempt_ledger::verdict::KeyUsed:
-        refuse(context, link, message, refusal::KeyUsed);
-        return false;
-    case attempt_ledger::verdict::KeyReused:
-        refuse(context, link, message, refusal::KeyReused);
-        return false;
-    case attempt_ledger::verdict::Forgotten:
-        tellUnknown(context, link, message.attempt);
-        return false;
-    case attempt_ledger::verdict::Start:
-        break;
-    }
-    if (!content || !looksIssued(content->key))
-        return true;
-    const auto issued = decodeIssuedKey(content->key, message.request.service);
-    if (!issued || issued->agentLife != context.self.life) {
-        refuse(context, link, message, refusal::KeyInvalid);
-        return false;
-    }
-    switch (m_grants.judge(*issued, context.now, m_ledger.lastForgotten())) {
-    case key_grants::standing::Valid:
-        return true;
-    case key_grants::standing::Expired:
-        refuse(context, link, message, refusal::KeyExpired);
-        return false;
-    case key_grants::standing::Forgotten:
-        tellUnknown(context, link, message.attempt);
-        return false;
-    case key_grants::standing::Invalid:
-        refuse(context, link, message, refusal::KeyInvalid);
-        return false;
-    }
-    return false;
-}
-
 std::optional<refusal> attempt_runner::reasonToRefuse(const agent_context& context, const start_attempt& message) const
 {
     const auto& configuration = context.configuration.current();
@@ -212,11 +149,6 @@
     context.send(link, answer);
 }
 
-void attempt_runner::tellUnknown(const agent_context& context, link_number link, attempt_id attempt) const
-{
-    context.send(link, attempt_failed { attempt, failure_cause::AgentForgot, execution::Unknown });
-}
-
 void attempt_runner::cancel(const agent_context& context, attempt_id attempt)
 {
     const auto found = m_attempts.find(attempt);
@@ -243,18 +175,6 @@
         context.send(link, std::move(frame));
 }
 
-void attempt_runner::query(const agent_context& context, link_number link, const query_attempt& message)
-{
-    const bool ownLife = message.agentLife == context.self.life;
-    const auto state = ownLife ? m_ledger.query(message.attempt, context.now) : attempt_state::Forgotten;
-    context.send(link, attempt_report { message.attempt, state });
-}
-
-void attempt_runner::grantKeys(const agent_context& context, link_number link, const request_key_block& message)
-{
-    context.send(link, m_grants.grant(message.count, context.now));
-}
-
 void attempt_runner::engineHead(const agent_context& context, const engine_head& event)
 {
     auto* kept = findByCall(event.call);
@@ -359,16 +279,6 @@
     boundAnswers();
 }
 
-void attempt_runner::boundAnswers()
-{
-    while (m_storedBytes > maxStoredBytes) {
-        const auto found = m_attempts.find(m_storedAnswers.front());
-        m_storedAnswers.pop_front();
-        m_storedBytes -= found->second.answer.bytes();
-        m_attempts.erase(found);
-    }
-}
-
 attempt_runner::kept_attempt* attempt_runner::findByCall(call_number call)
 {
     const auto attempt = m_byCall.find(call);
--- a/packages/decisions/keys/attempt_ledger.cpp
+++ b/packages/decisions/keys/attempt_ledger.cpp
@@ -1,5 +1,7 @@
 #include "decisions/keys/attempt_ledger.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cassert>
 
@@ -134,4 +136,12 @@
     m_forgotten.erase(m_forgotten.begin());
 }
 
+std::optional<attempt_ledger::keyed_content> contentOf(const service_request& request)
+{
+    if (request.repeatable || !request.key)
+        return std::nullopt;
+    const auto& team = request.team.str();
+    return attempt_ledger::keyed_content { *request.key, XXH64(team.data(), team.size(), request.contentHash) };
+}
+
 } // namespace appleramp
--- a/packages/decisions/keys/attempt_ledger.h
+++ b/packages/decisions/keys/attempt_ledger.h
@@ -2,6 +2,7 @@
 
 #include "model/identifiers.h"
 #include "model/messages.h"
+#include "model/request.h"
 #include "model/time.h"
 
 #include <cstdint>
@@ -82,4 +83,8 @@
     std::optional<instant> m_lastForgotten;
 };
 
+// What the ledger remembers of the request: nothing if it is repeatable. An issued key is not scoped by team, so its
+// content is.
+std::optional<attempt_ledger::keyed_content> contentOf(const service_request& request);
+
 } // namespace appleramp
--- a/tests/schedules/schedule_runner.cpp
+++ b/tests/schedules/schedule_runner.cpp
@@ -1,10 +1,12 @@
 #include "schedules/schedule_runner.h"
 
+#include "schedules/crashing_caller.h"
 #include "schedules/fake_callers.h"
 #include "schedules/fake_operators.h"
 #include "schedules/issued_key_callers.h"
 #include "schedules/order_book.h"
 #include "schedules/schedule_world.h"
+#include "schedules/slot_watch.h"
 
 namespace appleramp::tests {
 
@@ -47,7 +49,9 @@
     fake_callers callers(world, orders, {});
     issued_key_callers issuedKeys(world, orders, {});
     world.queue().at(firstChanges, [&operators] { declareServices(operators); });
-    planFaults(world, operators, faults);
+    crashing_caller crashing(world);
+    slot_watch slots(world);
+    planFaults(world, operators, crashing, faults);
     world.run(scheduleEnd);
     operators.checkAccepted();
     if (!world.allHaveNewestConfiguration())
