--- a/packages/decisions/agent/attempt_runner.cpp
+++ b/packages/decisions/agent/attempt_runner.cpp
@@ -4,6 +4,7 @@
 #include "model/enum_names.h"
 
 #include <algorithm>
+#include <cassert>
 #include <utility>
 
 namespace appleramp {
@@ -12,6 +13,8 @@
 
 constexpr duration answerRetention = std::chrono::seconds(30);
 constexpr std::string_view endpointOperation = "agent.endpoint";
+// How long a repeatable attempt's id is remembered after its arrival.
+constexpr duration repeatableRetention = std::chrono::minutes(10);
 constexpr duration retryWhenFull = std::chrono::milliseconds(200);
 // How long an attempt that may be repeated goes on without a link to its entry.
 constexpr duration abandonedTime = std::chrono::seconds(5);
@@ -50,22 +53,23 @@
 
 void attempt_runner::start(const agent_context& context, link_number link, const start_attempt& message)
 {
+    if (!mayStillStart(context, link, message))
+        return;
     const auto level = context.suspects.levelOf(message.request.contentHash);
     const bool alone = message.suspect || level == suspicion::Suspected;
     if (const auto reason = reasonToRefuse(context, message)) {
-        refuse(context, link, message.attempt, *reason);
+        refuse(context, link, message, *reason);
         return;
     }
     if (!alone) {
-        const bool isNew = !m_attempts.contains(message.attempt);
-        if (isNew && !context.gate.admits(link, context.now))
-            refuse(context, link, message.attempt, refusal::NoSlot);
+        if (!context.gate.admits(link, context.now))
+            refuse(context, link, message, refusal::NoSlot);
         else
             begin(context, link, message);
         return;
     }
     if (m_waitingAlone.size() >= maxWaitingAlone) {
-        refuse(context, link, message.attempt, refusal::NoSlot);
+        refuse(context, link, message, refusal::NoSlot);
         return;
     }
     m_waitingAlone.push_back({ link, message, context.now + message.request.timeout });
@@ -85,12 +89,12 @@
         const auto waiting = std::move(next);
         m_waitingAlone.pop_front();
         if (isLate)
-            refuse(context, waiting.link, waiting.message.attempt, refusal::Expired);
+            refuse(context, waiting.link, waiting.message, refusal::Expired);
         else if (isConvicted)
-            refuse(context, waiting.link, waiting.message.attempt, refusal::SuspectRefused);
+            refuse(context, waiting.link, waiting.message, refusal::SuspectRefused);
         else if (isClosed)
-            refuse(context, waiting.link, waiting.message.attempt, refusal::NoSlot);
-        else {
+            refuse(context, waiting.link, waiting.message, refusal::NoSlot);
+        else if (mayStillStart(context, waiting.link, waiting.message)) {
             begin(context, waiting.link, waiting.message);
             const auto started = m_attempts.find(waiting.message.attempt);
             if (started != m_attempts.end() && !started->second.ended)
@@ -101,23 +105,13 @@
 
 void attempt_runner::begin(const agent_context& context, link_number link, const start_attempt& message)
 {
-    const auto key = message.request.repeatable ? std::nullopt : message.request.key;
-    switch (m_ledger.begin(message.attempt, key, context.now)) {
-    case attempt_ledger::verdict::Repeated:
-        return;
-    case attempt_ledger::verdict::Refused:
-        refuse(context, link, message.attempt, refusal::Tombstone);
-        return;
-    case attempt_ledger::verdict::KeyUsed:
-        refuse(context, link, message.attempt, refusal::KeyUsed);
-        return;
-    case attempt_ledger::verdict::Start:
-        break;
-    }
+    const auto content = contentOf(message.request);
+    const auto verdict = m_ledger.begin(message.attempt, content, context.now);
+    assert(verdict == attempt_ledger::verdict::Start);
     const auto call = ++m_lastCall;
     const request_trace trace(message.request.traceparent, context.traceIds, context.now);
     m_attempts.emplace(message.attempt,
-        kept_attempt { link, call, key.has_value(), message.request.contentHash, answer_buffer(message.attempt), trace });
+        kept_attempt { link, call, content.has_value(), message.request.contentHash, answer_buffer(message.attempt), trace });
     m_byCall[call] = message.attempt;
     context.gate.started(call, link, context.now);
     context.decide(decision_kind::Placed, trace.subject(), "started at the endpoint");
@@ -128,8 +122,6 @@
 
 std::optional<refusal> attempt_runner::reasonToRefuse(const agent_context& context, const start_attempt& message) const
 {
-    if (m_attempts.contains(message.attempt))
-        return std::nullopt;
     const auto& configuration = context.configuration.current();
     if (configuration.zonesOut.contains(context.self.zone))
         return refusal::ZoneOut;
@@ -145,11 +137,16 @@
     return std::nullopt;
 }
 
-void attempt_runner::refuse(const agent_context& context, link_number link, attempt_id attempt, refusal reason)
+void attempt_runner::refuse(const agent_context& context, link_number link, const start_attempt& message,
+    refusal reason)
 {
-    m_ledger.refuse(attempt, context.now);
+    const auto content = contentOf(message.request);
+    m_ledger.refuse(message.attempt, content.has_value(), context.now);
     context.decide(decision_kind::Refused, context.self.endpoint.endpoint.str(), std::string(nameOf(reason)));
-    context.send(link, attempt_refused { attempt, reason, retryWhenFull });
+    attempt_refused answer { message.attempt, reason, retryWhenFull, std::nullopt };
+    if (reason == refusal::KeyUsed)
+        answer.earlier = m_ledger.startedWith(content->key);
+    context.send(link, answer);
 }
 
 void attempt_runner::cancel(const agent_context& context, attempt_id attempt)
@@ -165,7 +162,9 @@
 {
     const auto found = m_attempts.find(message.attempt);
     if (found == m_attempts.end()) {
-        context.send(link, attempt_failed { message.attempt, failure_cause::AgentForgot, execution::Unknown });
+        const bool completed = m_ledger.find(message.attempt) == attempt_state::Completed;
+        const auto outcome = completed ? execution::Completed : execution::Unknown;
+        context.send(link, attempt_failed { message.attempt, failure_cause::AgentForgot, outcome });
         return;
     }
     found->second.link = link;
@@ -176,11 +175,6 @@
         context.send(link, std::move(frame));
 }
 
-void attempt_runner::query(const agent_context& context, link_number link, attempt_id attempt)
-{
-    context.send(link, attempt_report { attempt, m_ledger.query(attempt, context.now) });
-}
-
 void attempt_runner::engineHead(const agent_context& context, const engine_head& event)
 {
     auto* kept = findByCall(event.call);
@@ -278,6 +272,11 @@
     m_lastEnd = context.now;
     if (m_alone == call)
         m_alone.reset();
+    if (!kept.keyed)
+        return;
+    m_storedAnswers.push_back(attempt);
+    m_storedBytes += kept.answer.bytes();
+    boundAnswers();
 }
 
 attempt_runner::kept_attempt* attempt_runner::findByCall(call_number call)
@@ -316,10 +315,19 @@
     cancelAbandoned(context);
     const auto keyRetention = context.configuration.current().defaults.keyRetention;
     std::erase_if(m_attempts, [&](const auto& item) {
-        const auto retention = item.second.keyed ? keyRetention : answerRetention;
-        return item.second.ended && *item.second.ended + retention < context.now;
+        return !item.second.keyed && item.second.ended && *item.second.ended + answerRetention < context.now;
     });
-    m_ledger.forgetBefore(context.now - keyRetention);
+    while (!m_storedAnswers.empty()) {
+        const auto found = m_attempts.find(m_storedAnswers.front());
+        if (*found->second.ended + keyRetention >= context.now)
+            break;
+        m_storedBytes -= found->second.answer.bytes();
+        m_attempts.erase(found);
+        m_storedAnswers.pop_front();
+    }
+    m_ledger.forgetBefore(context.now - keyRetention, context.now - repeatableRetention);
+    if (const auto forgotten = m_ledger.lastForgotten())
+        m_grants.forgetThrough(*forgotten);
 }
 
 } // namespace appleramp
--- a/packages/decisions/agent/attempt_runner.h
+++ b/packages/decisions/agent/attempt_runner.h
@@ -2,6 +2,7 @@
 
 #include "decisions/admission/slot_gate.h"
 #include "decisions/keys/attempt_ledger.h"
+#include "decisions/keys/key_grants.h"
 #include "decisions/streams/answer_buffer.h"
 #include "decisions/suspects/suspect_registry.h"
 #include "decisions/tracing/request_trace.h"
@@ -50,7 +51,8 @@
     void start(const agent_context& context, link_number link, const start_attempt& message);
     void cancel(const agent_context& context, attempt_id attempt);
     void resume(const agent_context& context, link_number link, const resume_attempt& message);
-    void query(const agent_context& context, link_number link, attempt_id attempt);
+    void query(const agent_context& context, link_number link, const query_attempt& message);
+    void grantKeys(const agent_context& context, link_number link, const request_key_block& message);
 
     void engineHead(const agent_context& context, const engine_head& event);
     void engineData(const agent_context& context, const engine_data& event);
@@ -100,12 +102,17 @@
     void finishFailed(const agent_context& context, const engine_failed& event);
     bool runsAlone(call_number call) const { return m_alone == call; }
     void cancelAbandoned(const agent_context& context);
+    // True if the ledger and the granted keys leave it open; if not, the answer has been sent.
+    bool mayStillStart(const agent_context& context, link_number link, const start_attempt& message);
     std::optional<refusal> reasonToRefuse(const agent_context& context, const start_attempt& message) const;
-    void refuse(const agent_context& context, link_number link, attempt_id attempt, refusal reason);
+    void refuse(const agent_context& context, link_number link, const start_attempt& message, refusal reason);
+    void tellUnknown(const agent_context& context, link_number link, attempt_id attempt) const;
+    void boundAnswers();
     kept_attempt* findByCall(call_number call);
     void end(const agent_context& context, call_number call, attempt_state outcome, std::string_view spanOutcome);
 
     attempt_ledger m_ledger;
+    key_grants m_grants;
     std::map<attempt_id, kept_attempt> m_attempts;
     std::map<call_number, attempt_id> m_byCall;
     std::set<attempt_id> m_abandoned;
@@ -114,6 +121,9 @@
     std::optional<pending_verdict> m_verdict;
     std::string m_bootId;
     call_number m_lastCall = 0;
+    // Keyed attempts that have ended, oldest first, while their answers are kept.
+    std::deque<attempt_id> m_storedAnswers;
+    std::size_t m_storedBytes = 0;
     instant m_lastEnd;
 };
 
--- /dev/null
+++ b/packages/decisions/agent/attempt_runner_keys.cpp
@@ -0,0 +1,91 @@
+#include "decisions/agent/attempt_runner.h"
+#include "decisions/keys/issued_key.h"
+
+// The parts of attempt_runner that keep non-repeatable requests at most once.
+
+namespace appleramp {
+
+namespace {
+
+// Answers of keyed attempts beyond this are dropped, oldest first; that they completed is still remembered.
+constexpr std::size_t maxStoredBytes = std::size_t(64) << 20U;
+
+} // namespace
+
+bool attempt_runner::mayStillStart(const agent_context& context, link_number link, const start_attempt& message)
+{
+    // Another life's memory is gone, and with it any proof.
+    if (message.agentLife != context.self.life) {
+        tellUnknown(context, link, message.attempt);
+        return false;
+    }
+    const auto content = contentOf(message.request);
+    switch (m_ledger.judge(message.attempt, content)) {
+    case attempt_ledger::verdict::Repeated:
+        return false;
+    case attempt_ledger::verdict::Refused:
+        refuse(context, link, message, refusal::Tombstone);
+        return false;
+    case attempt_ledger::verdict::KeyUsed:
+        refuse(context, link, message, refusal::KeyUsed);
+        return false;
+    case attempt_ledger::verdict::KeyReused:
+        refuse(context, link, message, refusal::KeyReused);
+        return false;
+    case attempt_ledger::verdict::Forgotten:
+        tellUnknown(context, link, message.attempt);
+        return false;
+    case attempt_ledger::verdict::Start:
+        break;
+    }
+    if (!content || !looksIssued(content->key))
+        return true;
+    const auto issued = decodeIssuedKey(content->key, message.request.service);
+    if (!issued || issued->agentLife != context.self.life) {
+        refuse(context, link, message, refusal::KeyInvalid);
+        return false;
+    }
+    switch (m_grants.judge(*issued, context.now, m_ledger.lastForgotten())) {
+    case key_grants::standing::Valid:
+        return true;
+    case key_grants::standing::Expired:
+        refuse(context, link, message, refusal::KeyExpired);
+        return false;
+    case key_grants::standing::Forgotten:
+        tellUnknown(context, link, message.attempt);
+        return false;
+    case key_grants::standing::Invalid:
+        refuse(context, link, message, refusal::KeyInvalid);
+        return false;
+    }
+    return false;
+}
+
+void attempt_runner::tellUnknown(const agent_context& context, link_number link, attempt_id attempt) const
+{
+    context.send(link, attempt_failed { attempt, failure_cause::AgentForgot, execution::Unknown });
+}
+
+void attempt_runner::query(const agent_context& context, link_number link, const query_attempt& message)
+{
+    const bool ownLife = message.agentLife == context.self.life;
+    const auto state = ownLife ? m_ledger.query(message.attempt, context.now) : attempt_state::Forgotten;
+    context.send(link, attempt_report { message.attempt, state });
+}
+
+void attempt_runner::grantKeys(const agent_context& context, link_number link, const request_key_block& message)
+{
+    context.send(link, m_grants.grant(message.count, context.now));
+}
+
+void attempt_runner::boundAnswers()
+{
+    while (m_storedBytes > maxStoredBytes) {
+        const auto found = m_attempts.find(m_storedAnswers.front());
+        m_storedAnswers.pop_front();
+        m_storedBytes -= found->second.answer.bytes();
+        m_attempts.erase(found);
+    }
+}
+
+} // namespace appleramp
--- a/packages/decisions/entry/entry_reducer.h
+++ b/packages/decisions/entry/entry_reducer.h
@@ -5,6 +5,7 @@
 #include "decisions/detection/news_refresh.h"
 #include "decisions/entry/entry_context.h"
 #include "decisions/entry/request_router.h"
+#include "decisions/keys/key_pool.h"
 #include "decisions/membership/address_directory.h"
 #include "decisions/membership/link_directory.h"
 #include "decisions/placement/demand_planner.h"
@@ -56,6 +57,7 @@
     link_directory m_links;
     address_directory m_addresses;
     request_router m_router;
+    key_pool m_keyPool;
     operation_number m_lastOperation = 0;
     trace_id_generator m_traceIds;
     instant m_nextTick;
--- a/packages/decisions/entry/request_router.cpp
+++ b/packages/decisions/entry/request_router.cpp
@@ -1,6 +1,7 @@
 #include "decisions/entry/request_router.h"
 
 #include "decisions/configuration/configuration_register.h"
+#include "decisions/keys/key_scope.h"
 #include "decisions/placement/endpoint_directory.h"
 #include "model/enum_names.h"
 
@@ -15,12 +16,6 @@
 constexpr std::string_view requestOperation = "entry.request";
 constexpr duration retryInProgress = std::chrono::milliseconds(500);
 
-// Keys of different teams and services do not meet.
-idempotency_key scopedKey(const service_request& request)
-{
-    return idempotency_key(request.team.str() + "/" + request.service.str() + "/" + request.key->str());
-}
-
 bool isRepeatable(const service_request& request, const fleet_configuration& configuration)
 {
     const auto policy = configuration.services.find(request.service);
@@ -28,7 +23,7 @@
         return false;
     const auto& routes = policy->second.repeatableRoutes;
     return std::any_of(routes.begin(), routes.end(),
-        [&request](const auto& route) { return request.path.starts_with(route); });
+        [&request](const auto& route) { return isRepeatablePath(request.path, route); });
 }
 
 } // namespace
@@ -47,8 +42,11 @@
     request.deadline = context.now + event.request.timeout;
     m_deadlines.emplace(request.deadline, request.number);
     context.demands.used(request.request.service, context.now);
-    if (event.request.key && !repeatable)
-        request.boundKey = scopedKey(event.request);
+    if (!repeatable)
+        request.issued = decodeIssuedKey(*event.request.key, event.request.service);
+    request.keyed = !repeatable && !request.issued;
+    if (request.keyed)
+        m_keys.add(request.number, event.request);
     place(context, request);
 }
 
@@ -66,6 +64,8 @@
     if (!repeatable && !request.key)
         return refuse(400, execution::NotRun, "key_required",
             "this route is non-repeatable: send an Idempotency-Key header");
+    if (!repeatable && looksIssued(*request.key) && !decodeIssuedKey(*request.key, request.service))
+        return refuse(400, execution::NotStarted, "key_invalid", "this is not a whole issued key of this service");
     const bool configured = context.configuration.current().services.contains(request.service);
     if (!configured && !context.endpoints.serves(request.service))
         return refuse(404, execution::NotStarted, "unknown_service",
@@ -86,69 +86,28 @@
     forget(context, number, "caller_left");
 }
 
-void request_router::reported(const entry_context& context, const attempt_report& message)
+void request_router::reported(const entry_context& context, link_number link, const attempt_report& message)
 {
-    const auto asking = std::find_if(m_requests.begin(), m_requests.end(), [&](const auto& item) {
-        return item.second.state == phase::Asking && item.second.binding.attempt == message.attempt;
-    });
-    if (asking == m_requests.end())
-        return;
-    auto& request = asking->second;
-    switch (message.state) {
-    case attempt_state::NeverStarted:
-        // The tombstone is the proof: take the key over from the standing row's version.
-        request.mayHaveRun = false;
-        place(context, request);
-        return;
-    case attempt_state::Completed:
-        request.state = phase::Running;
-        request.attempt = message.attempt;
-        m_byAttempt[request.attempt] = request.number;
-        request.answer = answer_assembler();
-        context.send(request.link, resume_attempt { message.attempt, 0 });
-        return;
-    case attempt_state::Running:
-        if (request.attempt == message.attempt) {
-            // Its own attempt, asked after because the link was lost.
-            request.state = phase::Running;
-            context.send(request.link, resume_attempt { message.attempt, request.answer.nextFrame() });
-            return;
-        }
-        fail(context, request.number,
-            { 409, execution::NotStarted, "key_in_progress", "an earlier send of this key is running",
-                retryInProgress });
-        return;
-    case attempt_state::Failed:
-        fail(context, request.number,
-            { 409, execution::Unknown, "key_unknown", "an earlier send of this key ended without an answer",
-                std::nullopt });
-        return;
-    }
-}
-
-void request_router::answered(const entry_context& context, const response_head& frame)
-{
-    if (auto* request = findByAttempt(frame.attempt)) {
-        request->answer.add(frame);
-        passOn(context, *request);
-    }
+    for (const auto& decision : m_keys.reported(link, message))
+        follow(context, decision);
 }
 
-void request_router::answered(const entry_context& context, const response_body& frame)
+template <typename Frame>
+void request_router::addFrame(const entry_context& context, const Frame& frame)
 {
-    if (auto* request = findByAttempt(frame.attempt)) {
-        request->answer.add(frame);
-        passOn(context, *request);
+    const auto concerned = m_byAttempt.find(frame.attempt);
+    if (concerned == m_byAttempt.end())
+        return;
+    for (const auto number : std::set<request_number>(concerned->second)) {
+        auto& request = m_requests.at(number);
+        request.answer.add(frame);
+        passOn(context, request);
     }
 }
 
-void request_router::answered(const entry_context& context, const response_end& frame)
-{
-    if (auto* request = findByAttempt(frame.attempt)) {
-        request->answer.add(frame);
-        passOn(context, *request);
-    }
-}
+void request_router::answered(const entry_context& context, const response_head& frame) { addFrame(context, frame); }
+void request_router::answered(const entry_context& context, const response_body& frame) { addFrame(context, frame); }
+void request_router::answered(const entry_context& context, const response_end& frame) { addFrame(context, frame); }
 
 void request_router::passOn(const entry_context& context, routed_request& request)
 {
@@ -182,72 +141,112 @@
 
 void request_router::platformReplied(const entry_context& context, const platform_replied& reply)
 {
-    const auto result = m_keys.replied(context, reply);
-    if (!result)
-        return;
-    const auto found = m_requests.find(result->request);
-    if (found != m_requests.end())
-        keyResolved(context, found->second, *result);
+    if (const auto decision = m_keys.replied(context, reply))
+        follow(context, *decision);
 }
 
-void request_router::keyResolved(const entry_context& context, routed_request& request, const key_result& result)
-{
-    request.keyVersion = result.version;
-    switch (result.outcome) {
-    case key_result::kind::Bound:
-        context.decide(decision_kind::KeyBound, request.trace->subject(), result.standing.endpoint.str());
-        if (context.endpoints.find(request.link)) {
-            start(context, request);
+struct request_router::key_step_visitor {
+    request_router& self;
+    const entry_context& context;
+    routed_request& request;
+
+    void operator()(const dispatch_bound& /*step*/) const
+    {
+        context.decide(decision_kind::KeyBound, request.trace->subject(), "key bound to the attempt");
+        self.start(context, request);
+    }
+    void operator()(const place_again& step) const
+    {
+        self.returnSlot(context, request);
+        self.endAttempt(context, request, "key_freed");
+        request.mayHaveRun = false;
+        if (step.isRetry)
+            self.requeue(context, request);
+        else
+            self.place(context, request);
+    }
+    void operator()(const await_holder& step) const
+    {
+        self.returnSlot(context, request);
+        self.endAttempt(context, request, "key_held");
+        self.disown(request);
+        request.state = phase::Asking;
+        self.follows(context, request, step.link);
+    }
+    void operator()(const attach_attempt& step) const
+    {
+        request.state = phase::Running;
+        request.attempt = step.attempt;
+        request.lastFrame = context.now;
+        self.follows(context, request, step.link);
+        self.m_byAttempt[step.attempt].insert(request.number);
+        request.answer = answer_assembler();
+        context.send(step.link, resume_attempt { step.attempt, 0 });
+    }
+    void operator()(const attempt_running& step) const
+    {
+        if (self.answers(step.attempt, request)) {
+            // Its own attempt, asked after because the link was lost.
+            request.state = phase::Running;
+            context.send(step.link, resume_attempt { step.attempt, request.answer.nextFrame() });
             return;
         }
-        // Bound but never sent: this entry alone could have sent it, so that is the proof.
-        request.holdsSlot = false;
-        endAttempt(context, request, "agent_lost");
-        request.state = phase::Releasing;
-        m_keys.release(context, request.number, *request.boundKey, request.binding, request.keyVersion);
-        return;
-    case key_result::kind::Released:
-        requeue(context, request);
-        return;
-    case key_result::kind::HeldByOther:
-        askHolder(context, request, result);
-        return;
-    case key_result::kind::OtherContent:
-        fail(context, request.number,
-            { 422, execution::NotStarted, "key_reused", "this key stands for a request with other content",
-                std::nullopt });
-        return;
-    case key_result::kind::StoreDown:
-        fail(context, request.number,
-            { 503, outcomeIfUnsent(request), "store_down", "the key can't be bound now; send the same key again",
-                retryWhenBusy });
-        return;
+        self.fail(context, request.number,
+            { 409, execution::NotStarted, "key_in_progress", "an earlier send of this key is running",
+                retryInProgress });
     }
+    void operator()(const end_request& step) const
+    {
+        if (step.answer.outcome == execution::Unknown)
+            context.decide(decision_kind::KeyUnknown, request.trace->subject(), step.answer.detail);
+        auto answer = step.answer;
+        if (request.mayHaveRun && answer.outcome == execution::NotStarted)
+            answer.outcome = execution::Unknown;
+        self.fail(context, request.number, std::move(answer));
+    }
+};
+
+void request_router::follow(const entry_context& context, const key_decision& decision)
+{
+    auto& request = m_requests.at(decision.number);
+    std::visit(key_step_visitor { *this, context, request }, decision.step);
 }
 
-void request_router::askHolder(const entry_context& context, routed_request& request, const key_result& result)
+request_router::routed_request* request_router::findSender(attempt_id attempt, link_number link)
 {
-    returnSlot(context, request);
-    endAttempt(context, request, "key_held");
-    m_byAttempt.erase(request.attempt);
-    const auto* holder = context.endpoints.findAgent(result.standing.agent, result.standing.agentLife);
-    if (!holder) {
-        context.decide(decision_kind::KeyUnknown, request.trace->subject(), "the holder's agent is not linked");
-        fail(context, request.number,
-            { 409, execution::Unknown, "key_unknown", "what became of an earlier send of this key is not known",
-                retryWhenBusy });
-        return;
+    const auto concerned = m_byAttempt.find(attempt);
+    if (concerned == m_byAttempt.end())
+        return nullptr;
+    for (const auto number : concerned->second) {
+        auto& request = m_requests.at(number);
+        if (request.holdsSlot && request.state == phase::Running && request.link == link)
+            return &request;
     }
-    request.state = phase::Asking;
-    request.binding = result.standing;
-    request.link = holder->link;
-    context.send(holder->link, query_attempt { result.standing.attempt });
+    return nullptr;
 }
 
-request_router::routed_request* request_router::findByAttempt(attempt_id attempt)
+bool request_router::answers(attempt_id attempt, const routed_request& request) const
 {
-    const auto number = m_byAttempt.find(attempt);
-    return number == m_byAttempt.end() ? nullptr : &m_requests.at(number->second);
+    const auto concerned = m_byAttempt.find(attempt);
+    return concerned != m_byAttempt.end() && concerned->second.contains(request.number);
+}
+
+void request_router::follows(const entry_context& context, routed_request& request, link_number link)
+{
+    const auto* endpoint = context.endpoints.find(link);
+    request.link = link;
+    request.agent = endpoint ? endpoint->instance : instance_id();
+    request.agentLife = endpoint ? endpoint->agentLife : 0;
+}
+
+void request_router::disown(routed_request& request)
+{
+    const auto concerned = m_byAttempt.find(request.attempt);
+    if (concerned == m_byAttempt.end())
+        return;
+    concerned->second.erase(request.number);
+    if (concerned->second.empty())
+        m_byAttempt.erase(concerned);
 }
 
 void request_router::returnSlot(const entry_context& context, routed_request& request)
@@ -282,7 +281,8 @@
     leaveQueues(request);
     endAttempt(context, request, outcome);
     context.effects.emplace_back(request.trace->end(requestOperation, outcome, context.now));
-    m_byAttempt.erase(request.attempt);
+    disown(request);
+    m_keys.forget(number);
     m_requests.erase(number);
 }
 
--- a/packages/decisions/entry/request_router.h
+++ b/packages/decisions/entry/request_router.h
@@ -3,7 +3,8 @@
 #include "decisions/admission/fair_queue.h"
 #include "decisions/admission/turnover_meter.h"
 #include "decisions/entry/entry_context.h"
-#include "decisions/keys/caller_keys.h"
+#include "decisions/keys/issued_key.h"
+#include "decisions/keys/request_keys.h"
 #include "decisions/placement/demand_planner.h"
 #include "decisions/retries/backoff.h"
 #include "decisions/retries/retry_budget.h"
@@ -18,7 +19,7 @@
 namespace appleramp {
 
 // Carries each request from its arrival to its one final answer: place, bind the key, dispatch, pass the answer on,
-// retry where that is safe. Works with endpoint_directory for places, caller_keys for the right to run, fair_queue for
+// retry where that is safe. Works with endpoint_directory for places, request_keys for the right to run, fair_queue for
 // the order of those that wait and retry_budget for further sends.
 class request_router {
 public:
@@ -31,8 +32,8 @@
     void callerLeft(const entry_context& context, request_number number);
 
     void refused(const entry_context& context, link_number link, const attempt_refused& message);
-    void failed(const entry_context& context, const attempt_failed& message);
-    void reported(const entry_context& context, const attempt_report& message);
+    void failed(const entry_context& context, link_number link, const attempt_failed& message);
+    void reported(const entry_context& context, link_number link, const attempt_report& message);
     void answered(const entry_context& context, const response_head& frame);
     void answered(const entry_context& context, const response_body& frame);
     void answered(const entry_context& context, const response_end& frame);
@@ -78,10 +79,10 @@
         std::optional<request_trace> trace;
         instant deadline;
         phase state = phase::Queued;
-        // The caller's key with its scope; set if the key must be bound before dispatch.
-        std::optional<idempotency_key> boundKey;
-        row_version keyVersion = 0;
-        key_binding binding;
+        // True if the caller's key must be bound before dispatch.
+        bool keyed = false;
+        // Set if the key names the one agent that may run the request.
+        std::optional<issued_key> issued;
         attempt_id attempt;
         link_number link = 0;
         instance_id agent;
@@ -100,12 +101,23 @@
         answer_assembler answer;
         bool headOut = false;
         bool resumeAsked = false;
+
+        bool isOrder() const { return keyed || issued.has_value(); }
     };
 
-    routed_request* findByAttempt(attempt_id attempt);
+    struct key_step_visitor;
+
+    // The request that sent the attempt, if it is still running.
+    routed_request* findSender(attempt_id attempt, link_number link);
+    template <typename Frame>
+    void addFrame(const entry_context& context, const Frame& frame);
     bool accept(const entry_context& context, const request_received& event, bool repeatable,
         const request_trace& trace);
     void place(const entry_context& context, routed_request& request);
+    // The link where the request should go now, if there is one.
+    std::optional<link_number> choose(const entry_context& context, const routed_request& request) const;
+    void attemptFailed(const entry_context& context, routed_request& request, const attempt_failed& message);
+    void refusedForKey(const entry_context& context, routed_request& request, const attempt_refused& message);
     // Sends the request to the best endpoint with a free slot; false if there is none.
     bool tryPlace(const entry_context& context, routed_request& request);
     void enqueue(const entry_context& context, routed_request& request);
@@ -127,8 +139,12 @@
     void start(const entry_context& context, routed_request& request);
     void returnSlot(const entry_context& context, routed_request& request);
     void requeue(const entry_context& context, routed_request& request);
-    void keyResolved(const entry_context& context, routed_request& request, const key_result& result);
-    void askHolder(const entry_context& context, routed_request& request, const key_result& result);
+    void follow(const entry_context& context, const key_decision& decision);
+    bool answers(attempt_id attempt, const routed_request& request) const;
+    // The request's outcome now depends on the agent at this link.
+    static void follows(const entry_context& context, routed_request& request, link_number link);
+    // The attempt's frames no longer answer this request.
+    void disown(routed_request& request);
     void passOn(const entry_context& context, routed_request& request);
     // Ends the request with an error: a problem, or an abort if the head is out.
     void fail(const entry_context& context, request_number number, problem answer);
@@ -142,7 +158,8 @@
     };
 
     std::map<request_number, routed_request> m_requests;
-    std::map<attempt_id, request_number> m_byAttempt;
+    // The requests that an attempt's frames answer: its sender's, and repeated sends of the same key.
+    std::map<attempt_id, std::set<request_number>> m_byAttempt;
     std::map<service_id, service_queue> m_queues;
     std::set<std::pair<instant, request_number>> m_deadlines;
     std::set<std::pair<instant, request_number>> m_backingOff;
@@ -153,7 +170,7 @@
     retry_budget m_budget;
     backoff m_backoff;
     instant m_nextAskAgain;
-    caller_keys m_keys;
+    request_keys m_keys;
     std::uint64_t m_lastAttempt = 0;
 };
 
--- a/packages/decisions/entry/request_router_placing.cpp
+++ b/packages/decisions/entry/request_router_placing.cpp
@@ -16,6 +16,7 @@
 constexpr duration leastRetryAfter = std::chrono::seconds(1);
 // How many teams' first requests are tried when a slot may be free.
 constexpr std::size_t maxCandidates = 8;
+constexpr std::uint16_t statusConflict = 409;
 constexpr std::uint16_t statusUnprocessable = 422;
 constexpr std::uint16_t statusUnavailable = 503;
 constexpr std::uint16_t statusTimeout = 504;
@@ -24,6 +25,12 @@
 
 void request_router::place(const entry_context& context, routed_request& request)
 {
+    if (request.issued && context.endpoints.isReplaced(request.issued->agent, request.issued->agentLife)) {
+        fail(context, request.number,
+            { statusConflict, execution::Unknown, "key_unknown", "the agent that issued this key was replaced",
+                std::nullopt });
+        return;
+    }
     const auto level = context.suspects.levelOf(request.request.contentHash);
     if (level == suspicion::Convicted) {
         fail(context, request.number,
@@ -49,8 +56,7 @@
 {
     if (context.refresh.isPending())
         return false;
-    const auto link = context.endpoints.choose(request.request, context.self.zone, request.excluded,
-        context.configuration.current(), context.now);
+    const auto link = choose(context, request);
     if (!link)
         return false;
     m_queues[request.request.service].turnover.placed(context.now);
@@ -58,6 +64,17 @@
     return true;
 }
 
+std::optional<link_number> request_router::choose(const entry_context& context, const routed_request& request) const
+{
+    const auto& configuration = context.configuration.current();
+    if (!request.issued)
+        return context.endpoints.choose(request.request, context.self.zone, request.excluded, configuration,
+            context.now);
+    const auto* agent = context.endpoints.findAgent(request.issued->agent, request.issued->agentLife);
+    const bool mayStart = agent && agent->hasFreeSlot(context.now) && isInService(*agent, configuration);
+    return mayStart ? std::optional(agent->link) : std::nullopt;
+}
+
 void request_router::enqueue(const entry_context& context, routed_request& request)
 {
     if (!hasRoom(context, request)) {
@@ -91,7 +108,7 @@
 {
     // An order that may not be repeated is worth waiting for.
     const auto half = request.request.timeout / 2;
-    return request.boundKey ? half : std::min(half, context.configuration.current().defaults.maxQueueWait);
+    return request.isOrder() ? half : std::min(half, context.configuration.current().defaults.maxQueueWait);
 }
 
 problem request_router::busy(const entry_context& context, const routed_request& request) const
@@ -145,18 +162,16 @@
     request.agent = endpoint->instance;
     request.agentLife = endpoint->agentLife;
     request.attempt = { context.self.life, ++m_lastAttempt };
-    m_byAttempt[request.attempt] = request.number;
+    m_byAttempt[request.attempt].insert(request.number);
     context.effects.emplace_back(request.trace->endQueue(context.traceIds, context.now));
     request.trace->beginAttempt(context.traceIds, context.now);
     recordPlacing(context, request);
-    if (!request.boundKey) {
+    if (!request.keyed) {
         start(context, request);
         return;
     }
     request.state = phase::Claiming;
-    request.binding = { request.attempt, endpoint->description.endpoint, endpoint->instance, endpoint->agentLife,
-        request.request.contentHash, binding_state::Bound };
-    m_keys.claim(context, request.number, *request.boundKey, request.binding, request.keyVersion);
+    m_keys.claim(context, request.number, request.attempt, *endpoint);
 }
 
 void request_router::start(const entry_context& context, routed_request& request)
@@ -169,12 +184,12 @@
         const auto percent = context.configuration.current().defaults.retryBudgetPercent;
         m_budget.sent(request.request.team, request.request.service, percent, context.now);
     }
-    start_attempt message { request.attempt, request.request, request.alone };
+    start_attempt message { request.attempt, request.request, request.alone, request.agentLife };
     message.request.timeout = request.deadline - context.now;
     message.request.traceparent = request.trace->traceparent();
     // The agent remembers keys by their scope too.
-    if (request.boundKey)
-        message.request.key = request.boundKey;
+    if (request.keyed)
+        message.request.key = m_keys.scopedKeyOf(request.number);
     context.send(request.link, std::move(message));
 }
 
@@ -229,7 +244,9 @@
         place(context, request);
         return;
     }
-    const auto link = context.endpoints.chooseAlone(request.request, request.excluded, context.configuration.current());
+    const auto link = request.issued
+        ? choose(context, request)
+        : context.endpoints.chooseAlone(request.request, request.excluded, context.configuration.current());
     if (!link) {
         request.excluded.clear();
         return;
@@ -269,7 +286,7 @@
         const auto& request = m_requests.at(number);
         if (since + maxQueueWait(context, request) <= context.now)
             late.push_back(number);
-        else if (!request.boundKey)
+        else if (!request.isOrder())
             break;
     }
     for (const auto number : late)
--- a/packages/decisions/entry/request_router_retries.cpp
+++ b/packages/decisions/entry/request_router_retries.cpp
@@ -21,30 +21,59 @@
 
 void request_router::refused(const entry_context& context, link_number link, const attempt_refused& message)
 {
-    auto* request = findByAttempt(message.attempt);
-    if (!request || request->state != phase::Running)
+    auto* request = findSender(message.attempt, link);
+    if (!request)
         return;
     returnSlot(context, *request);
     endAttempt(context, *request, nameOf(message.reason));
     request->excluded.insert(link);
     --request->sends;
     context.decide(decision_kind::Refused, request->trace->subject(), std::string(nameOf(message.reason)));
-    if (message.reason == refusal::KeyUsed) {
-        fail(context, request->number,
-            { statusConflict, execution::Unknown, "key_used", "the key's order has been started before", std::nullopt });
+    const bool concernsKey = message.reason >= refusal::KeyUsed;
+    if (concernsKey) {
+        refusedForKey(context, *request, message);
         return;
     }
-    if (!request->boundKey) {
+    if (!request->keyed) {
         requeue(context, *request);
         return;
     }
     request->state = phase::Releasing;
-    m_keys.release(context, request->number, *request->boundKey, request->binding, request->keyVersion);
+    m_keys.release(context, request->number);
+}
+
+void request_router::refusedForKey(const entry_context& context, routed_request& request,
+    const attempt_refused& message)
+{
+    const auto* agent = context.endpoints.find(request.link);
+    switch (message.reason) {
+    case refusal::KeyReused:
+        fail(context, request.number,
+            { 422, execution::NotStarted, "key_reused", "this key stands for a request with other content",
+                std::nullopt });
+        return;
+    case refusal::KeyExpired:
+        fail(context, request.number,
+            { 410, execution::NotRun, "key_expired", "the issued key was not used in time", std::nullopt });
+        return;
+    case refusal::KeyInvalid:
+        fail(context, request.number,
+            { 400, execution::NotStarted, "key_invalid", "the agent that it names issued no such key", std::nullopt });
+        return;
+    default:
+        break;
+    }
+    if (message.earlier && agent) {
+        follow(context, m_keys.ask(context, request.number, *message.earlier, *agent));
+        return;
+    }
+    fail(context, request.number,
+        { 409, execution::Unknown, "key_used", "the key's order has been started before", std::nullopt });
 }
 
 void request_router::requeue(const entry_context& context, routed_request& request)
 {
-    m_byAttempt.erase(request.attempt);
+    disown(request);
     if (m_runsAlone == request.number)
         m_runsAlone.reset();
     request.alone = false;
@@ -60,7 +89,7 @@
 
 void request_router::retry(const entry_context& context, routed_request& request, problem otherwise)
 {
-    m_byAttempt.erase(request.attempt);
+    disown(request);
     if (m_runsAlone == request.number)
         m_runsAlone.reset();
     request.alone = false;
@@ -81,27 +110,44 @@
     request.trace->enqueue(context.now);
 }
 
-void request_router::failed(const entry_context& context, const attempt_failed& message)
+void request_router::failed(const entry_context& context, link_number link, const attempt_failed& message)
 {
-    auto* request = findByAttempt(message.attempt);
-    if (!request || (request->state != phase::Running && request->state != phase::Asking))
+    const auto concerned = m_byAttempt.find(message.attempt);
+    if (concerned == m_byAttempt.end())
         return;
-    returnSlot(context, *request);
-    endAttempt(context, *request, nameOf(message.cause));
-    request->excluded.insert(request->link);
-    if (message.outcome == execution::NotRun && request->boundKey) {
-        request->state = phase::Releasing;
-        m_keys.release(context, request->number, *request->boundKey, request->binding, request->keyVersion);
+    for (const auto number : std::set<request_number>(concerned->second)) {
+        auto& request = m_requests.at(number);
+        const bool isSent = request.state == phase::Running || request.state == phase::Asking;
+        if (isSent && request.link == link)
+            attemptFailed(context, request, message);
+    }
+}
+
+void request_router::attemptFailed(const entry_context& context, routed_request& request,
+    const attempt_failed& message)
+{
+    returnSlot(context, request);
+    endAttempt(context, request, nameOf(message.cause));
+    request.excluded.insert(request.link);
+    if (message.outcome == execution::NotRun && m_keys.holds(request.number, message.attempt)) {
+        request.state = phase::Releasing;
+        m_keys.release(context, request.number);
+        return;
+    }
+    if (message.outcome == execution::Completed) {
+        fail(context, request.number,
+            { statusConflict, execution::Completed, "already_completed",
+                "the order has run; its answer is no longer kept", std::nullopt });
         return;
     }
-    request->mayHaveRun = request->mayHaveRun || message.outcome != execution::NotRun;
-    const bool maySendAgain = message.outcome == execution::NotRun || request->request.repeatable;
-    problem answer { statusBadGateway, outcomeIfUnsent(*request), std::string(nameOf(message.cause)),
+    request.mayHaveRun = request.mayHaveRun || message.outcome != execution::NotRun;
+    const bool maySendAgain = message.outcome == execution::NotRun || request.request.repeatable;
+    problem answer { statusBadGateway, outcomeIfUnsent(request), std::string(nameOf(message.cause)),
         "the endpoint gave no whole answer", std::nullopt };
-    if (maySendAgain && !request->headOut)
-        retry(context, *request, std::move(answer));
+    if (maySendAgain && !request.headOut)
+        retry(context, request, std::move(answer));
     else
-        fail(context, request->number, std::move(answer));
+        fail(context, request.number, std::move(answer));
 }
 
 void request_router::linkClosed(const entry_context& context, link_number link)
@@ -161,10 +207,13 @@
 {
     request.lastFrame = context.now;
     request.resumeAsked = false;
-    if (request.boundKey && !request.headOut) {
+    if (request.isOrder() && !request.headOut) {
         // It may never have come: the agent's tombstone would be the proof.
         request.state = phase::Asking;
-        context.send(request.link, query_attempt { request.binding.attempt });
+        if (request.keyed)
+            m_keys.askAgain(context, request.number, request.link);
+        else
+            m_keys.ask(context, request.number, request.attempt, *context.endpoints.find(request.link));
         return;
     }
     request.state = phase::Running;
--- a/packages/decisions/placement/endpoint_directory.h
+++ b/packages/decisions/placement/endpoint_directory.h
@@ -57,6 +57,9 @@
     const linked_endpoint* find(link_number link) const;
     // The link to this life of an agent, if it is open.
     const linked_endpoint* findAgent(const instance_id& instance, incarnation life) const;
+    // True if another life of this agent is linked and this one is not.
+    bool isReplaced(const instance_id& instance, incarnation life) const;
+    std::set<link_number> linksServing(const service_id& service) const;
     const std::map<link_number, linked_endpoint>& all() const { return m_endpoints; }
 
     // The endpoint that a request should go to: in service, with a free slot, and the least cost by load, zone and
@@ -73,10 +76,13 @@
     void returnSlot(link_number link);
 
 private:
+    void removeAgent(const linked_endpoint& endpoint);
+
     std::map<link_number, linked_endpoint> m_endpoints;
     std::map<service_id, std::set<link_number>> m_byService;
     std::uint64_t m_membershipChanges = 0;
     std::set<link_number> m_cutLinks;
+    std::map<instance_id, std::map<incarnation, link_number>> m_byAgent;
 };
 
 } // namespace appleramp
--- a/tests/decisions/suspects/suspect_run_test.cpp
+++ b/tests/decisions/suspects/suspect_run_test.cpp
@@ -41,7 +41,7 @@
     void receive(link_message message) { apply(message_received { entryLink, { 9, 0, std::move(message) } }); }
     void start(std::uint64_t number, std::uint64_t hash)
     {
-        start_attempt message { { 9, number }, {}, false };
+        start_attempt message { { 9, number }, {}, false, 1 };
         message.request.service = service_id("m");
         message.request.repeatable = true;
         message.request.contentHash = hash;
--- a/tests/schedules/schedule_runner.cpp
+++ b/tests/schedules/schedule_runner.cpp
@@ -3,6 +3,7 @@
 #include "schedules/crashing_caller.h"
 #include "schedules/fake_callers.h"
 #include "schedules/fake_operators.h"
+#include "schedules/issued_key_callers.h"
 #include "schedules/order_book.h"
 #include "schedules/schedule_world.h"
 #include "schedules/slot_watch.h"
@@ -46,6 +47,7 @@
     order_book orders(result.broken);
     fake_operators operators(world);
     fake_callers callers(world, orders, {});
+    issued_key_callers issuedKeys(world, orders, {});
     world.queue().at(firstChanges, [&operators] { declareServices(operators); });
     crashing_caller crashing(world);
     slot_watch slots(world);
@@ -57,6 +59,8 @@
     result.prompts = callers.prompts();
     result.promptsAnswered = callers.promptsAnswered();
     result.orders = callers.orders();
+    result.issuedKeys = issuedKeys.keysGiven();
+    result.issuedOrdersCompleted = issuedKeys.ordersCompleted();
     result.ordersCompleted = callers.ordersCompleted();
     return result;
 }
--- a/tests/schedules/schedule_runner.h
+++ b/tests/schedules/schedule_runner.h
@@ -15,6 +15,8 @@
     std::uint64_t promptsAnswered = 0;
     std::uint64_t orders = 0;
     std::uint64_t ordersCompleted = 0;
+    std::uint64_t issuedKeys = 0;
+    std::uint64_t issuedOrdersCompleted = 0;
 };
 
 // The faults of a seed: every kind alone, then pairs, in turn.
--- a/tests/schedules/schedules_main.cpp
+++ b/tests/schedules/schedules_main.cpp
@@ -28,6 +28,8 @@
     std::uint64_t promptsAnswered = 0;
     std::uint64_t orders = 0;
     std::uint64_t ordersCompleted = 0;
+    std::uint64_t issuedKeys = 0;
+    std::uint64_t issuedOrdersCompleted = 0;
 };
 
 std::string namesOf(const std::vector<fault_kind>& faults)
@@ -49,6 +51,8 @@
     all.promptsAnswered += result.promptsAnswered;
     all.orders += result.orders;
     all.ordersCompleted += result.ordersCompleted;
+    all.issuedKeys += result.issuedKeys;
+    all.issuedOrdersCompleted += result.issuedOrdersCompleted;
 }
 
 void runAll(tally& all)
@@ -86,6 +90,8 @@
     summary["prompts_answered"] = all.promptsAnswered;
     summary["orders"] = all.orders;
     summary["orders_completed"] = all.ordersCompleted;
+    summary["issued_keys"] = all.issuedKeys;
+    summary["issued_orders_completed"] = all.issuedOrdersCompleted;
     std::cout << summary.dump() << std::endl;
     return all.firstSeeds.empty() ? 0 : 1;
 }
