Measurements: what an idle link needs, in the words of grants by demand

Cause: the page spoke of grants every 500 ms, which are gone. Change: it names the renewal of grants and demands instead. Result: capacity_page, test_platform, test_platform_decisions and test_stand_ins pass.

--- a/scripts/capacity_target.py
+++ b/scripts/capacity_target.py
@@ -57,8 +57,8 @@
 AGENT_REQUESTS = REQUESTS / ENGINES
 AGENT_IN_FLIGHT = AGENT_REQUESTS * SECONDS_PER_ANSWER
 
-ONLY_WHAT_CHANGED = ("a grant is sent when it changes and shortly before it lapses, not every 500 ms; a longer lifetime "
-                     "makes the idle rate fall with it")
+ONLY_WHAT_CHANGED = ("an idle link's grants and demands are renewed less often: a longer lifetime, with changes sent at "
+                     "once")
 ONE_SENDER = ("an agent gets a change from one entry only (rendezvous among its links); versions on every frame close "
               "the gaps")
 SUBSET = "links to a subset (DESIGN section 3) instead of to every agent"
