--- a/scripts/capacity_target.py
+++ b/scripts/capacity_target.py
@@ -57,8 +57,8 @@
 AGENT_REQUESTS = REQUESTS / ENGINES
 AGENT_IN_FLIGHT = AGENT_REQUESTS * SECONDS_PER_ANSWER
 
-ONLY_WHAT_CHANGED = ("a grant is sent when it changes and shortly before it lapses, not every 500 ms; a longer lifetime "
-                     "makes the idle rate fall with it")
+ONLY_WHAT_CHANGED = ("an idle link's grants and demands are renewed less often: a longer lifetime, with changes sent at "
+                     "once")
 ONE_SENDER = ("an agent gets a change from one entry only (rendezvous among its links); versions on every frame close "
               "the gaps")
 SUBSET = "links to a subset (DESIGN section 3) instead of to every agent"
@@ -107,6 +107,9 @@
     Figure("agent", "processor time for requests and their tokens",
            [Term("process_agent_cpu_by_tokens", TOKENS_PER_ANSWER, AGENT_REQUESTS)], "us/s", CORE_US,
            "one core is the bound: this is callers' work, not control"),
+    Figure("agent", "processor time of slots by demand, entries that all ask, subset of links",
+           [Term("agent_request_by_entries", AGENT_LINKS, AGENT_REQUESTS)], "us/s", CONTROL_CPU_US,
+           "subset of links; measured with 2048 slots, far more than an engine has"),
     Figure("agent", "idle processor time, links from every entry (as built)",
            [Term("process_agent_idle_cpu_us_by_links", ENTRIES)], "us/s", CONTROL_CPU_US, "none", SUBSET),
     Figure("agent", "idle processor time, subset of links",
