Configuration: changes are validated, committed once, and never denied while they may stand

Cause: an exception without a reason, a retention of a second or a nameless zone was committed. A change whose write was unknown and whose read-back found the store down was answered "nothing was changed", which may be false. A change sent again under its id after a later change was committed a second time, and so undid the later one. The loser of a race saw the other's value only.

--- a/packages/decisions/configuration/configuration_register.cpp
+++ b/packages/decisions/configuration/configuration_register.cpp
@@ -1,5 +1,6 @@
 #include "decisions/configuration/configuration_register.h"
 
+#include <algorithm>
 #include <cassert>
 #include <cstddef>
 
@@ -66,6 +67,13 @@
     return changes;
 }
 
+std::optional<configuration_version> configuration_register::findChange(std::string_view changeId) const
+{
+    const auto found = std::find_if(m_recent.begin(), m_recent.end(),
+        [changeId](const auto& change) { return change.changeId == changeId; });
+    return found == m_recent.end() ? std::nullopt : std::optional(found->version);
+}
+
 void configuration_register::applyNext(const accepted_change& change)
 {
     applyChange(m_current, change);
--- a/packages/decisions/configuration/configuration_register.h
+++ b/packages/decisions/configuration/configuration_register.h
@@ -3,7 +3,9 @@
 #include "model/configuration.h"
 
 #include <deque>
+#include <optional>
 #include <span>
+#include <string_view>
 
 namespace appleramp {
 
@@ -22,6 +24,9 @@
     // The changes after `version`, or an empty list if they are no longer kept and the document must be sent.
     std::vector<accepted_change> changesSince(configuration_version version) const;
 
+    // The version of the change with this id, if it is among the latest changes.
+    std::optional<configuration_version> findChange(std::string_view changeId) const;
+
 private:
     void applyNext(const accepted_change& change);
 
--- a/packages/decisions/configuration/configuration_writer.cpp
+++ b/packages/decisions/configuration/configuration_writer.cpp
@@ -1,5 +1,6 @@
 #include "decisions/configuration/configuration_writer.h"
 
+#include "decisions/configuration/change_validator.h"
 #include "decisions/configuration/configuration_register.h"
 #include "wire/configuration_codec.h"
 
@@ -27,6 +28,11 @@
 
 void configuration_writer::request(const entry_context& context, const change_requested& change)
 {
+    if (auto fault = findFault(change.changeId, change.change)) {
+        problem answer { 422, execution::NotRun, "bad_change", std::move(*fault), std::nullopt };
+        context.effects.emplace_back(reply_problem { change.number, std::move(answer) });
+        return;
+    }
     m_writes.push_back({ change });
     if (!m_writing)
         writeNext(context);
@@ -60,6 +66,11 @@
     if (m_writes.empty())
         return;
     auto& write = m_writes.front();
+    // Sent again after a lost reply: it stands already, and a second row would undo what came after it.
+    if (const auto committed = context.configuration.findChange(write.request.changeId)) {
+        accepted(context, *committed);
+        return;
+    }
     write.version = context.configuration.version() + 1;
     write.isReadBack = false;
     const accepted_change row { write.version, write.request.changeId, write.request.change };
@@ -100,6 +111,10 @@
         writeNext(context);
         return false;
     case platform_status::Unavailable:
+        if (write.tries > 0) {
+            refused(context, 504, "change_unknown", "the change may stand; send the same change id again");
+            return false;
+        }
         refused(context, 503, "store_down", "the table service can't be reached; nothing was changed");
         return false;
     }
@@ -123,7 +138,10 @@
         accepted(context, standing.version);
         return rose;
     }
-    refused(context, 409, "conflict", "another operator's change took this version: " + row.value);
+    const accepted_change own { m_writes.front().version, m_writes.front().request.changeId,
+        m_writes.front().request.change };
+    refused(context, 409, "conflict",
+        "another operator's change took this version: " + row.value + "; yours was: " + encodeAcceptedChange(own));
     return rose;
 }
 
--- a/packages/decisions/entry/request_router.cpp
+++ b/packages/decisions/entry/request_router.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-constexpr duration retryWhenBusy = std::chrono::seconds(1);
 constexpr std::string_view requestOperation = "entry.request";
 constexpr duration retryInProgress = std::chrono::milliseconds(500);
 
