--- a/packages/decisions/entry/request_router_placing.cpp
+++ b/packages/decisions/entry/request_router_placing.cpp
@@ -246,7 +246,7 @@
     }
     const auto link = request.issued
         ? choose(context, request)
-        : context.endpoints.chooseAlone(request.request, request.excluded, context.configuration.current(), context.now);
+        : context.endpoints.chooseAlone(request.request, request.excluded, context.configuration.current());
     if (!link) {
         request.excluded.clear();
         return;
