--- a/packages/decisions/placement/endpoint_directory.h
+++ b/packages/decisions/placement/endpoint_directory.h
@@ -80,9 +80,9 @@
 
     std::map<link_number, linked_endpoint> m_endpoints;
     std::map<service_id, std::set<link_number>> m_byService;
+    std::map<instance_id, std::map<incarnation, link_number>> m_byAgent;
     std::uint64_t m_membershipChanges = 0;
     std::set<link_number> m_cutLinks;
-    std::map<instance_id, std::map<incarnation, link_number>> m_byAgent;
 };
 
 } // namespace appleramp
