Runtime: one wiring of platform and links for both roles; the incarnation seeds the trials

Cause: entry_process and agent_process built their platform worker, links and recorder twice; neither gave the worker a seed, so all processes tried the store at the same moments in an outage. Change: process_wiring.h and openRecorder serve both; the seed is the incarnation.

--- a/packages/agent/agent_process.cpp
+++ b/packages/agent/agent_process.cpp
@@ -8,11 +8,10 @@
 #include "observe/metrics_registry.h"
 #include "observe/span_exporter.h"
 #include "observe/span_metrics.h"
-#include "platform/platform_worker.h"
 #include "replay/trace_header.h"
 #include "runtime/http_listener.h"
-#include "runtime/link_transport.h"
 #include "runtime/platform_access.h"
+#include "runtime/process_wiring.h"
 #include "runtime/reducer_loop.h"
 
 namespace appleramp {
@@ -22,6 +21,7 @@
 constexpr int operationsThreads = 4;
 // Room for the envelope around the largest body.
 constexpr std::size_t envelopeBytes = 64 * 1024;
+constexpr std::size_t platformThreads = 1;
 
 agent_identity identityOf(const process_settings& settings, incarnation life)
 {
@@ -35,15 +35,6 @@
     return identity;
 }
 
-std::unique_ptr<event_recorder> recorderFor(const std::string& path, const agent_identity& identity)
-{
-    if (path.empty())
-        return nullptr;
-    auto recorder = std::make_unique<event_recorder>(path);
-    recorder->write(encodeTraceHeader(identity));
-    return recorder;
-}
-
 } // namespace
 
 class agent_process::implementation {
@@ -57,15 +48,10 @@
         , m_platformOptions(platformOptions(settings.platform))
         , m_loop(
               agent_reducer(m_identity), [this](agent_effect&& effect) { carryOut(std::move(effect)); },
-              recorderFor(recordPath, m_identity))
-        , m_platform(
-              { m_platformOptions, 1 },
-              [this](operation_number operation, platform_result result) {
-                  m_loop.post(platform_replied { operation, std::move(result) });
-              },
-              [this](std::vector<listed_instance> instances) { m_loop.post(instances_listed { std::move(instances) }); })
+              openRecorder(recordPath, encodeTraceHeader(m_identity)))
+        , m_platform(platformWorkerFor(m_loop, m_platformOptions, platformThreads, m_identity.life))
         , m_engine(settings.endpoint.url, [this](agent_event_body event) { m_loop.post(std::move(event)); })
-        , m_links(linkCallbacks(), settings.limits.maxBodyBytes + envelopeBytes)
+        , m_links(linkCallbacksFor(m_loop), settings.limits.maxBodyBytes + envelopeBytes)
         , m_linkPort(m_links.listen(settings.listen.links.host, settings.listen.links.port))
         , m_operations(settings.listen.operations.host, settings.listen.operations.port, operationsThreads,
               settings.limits.requestReadTimeout,
@@ -96,13 +82,6 @@
 private:
     struct effect_visitor;
 
-    link_callbacks linkCallbacks()
-    {
-        return { [this](const link_opened& event) { m_loop.post(event); },
-            [this](const link_closed& event) { m_loop.post(event); },
-            [this](message_received event) { m_loop.post(std::move(event)); } };
-    }
-
     void announceAs(instance_state state)
     {
         listed_instance self;
--- a/packages/entry/entry_process.cpp
+++ b/packages/entry/entry_process.cpp
@@ -9,11 +9,10 @@
 #include "observe/metrics_registry.h"
 #include "observe/span_exporter.h"
 #include "observe/span_metrics.h"
-#include "platform/platform_worker.h"
 #include "replay/trace_header.h"
 #include "runtime/http_listener.h"
-#include "runtime/link_transport.h"
 #include "runtime/platform_access.h"
+#include "runtime/process_wiring.h"
 #include "runtime/reducer_loop.h"
 
 namespace appleramp {
@@ -26,6 +25,7 @@
 constexpr duration defaultTimeout = std::chrono::seconds(60);
 // Room for the envelope around the largest body.
 constexpr std::size_t envelopeBytes = 64 * 1024;
+constexpr std::size_t platformThreads = 2;
 
 entry_identity identityOf(const process_settings& settings, incarnation life)
 {
@@ -37,15 +37,6 @@
     return identity;
 }
 
-std::unique_ptr<event_recorder> recorderFor(const std::string& path, const entry_identity& identity)
-{
-    if (path.empty())
-        return nullptr;
-    auto recorder = std::make_unique<event_recorder>(path);
-    recorder->write(encodeTraceHeader(identity));
-    return recorder;
-}
-
 } // namespace
 
 class entry_process::implementation {
@@ -59,17 +50,12 @@
         , m_platformOptions(platformOptions(settings.platform))
         , m_loop(
               entry_reducer(m_identity), [this](entry_effect&& effect) { carryOut(std::move(effect)); },
-              recorderFor(recordPath, m_identity))
+              openRecorder(recordPath, encodeTraceHeader(m_identity)))
         , m_services { [this](entry_event_body body) { m_loop.post(std::move(body)); }, m_replies, m_journal, m_metrics,
             settings.limits.maxBodyBytes, settings.limits.maxHeaderBytes, settings.limits.requestReadTimeout,
             defaultTimeout }
-        , m_platform(
-              { m_platformOptions },
-              [this](operation_number operation, platform_result result) {
-                  m_loop.post(platform_replied { operation, std::move(result) });
-              },
-              [this](std::vector<listed_instance> instances) { m_loop.post(instances_listed { std::move(instances) }); })
-        , m_links(linkCallbacks(), settings.limits.maxBodyBytes + envelopeBytes)
+        , m_platform(platformWorkerFor(m_loop, m_platformOptions, platformThreads, m_identity.life))
+        , m_links(linkCallbacksFor(m_loop), settings.limits.maxBodyBytes + envelopeBytes)
         , m_linkPort(m_links.listen(settings.listen.links.host, settings.listen.links.port))
         , m_callers(settings.listen.callers.host, settings.listen.callers.port,
               static_cast<int>(settings.entry.maxCallers), settings.limits.requestReadTimeout, [this] { return new caller_handler(m_services); })
@@ -100,13 +86,6 @@
 private:
     struct effect_visitor;
 
-    link_callbacks linkCallbacks()
-    {
-        return { [this](const link_opened& event) { m_loop.post(event); },
-            [this](const link_closed& event) { m_loop.post(event); },
-            [this](message_received event) { m_loop.post(std::move(event)); } };
-    }
-
     void announceAs(instance_state state)
     {
         const auto& host = m_settings.listen;
--- a/packages/runtime/event_recorder.h
+++ b/packages/runtime/event_recorder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <fstream>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -17,4 +18,7 @@
     std::ofstream m_file;
 };
 
+// A recorder that has written its first line, or none if the path is empty.
+std::unique_ptr<event_recorder> openRecorder(const std::string& path, std::string_view firstLine);
+
 } // namespace appleramp
