--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -4,8 +4,12 @@
 import uuid
 
 from fleet import Fleet, call, get_json, wait_until
+from span_collector import Collector
 
-TRACE = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+TRACE_ID = "0af7651916cd43dd8448eb211c80319c"
+TRACE = f"00-{TRACE_ID}-b7ad6b7169203331-01"
+HOPS = {"entry.request", "entry.queue", "entry.attempt", "agent.endpoint"}
+NANOSECONDS_PER_MILLISECOND = 1e6
 ZONES = ["taichung-a", "taichung-b"]
 
 
@@ -33,6 +37,15 @@
     return [entry["reason"] for entry in decisions if entry["kind"] == "placed"]
 
 
+def print_spans(collector):
+    """The request's spans as they reached the collector, one a hop."""
+    spans = wait_until("spans", lambda: (found := [span for span in collector.spans if span["traceId"] == TRACE_ID])
+                       and HOPS <= {span["name"] for span in found} and found)
+    for span in sorted(spans, key=lambda span: int(span["startTimeUnixNano"])):
+        length = (int(span["endTimeUnixNano"]) - int(span["startTimeUnixNano"])) / NANOSECONDS_PER_MILLISECOND
+        print(f"  span {span['name']}: {length:.1f} ms")
+
+
 def start(fleet):
     for zone in ZONES:
         engine = fleet.engine(f"engine-{zone}", "model", "--model=assistant", "--ms_per_token=20")
@@ -47,7 +60,8 @@
 
 
 def main():
-    with Fleet() as fleet:
+    collector = Collector()
+    with Fleet(collector.url) as fleet:
         ledger = start(fleet)
         first, second = fleet.entries.values()
         print("started:", ", ".join(fleet.processes))
@@ -70,6 +84,7 @@
         assert status == 200 and headers["Appleramp-Execution"] == "completed", (status, text)
         assert text.rstrip().endswith("[DONE]"), text
         print("streamed answer:", text.count("data:"), "events; placed at", placed_at(first["operations"], TRACE))
+        print_spans(collector)
 
         key = str(uuid.uuid4())
         status, _, text = order(first["callers"], key)
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -14,7 +14,8 @@
 class Fleet:
     """Owns the processes that it starts and ends them, by pid, when it is closed."""
 
-    def __init__(self):
+    def __init__(self, spans_url=""):
+        self.spans_url = spans_url
         self.folder = tempfile.TemporaryDirectory(prefix="appleramp-demo-")
         self.processes = {}
         self.entries = {}
@@ -43,6 +44,8 @@
     def settings(self, name, text):
         path = pathlib.Path(self.folder.name) / f"{name}.ini"
         url = f"http://127.0.0.1:{self.platform_port}"
+        if self.spans_url:
+            text += f"\n[observe]\nspans_url = {self.spans_url}\n"
         path.write_text(text + f"\n[platform]\ntable_url = {url}\nobjects_url = {url}\ninstances_url = {url}\n")
         return str(path)
 
--- a/tests/processes/record_and_replay.py
+++ b/tests/processes/record_and_replay.py
@@ -1,41 +1,18 @@
 """Real processes: spans of a request reach a collector, and recorded events replay to the same spans."""
-import http.server
 import json
 import pathlib
 import subprocess
 import sys
-import threading
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "scripts"))
 
 from fleet import BIN, Fleet, call, get_json, wait_until  # noqa: E402
+from span_collector import Collector  # noqa: E402
 
 TRACE_ID = "0af7651916cd43dd8448eb211c80319c"
 TRACEPARENT = f"00-{TRACE_ID}-b7ad6b7169203331-01"
 
 
-class Collector:
-    """Takes OTLP JSON over HTTP and keeps the spans."""
-
-    def __init__(self):
-        spans = self.spans = []
-
-        class Handler(http.server.BaseHTTPRequestHandler):
-            def do_POST(self):
-                body = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
-                spans.extend(body["resourceSpans"][0]["scopeSpans"][0]["spans"])
-                self.send_response(200)
-                self.send_header("Content-Length", "0")
-                self.end_headers()
-
-            def log_message(self, *arguments):
-                pass
-
-        self.server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
-        threading.Thread(target=self.server.serve_forever, daemon=True).start()
-        self.url = f"http://127.0.0.1:{self.server.server_port}/v1/traces"
-
-
 def appleramp(*arguments):
     return subprocess.run([BIN / "appleramp", *arguments], capture_output=True, text=True, timeout=30)
 
