--- a/packages/agent/engine_call.cpp
+++ b/packages/agent/engine_call.cpp
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr int connectTimeoutSeconds = 2;
-constexpr int closeCheckMicroseconds = 1000;
 
 std::vector<http_header> headersOf(const Poco::Net::HTTPResponse& response)
 {
@@ -116,9 +115,9 @@
     if (!response.getKeepAlive())
         return true;
     // The chunk reader ends alike after the last chunk and when the connection breaks. The connection was to stay
-    // open, so if it is closed the answer was cut off.
+    // open, so if it is closed the answer was cut off. The reader has seen that end already: there is nothing to wait for.
     auto& socket = m_session->socket();
-    const bool readable = socket.poll(Poco::Timespan(closeCheckMicroseconds), Poco::Net::Socket::SELECT_READ);
+    const bool readable = socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
     return !readable || socket.available() > 0;
 }
 
