Entry: whether it polls is decided when the instance list changes

Cause: each tick, twenty a second, counted and hashed the zone's entries again, though the answer changes only with the list. Change: the answer is kept from one list to the next.

--- a/packages/decisions/entry/entry_reducer.cpp
+++ b/packages/decisions/entry/entry_reducer.cpp
@@ -96,6 +96,7 @@
     {
         self.m_links.listed(context, event.instances);
         self.m_addresses.listed(event.instances);
+        self.m_isPoller = self.m_addresses.isPoller(context.self.instance);
     }
     void operator()(const time_passed& /*event*/) const { }
     void operator()(const stop_requested& /*event*/) const
@@ -187,7 +188,7 @@
     m_router.drain(context);
     m_keyPool.expire(context);
     m_suspects.forgetOld(context.now);
-    m_writer.poll(context, m_addresses.isPoller(m_identity.instance));
+    m_writer.poll(context, m_isPoller);
     if (context.now >= m_nextListing) {
         m_nextListing = context.now + listingInterval;
         context.effects.emplace_back(list_instances {});
--- a/packages/decisions/entry/entry_reducer.h
+++ b/packages/decisions/entry/entry_reducer.h
@@ -56,6 +56,8 @@
     news_refresh m_refresh;
     link_directory m_links;
     address_directory m_addresses;
+    // As the newest instance list has it; an entry that has seen none polls.
+    bool m_isPoller = true;
     request_router m_router;
     key_pool m_keyPool;
     operation_number m_lastOperation = 0;
