Schedules: one handler for the effects that both roles have

Cause: the visitors of entries and agents in schedule_world held the same six handlers twice. Change: shared_effect_visitor serves both; behaviour is the same.

--- a/tests/schedules/schedule_world.cpp
+++ b/tests/schedules/schedule_world.cpp
@@ -16,81 +16,65 @@
 
 } // namespace
 
-struct schedule_world::entry_effect_visitor {
+// The effects that both roles have, for the process in this slot.
+template <typename Slot>
+struct schedule_world::shared_effect_visitor {
     schedule_world& world;
-    std::size_t index;
-
-    entry_slot& slot() const { return world.m_entries.at(index); }
+    Slot& slot;
 
     void operator()(send_message&& effect) const
     {
-        world.m_network.send(slot().node, effect.link, effect.envelope);
+        world.m_network.send(slot.node, effect.link, effect.envelope);
     }
     void operator()(open_link&& effect) const
     {
-        world.m_network.dial(slot().node, effect.instance, effect.address);
+        world.m_network.dial(slot.node, effect.instance, effect.address);
     }
-    void operator()(close_link&& effect) const { world.m_network.close(slot().node, effect.link); }
-    void operator()(call_platform&& effect) const { world.callPlatform(slot().process, effect); }
+    void operator()(close_link&& effect) const { world.m_network.close(slot.node, effect.link); }
+    void operator()(call_platform&& effect) const { world.callPlatform(slot.process, effect); }
     void operator()(list_instances&& /*effect*/) const
     {
         if (world.m_storeDown)
             return;
-        world.m_queue.after(listDelay, [process = slot().process, list = world.instanceList()] {
+        world.m_queue.after(listDelay, [process = slot.process, list = world.instanceList()] {
             process->post(instances_listed { list });
         });
     }
+    void operator()(stop_process&& /*effect*/) const { slot.process->kill(); }
+};
+
+struct schedule_world::entry_effect_visitor : shared_effect_visitor<entry_slot> {
+    using shared_effect_visitor<entry_slot>::operator();
+
     void operator()(record_decision&& /*effect*/) const { }
     void operator()(finish_span&& /*effect*/) const { }
-    void operator()(stop_process&& /*effect*/) const { slot().process->kill(); }
     // What is left are the pieces of replies.
     template <typename Piece>
     void operator()(Piece&& piece) const
     {
-        const auto found = slot().replies.find(piece.number);
-        if (found == slot().replies.end())
+        const auto found = slot.replies.find(piece.number);
+        if (found == slot.replies.end())
             return;
         const auto sink = found->second;
         sink(entry_effect(std::forward<Piece>(piece)));
     }
 };
 
-struct schedule_world::agent_effect_visitor {
-    schedule_world& world;
-    std::size_t index;
-
-    agent_slot& slot() const { return world.m_agents.at(index); }
+struct schedule_world::agent_effect_visitor : shared_effect_visitor<agent_slot> {
+    using shared_effect_visitor<agent_slot>::operator();
+    std::size_t index = 0;
 
-    void operator()(send_message&& effect) const
-    {
-        world.m_network.send(slot().node, effect.link, effect.envelope);
-    }
-    void operator()(open_link&& effect) const
-    {
-        world.m_network.dial(slot().node, effect.instance, effect.address);
-    }
-    void operator()(close_link&& effect) const { world.m_network.close(slot().node, effect.link); }
-    void operator()(call_platform&& effect) const { world.callPlatform(slot().process, effect); }
-    void operator()(list_instances&& /*effect*/) const
-    {
-        if (world.m_storeDown)
-            return;
-        world.m_queue.after(listDelay, [process = slot().process, list = world.instanceList()] {
-            process->post(instances_listed { list });
-        });
-    }
     void operator()(call_engine&& effect) const
     {
         if (world.m_work)
             world.m_work(index);
-        const auto before = slot().endpoint->overloads();
-        slot().endpoint->start(effect);
-        if (slot().endpoint->overloads() > before)
-            world.m_broken.record("overloaded", slot().instance.str());
+        const auto before = slot.endpoint->overloads();
+        slot.endpoint->start(effect);
+        if (slot.endpoint->overloads() > before)
+            world.m_broken.record("overloaded", slot.instance.str());
     }
-    void operator()(cancel_engine_call&& effect) const { slot().endpoint->cancel(effect.call); }
-    void operator()(probe_engine&& /*effect*/) const { slot().endpoint->probe(); }
-    void operator()(stop_process&& /*effect*/) const { slot().process->kill(); }
+    void operator()(cancel_engine_call&& effect) const { slot.endpoint->cancel(effect.call); }
+    void operator()(probe_engine&& /*effect*/) const { slot.endpoint->probe(); }
     // Decisions and spans are of no concern here.
     template <typename Other>
     void operator()(Other&& /*effect*/) const
@@ -149,7 +133,7 @@
     identity.linkAddress = slot.instance.str();
     slot.seenVersion = 0;
     slot.process = std::make_shared<entry_simulation>(m_queue, entry_reducer(identity),
-        [this, index](entry_effect&& effect) { std::visit(entry_effect_visitor { *this, index }, std::move(effect)); });
+        [this, index](entry_effect&& effect) { std::visit(entry_effect_visitor { { *this, m_entries.at(index) } }, std::move(effect)); });
     const auto process = slot.process;
     slot.node = m_network.join({ slot.instance.str(), [process](const link_opened& event) { process->post(event); },
         [process](const link_closed& event) { process->post(event); },
@@ -170,7 +154,7 @@
     identity.limits.coldSlots = m_options.endpoint.coldCapacity;
     slot.seenVersion = 0;
     slot.process = std::make_shared<agent_simulation>(m_queue, agent_reducer(identity),
-        [this, index](agent_effect&& effect) { std::visit(agent_effect_visitor { *this, index }, std::move(effect)); });
+        [this, index](agent_effect&& effect) { std::visit(agent_effect_visitor { { *this, m_agents.at(index) }, index }, std::move(effect)); });
     const auto process = slot.process;
     slot.endpoint->attach([process](agent_event_body event) { process->post(std::move(event)); });
     slot.node = m_network.join({ slot.instance.str(), [process](const link_opened& event) { process->post(event); },
--- a/tests/schedules/schedule_world.h
+++ b/tests/schedules/schedule_world.h
@@ -100,6 +100,8 @@
         std::uint64_t node = 0;
         configuration_version seenVersion = 0;
     };
+    template <typename Slot>
+    struct shared_effect_visitor;
     struct entry_effect_visitor;
     struct agent_effect_visitor;
 
