--- /dev/null
+++ b/packages/applerampd/direct_fleet.cpp
@@ -0,0 +1,84 @@
+#include "direct_fleet.h"
+
+#include "directagent/direct_agent_process.h"
+#include "directentry/direct_entry_process.h"
+#include "model/errors.h"
+#include "observe/json_log.h"
+#include "platform/store_client.h"
+#include "platform/users_platform.h"
+#include "settings/settings.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <functional>
+
+namespace appleramp {
+
+namespace {
+
+// What the file says now counts from the next start; that it can't be used should be known before then.
+void checkReloaded(const std::string& settingsPath)
+{
+    try {
+        loadSettings(settingsPath);
+        logInfo("settings file read again; changes count from the next start");
+    } catch (const error& problem) {
+        logError(std::string("settings file can't be used: ") + problem.what());
+    }
+}
+
+class signal_watch {
+public:
+    signal_watch(boost::asio::io_context& loop, std::function<void()> onStop, std::string settingsPath)
+        : m_signals(loop, SIGTERM, SIGINT, SIGHUP)
+        , m_onStop(std::move(onStop))
+        , m_settingsPath(std::move(settingsPath))
+    {
+        wait();
+    }
+
+private:
+    void wait()
+    {
+        m_signals.async_wait([this](const boost::system::error_code& cancelled, int received) {
+            if (cancelled)
+                return;
+            if (received == SIGHUP)
+                checkReloaded(m_settingsPath);
+            else
+                m_onStop();
+            wait();
+        });
+    }
+
+    boost::asio::signal_set m_signals;
+    std::function<void()> m_onStop;
+    std::string m_settingsPath;
+};
+
+template <typename Process>
+void run(const process_settings& settings, incarnation life, const std::string& settingsPath)
+{
+    // A loop without locks: one thread runs it.
+    boost::asio::io_context loop(1);
+    users_platform::store_client store(loop, settings.store.address.str());
+    const users_platform::platform platform;
+    Process process(loop, settings, life, store, platform);
+    const signal_watch watch(loop, [&process] { process.requestStop(); }, settingsPath);
+    loop.run();
+}
+
+} // namespace
+
+void runDirectProcess(const process_settings& settings, incarnation life, const std::string& settingsPath)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    if (settings.process.role == process_role::DirectEntry)
+        run<direct_entry_process>(settings, life, settingsPath);
+    else
+        run<direct_agent_process>(settings, life, settingsPath);
+}
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/applerampd/direct_fleet.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "settings/process_settings.h"
+
+#include <string>
+
+namespace appleramp {
+
+// Runs a direct entry or agent until it is stopped. Throws http_error if it can't listen.
+void runDirectProcess(const process_settings& settings, incarnation life, const std::string& settingsPath);
+
+} // namespace appleramp
--- a/packages/applerampd/main.cpp
+++ b/packages/applerampd/main.cpp
@@ -1,3 +1,5 @@
+#include "direct_fleet.h"
+
 #include "agent/agent_process.h"
 #include "entry/entry_process.h"
 #include "model/errors.h"
@@ -8,6 +10,8 @@
 
 #include <gflags/gflags.h>
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <future>
 #include <iostream>
@@ -71,6 +75,9 @@
               << std::endl;
 }
 
+// The logs of direct fleets go to standard output, as their on-call engineers collect them there.
+bool isDirect(process_role role) { return role == process_role::DirectEntry || role == process_role::DirectAgent; }
+
 // The process exists only after the signals are blocked, since its threads inherit the mask.
 template <typename Process>
 void run(const process_settings& settings, incarnation life)
@@ -88,8 +95,10 @@
 {
     if (settings.process.role == process_role::Entry)
         run<entry_process>(settings, life);
-    else
+    else if (settings.process.role == process_role::Agent)
         run<agent_process>(settings, life);
+    else
+        runDirectProcess(settings, life, FLAGS_settings);
 }
 
 } // namespace
@@ -117,7 +126,8 @@
         if (FLAGS_check_settings)
             return 0;
         const incarnation life = newIncarnation();
-        installJsonLog({ settings.process.instance, settings.process.zone, life }, severityOf(settings.observe.logLevel));
+        installJsonLog({ settings.process.instance, settings.process.zone, life }, severityOf(settings.observe.logLevel),
+            isDirect(settings.process.role) ? STDOUT_FILENO : STDERR_FILENO);
         logInfo("started");
         runProcess(settings, life);
         logInfo("stopped");
--- /dev/null
+++ b/packages/datagrams/news_codec.cpp
@@ -0,0 +1,69 @@
+#include "datagrams/news_codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace appleramp {
+
+namespace {
+
+using nlohmann::json;
+
+// Short member names: these datagrams cross zones many times a second.
+struct encoder {
+    json operator()(const entry_presence& presence) const
+    {
+        return { { "k", "e" }, { "i", presence.instance.str() }, { "z", presence.zone.str() }, { "a", presence.callerAddress },
+            { "s", presence.serving } };
+    }
+    json operator()(const endpoint_load& load) const
+    {
+        return { { "k", "l" }, { "a", load.address }, { "r", load.running }, { "w", load.waiting }, { "p", load.pace },
+            { "o", load.groupOpen }, { "t", load.step } };
+    }
+    json operator()(const breakdown_news& breakdown) const
+    {
+        return { { "k", "b" }, { "c", breakdown.content }, { "n", breakdown.sendId } };
+    }
+};
+
+entry_presence presenceIn(const json& body)
+{
+    return { instance_id(body.at("i").get<std::string>()), availability_zone_id(body.at("z").get<std::string>()),
+        body.at("a").get<std::string>(), body.at("s").get<bool>() };
+}
+
+endpoint_load loadIn(const json& body)
+{
+    return { body.at("a").get<std::string>(), body.at("r").get<std::uint32_t>(), body.at("w").get<std::uint32_t>(),
+        body.at("p").get<double>(), body.at("o").get<bool>(), body.at("t").get<std::uint64_t>() };
+}
+
+} // namespace
+
+std::string encodeNews(const news& message)
+{
+    const std::vector<std::uint8_t> bytes = json::to_cbor(std::visit(encoder {}, message));
+    return { bytes.begin(), bytes.end() };
+}
+
+std::optional<news> decodeNews(std::string_view bytes)
+{
+    const json body = json::from_cbor(bytes, true, false);
+    if (!body.is_object())
+        return std::nullopt;
+    try {
+        const std::string kind = body.at("k").get<std::string>();
+        if (kind == "e")
+            return presenceIn(body);
+        if (kind == "l")
+            return loadIn(body);
+        if (kind == "b")
+            return breakdown_news { body.at("c").get<std::uint64_t>(), body.at("n").get<std::string>() };
+    } catch (const json::exception&) {
+        // A member is missing or of another type: from another version, or no news of ours.
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/decisions/forwarding/entry_peers.cpp
@@ -0,0 +1,46 @@
+#include "decisions/forwarding/entry_peers.h"
+
+#include <algorithm>
+
+namespace appleramp {
+
+entry_peers::entry_peers(instant startedAt, peer_settings settings)
+    : m_startedAt(startedAt)
+    , m_settings(settings)
+{
+}
+
+bool entry_peers::heard(instant now, const entry_presence& presence)
+{
+    const auto [found, isNew] = m_peers.try_emplace(presence.callerAddress);
+    const bool wasSilent = isNew || now - found->second.heardAt >= m_settings.silentAfter;
+    found->second = { presence, now };
+    return wasSilent;
+}
+
+std::vector<std::string> entry_peers::callerAddresses(
+    instant now, const entry_presence& self, const availability_zone_id& zone) const
+{
+    std::vector<const entry_presence*> serving;
+    if (self.serving)
+        serving.push_back(&self);
+    for (const auto& [address, peer] : m_peers) {
+        if (peer.presence.serving && now - peer.heardAt < m_settings.silentAfter)
+            serving.push_back(&peer.presence);
+    }
+    std::stable_partition(serving.begin(), serving.end(), [&](const auto* entry) { return entry->zone == zone; });
+    std::vector<std::string> addresses;
+    for (const entry_presence* entry : serving)
+        addresses.push_back(entry->callerAddress);
+    return addresses;
+}
+
+std::size_t entry_peers::sharers(instant now) const
+{
+    const auto counted = static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(),
+        [&](const auto& entry) { return now - entry.second.heardAt < m_settings.countedFor; }));
+    const bool listenedLong = now - m_startedAt >= m_settings.listenFor;
+    return listenedLong ? counted + 1 : std::max(counted + 1, m_settings.assumedEntries);
+}
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -0,0 +1,408 @@
+#include "decisions/forwarding/forwarding_reducer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace appleramp {
+
+namespace {
+
+// Shortest wait before a caller that was refused for want of knowledge or of a usable endpoint comes back.
+constexpr duration soonestReturn = std::chrono::milliseconds(200);
+// Added at random, so that callers refused together do not return together.
+constexpr duration returnSpread = std::chrono::milliseconds(600);
+// Less time than this is no use to an endpoint.
+constexpr duration leastTimeLeft = std::chrono::milliseconds(20);
+// Silence before a stream's first event after which another endpoint is tried, in latency targets.
+constexpr double firstSilenceTargets = 2.4;
+// Silence between events after which another endpoint is tried, in pause targets.
+constexpr double laterSilencePauses = 6.0;
+// Silence of a plain idempotent request after which another endpoint is tried, in latency targets.
+constexpr double plainSilenceTargets = 0.6;
+// A caller that gives no timeout.
+constexpr duration longestTimeout = std::chrono::seconds(60);
+
+duration scaled(duration time, double factor)
+{
+    return duration(static_cast<duration::rep>(static_cast<double>(time.count()) * factor));
+}
+
+std::string millisecondsText(duration time)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
+} // namespace
+
+std::string_view nameOf(refusal_reason reason)
+{
+    switch (reason) {
+    case refusal_reason::NotReady:
+        return "not_ready";
+    case refusal_reason::UnknownRoute:
+        return "unknown_route";
+    case refusal_reason::UnknownKey:
+        return "unknown_key";
+    case refusal_reason::NoCapacity:
+        return "no_capacity";
+    case refusal_reason::BreaksEndpoints:
+        return "breaks_endpoints";
+    case refusal_reason::ExpiredUnrun:
+        return "expired_unrun";
+    case refusal_reason::OutcomeUnknown:
+        return "outcome_unknown";
+    case refusal_reason::TimedOut:
+        break;
+    }
+    return "timed_out";
+}
+
+bool promisesNotRun(refusal_reason reason)
+{
+    return reason != refusal_reason::OutcomeUnknown && reason != refusal_reason::TimedOut;
+}
+
+forwarding_reducer::forwarding_reducer(instant startedAt, forwarding_settings settings)
+    : m_settings(std::move(settings))
+    , m_freshness(m_settings.freshness)
+    , m_repeats(m_settings.repeats)
+    , m_fleet(m_settings.fleet)
+    , m_peers(startedAt, m_settings.peers)
+    , m_random(m_settings.seed)
+{
+}
+
+forwarding_effects forwarding_reducer::handle(const forwarding_event& event)
+{
+    std::visit([this](const auto& concrete) { on(concrete); }, event);
+    return std::exchange(m_effects, {});
+}
+
+bool forwarding_reducer::isReady(instant now) const
+{
+    return m_routes && m_freshness.allowsKeys(now) && m_fleet.size() > 0;
+}
+
+double forwarding_reducer::draw()
+{
+    return std::uniform_real_distribution<double>(0, 1)(m_random);
+}
+
+duration forwarding_reducer::soon() { return soonestReturn + scaled(returnSpread, draw()); }
+
+void forwarding_reducer::on(const request_arrived& event)
+{
+    request_state request { .caller = event.caller, .table = m_routes, .arrivedAt = event.now };
+    if (!admit(event.now, event.request, request))
+        return;
+    m_repeats.noteRequest(event.now, request.service);
+    const auto [held, isNew] = m_requests.emplace(event.request, std::move(request));
+    place(event.now, event.request, held->second);
+}
+
+bool forwarding_reducer::admit(instant now, request_number number, request_state& request)
+{
+    const auto refused = [&](refusal_reason reason, std::optional<duration> retryAfter) {
+        refuse(number, request, reason, retryAfter);
+        return false;
+    };
+    if (!request.table)
+        return refused(refusal_reason::NotReady, soon());
+    request.taken = request.table->find(request.caller.host, request.caller.path);
+    const bool definite = m_freshness.allowsDefiniteRefusal(now);
+    if (request.taken == nullptr || request.taken->services.empty())
+        return definite ? refused(refusal_reason::UnknownRoute, {}) : refused(refusal_reason::NotReady, soon());
+    request.urgencyRank = request.taken->urgencyRank;
+    if (request.table->asksForKeys() && !request.taken->isPublic) {
+        if (!m_freshness.allowsKeys(now))
+            return refused(refusal_reason::NotReady, soon());
+        const team* const owner = request.table->teamOfKey(request.caller.apiKey);
+        if (owner == nullptr)
+            return definite ? refused(refusal_reason::UnknownKey, {}) : refused(refusal_reason::NotReady, soon());
+        request.team = owner->id;
+        request.urgencyRank = owner->urgencyRank.value_or(request.urgencyRank);
+    }
+    if (m_suspects.refuses(now, request.caller.contentHash))
+        return refused(refusal_reason::BreaksEndpoints, {});
+    request.service = serviceByWeight(*request.taken, draw());
+    const duration given = request.caller.timeout.value_or(longestTimeout);
+    const duration allowed = request.taken->timeout > duration::zero() ? request.taken->timeout : longestTimeout;
+    request.deadline = now + std::min(given, allowed);
+    return true;
+}
+
+void forwarding_reducer::place(instant now, request_number number, request_state& request)
+{
+    if (request.deadline - now < leastTimeLeft) {
+        refuse(number, request, request.mayHaveRun ? refusal_reason::TimedOut : refusal_reason::ExpiredUnrun, {});
+        m_requests.erase(number);
+        return;
+    }
+    const service_description* const service = request.table->service(request.service);
+    const auto found = m_fleet.choose({ .now = now,
+        .service = request.service,
+        .zone = m_settings.zone,
+        .sharers = m_peers.sharers(now),
+        .excluded = request.tried,
+        .coldRequestsPerSecond = service == nullptr ? 0 : service->coldRequestsPerSecond,
+        .point = draw() });
+    if (!found) {
+        refuse(number, request, request.mayHaveRun ? refusal_reason::OutcomeUnknown : refusal_reason::NoCapacity, soon());
+        m_requests.erase(number);
+        return;
+    }
+    const auto verdict = admission_gate::judge({ .load = found->load,
+                                                   .slots = found->slots,
+                                                   .occupancy = m_fleet.occupancy(request.service),
+                                                   .latencyTarget = request.taken->latencyTarget,
+                                                   .timeLeft = request.deadline - now,
+                                                   .urgencyRank = request.urgencyRank },
+        draw());
+    if (!verdict.admitted && !request.mayHaveRun) {
+        refuse(number, request, refusal_reason::NoCapacity, verdict.retryAfter);
+        m_requests.erase(number);
+        return;
+    }
+    send(now, number, request, *found);
+}
+
+void forwarding_reducer::send(instant now, request_number number, request_state& request, const placement& place)
+{
+    ++request.sends;
+    request.current = place.endpoint;
+    request.sentAt = now;
+    request.tried.push_back(place.endpoint);
+    m_fleet.noteSent(now, place.endpoint);
+    const route& taken = *request.taken;
+    const bool isStream = taken.kind == route_kind::Stream;
+    send_attempt attempt { .request = number,
+        .endpoint = place.endpoint,
+        .address = place.address,
+        .team = request.team,
+        .timeLeft = request.deadline - now,
+        .onlyNewConnection = !taken.repeatable(),
+        .isStream = isStream,
+        .urgencyRank = request.urgencyRank };
+    if (taken.repeatable() && request.sends < taken.maxAttempts) {
+        attempt.firstSilence = scaled(taken.latencyTarget, isStream ? firstSilenceTargets : plainSilenceTargets);
+        const duration pause = taken.pauseTarget > duration::zero() ? taken.pauseTarget : m_settings.defaultPause;
+        attempt.laterSilence = isStream ? scaled(pause, laterSilencePauses) : duration::zero();
+    }
+    m_effects.emplace_back(std::move(attempt));
+    m_effects.emplace_back(log_decision { "placed", request.caller.sendId,
+        { { "endpoint", place.endpoint.str() }, { "service", request.service.str() },
+            { "load", std::to_string(place.load) }, { "load_age_ms", millisecondsText(place.reportAge) },
+            { "send", std::to_string(request.sends) },
+            { "configuration", std::to_string(request.table->version()) } } });
+}
+
+void forwarding_reducer::on(const attempt_ended& event)
+{
+    const auto found = m_requests.find(event.request);
+    if (found == m_requests.end())
+        return;
+    request_state& request = found->second;
+    m_fleet.noteEnded(event.now, request.current, event.ending);
+    noteEnding(event.now, request, event.ending);
+    if (proofOf(event.ending) != run_proof::NotRun)
+        request.mayHaveRun = true;
+    m_effects.emplace_back(log_decision { "attempt_ended", request.caller.sendId,
+        { { "endpoint", request.current.str() }, { "ending", std::string(nameOf(event.ending)) },
+            { "after_ms", millisecondsText(event.now - request.sentAt) }, { "begun", event.answerBegun ? "true" : "false" } } });
+    if (mayGoOn(event.now, request, event)) {
+        place(event.now, event.request, request);
+        return;
+    }
+    concludeEnded(event.request, request, event);
+    m_requests.erase(event.request);
+}
+
+bool forwarding_reducer::mayGoOn(instant now, request_state& request, const attempt_ended& event)
+{
+    const route& taken = *request.taken;
+    if (!mayRepeat(taken, event.ending) || request.deadline - now < leastTimeLeft)
+        return false;
+    if (event.answerBegun && !taken.resumable)
+        return false;
+    // A connection that was never established reached no endpoint.
+    if (event.ending == attempt_ending::NotSent) {
+        --request.sends;
+        return request.tried.size() <= taken.maxAttempts + 1;
+    }
+    if (request.sends >= taken.maxAttempts)
+        return false;
+    if (!request.team.empty() && !m_freshness.allowsKeys(now))
+        return false;
+    return m_repeats.take(now, request.service, m_peers.sharers(now));
+}
+
+void forwarding_reducer::concludeEnded(request_number number, const request_state& request, const attempt_ended& event)
+{
+    if (event.answerBegun) {
+        m_effects.emplace_back(break_answer { number });
+        return;
+    }
+    if (event.ending == attempt_ending::FailureAnswer) {
+        m_effects.emplace_back(pass_failure_answer { number });
+        return;
+    }
+    if (request.mayHaveRun)
+        return refuse(number, request, refusal_reason::OutcomeUnknown, {});
+    refuse(number, request, refusal_reason::NoCapacity, event.retryAfter ? event.retryAfter : soon());
+}
+
+void forwarding_reducer::noteEnding(instant now, const request_state& request, attempt_ending ending)
+{
+    if (ending == attempt_ending::NoAnswer || ending == attempt_ending::CutAnswer)
+        m_suspects.noteBroken({ request.caller.contentHash, request.current, request.caller.sendId, now });
+    if (ending == attempt_ending::NotSent)
+        endpointDown(now, request.current);
+}
+
+void forwarding_reducer::endpointDown(instant now, const endpoint_id& endpoint)
+{
+    for (const broken_attempt& guilty : m_suspects.endpointDown(now, endpoint))
+        m_effects.emplace_back(tell_breakdown { guilty.content, guilty.sendId });
+}
+
+void forwarding_reducer::refuse(
+    request_number number, const request_state& request, refusal_reason reason, std::optional<duration> retryAfter)
+{
+    m_effects.emplace_back(refuse_request { number, reason, retryAfter });
+    log_decision line { "refused", request.caller.sendId, { { "reason", std::string(nameOf(reason)) } } };
+    line.inputs.emplace_back("configuration", std::to_string(configurationVersion()));
+    if (request.taken != nullptr)
+        line.inputs.emplace_back("route", request.taken->name);
+    if (!request.service.empty()) {
+        line.inputs.emplace_back("service", request.service.str());
+        line.inputs.emplace_back("sends", std::to_string(request.sends));
+    }
+    if (retryAfter)
+        line.inputs.emplace_back("retry_after_ms", millisecondsText(*retryAfter));
+    m_effects.emplace_back(std::move(line));
+}
+
+void forwarding_reducer::on(const attempt_answered& event)
+{
+    const auto found = m_requests.find(event.request);
+    if (found == m_requests.end())
+        return;
+    const request_state& request = found->second;
+    m_fleet.noteAnswered(event.now, request.current, event.now - request.sentAt);
+    m_effects.emplace_back(log_decision { "answered", request.caller.sendId,
+        { { "endpoint", request.current.str() }, { "took_ms", millisecondsText(event.now - request.arrivedAt) },
+            { "sends", std::to_string(request.sends) } } });
+    m_requests.erase(found);
+}
+
+void forwarding_reducer::on(const forwarded_caller_left& event)
+{
+    const auto found = m_requests.find(event.request);
+    if (found == m_requests.end())
+        return;
+    m_fleet.noteCancelled(found->second.current);
+    m_effects.emplace_back(cancel_forwarded { event.request });
+    m_effects.emplace_back(log_decision { "caller_left", found->second.caller.sendId,
+        { { "endpoint", found->second.current.str() },
+            { "after_ms", millisecondsText(event.now - found->second.arrivedAt) } } });
+    m_requests.erase(found);
+}
+
+void forwarding_reducer::on(const deadline_passed& event)
+{
+    const auto found = m_requests.find(event.request);
+    if (found == m_requests.end())
+        return;
+    m_fleet.noteEnded(event.now, found->second.current, attempt_ending::Silent);
+    m_effects.emplace_back(cancel_forwarded { event.request });
+    if (event.answerBegun)
+        m_effects.emplace_back(break_answer { event.request });
+    else
+        refuse(event.request, found->second, refusal_reason::TimedOut, {});
+    m_requests.erase(found);
+}
+
+void forwarding_reducer::on(const configuration_confirmed& event)
+{
+    const bool isNewer = event.configuration && event.configuration->version > configurationVersion();
+    const bool isOlder = event.configuration && event.configuration->version < configurationVersion();
+    if (isOlder) {
+        m_effects.emplace_back(log_decision { "older_configuration_ignored", {},
+            { { "version", std::to_string(event.configuration->version) },
+                { "in_force", std::to_string(configurationVersion()) } } });
+        return;
+    }
+    if (isNewer) {
+        m_routes = std::make_shared<route_table>(*event.configuration);
+        m_effects.emplace_back(log_decision { "configuration_adopted", {},
+            { { "version", std::to_string(event.configuration->version) },
+                { "routes", std::to_string(event.configuration->routes.size()) },
+                { "age_ms", millisecondsText(event.now - event.readSentAt) } } });
+    }
+    if (m_routes)
+        m_freshness.confirm(event.readSentAt);
+}
+
+void forwarding_reducer::on(const zones_out_changed& event)
+{
+    std::string names;
+    for (const availability_zone_id& zone : event.zones)
+        names.append(names.empty() ? "" : ",").append(zone.str());
+    m_fleet.setZonesOut(event.zones);
+    m_effects.emplace_back(log_decision { "zones_out", {}, { { "zones", names } } });
+}
+
+void forwarding_reducer::on(const endpoint_listed& event)
+{
+    const bool isNew = !m_fleet.knows(event.record.id);
+    m_fleet.list(event.now, event.record);
+    if (isNew || event.record.leaving || event.record.coldFor > duration::zero())
+        m_effects.emplace_back(log_decision { event.record.leaving ? "endpoint_leaving" : "endpoint_listed", {},
+            { { "endpoint", event.record.id.str() }, { "address", event.record.address },
+                { "service", event.record.service.str() }, { "zone", event.record.zone.str() },
+                { "cold_for_ms", millisecondsText(event.record.coldFor) } } });
+}
+
+void forwarding_reducer::on(const endpoint_unlisted& event)
+{
+    m_fleet.unlist(event.now, event.endpoint);
+    endpointDown(event.now, event.endpoint);
+    m_effects.emplace_back(log_decision { "endpoint_unlisted", {},
+        { { "endpoint", event.endpoint.str() }, { "kept_for_now", m_fleet.knows(event.endpoint) ? "true" : "false" } } });
+}
+
+void forwarding_reducer::on(const endpoints_read& event)
+{
+    m_fleet.listOnly(event.now, event.records);
+    m_effects.emplace_back(log_decision { "endpoints_read", {},
+        { { "listed", std::to_string(event.records.size()) }, { "known", std::to_string(m_fleet.size()) } } });
+}
+
+void forwarding_reducer::on(const registry_access_changed& event)
+{
+    if (event.reachable)
+        m_fleet.registryBack(event.now);
+    else
+        m_fleet.registryAway(event.now);
+    m_effects.emplace_back(log_decision { event.reachable ? "store_regained" : "store_lost", {}, {} });
+}
+
+void forwarding_reducer::on(const endpoint_load_heard& event) { m_fleet.noteLoad(event.now, event.load); }
+
+void forwarding_reducer::on(const entry_heard& event)
+{
+    if (m_peers.heard(event.now, event.presence))
+        m_effects.emplace_back(log_decision { "entry_heard", {},
+            { { "entry", event.presence.instance.str() }, { "address", event.presence.callerAddress } } });
+}
+
+void forwarding_reducer::on(const breakdown_heard& event) { m_suspects.note(event.now, event.content, event.sendId); }
+
+void forwarding_reducer::on(const time_passed_by& event)
+{
+    m_suspects.forgetOld(event.now);
+    for (const endpoint_id& gone : m_fleet.expireLapsed(event.now))
+        m_effects.emplace_back(log_decision { "endpoint_gone", {}, { { "endpoint", gone.str() } } });
+}
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/directagent/direct_agent_process.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "settings/process_settings.h"
+
+#include <memory>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace appleramp {
+
+class platform_adapter;
+class row_store;
+
+// An agent beside one engine, as a running process: tells the entries how the engine stands.
+class direct_agent_process {
+public:
+    // Listens at once; throws http_error.
+    direct_agent_process(boost::asio::io_context& loop, const process_settings& settings, incarnation life, row_store& store,
+        const platform_adapter& platform);
+    ~direct_agent_process();
+    direct_agent_process(const direct_agent_process&) = delete;
+    direct_agent_process& operator=(const direct_agent_process&) = delete;
+
+    void requestStop();
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/directentry/caller_exchange.cpp
@@ -0,0 +1,280 @@
+#include "directentry/caller_exchange.h"
+
+#include "http/client_pool.h"
+#include "http/server_connection.h"
+#include "ports/platform_adapter.h"
+
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace appleramp {
+
+namespace {
+
+constexpr unsigned firstFailureStatus = 500;
+constexpr double secondsPerMicrosecond = 1e-6;
+
+unsigned statusOf(refusal_reason reason)
+{
+    switch (reason) {
+    case refusal_reason::UnknownRoute:
+        return 404;
+    case refusal_reason::UnknownKey:
+        return 401;
+    case refusal_reason::OutcomeUnknown:
+        return 502;
+    case refusal_reason::TimedOut:
+        return 504;
+    default:
+        return 503;
+    }
+}
+
+std::string secondsText(duration time)
+{
+    std::array<char, 32> digits {};
+    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(),
+        static_cast<double>(time.count()) * secondsPerMicrosecond, std::chars_format::fixed, 3);
+    return { digits.data(), end.ptr };
+}
+
+attempt_ending endingOf(exchange_failure failure)
+{
+    switch (failure) {
+    case exchange_failure::ConnectRefused:
+    case exchange_failure::ConnectTimedOut:
+    case exchange_failure::ClosedBeforeSend:
+        return attempt_ending::NotSent;
+    case exchange_failure::ClosedInAnswer:
+        return attempt_ending::CutAnswer;
+    case exchange_failure::Malformed:
+        return attempt_ending::ForeignAnswer;
+    case exchange_failure::ClosedBeforeAnswer:
+        break;
+    }
+    return attempt_ending::NoAnswer;
+}
+
+http_response refusalAnswer(const refuse_request& effect)
+{
+    http_response answer;
+    answer.head.status = statusOf(effect.reason);
+    answer.head.headers.add("Content-Type", "application/problem+json");
+    const std::string_view execution = promisesNotRun(effect.reason) ? "not_run" : "unknown";
+    answer.head.headers.add("Appleramp-Execution", execution);
+    if (effect.retryAfter)
+        answer.head.headers.add("Retry-After", secondsText(*effect.retryAfter));
+    answer.body.append("{\"execution\":\"").append(execution).append("\",\"reason\":\"").append(nameOf(effect.reason)).append("\"}");
+    return answer;
+}
+
+} // namespace
+
+caller_exchange::caller_exchange(
+    exchange_services services, request_number number, std::shared_ptr<server_connection> caller, http_request request)
+    : m_services(std::move(services))
+    , m_number(number)
+    , m_connection(std::move(caller))
+    , m_request(std::move(request))
+    , m_caller(m_services.platform.readCallerRequest(m_request))
+{
+}
+
+void caller_exchange::start()
+{
+    m_connection->onPeerGone([self = shared_from_this()] {
+        if (self->m_over)
+            return;
+        self->m_services.post(forwarded_caller_left { self->m_services.now(), self->m_number });
+        self->finish();
+    });
+    m_services.post(request_arrived { m_services.now(), m_number, m_caller });
+}
+
+void caller_exchange::carryOut(const send_attempt& effect)
+{
+    const instant now = m_services.now();
+    m_attempt = effect;
+    m_deadline = now + effect.timeLeft;
+    m_lastProgress = now;
+    m_attemptHasAnswer = false;
+    m_mode = answer_mode::Undecided;
+    m_retryAfter.reset();
+    m_answer = {};
+    m_events.dropPartial();
+    const endpoint_request order { effect.endpoint, effect.team, effect.timeLeft, effect.urgencyRank,
+        m_begun ? m_events.lastEventId() : std::nullopt };
+    std::string bytes = serializeRequest(m_services.platform.endpointHead(m_request.head, order), m_request.body);
+    m_endpoint = m_services.endpoints.acquire(effect.address, effect.onlyNewConnection);
+    const std::uint64_t number = ++m_attemptNumber;
+    // Reports of an attempt that was given up are of no interest any more.
+    const auto current = [self = shared_from_this(), number] { return self->m_attemptNumber == number && !self->m_over; };
+    m_endpoint->exchange(std::move(bytes),
+        { .head =
+                [self = shared_from_this(), current](http_response_head head) {
+                    if (current())
+                        self->onHead(std::move(head));
+                },
+            .body =
+                [self = shared_from_this(), current](const std::string& body) {
+                    if (current())
+                        self->onBody(body);
+                },
+            .completed =
+                [self = shared_from_this(), current] {
+                    if (current())
+                        self->onCompleted();
+                },
+            .failed =
+                [self = shared_from_this(), current](exchange_failure failure) {
+                    if (current())
+                        self->onFailed(failure);
+                } });
+}
+
+void caller_exchange::onHead(http_response_head head)
+{
+    m_lastProgress = m_services.now();
+    const answer_reading reading = m_services.platform.readAnswer(head, m_caller.sendId);
+    m_retryAfter = reading.retryAfter;
+    switch (reading.kind) {
+    case answer_kind::Foreign:
+        m_endpoint->cancel();
+        return endAttempt(attempt_ending::ForeignAnswer);
+    case answer_kind::Rejected:
+    case answer_kind::WrongEndpoint:
+        m_mode = answer_mode::Discarded;
+        m_discardedAs = reading.kind == answer_kind::Rejected ? attempt_ending::Rejected : attempt_ending::WrongEndpoint;
+        return;
+    case answer_kind::Ran:
+        break;
+    }
+    m_answer.head = m_services.platform.callerHead(std::move(head));
+    const bool isStream = m_attempt.isStream && m_answer.head.status < 300;
+    // An answer that continues another one must be a stream as well.
+    if (m_begun && !isStream) {
+        m_endpoint->cancel();
+        return endAttempt(attempt_ending::FailureAnswer);
+    }
+    m_mode = isStream ? answer_mode::Streamed : answer_mode::Buffered;
+}
+
+void caller_exchange::onBody(const std::string& bytes)
+{
+    if (m_mode == answer_mode::Streamed)
+        streamBytes(bytes);
+    else if (m_mode == answer_mode::Buffered)
+        m_answer.body += bytes;
+}
+
+void caller_exchange::streamBytes(const std::string& bytes)
+{
+    const std::string events = m_events.take(bytes);
+    if (events.empty())
+        return;
+    m_lastProgress = m_services.now();
+    m_attemptHasAnswer = true;
+    if (!std::exchange(m_begun, true))
+        m_connection->beginStream(m_answer.head);
+    m_connection->writeStream(events);
+}
+
+void caller_exchange::onCompleted()
+{
+    m_services.endpoints.release(std::exchange(m_endpoint, nullptr));
+    switch (m_mode) {
+    case answer_mode::Discarded:
+        return endAttempt(m_discardedAs, m_retryAfter);
+    case answer_mode::Buffered:
+        if (m_answer.head.status >= firstFailureStatus)
+            return endAttempt(attempt_ending::FailureAnswer);
+        m_connection->respond(std::move(m_answer));
+        return answered();
+    case answer_mode::Streamed:
+        if (m_events.hasPartial())
+            return endAttempt(attempt_ending::CutAnswer);
+        if (!m_begun) {
+            m_connection->respond(std::move(m_answer));
+            return answered();
+        }
+        m_connection->finishStream();
+        return answered();
+    case answer_mode::Undecided:
+        break;
+    }
+    endAttempt(attempt_ending::ForeignAnswer);
+}
+
+void caller_exchange::onFailed(exchange_failure failure)
+{
+    m_endpoint.reset();
+    // A rejection that was cut off after its head is a rejection all the same.
+    if (m_mode == answer_mode::Discarded)
+        return endAttempt(m_discardedAs, m_retryAfter);
+    endAttempt(endingOf(failure));
+}
+
+void caller_exchange::endAttempt(attempt_ending ending, std::optional<duration> retryAfter)
+{
+    ++m_attemptNumber;
+    m_deadline = instant::max();
+    m_services.post(attempt_ended { m_services.now(), m_number, ending, m_begun, retryAfter });
+}
+
+void caller_exchange::answered()
+{
+    m_services.post(attempt_answered { m_services.now(), m_number });
+    finish();
+}
+
+void caller_exchange::refuse(const refuse_request& effect)
+{
+    if (m_begun)
+        m_connection->abort();
+    else
+        m_connection->respond(refusalAnswer(effect));
+    finish();
+}
+
+void caller_exchange::passFailureAnswer()
+{
+    m_connection->respond(std::move(m_answer));
+    finish();
+}
+
+void caller_exchange::breakAnswer()
+{
+    m_connection->abort();
+    finish();
+}
+
+void caller_exchange::cancelAttempt()
+{
+    ++m_attemptNumber;
+    if (m_endpoint)
+        std::exchange(m_endpoint, nullptr)->cancel();
+}
+
+void caller_exchange::checkTime(instant now)
+{
+    if (m_over || !m_endpoint)
+        return;
+    if (now >= m_deadline) {
+        m_services.post(deadline_passed { now, m_number, m_begun });
+        return;
+    }
+    const duration limit = m_attemptHasAnswer ? m_attempt.laterSilence : m_attempt.firstSilence;
+    if (limit == duration::zero() || now - m_lastProgress < limit)
+        return;
+    cancelAttempt();
+    endAttempt(attempt_ending::Silent);
+}
+
+void caller_exchange::finish()
+{
+    m_over = true;
+    cancelAttempt();
+}
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/directentry/direct_entry_process.cpp
@@ -0,0 +1,511 @@
+#include "directentry/direct_entry_process.h"
+
+#include "datagrams/news_socket.h"
+#include "decisions/forwarding/forwarding_reducer.h"
+#include "directentry/caller_exchange.h"
+#include "directentry/entry_metrics.h"
+#include "membership/member_row.h"
+#include "http/client_pool.h"
+#include "http/http_acceptor.h"
+#include "observe/line_log.h"
+#include "observe/metrics_registry.h"
+#include "ports/platform_adapter.h"
+#include "runtime/process_clock.h"
+#include "storefeed/table_follower.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace appleramp {
+
+namespace {
+
+// Silence and deadlines of requests are looked at this often.
+constexpr std::chrono::milliseconds tick { 25 };
+// Presence is told to the others this often.
+constexpr duration presenceInterval = std::chrono::milliseconds(700);
+// A caller keeps an answer of the directory this long.
+constexpr duration addressesValidFor = std::chrono::seconds(2);
+// After SIGTERM the process goes on serving callers that still hold its address, for this part of the grace period.
+constexpr double serveOnPart = 0.45;
+// Part of the grace period after which what is left is cut off: better here than by SIGKILL.
+constexpr double cutOffPart = 0.93;
+// Members change seldom.
+constexpr duration membersPoll = std::chrono::seconds(20);
+// Between two tries to write the member's row.
+constexpr std::chrono::milliseconds memberRetry { 700 };
+
+constexpr pool_settings endpointPool { .connectTimeout = std::chrono::milliseconds(700),
+    .silenceLimit = std::chrono::milliseconds(2500),
+    .reuseWithin = std::chrono::milliseconds(1200),
+    .maxIdlePerServer = 12 };
+
+} // namespace
+
+class direct_entry_process::implementation {
+public:
+    implementation(boost::asio::io_context& loop, const process_settings& settings, incarnation life, row_store& store,
+        const platform_adapter& platform)
+        : m_loop(loop)
+        , m_settings(settings)
+        , m_store(store)
+        , m_platform(platform)
+        , m_log({ settings.process.instance, settings.process.zone, life }, {})
+        , m_reducer(suspendAwareNow(), reducerSettings(settings, life))
+        , m_endpoints(loop, endpointPool)
+        , m_news(loop, settings.listen.links.host, settings.listen.links.port,
+              [this](news message, const boost::asio::ip::udp::endpoint& from) { onNews(std::move(message), from); })
+        , m_callers(loop, settings.listen.callers.host, settings.listen.callers.port, [this] { return callerLimits(); },
+              [this](const auto& connection, http_request request) { onRequest(connection, std::move(request)); })
+        , m_readiness(loop, settings.listen.readiness.host, settings.listen.readiness.port, [] { return server_limits {}; },
+              [this](const auto& connection, const http_request& request) { onReadiness(connection, request); })
+        , m_directory(loop, settings.listen.directory.host, settings.listen.directory.port, [] { return server_limits {}; },
+              [this](const auto& connection, const http_request& request) { onDirectory(connection, request); })
+        , m_operations(loop, settings.listen.operations.host, settings.listen.operations.port, [] { return server_limits {}; },
+              [this](const auto& connection, const http_request& request) { onOperations(connection, request); })
+        , m_tick(loop)
+        , m_memberTimer(loop)
+    {
+        m_log.write(now(), "started", {}, { { "role", "direct_entry" }, { "zone", settings.process.zone.str() } });
+        follow(life ^ std::hash<std::string> {}(settings.process.instance.str()));
+        writeMember();
+        scheduleTick();
+    }
+
+    direct_entry_ports ports() const
+    {
+        return { m_callers.port(), m_readiness.port(), m_directory.port(), m_operations.port() };
+    }
+
+    void requestStop()
+    {
+        if (m_stopping)
+            return;
+        m_stopping = now();
+        m_log.write(now(), "stopping", {}, { { "in_flight", std::to_string(m_exchanges.size()) } });
+        m_callers.beginDrain();
+        m_directory.beginDrain();
+        m_readiness.beginDrain();
+        tellPresence();
+        m_memberTimer.cancel();
+        m_store.write({}, { { std::string(membersTable), m_settings.process.instance.str(), {}, true } }, [](const store_result&) {});
+    }
+
+private:
+    static forwarding_settings reducerSettings(const process_settings& settings, incarnation life)
+    {
+        forwarding_settings result;
+        result.freshness.revocationBound = settings.bounds.revocation;
+        result.repeats = { .ratio = settings.bounds.repeatRatio,
+            .constant = settings.bounds.repeatConstant,
+            .window = settings.bounds.repeatWindow };
+        result.fleet.coldFactor = settings.bounds.coldFactor;
+        result.fleet.coldConstant = settings.bounds.coldConstant;
+        result.zone = settings.process.zone;
+        result.defaultPause = settings.bounds.pause;
+        // Processes that start in the same moment must not draw the same.
+        result.seed = life ^ std::hash<std::string> {}(settings.process.instance.str());
+        return result;
+    }
+
+    static instant now() { return suspendAwareNow(); }
+
+    server_limits callerLimits() const
+    {
+        const route_table* const routes = m_reducer.routes();
+        if (routes == nullptr)
+            return {};
+        const caller_limits& limits = routes->configuration().limits;
+        const auto inMilliseconds = [](duration time) { return std::chrono::duration_cast<std::chrono::milliseconds>(time); };
+        return { { limits.maxHeaderBytes, limits.maxBodyBytes }, inMilliseconds(limits.headerTimeout),
+            inMilliseconds(m_settings.limits.requestReadTimeout), inMilliseconds(limits.idleTimeout) };
+    }
+
+    // --- Requests.
+
+    void onRequest(const std::shared_ptr<server_connection>& connection, http_request request)
+    {
+        const request_number number = ++m_lastRequest;
+        m_metrics.add(entry_metrics::requests);
+        exchange_services services { m_platform, m_endpoints, [] { return now(); }, [this](const forwarding_event& event) { post(event); } };
+        auto exchange = std::make_shared<caller_exchange>(std::move(services), number, connection, std::move(request));
+        m_exchanges.emplace(number, exchange);
+        exchange->start();
+        forgetIfOver(number);
+    }
+
+    void post(const forwarding_event& event)
+    {
+        for (const forwarding_effect& effect : m_reducer.handle(event))
+            std::visit([this](const auto& concrete) { carryOut(concrete); }, effect);
+    }
+
+    std::shared_ptr<caller_exchange> exchange(request_number number) const
+    {
+        const auto found = m_exchanges.find(number);
+        return found == m_exchanges.end() ? nullptr : found->second;
+    }
+
+    void forgetIfOver(request_number number)
+    {
+        const auto found = m_exchanges.find(number);
+        if (found != m_exchanges.end() && found->second->isOver())
+            m_exchanges.erase(found);
+    }
+
+    void carryOut(const send_attempt& effect)
+    {
+        if (const auto target = exchange(effect.request))
+            target->carryOut(effect);
+    }
+
+    void carryOut(const refuse_request& effect)
+    {
+        m_metrics.add(entry_metrics::refusals, { { "reason", nameOf(effect.reason) } });
+        if (const auto target = exchange(effect.request))
+            target->refuse(effect);
+    }
+
+    void carryOut(const pass_failure_answer& effect)
+    {
+        if (const auto target = exchange(effect.request))
+            target->passFailureAnswer();
+    }
+
+    void carryOut(const break_answer& effect)
+    {
+        if (const auto target = exchange(effect.request))
+            target->breakAnswer();
+    }
+
+    void carryOut(const cancel_forwarded& effect)
+    {
+        if (const auto target = exchange(effect.request))
+            target->cancelAttempt();
+    }
+
+    void carryOut(const tell_breakdown& effect)
+    {
+        for (const auto& [name, member] : m_members) {
+            if (member.isEntry)
+                sendNews(breakdown_news { effect.content, effect.sendId }, member);
+        }
+    }
+
+    void carryOut(const log_decision& effect) { m_log.write(now(), effect.what, effect.sendId, effect.inputs); }
+
+    // --- The other ports.
+
+    void onReadiness(const std::shared_ptr<server_connection>& connection, const http_request& request) const
+    {
+        http_response response;
+        const bool asked = m_platform.isReadinessQuestion(request.head);
+        response.head.status = !asked ? 404 : (isServing() ? 200 : 503);
+        connection->respond(std::move(response));
+    }
+
+    void onDirectory(const std::shared_ptr<server_connection>& connection, const http_request& request) const
+    {
+        http_response response;
+        const auto question = m_platform.readAddressQuestion(request.head);
+        if (!question) {
+            response.head.status = 404;
+            return connection->respond(std::move(response));
+        }
+        const auto addresses = m_reducer.peers().callerAddresses(now(), presence(), question->zone);
+        response.head.status = addresses.empty() ? 503 : 200;
+        if (!addresses.empty()) {
+            response.head.headers.add("Content-Type", "application/json");
+            response.body = m_platform.addressAnswer(addresses, addressesValidFor);
+        }
+        connection->respond(std::move(response));
+    }
+
+    void onOperations(const std::shared_ptr<server_connection>& connection, const http_request& request)
+    {
+        http_response response;
+        const bool asked = request.head.method == "GET" && request.head.path() == "/v1/metrics";
+        response.head.status = asked ? 200 : 404;
+        if (asked) {
+            response.head.headers.add("Content-Type", "text/plain; version=0.0.4");
+            noteGauges();
+            response.body = m_metrics.prometheusText();
+        }
+        connection->respond(std::move(response));
+    }
+
+    void noteGauges()
+    {
+        const auto age = m_reducer.configurationAge(now());
+        m_metrics.set(entry_metrics::configurationAge, age ? std::chrono::duration<double>(*age).count() : -1);
+        m_metrics.set(entry_metrics::configurationVersion, static_cast<double>(m_reducer.configurationVersion()));
+        m_metrics.set(entry_metrics::requestsInFlight, static_cast<double>(m_exchanges.size()));
+        m_metrics.set(entry_metrics::endpoints, static_cast<double>(m_reducer.fleet().size()));
+        m_metrics.set(entry_metrics::linesLeftOut, static_cast<double>(m_log.leftOut()));
+        m_metrics.set(entry_metrics::datagramsDropped, static_cast<double>(m_news.dropped()));
+    }
+
+    bool isServing() const { return !m_stopping && m_reducer.isReady(now()); }
+
+    // --- The store.
+
+    void follow(incarnation life)
+    {
+        follower_settings settings;
+        settings.wait = m_settings.store.poll;
+        m_configurationFollower = follower(m_platform.configurationTable(), settings, life,
+            { .whole = [this](auto rows, instant sentAt) { onConfigurationRows(std::move(rows), sentAt, true); },
+                .changes = [this](auto rows, instant sentAt) { onConfigurationRows(std::move(rows), sentAt, false); },
+                .access = [this](bool reachable) { onAccess(reachable); } });
+        m_registryFollower = follower(m_platform.registryTable(), settings, life + 1,
+            { .whole = [this](auto rows, instant) { onRegistryWhole(rows); },
+                .changes = [this](auto rows, instant) { onRegistryChanges(rows); },
+                .access = [this](bool reachable) { onAccess(reachable); } });
+        settings.wait = membersPoll;
+        m_membersFollower = follower(std::string(membersTable), settings, life + 2,
+            { .whole =
+                    [this](auto rows, instant) {
+                        m_members.clear();
+                        onMemberRows(rows);
+                    },
+                .changes = [this](auto rows, instant) { onMemberRows(rows); },
+                .access = [](bool) {} });
+    }
+
+    std::shared_ptr<table_follower> follower(std::string table, follower_settings settings, incarnation seed, follower_handlers handlers)
+    {
+        auto result = std::make_shared<table_follower>(
+            m_loop, m_store, std::move(table), settings, [] { return now(); }, std::move(handlers), seed);
+        result->start();
+        return result;
+    }
+
+    void onAccess(bool reachable)
+    {
+        // Two tables are followed; the registry counts as away while either can't be read.
+        m_followersAway = reachable ? m_followersAway - 1 : m_followersAway + 1;
+        const bool changed = reachable ? m_followersAway == 0 : m_followersAway == 1;
+        if (changed)
+            post(registry_access_changed { now(), reachable });
+    }
+
+    void onConfigurationRows(const std::vector<store_row>& rows, instant sentAt, bool isWhole)
+    {
+        std::set<availability_zone_id> zones = isWhole ? std::set<availability_zone_id> {} : m_zonesOut;
+        std::optional<routing_configuration> newest;
+        bool isReadable = true;
+        for (const store_row& row : rows) {
+            configuration_row decoded = m_platform.readConfigurationRow(row);
+            if (auto* const configuration = std::get_if<routing_configuration>(&decoded); configuration && !row.removed)
+                newest = std::move(*configuration);
+            else if (const auto* const out = std::get_if<zone_out_row>(&decoded))
+                row.removed ? static_cast<void>(zones.erase(out->zone)) : static_cast<void>(zones.insert(out->zone));
+            else if (std::holds_alternative<unreadable_row>(decoded)) {
+                isReadable = row.removed;
+                logUnreadable(row, std::get<unreadable_row>(decoded).reason);
+            }
+        }
+        if (zones != m_zonesOut) {
+            m_zonesOut = zones;
+            post(zones_out_changed { now(), std::move(zones) });
+        }
+        // A configuration that can't be read may have taken a key away: what is known ages on.
+        if (isReadable)
+            post(configuration_confirmed { now(), sentAt, std::move(newest) });
+    }
+
+    void logUnreadable(const store_row& row, const std::string& reason)
+    {
+        if (reason.empty() || row.removed)
+            return;
+        // One row may be written again and again; its first state says enough.
+        if (m_unreadable.insert(row.key).second)
+            m_log.write(now(), "row_unreadable", {}, { { "row", row.key }, { "reason", reason } });
+    }
+
+    std::optional<endpoint_record> recordOf(const store_row& row)
+    {
+        const registry_row decoded = m_platform.readRegistryRow(row);
+        if (const auto* const record = std::get_if<endpoint_record>(&decoded))
+            return *record;
+        logUnreadable(row, std::get<unreadable_row>(decoded).reason);
+        return std::nullopt;
+    }
+
+    void onRegistryWhole(const std::vector<store_row>& rows)
+    {
+        std::vector<endpoint_record> records;
+        for (const store_row& row : rows) {
+            if (auto record = recordOf(row))
+                records.push_back(std::move(*record));
+        }
+        post(endpoints_read { now(), std::move(records) });
+    }
+
+    void onRegistryChanges(const std::vector<store_row>& rows)
+    {
+        for (const store_row& row : rows) {
+            if (row.removed) {
+                post(endpoint_unlisted { now(), endpoint_id(row.key) });
+                continue;
+            }
+            // A row that can't be read names no endpoint, whatever it named before.
+            if (auto record = recordOf(row))
+                post(endpoint_listed { now(), std::move(*record) });
+            else
+                post(endpoint_unlisted { now(), endpoint_id(row.key) });
+        }
+    }
+
+    void onMemberRows(const std::vector<store_row>& rows)
+    {
+        for (const store_row& row : rows) {
+            const auto member = row.removed ? std::nullopt : decodeMember(row.value);
+            if (member)
+                m_members[row.key] = *member;
+            else
+                m_members.erase(row.key);
+            if (!member && !row.removed)
+                logUnreadable(row, "no member of this version");
+        }
+    }
+
+    void writeMember()
+    {
+        const member_row row { true, m_settings.process.zone, m_settings.listen.links.str() };
+        m_store.write({}, { { std::string(membersTable), m_settings.process.instance.str(), encodeMember(row), false } },
+            [this](const store_result& result) {
+                if (std::holds_alternative<store_rows>(result) || m_stopping)
+                    return;
+                m_memberTimer.expires_after(memberRetry);
+                m_memberTimer.async_wait([this](const boost::system::error_code& cancelled) {
+                    if (!cancelled)
+                        writeMember();
+                });
+            });
+    }
+
+    // --- News.
+
+    entry_presence presence() const
+    {
+        return { m_settings.process.instance, m_settings.process.zone, m_settings.listen.callers.str(), isServing() };
+    }
+
+    void sendNews(const news& message, const member_row& member)
+    {
+        const auto target = endpointFromText(member.newsAddress);
+        m_news.send(message, { target.address(), target.port() });
+    }
+
+    void tellPresence()
+    {
+        m_presenceTold = now();
+        const entry_presence self = presence();
+        for (const auto& [name, member] : m_members) {
+            if (name != m_settings.process.instance.str())
+                sendNews(self, member);
+        }
+    }
+
+    void onNews(news message, const boost::asio::ip::udp::endpoint&)
+    {
+        std::visit([this](auto& concrete) { onNews(std::move(concrete)); }, message);
+    }
+    void onNews(entry_presence presence) { post(entry_heard { now(), std::move(presence) }); }
+    void onNews(endpoint_load load) { post(endpoint_load_heard { now(), std::move(load) }); }
+    void onNews(breakdown_news breakdown) { post(breakdown_heard { now(), breakdown.content, std::move(breakdown.sendId) }); }
+
+    // --- Time.
+
+    void scheduleTick()
+    {
+        m_tick.expires_after(tick);
+        m_tick.async_wait([this](const boost::system::error_code& cancelled) {
+            if (!cancelled)
+                onTick();
+        });
+    }
+
+    void onTick()
+    {
+        const instant moment = now();
+        const auto late = std::chrono::steady_clock::now() - m_tick.expiry();
+        m_metrics.observe(entry_metrics::loopDelay, std::chrono::duration_cast<duration>(late));
+        for (auto entry = m_exchanges.begin(); entry != m_exchanges.end();) {
+            const auto held = entry->second;
+            held->checkTime(moment);
+            entry = held->isOver() ? m_exchanges.erase(entry) : std::next(entry);
+        }
+        if (moment - m_presenceTold >= presenceInterval) {
+            tellPresence();
+            m_endpoints.sweep();
+            post(time_passed_by { moment });
+        }
+        m_log.flush();
+        if (m_stopping && isStopComplete(moment))
+            return stopLoop();
+        scheduleTick();
+    }
+
+    bool isStopComplete(instant moment) const
+    {
+        const duration since = moment - *m_stopping;
+        const auto part = [&](double share) { return duration(static_cast<duration::rep>(static_cast<double>(m_settings.bounds.grace.count()) * share)); };
+        return (since >= part(serveOnPart) && m_callers.unanswered() == 0) || since >= part(cutOffPart);
+    }
+
+    void stopLoop()
+    {
+        m_log.write(now(), "stopped", {}, { { "cut_off", std::to_string(m_callers.unanswered()) } });
+        m_log.flush();
+        m_loop.stop();
+    }
+
+    boost::asio::io_context& m_loop;
+    process_settings m_settings;
+    row_store& m_store;
+    const platform_adapter& m_platform;
+    line_log m_log;
+    metrics_registry m_metrics;
+    forwarding_reducer m_reducer;
+    client_pool m_endpoints;
+    news_socket m_news;
+    http_acceptor m_callers;
+    http_acceptor m_readiness;
+    http_acceptor m_directory;
+    http_acceptor m_operations;
+    boost::asio::steady_timer m_tick;
+    boost::asio::steady_timer m_memberTimer;
+    std::shared_ptr<table_follower> m_configurationFollower;
+    std::shared_ptr<table_follower> m_registryFollower;
+    std::shared_ptr<table_follower> m_membersFollower;
+    std::map<request_number, std::shared_ptr<caller_exchange>> m_exchanges;
+    std::map<std::string, member_row> m_members;
+    std::set<availability_zone_id> m_zonesOut;
+    std::set<std::string> m_unreadable;
+    request_number m_lastRequest = 0;
+    int m_followersAway = 0;
+    instant m_presenceTold;
+    std::optional<instant> m_stopping;
+};
+
+direct_entry_process::direct_entry_process(boost::asio::io_context& loop, const process_settings& settings, incarnation life,
+    row_store& store, const platform_adapter& platform)
+    : m_implementation(std::make_unique<implementation>(loop, settings, life, store, platform))
+{
+}
+
+direct_entry_process::~direct_entry_process() = default;
+
+direct_entry_ports direct_entry_process::ports() const { return m_implementation->ports(); }
+
+void direct_entry_process::requestStop() { m_implementation->requestStop(); }
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/directentry/direct_entry_process.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "settings/process_settings.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace appleramp {
+
+class platform_adapter;
+class row_store;
+
+struct direct_entry_ports {
+    std::uint16_t callers = 0;
+    std::uint16_t readiness = 0;
+    std::uint16_t directory = 0;
+    std::uint16_t operations = 0;
+};
+
+// An entry that sends to endpoints itself, as a running process: one loop around the forwarding reducer.
+class direct_entry_process {
+public:
+    // Listens at once; throws http_error.
+    direct_entry_process(boost::asio::io_context& loop, const process_settings& settings, incarnation life, row_store& store,
+        const platform_adapter& platform);
+    ~direct_entry_process();
+    direct_entry_process(const direct_entry_process&) = delete;
+    direct_entry_process& operator=(const direct_entry_process&) = delete;
+
+    direct_entry_ports ports() const;
+    // Begins a graceful shutdown; the loop ends when it is complete.
+    void requestStop();
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/directentry/entry_metrics.cpp
@@ -0,0 +1,17 @@
+#include "directentry/entry_metrics.h"
+
+namespace appleramp::entry_metrics {
+
+const metric_descriptor requests { "appleramp_forwarded_requests_total", metric_kind::Counter, "Requests of callers that arrived." };
+const metric_descriptor refusals { "appleramp_refusals_total", metric_kind::Counter, "Answers of our own, by reason." };
+const metric_descriptor attemptEndings { "appleramp_attempt_endings_total", metric_kind::Counter, "Attempts that ended without a whole answer, by how." };
+const metric_descriptor answerTime { "appleramp_answer_seconds", metric_kind::Summary, "From the arrival of a request to the end of its answer." };
+const metric_descriptor configurationAge { "appleramp_configuration_age_seconds", metric_kind::Gauge, "Since the sending of the read that confirmed the configuration." };
+const metric_descriptor configurationVersion { "appleramp_configuration_version", metric_kind::Gauge, "Version of the configuration in force." };
+const metric_descriptor requestsInFlight { "appleramp_requests_in_flight", metric_kind::Gauge, "Requests that are being served." };
+const metric_descriptor endpoints { "appleramp_endpoints", metric_kind::Gauge, "Endpoints that are known." };
+const metric_descriptor linesLeftOut { "appleramp_log_lines_left_out", metric_kind::Gauge, "Log lines that were counted only." };
+const metric_descriptor datagramsDropped { "appleramp_datagrams_dropped", metric_kind::Gauge, "Datagrams that could not be read or sent." };
+const metric_descriptor loopDelay { "appleramp_loop_delay_seconds", metric_kind::Summary, "How late the loop's timer fired." };
+
+} // namespace appleramp::entry_metrics
--- /dev/null
+++ b/packages/directentry/entry_metrics.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "observe/metric_descriptor.h"
+
+namespace appleramp::entry_metrics {
+
+extern const metric_descriptor requests;
+extern const metric_descriptor refusals;
+extern const metric_descriptor attemptEndings;
+extern const metric_descriptor answerTime;
+extern const metric_descriptor configurationAge;
+extern const metric_descriptor configurationVersion;
+extern const metric_descriptor requestsInFlight;
+extern const metric_descriptor endpoints;
+extern const metric_descriptor linesLeftOut;
+extern const metric_descriptor datagramsDropped;
+extern const metric_descriptor loopDelay;
+
+} // namespace appleramp::entry_metrics
--- /dev/null
+++ b/packages/http/client_pool.cpp
@@ -0,0 +1,87 @@
+#include "http/client_pool.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace appleramp {
+
+boost::asio::ip::tcp::endpoint endpointFromText(const std::string& address)
+{
+    const auto colon = address.rfind(':');
+    if (colon == std::string::npos)
+        return {};
+    boost::system::error_code failure;
+    const auto host = boost::asio::ip::make_address_v4(address.substr(0, colon), failure);
+    std::uint16_t port = 0;
+    const char* const end = address.data() + address.size();
+    if (failure || std::from_chars(address.data() + colon + 1, end, port).ptr != end)
+        return {};
+    return { host, port };
+}
+
+client_pool::client_pool(boost::asio::io_context& loop, pool_settings settings)
+    : m_loop(loop)
+    , m_settings(settings)
+{
+}
+
+std::shared_ptr<client_connection> client_pool::acquire(const std::string& address, bool onlyNew)
+{
+    const auto server = endpointFromText(address);
+    if (!onlyNew) {
+        if (auto kept = takeIdle(server))
+            return kept;
+    }
+    ++m_opened;
+    return std::make_shared<client_connection>(m_loop, server, m_settings.connectTimeout, m_settings.silenceLimit);
+}
+
+std::shared_ptr<client_connection> client_pool::takeIdle(const boost::asio::ip::tcp::endpoint& server)
+{
+    const auto found = m_idle.find(server);
+    if (found == m_idle.end())
+        return nullptr;
+    idle_list& idle = found->second;
+    while (!idle.empty()) {
+        auto connection = std::move(idle.back());
+        idle.pop_back();
+        if (isFresh(*connection))
+            return connection;
+        connection->cancel();
+    }
+    return nullptr;
+}
+
+bool client_pool::isFresh(const client_connection& connection) const
+{
+    const auto age = std::chrono::steady_clock::now() - connection.idleSince();
+    const auto promised = connection.keepAlive();
+    return connection.isReusable() && age < m_settings.reuseWithin && (promised.count() == 0 || age < promised / 2);
+}
+
+void client_pool::release(const std::shared_ptr<client_connection>& connection)
+{
+    if (!connection->isReusable())
+        return;
+    idle_list& idle = m_idle[connection->server()];
+    if (idle.size() >= m_settings.maxIdlePerServer) {
+        connection->cancel();
+        return;
+    }
+    idle.push_back(connection);
+}
+
+void client_pool::sweep()
+{
+    for (auto entry = m_idle.begin(); entry != m_idle.end();) {
+        idle_list& idle = entry->second;
+        for (const auto& connection : idle) {
+            if (!isFresh(*connection))
+                connection->cancel();
+        }
+        std::erase_if(idle, [](const auto& connection) { return !connection->isReusable(); });
+        entry = idle.empty() ? m_idle.erase(entry) : std::next(entry);
+    }
+}
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/http/http_parser.cpp
@@ -0,0 +1,156 @@
+#include "http/http_parser.h"
+
+#include <boost/beast/http/basic_parser.hpp>
+
+#include <utility>
+
+namespace appleramp {
+
+namespace http = boost::beast::http;
+
+class http_parser::implementation {
+public:
+    virtual ~implementation() = default;
+    virtual std::size_t consume(std::string_view bytes) = 0;
+    virtual void finishAtEnd() = 0;
+
+    bool hasHead = false;
+    bool complete = false;
+    parse_failure failed = parse_failure::None;
+    http_request_head request;
+    http_response_head response;
+    std::string body;
+
+protected:
+    void note(const boost::system::error_code& code)
+    {
+        if (code == http::error::header_limit)
+            failed = parse_failure::HeaderTooLarge;
+        else if (code == http::error::body_limit)
+            failed = parse_failure::BodyTooLarge;
+        else if (code == http::error::partial_message || code == http::error::end_of_stream)
+            failed = parse_failure::Truncated;
+        else
+            failed = parse_failure::Malformed;
+    }
+};
+
+// The names and signatures of the overridden members are the library's.
+// NOLINTBEGIN(readability-identifier-naming)
+template <bool IsRequest>
+class http_parser::typed_implementation final : public implementation, public http::basic_parser<IsRequest> {
+public:
+    using base = http::basic_parser<IsRequest>;
+
+    explicit typed_implementation(parser_limits limits)
+    {
+        this->header_limit(limits.maxHeaderBytes);
+        this->body_limit(limits.maxBodyBytes);
+        this->eager(true);
+    }
+
+    std::size_t consume(std::string_view bytes) override
+    {
+        std::size_t used = 0;
+        while (used < bytes.size() && failed == parse_failure::None && !complete) {
+            boost::system::error_code code;
+            const std::size_t taken = base::put(boost::asio::const_buffer(bytes.data() + used, bytes.size() - used), code);
+            used += taken;
+            if (code == http::error::need_more)
+                break;
+            if (code)
+                note(code);
+            complete = base::is_done();
+            if (taken == 0)
+                break;
+        }
+        return used;
+    }
+
+    void finishAtEnd() override
+    {
+        if (complete || failed != parse_failure::None)
+            return;
+        boost::system::error_code code;
+        base::put_eof(code);
+        if (code || !base::got_some())
+            note(code ? code : http::make_error_code(http::error::end_of_stream));
+        complete = base::is_done();
+    }
+
+protected:
+    void on_request_impl(http::verb, boost::string_view method, boost::string_view target, int,
+        boost::system::error_code&) override
+    {
+        request.method.assign(method.data(), method.size());
+        request.target.assign(target.data(), target.size());
+    }
+
+    void on_response_impl(int code, boost::string_view reason, int, boost::system::error_code&) override
+    {
+        response.status = static_cast<unsigned>(code);
+        response.reason.assign(reason.data(), reason.size());
+    }
+
+    void on_field_impl(http::field, boost::string_view name, boost::string_view value, boost::system::error_code&) override
+    {
+        const std::string_view fieldName(name.data(), name.size());
+        const std::string_view fieldValue(value.data(), value.size());
+        (IsRequest ? request.headers : response.headers).add(fieldName, fieldValue);
+    }
+
+    void on_header_impl(boost::system::error_code&) override
+    {
+        hasHead = true;
+        request.keepAlive = base::keep_alive();
+        response.keepAlive = base::keep_alive();
+        response.endsWithConnection = base::need_eof();
+    }
+
+    void on_body_init_impl(const boost::optional<std::uint64_t>&, boost::system::error_code&) override { }
+
+    std::size_t on_body_impl(boost::string_view bytes, boost::system::error_code&) override
+    {
+        body.append(bytes.data(), bytes.size());
+        return bytes.size();
+    }
+
+    void on_chunk_header_impl(std::uint64_t, boost::string_view, boost::system::error_code&) override { }
+
+    std::size_t on_chunk_body_impl(std::uint64_t, boost::string_view bytes, boost::system::error_code&) override
+    {
+        body.append(bytes.data(), bytes.size());
+        return bytes.size();
+    }
+
+    void on_finish_impl(boost::system::error_code&) override { }
+};
+// NOLINTEND(readability-identifier-naming)
+
+http_parser::http_parser(message_kind kind, parser_limits limits)
+{
+    if (kind == message_kind::Request)
+        m_implementation = std::make_unique<typed_implementation<true>>(limits);
+    else
+        m_implementation = std::make_unique<typed_implementation<false>>(limits);
+}
+
+http_parser::~http_parser() = default;
+
+std::size_t http_parser::consume(std::string_view bytes) { return m_implementation->consume(bytes); }
+
+void http_parser::finishAtEnd() { m_implementation->finishAtEnd(); }
+
+bool http_parser::hasHead() const { return m_implementation->hasHead; }
+
+bool http_parser::isComplete() const { return m_implementation->complete; }
+
+parse_failure http_parser::failure() const { return m_implementation->failed; }
+
+http_request_head http_parser::takeRequestHead() { return std::move(m_implementation->request); }
+
+http_response_head http_parser::takeResponseHead() { return std::move(m_implementation->response); }
+
+std::string http_parser::takeBody() { return std::exchange(m_implementation->body, {}); }
+
+} // namespace appleramp
--- a/packages/model/enum_names.h
+++ b/packages/model/enum_names.h
@@ -28,7 +28,8 @@
 };
 template <>
 struct enum_names<process_role> {
-    static constexpr std::array<std::string_view, 2> names { "entry", "agent" };
+    static constexpr std::array<std::string_view, 4> names { "entry", "agent", "direct_entry",
+        "direct_agent" };
 };
 template <>
 struct enum_names<endpoint_kind> {
--- a/packages/model/messages.h
+++ b/packages/model/messages.h
@@ -14,8 +14,14 @@
 namespace appleramp {
 
 enum class process_role {
+    // Serves callers through agents.
     Entry,
+    // Stands beside one endpoint and is the gate to it.
     Agent,
+    // Serves callers and sends to endpoints itself.
+    DirectEntry,
+    // Stands beside one engine of a direct entry's fleet: reports its load and gives its orders.
+    DirectAgent,
 };
 
 enum class endpoint_kind {
--- /dev/null
+++ b/packages/ports/platform_adapter.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "decisions/forwarding/forwarding_events.h"
+#include "http/http_message.h"
+#include "model/endpoint_news.h"
+#include "model/routing.h"
+#include "ports/row_store.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace appleramp {
+
+// A row that holds nothing we can use, and why.
+struct unreadable_row {
+    std::string key;
+    std::string reason;
+};
+
+// Operators want nothing more sent to this availability zone while the row exists.
+struct zone_out_row {
+    availability_zone_id zone;
+};
+
+// The row is of no concern to us.
+struct unrelated_row { };
+
+using configuration_row = std::variant<routing_configuration, zone_out_row, unrelated_row, unreadable_row>;
+using registry_row = std::variant<endpoint_record, unreadable_row>;
+
+// What an endpoint must be told with a request.
+struct endpoint_request {
+    endpoint_id endpoint;
+    team_id team;
+    duration timeLeft {};
+    std::uint32_t urgencyRank = 0;
+    // Of a stream that is continued: the last event that the caller has.
+    std::optional<std::string> resumeAfter;
+};
+
+enum class answer_kind {
+    // The endpoint ran the request, whatever the status.
+    Ran,
+    Rejected,
+    WrongEndpoint,
+    // It answers another request, or does not say which.
+    Foreign,
+};
+
+struct answer_reading {
+    answer_kind kind = answer_kind::Ran;
+    std::optional<duration> retryAfter;
+};
+
+// A caller's question where to connect.
+struct address_question {
+    availability_zone_id zone;
+};
+
+// How one rank of a group of engines stands, as read on its own machine.
+struct engine_report {
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    double pace = 1.0;
+    // The engine is carrying out an order.
+    bool isBusy = false;
+    // Orders that it has begun since it started; orders may be made conditional on it.
+    std::uint64_t orderCount = 0;
+    std::string group;
+    std::uint32_t rank = 0;
+    std::uint32_t ranks = 0;
+    bool groupOpen = true;
+    // Grows each time the group forms anew.
+    std::uint64_t epoch = 0;
+    // The latest pass that was begun.
+    std::uint64_t step = 0;
+    std::uint64_t mapVersion = 0;
+    std::optional<std::uint64_t> preparedVersion;
+    std::optional<std::uint64_t> armedVersion;
+    std::optional<std::uint64_t> armedStep;
+    // The pass before which the rank waits for a release.
+    std::optional<std::uint64_t> heldStep;
+    // The raw text where the report could be read only in part.
+    std::string raw;
+};
+
+// Translates between the product and the platform that it runs on. Nothing outside the adapter knows the platform's
+// names. Pure: it holds no state that a decision depends on and does no I/O.
+class platform_adapter {
+public:
+    platform_adapter() = default;
+    virtual ~platform_adapter() = default;
+    platform_adapter(const platform_adapter&) = delete;
+    platform_adapter& operator=(const platform_adapter&) = delete;
+
+    virtual std::string configurationTable() const = 0;
+    virtual std::string registryTable() const = 0;
+    virtual configuration_row readConfigurationRow(const store_row& row) const = 0;
+    virtual registry_row readRegistryRow(const store_row& row) const = 0;
+
+    virtual caller_request readCallerRequest(const http_request& request) const = 0;
+    virtual http_request_head endpointHead(const http_request_head& caller, const endpoint_request& request) const = 0;
+    virtual answer_reading readAnswer(const http_response_head& answer, std::string_view sendId) const = 0;
+    // The head of an endpoint's answer as the caller gets it.
+    virtual http_response_head callerHead(http_response_head answer) const = 0;
+
+    virtual std::optional<address_question> readAddressQuestion(const http_request_head& request) const = 0;
+    virtual std::string addressAnswer(const std::vector<std::string>& addresses, duration validFor) const = 0;
+    virtual bool isReadinessQuestion(const http_request_head& request) const = 0;
+
+    virtual http_request_head reportRequest(const std::string& address) const = 0;
+    virtual std::optional<engine_report> readReport(std::string_view body) const = 0;
+};
+
+} // namespace appleramp
--- a/packages/runtime/process_clock.cpp
+++ b/packages/runtime/process_clock.cpp
@@ -1,5 +1,7 @@
 #include "runtime/process_clock.h"
 
+#include <ctime>
+
 #include <chrono>
 #include <random>
 
@@ -18,6 +20,14 @@
     return instant(std::chrono::duration_cast<duration>(now));
 }
 
+instant suspendAwareNow()
+{
+    timespec now {};
+    if (::clock_gettime(CLOCK_BOOTTIME, &now) != 0)
+        return monotonicNow();
+    return instant(std::chrono::duration_cast<duration>(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec)));
+}
+
 std::chrono::system_clock::time_point wallClockAtZero()
 {
     return std::chrono::system_clock::now() - monotonicNow().time_since_epoch();
--- a/packages/runtime/process_clock.h
+++ b/packages/runtime/process_clock.h
@@ -8,6 +8,9 @@
 // The process's monotonic clock, counted from an arbitrary start.
 instant monotonicNow();
 
+// The same for a clock that goes on while the machine is suspended: what ages while nothing runs is measured by it.
+instant suspendAwareNow();
+
 // Wall-clock time of that start, as the two clocks stand now.
 std::chrono::system_clock::time_point wallClockAtZero();
 
--- a/packages/settings/process_settings.h
+++ b/packages/settings/process_settings.h
@@ -29,6 +29,9 @@
     socket_address callers;
     socket_address operations;
     socket_address links;
+    // Direct entry only.
+    socket_address readiness;
+    socket_address directory;
 };
 
 struct platform_section {
@@ -45,6 +48,28 @@
     // Requests in flight that the endpoint bears when warm and when cold.
     std::uint32_t capacity = 0;
     std::uint32_t coldSlots = 0;
+    // Direct agent only.
+    socket_address address;
+};
+
+// Of direct entries and agents.
+struct store_section {
+    socket_address address;
+    duration poll {};
+};
+
+// What the deployment promises, of direct entries and agents.
+struct bounds_section {
+    duration revocation {};
+    duration drain {};
+    duration grace {};
+    duration stall {};
+    duration repeatWindow {};
+    duration pause {};
+    double repeatRatio = 0;
+    double repeatConstant = 0;
+    double coldFactor = 0;
+    double coldConstant = 0;
 };
 
 enum class log_level {
@@ -79,6 +104,8 @@
     process_section process;
     listen_section listen;
     platform_section platform;
+    store_section store;
+    bounds_section bounds;
     endpoint_section endpoint;
     observe_section observe;
     limits_section limits;
--- a/packages/settings/setting_descriptor.cpp
+++ b/packages/settings/setting_descriptor.cpp
@@ -1,5 +1,7 @@
 #include "settings/setting_descriptor.h"
 
+#include "model/enum_names.h"
+
 #include <algorithm>
 
 namespace appleramp {
@@ -32,7 +34,18 @@
     return result;
 }
 
-process_role role(const value& v) { return text(v) == "entry" ? process_role::Entry : process_role::Agent; }
+process_role role(const value& v) { return fromName<process_role>(text(v)).value_or(process_role::Entry); }
+
+double fraction(const value& v) { return std::get<double>(v); }
+
+using roles = std::vector<process_role>;
+
+// Of the fleet with agents as gates.
+const roles gated { process_role::Entry, process_role::Agent };
+// Of the fleet whose entries send to endpoints themselves.
+const roles direct { process_role::DirectEntry, process_role::DirectAgent };
+const roles directEntry { process_role::DirectEntry };
+const roles directAgent { process_role::DirectAgent };
 
 endpoint_kind kind(const value& v)
 {
@@ -52,8 +65,9 @@
         { .section = "process",
             .key = "role",
             .type = setting_type::Choice,
-            .choices = { "entry", "agent" },
-            .doc = "What the process is: an entry serves callers, an agent stands beside one endpoint.",
+            .choices = { "entry", "agent", "direct_entry", "direct_agent" },
+            .doc = "What the process is: an entry serves callers, an agent stands beside one endpoint; the direct ones "
+                   "form a fleet whose entries send to endpoints themselves.",
             .assign = [](settings& s, const value& v) { s.process.role = role(v); } },
         { .section = "process",
             .key = "instance",
@@ -72,7 +86,7 @@
         { .section = "listen",
             .key = "callers",
             .type = setting_type::Address,
-            .role = process_role::Entry,
+            .roles = { process_role::Entry, process_role::DirectEntry },
             .doc = "Where callers connect. Port 0: the kernel chooses one.",
             .assign = [](settings& s, const value& v) { s.listen.callers = address(v); } },
         { .section = "listen",
@@ -85,6 +99,18 @@
             .type = setting_type::Address,
             .doc = "Where other processes of the system connect. Port 0: the kernel chooses one.",
             .assign = [](settings& s, const value& v) { s.listen.links = address(v); } },
+        { .section = "listen",
+            .key = "readiness",
+            .type = setting_type::Address,
+            .roles = directEntry,
+            .doc = "Where the platform asks whether the process takes requests.",
+            .assign = [](settings& s, const value& v) { s.listen.readiness = address(v); } },
+        { .section = "listen",
+            .key = "directory",
+            .type = setting_type::Address,
+            .roles = directEntry,
+            .doc = "Where callers ask for the addresses of entries.",
+            .assign = [](settings& s, const value& v) { s.listen.directory = address(v); } },
     };
 }
 
@@ -94,16 +120,19 @@
         { .section = "platform",
             .key = "table_url",
             .type = setting_type::Url,
+            .roles = gated,
             .doc = "The platform's table service.",
             .assign = [](settings& s, const value& v) { s.platform.tableUrl = text(v); } },
         { .section = "platform",
             .key = "objects_url",
             .type = setting_type::Url,
+            .roles = gated,
             .doc = "The platform's object store.",
             .assign = [](settings& s, const value& v) { s.platform.objectsUrl = text(v); } },
         { .section = "platform",
             .key = "instances_url",
             .type = setting_type::Url,
+            .roles = gated,
             .doc = "The platform's instance list.",
             .assign = [](settings& s, const value& v) { s.platform.instancesUrl = text(v); } },
         { .section = "platform",
@@ -113,37 +142,115 @@
             .defaultValue = "500",
             .minimum = 50,
             .maximum = 60'000,
+            .roles = gated,
             .doc = "Time between two reads of the instance list.",
             .assign = [](settings& s, const value& v) { s.platform.pollInterval = milliseconds(v); } },
     };
 }
 
+std::vector<setting_descriptor> storeDescriptors()
+{
+    return {
+        { .section = "store",
+            .key = "address",
+            .type = setting_type::Address,
+            .roles = direct,
+            .doc = "The platform's store of rows.",
+            .assign = [](settings& s, const value& v) { s.store.address = address(v); } },
+        { .section = "store",
+            .key = "poll_ms",
+            .type = setting_type::Integer,
+            .unit = "milliseconds",
+            .defaultValue = "1500",
+            .minimum = 100,
+            .maximum = 30'000,
+            .roles = direct,
+            .doc = "Longest wait of a read for changes; a quiet store is asked this often.",
+            .assign = [](settings& s, const value& v) { s.store.poll = milliseconds(v); } },
+    };
+}
+
+setting_descriptor boundDescriptor(std::string_view key, std::string_view defaultValue, std::string_view doc,
+    void (*assign)(settings&, const value&))
+{
+    return { .section = "bounds",
+        .key = key,
+        .type = setting_type::Integer,
+        .unit = "milliseconds",
+        .defaultValue = defaultValue,
+        .minimum = 1,
+        .maximum = 600'000,
+        .roles = direct,
+        .doc = doc,
+        .assign = assign };
+}
+
+setting_descriptor fractionDescriptor(std::string_view key, std::string_view defaultValue, std::string_view doc,
+    void (*assign)(settings&, const value&))
+{
+    return { .section = "bounds",
+        .key = key,
+        .type = setting_type::Fraction,
+        .defaultValue = defaultValue,
+        .minimum = 0,
+        .maximum = 100'000'000,
+        .roles = direct,
+        .doc = doc,
+        .assign = assign };
+}
+
+std::vector<setting_descriptor> boundDescriptors()
+{
+    return {
+        boundDescriptor("revocation_ms", "5000", "A revoked key is not honoured later than this after the store's acknowledgement.",
+            [](settings& s, const value& v) { s.bounds.revocation = milliseconds(v); }),
+        boundDescriptor("drain_ms", "2000", "An endpoint that leaves gets no new work later than this.",
+            [](settings& s, const value& v) { s.bounds.drain = milliseconds(v); }),
+        boundDescriptor("grace_ms", "8000", "Time between SIGTERM and SIGKILL.",
+            [](settings& s, const value& v) { s.bounds.grace = milliseconds(v); }),
+        boundDescriptor("stall_ms", "1500", "A group of engines stalls for so long when one of its ranks is lost.",
+            [](settings& s, const value& v) { s.bounds.stall = milliseconds(v); }),
+        boundDescriptor("repeat_window_ms", "10000", "Window over which repeated sends are counted.",
+            [](settings& s, const value& v) { s.bounds.repeatWindow = milliseconds(v); }),
+        boundDescriptor("pause_ms", "200", "Longest pause of a stream that is still on time, where its route does not say.",
+            [](settings& s, const value& v) { s.bounds.pause = milliseconds(v); }),
+        fractionDescriptor("repeat_ratio", "0.2", "Repeated sends to a service in a window, as a share of its requests, from all entries together.",
+            [](settings& s, const value& v) { s.bounds.repeatRatio = fraction(v); }),
+        fractionDescriptor("repeat_constant", "90", "Repeated sends to a service in a window beside that share, from all entries together.",
+            [](settings& s, const value& v) { s.bounds.repeatConstant = fraction(v); }),
+        fractionDescriptor("cold_factor", "1.5", "Requests in a second that a cold endpoint gets at most, as a multiple of its rate.",
+            [](settings& s, const value& v) { s.bounds.coldFactor = fraction(v); }),
+        fractionDescriptor("cold_constant", "5", "Requests in a second that a cold endpoint gets beside that.",
+            [](settings& s, const value& v) { s.bounds.coldConstant = fraction(v); }),
+    };
+}
+
 std::vector<setting_descriptor> endpointDescriptors()
 {
-    constexpr auto agent = process_role::Agent;
+    const roles agent { process_role::Agent };
     return {
         { .section = "endpoint",
             .key = "id",
-            .role = agent,
+            .roles = agent,
             .doc = "Name of the endpoint, unique in the fleet.",
             .assign = [](settings& s, const value& v) { s.endpoint.description.endpoint = endpoint_id(text(v)); } },
         { .section = "endpoint",
             .key = "kind",
             .type = setting_type::Choice,
             .choices = { "model", "service" },
-            .role = agent,
+            .roles = agent,
             .doc = "A model engine or a plain service.",
             .assign = [](settings& s, const value& v) { s.endpoint.description.kind = kind(v); } },
         { .section = "endpoint",
             .key = "url",
             .type = setting_type::Url,
-            .role = agent,
+            .roles = agent,
             .doc = "Where the endpoint listens.",
             .assign = [](settings& s, const value& v) { s.endpoint.url = text(v); } },
         { .section = "endpoint",
             .key = "services",
             .type = setting_type::WordList,
-            .role = agent,
+            .roles = agent,
             .doc = "Models or plain services that the endpoint serves, separated by commas.",
             .assign
             = [](settings& s, const value& v) { s.endpoint.description.services = identifiers<service_id>(v); } },
@@ -151,7 +258,7 @@
             .key = "adapters",
             .type = setting_type::WordList,
             .defaultValue = "",
-            .role = agent,
+            .roles = agent,
             .doc = "Adapters that are loaded beside the model, separated by commas.",
             .assign
             = [](settings& s, const value& v) { s.endpoint.description.adapters = identifiers<adapter_id>(v); } },
@@ -162,7 +269,7 @@
             .defaultValue = "8",
             .minimum = 1,
             .maximum = 100'000,
-            .role = agent,
+            .roles = agent,
             .doc = "Slots of the endpoint when it is warm.",
             .assign = [](settings& s, const value& v) { s.endpoint.capacity = number<std::uint32_t>(v); } },
         { .section = "endpoint",
@@ -172,9 +279,15 @@
             .defaultValue = "1",
             .minimum = 1,
             .maximum = 100'000,
-            .role = agent,
+            .roles = agent,
             .doc = "Slots of the endpoint when it is cold. At most its capacity.",
             .assign = [](settings& s, const value& v) { s.endpoint.coldSlots = number<std::uint32_t>(v); } },
+        { .section = "endpoint",
+            .key = "address",
+            .type = setting_type::Address,
+            .roles = directAgent,
+            .doc = "Where the engine beside the agent listens.",
+            .assign = [](settings& s, const value& v) { s.endpoint.address = address(v); } },
     };
 }
 
@@ -259,7 +372,7 @@
             .defaultValue = "256",
             .minimum = 4,
             .maximum = 10'000,
-            .role = process_role::Entry,
+            .roles = { process_role::Entry },
             .doc = "Callers' connections that are served at the same time, each by a thread.",
             .assign = [](settings& s, const value& v) { s.entry.maxCallers = number<std::uint32_t>(v); } },
     };
@@ -268,7 +381,8 @@
 std::vector<setting_descriptor> allDescriptors()
 {
     std::vector<setting_descriptor> all;
-    for (auto* const section : { processDescriptors, listenDescriptors, platformDescriptors, endpointDescriptors,
+    for (auto* const section : { processDescriptors, listenDescriptors, platformDescriptors, storeDescriptors,
+             boundDescriptors, endpointDescriptors,
              observeDescriptors, limitsDescriptors, entryDescriptors }) {
         const auto descriptors = section();
         all.insert(all.end(), descriptors.begin(), descriptors.end());
--- a/packages/settings/setting_descriptor.h
+++ b/packages/settings/setting_descriptor.h
@@ -14,6 +14,8 @@
     Word,
     Choice,
     Integer,
+    // A decimal fraction; the range counts in thousandths.
+    Fraction,
     Address,
     Url,
     WordList,
@@ -32,8 +34,8 @@
     std::int64_t maximum = 0;
     // Of a Choice.
     std::vector<std::string_view> choices;
-    // Set if only processes of one role have the key.
-    std::optional<process_role> role;
+    // Set if only processes of these roles have the key.
+    std::vector<process_role> roles;
     std::string_view doc;
     void (*assign)(process_settings&, const setting_value&) = nullptr;
 };
--- a/packages/settings/setting_value.cpp
+++ b/packages/settings/setting_value.cpp
@@ -63,6 +63,20 @@
     return value;
 }
 
+double parseFraction(const setting_descriptor& setting, std::string_view text)
+{
+    constexpr double thousandths = 1000.0;
+    double value = 0;
+    const char* const end = text.data() + text.size();
+    const auto [stopped, failure] = std::from_chars(text.data(), end, value, std::chars_format::fixed);
+    if (failure != std::errc() || stopped != end)
+        throw bad_setting_value(quoted(text) + " is not a number; write one such as 0.5");
+    if (value * thousandths < static_cast<double>(setting.minimum) || value * thousandths > static_cast<double>(setting.maximum))
+        throw bad_setting_value(quoted(text) + " is out of range; write a number from " + std::to_string(static_cast<double>(setting.minimum) / thousandths)
+            + " to " + std::to_string(static_cast<double>(setting.maximum) / thousandths));
+    return value;
+}
+
 socket_address parseAddress(std::string_view text)
 {
     const auto colon = text.rfind(':');
@@ -134,6 +148,8 @@
         return parseChoice(setting, text);
     case setting_type::Integer:
         return parseInteger(setting, text);
+    case setting_type::Fraction:
+        return parseFraction(setting, text);
     case setting_type::Address:
         return parseAddress(text);
     case setting_type::Url:
--- a/packages/settings/settings.cpp
+++ b/packages/settings/settings.cpp
@@ -1,5 +1,6 @@
 #include "settings/settings.h"
 
+#include "model/enum_names.h"
 #include "settings/bad_setting_value.h"
 #include "settings/ini_line_checker.h"
 #include "settings/setting_descriptor.h"
@@ -9,6 +10,7 @@
 #include <Poco/Exception.h>
 #include <Poco/Util/IniFileConfiguration.h>
 
+#include <algorithm>
 #include <fstream>
 #include <istream>
 #include <sstream>
@@ -49,7 +51,18 @@
     }
 }
 
-std::string_view roleName(process_role role) { return role == process_role::Entry ? "entry" : "agent"; }
+std::string roleNames(const setting_descriptor& setting)
+{
+    std::string names;
+    for (const process_role role : setting.roles)
+        names.append(names.empty() ? "" : ", ").append(nameOf(role));
+    return names;
+}
+
+bool concerns(const setting_descriptor& setting, process_role role)
+{
+    return setting.roles.empty() || std::find(setting.roles.begin(), setting.roles.end(), role) != setting.roles.end();
+}
 
 void assign(process_settings& settings, const setting_descriptor& setting, std::string_view text, std::string_view file)
 {
@@ -64,11 +77,9 @@
 {
     const std::string path = std::string(setting.section) + '.' + std::string(setting.key);
     const bool given = ini->hasProperty(path);
-    if (setting.role && *setting.role != settings.process.role) {
-        if (given) {
-            const std::string role(roleName(*setting.role));
-            throw settings_error(file, setting.section, setting.key, "only a process of role " + role + " has this key; remove it");
-        }
+    if (!concerns(setting, settings.process.role)) {
+        if (given)
+            throw settings_error(file, setting.section, setting.key, "only a process of role " + roleNames(setting) + " has this key; remove it");
         return;
     }
     if (!given && !setting.defaultValue)
@@ -91,6 +102,8 @@
         return "choice";
     case setting_type::Integer:
         return "integer";
+    case setting_type::Fraction:
+        return "number";
     case setting_type::Address:
         return "IPv4 address:port";
     case setting_type::Url:
@@ -148,7 +161,7 @@
     table << "| --- | --- | --- | --- | --- | --- | --- | --- |\n";
     for (const setting_descriptor& setting : settingDescriptors()) {
         table << "| `" << setting.section << "` | `" << setting.key << "` | "
-              << (setting.role ? roleName(*setting.role) : "both") << " | " << typeName(setting.type) << " | "
+              << (setting.roles.empty() ? "all" : roleNames(setting)) << " | " << typeName(setting.type) << " | "
               << setting.unit << " | " << defaultOf(setting) << " | " << rangeOf(setting) << " | " << setting.doc
               << " |\n";
     }
--- /dev/null
+++ b/packages/storefeed/table_follower.cpp
@@ -0,0 +1,117 @@
+#include "storefeed/table_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace appleramp {
+
+namespace {
+
+constexpr std::uint32_t maxDoublings = 6;
+
+} // namespace
+
+table_follower::table_follower(boost::asio::io_context& loop, row_store& store, std::string table, follower_settings settings,
+    clock now, follower_handlers handlers, std::uint64_t seed)
+    : m_timer(loop)
+    , m_store(store)
+    , m_table(std::move(table))
+    , m_settings(settings)
+    , m_now(std::move(now))
+    , m_handlers(std::move(handlers))
+    , m_random(static_cast<std::minstd_rand::result_type>(seed))
+{
+}
+
+void table_follower::start() { readWhole(); }
+
+void table_follower::stop()
+{
+    m_stopped = true;
+    m_timer.cancel();
+}
+
+void table_follower::readWhole()
+{
+    m_rows.clear();
+    m_sentAt = m_now();
+    m_firstPageVersion = 0;
+    m_store.read(m_table, {}, [self = shared_from_this()](store_result result) { self->onPage(std::move(result)); });
+}
+
+void table_follower::onPage(store_result result)
+{
+    if (m_stopped)
+        return;
+    if (const auto* const failure = std::get_if<store_failure>(&result))
+        return onFailure(*failure);
+    auto& page = std::get<store_rows>(result);
+    // Changes between two pages are read again as changes, so the first page's version counts.
+    if (m_firstPageVersion == 0)
+        m_firstPageVersion = page.version;
+    std::move(page.rows.begin(), page.rows.end(), std::back_inserter(m_rows));
+    if (page.hasMore && !m_rows.empty()) {
+        const std::string next = m_rows.back().key + '\0';
+        m_store.read(m_table, next, [self = shared_from_this()](store_result more) { self->onPage(std::move(more)); });
+        return;
+    }
+    m_version = m_firstPageVersion;
+    noteReachable();
+    m_handlers.whole(std::move(m_rows), m_sentAt);
+    m_rows.clear();
+    readChanges();
+}
+
+void table_follower::readChanges()
+{
+    m_sentAt = m_now();
+    m_store.changes(m_table, m_version, m_settings.wait,
+        [self = shared_from_this()](store_result result) { self->onChanges(std::move(result)); });
+}
+
+void table_follower::onChanges(store_result result)
+{
+    if (m_stopped)
+        return;
+    if (const auto* const failure = std::get_if<store_failure>(&result)) {
+        if (*failure == store_failure::HistoryGone)
+            return readWhole();
+        return onFailure(*failure);
+    }
+    auto& changed = std::get<store_rows>(result);
+    m_version = std::max(m_version, changed.version);
+    noteReachable();
+    const bool isQuiet = changed.rows.empty();
+    m_handlers.changes(std::move(changed.rows), m_sentAt);
+    // An answer without rows that came early must not make the loop spin.
+    const bool waited = m_now() - m_sentAt >= m_settings.gap;
+    after(isQuiet && waited ? duration::zero() : m_settings.gap, &table_follower::readChanges);
+}
+
+void table_follower::onFailure(store_failure)
+{
+    if (std::exchange(m_reachable, false))
+        m_handlers.access(false);
+    const duration pause = std::min(m_settings.firstRetry * (1U << std::min(m_failures, maxDoublings)), m_settings.longestRetry);
+    ++m_failures;
+    const auto jitter = std::uniform_int_distribution<duration::rep>(0, pause.count())(m_random);
+    after(pause / 2 + duration(jitter), m_version == 0 ? &table_follower::readWhole : &table_follower::readChanges);
+}
+
+void table_follower::noteReachable()
+{
+    m_failures = 0;
+    if (!std::exchange(m_reachable, true))
+        m_handlers.access(true);
+}
+
+void table_follower::after(duration pause, void (table_follower::*next)())
+{
+    m_timer.expires_after(pause);
+    m_timer.async_wait([self = shared_from_this(), next](const boost::system::error_code& cancelled) {
+        if (!cancelled && !self->m_stopped)
+            (self.get()->*next)();
+    });
+}
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/storefeed/table_follower.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "model/time.h"
+#include "ports/row_store.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace appleramp {
+
+// What a follower reports. A read's news hold at least as of the moment when it was sent.
+struct follower_handlers {
+    // The table was read whole.
+    std::function<void(std::vector<store_row> rows, instant readSentAt)> whole;
+    // Changes, or none: then what is known was confirmed.
+    std::function<void(std::vector<store_row> rows, instant readSentAt)> changes;
+    // The store stopped or began to answer.
+    std::function<void(bool reachable)> access;
+};
+
+struct follower_settings {
+    // Longest wait of one read for changes.
+    duration wait = std::chrono::milliseconds(1500);
+    // Between two reads that brought changes, so that a storm of changes is read in few calls.
+    duration gap = std::chrono::milliseconds(150);
+    // After a failed read; doubles up to the longest.
+    duration firstRetry = std::chrono::milliseconds(150);
+    duration longestRetry = std::chrono::milliseconds(800);
+};
+
+// Keeps up with one table of the store: reads it whole, then its changes, and whole again where history is lost.
+class table_follower : public std::enable_shared_from_this<table_follower> {
+public:
+    using clock = std::function<instant()>;
+
+    table_follower(boost::asio::io_context& loop, row_store& store, std::string table, follower_settings settings, clock now,
+        follower_handlers handlers, std::uint64_t seed);
+
+    void start();
+    void stop();
+
+private:
+    void readWhole();
+    void onPage(store_result result);
+    void readChanges();
+    void onChanges(store_result result);
+    void onFailure(store_failure failure);
+    void noteReachable();
+    void after(duration pause, void (table_follower::*next)());
+
+    boost::asio::steady_timer m_timer;
+    row_store& m_store;
+    std::string m_table;
+    follower_settings m_settings;
+    clock m_now;
+    follower_handlers m_handlers;
+    std::minstd_rand m_random;
+
+    std::vector<store_row> m_rows;
+    std::uint64_t m_version = 0;
+    std::uint64_t m_firstPageVersion = 0;
+    instant m_sentAt;
+    bool m_reachable = true;
+    bool m_stopped = false;
+    std::uint32_t m_failures = 0;
+};
+
+} // namespace appleramp
