Groups: expert maps on real groups, agreed among the agents without a lease

Change: decisions/groups: each rank holds before the pass, arms, is read back, and lets go only on a final outcome (all armed, or one never will); a planner for evenly shared replicas; counts read on the own machine and summed over datagrams. Weighed and dropped: a lease row with a fencing number, since every order already carries the count of orders begun and the epoch, and no rank trusts a coordinator.

--- a/packages/datagrams/news.h
+++ b/packages/datagrams/news.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decisions/groups/group_messages.h"
 #include "model/endpoint_news.h"
 
 #include <cstdint>
@@ -14,7 +15,13 @@
     std::string sendId;
 };
 
+// Between the agents of one group of engines.
+struct group_news {
+    std::string group;
+    group_message message;
+};
+
 // What processes tell each other in single datagrams.
-using news = std::variant<entry_presence, endpoint_load, breakdown_news>;
+using news = std::variant<entry_presence, endpoint_load, breakdown_news, group_news>;
 
 } // namespace appleramp
--- a/packages/datagrams/news_codec.cpp
+++ b/packages/datagrams/news_codec.cpp
@@ -1,5 +1,7 @@
 #include "datagrams/news_codec.h"
 
+#include "datagrams/group_codec.h"
+
 #include <nlohmann/json.hpp>
 
 namespace appleramp {
@@ -24,6 +26,10 @@
     {
         return { { "k", "b" }, { "c", breakdown.content }, { "n", breakdown.sendId } };
     }
+    json operator()(const group_news& group) const
+    {
+        return { { "k", "g" }, { "g", group.group }, { "m", groupMessageToJson(group.message) } };
+    }
 };
 
 entry_presence presenceIn(const json& body)
@@ -57,6 +63,11 @@
             return presenceIn(body);
         if (kind == "l")
             return loadIn(body);
+        if (kind == "g") {
+            if (auto message = groupMessageFromJson(body.at("m")))
+                return group_news { body.at("g").get<std::string>(), std::move(*message) };
+            return std::nullopt;
+        }
         if (kind == "b")
             return breakdown_news { body.at("c").get<std::uint64_t>(), body.at("n").get<std::string>() };
     } catch (const json::exception&) {
--- a/packages/datagrams/news_socket.h
+++ b/packages/datagrams/news_socket.h
@@ -31,7 +31,8 @@
     boost::asio::ip::udp::socket m_socket;
     receiver m_onNews;
     boost::asio::ip::udp::endpoint m_from;
-    std::array<char, 2048> m_buffer {};
+    // Maps of large groups and counts of their experts take several kilobytes.
+    std::array<char, 65536> m_buffer {};
     std::uint64_t m_dropped = 0;
 };
 
--- /dev/null
+++ b/packages/decisions/groups/group_map.cpp
@@ -0,0 +1,88 @@
+#include "decisions/groups/group_map.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace appleramp {
+
+namespace {
+
+// FNV-1a.
+constexpr std::uint64_t hashStart = 0xcbf29ce484222325ULL;
+constexpr std::uint64_t hashFactor = 0x100000001b3ULL;
+// Separates the sets, so that an expert can't move between them unseen.
+constexpr std::uint64_t setMark = 0xffff;
+
+void mix(std::uint64_t& hash, std::uint64_t value)
+{
+    hash = (hash ^ value) * hashFactor;
+}
+
+} // namespace
+
+group_map::group_map(std::size_t sets, std::size_t ranks)
+    : m_sets(sets)
+    , m_ranks(ranks)
+    , m_places(sets * ranks)
+{
+}
+
+group_map group_map::dealtInTurn(std::size_t sets, std::size_t experts, std::size_t ranks)
+{
+    group_map map(sets, ranks);
+    for (std::size_t set = 0; set < sets; ++set) {
+        for (std::size_t expert = 0; expert < experts; ++expert)
+            map.at(set, expert % ranks).push_back(static_cast<expert_number>(expert));
+    }
+    return map;
+}
+
+std::uint64_t digestOfRank(std::span<const std::vector<expert_number>> experts)
+{
+    std::uint64_t hash = hashStart;
+    for (std::vector<expert_number> held : experts) {
+        std::sort(held.begin(), held.end());
+        for (const expert_number expert : held)
+            mix(hash, expert);
+        mix(hash, setMark);
+    }
+    return hash;
+}
+
+std::uint64_t group_map::rankDigest(std::size_t rank) const
+{
+    std::vector<std::vector<expert_number>> held;
+    for (std::size_t set = 0; set < m_sets; ++set)
+        held.push_back(at(set, rank));
+    return digestOfRank(held);
+}
+
+std::vector<double> rankLoads(const group_map& map, std::size_t set, std::span<const double> expertLoads)
+{
+    std::vector<std::uint32_t> holders(expertLoads.size());
+    for (std::size_t rank = 0; rank < map.ranks(); ++rank) {
+        for (const expert_number expert : map.at(set, rank))
+            ++holders[expert];
+    }
+    std::vector<double> loads(map.ranks());
+    for (std::size_t rank = 0; rank < map.ranks(); ++rank) {
+        for (const expert_number expert : map.at(set, rank))
+            loads[rank] += expertLoads[expert] / holders[expert];
+    }
+    return loads;
+}
+
+double imbalance(const group_map& map, std::span<const double> loads, std::size_t experts)
+{
+    double most = 0;
+    double total = 0;
+    for (std::size_t set = 0; set < map.sets(); ++set) {
+        const auto part = loads.subspan(set * experts, experts);
+        const auto ranks = rankLoads(map, set, part);
+        most += *std::max_element(ranks.begin(), ranks.end());
+        total += std::accumulate(part.begin(), part.end(), 0.0);
+    }
+    return total <= 0 ? 1 : most * static_cast<double>(map.ranks()) / total;
+}
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/decisions/groups/map_switch.cpp
@@ -0,0 +1,195 @@
+#include "decisions/groups/map_switch.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace appleramp {
+
+namespace {
+
+// Outcomes that are remembered, for holds that are carried out late.
+constexpr std::size_t rememberedOutcomes = 64;
+
+} // namespace
+
+void map_switch::enterEpoch(group_epoch epoch)
+{
+    // A group that forms anew has map 0 and nothing prepared, armed or held; the epoch in each order keeps old ones out.
+    const bool keepsProposal = m_epoch == 0;
+    m_epoch = epoch;
+    if (!keepsProposal) {
+        m_map.reset();
+        m_proposedVersion = 0;
+        m_refusedVersion = 0;
+    }
+    m_switch.reset();
+    m_armSent.reset();
+    m_declinedPass.reset();
+    m_holdRefused = false;
+    m_holdOrdered.reset();
+    m_heldSince.reset();
+    m_outcomes.clear();
+}
+
+// A hold that an earlier life of this agent ordered. That life may have sent the arm order as well, which may still be
+// carried out.
+void map_switch::adoptForeignHold(const rank_state& state)
+{
+    if (m_switch || !state.heldPass || m_holdOrdered == state.heldPass || !state.preparedVersion)
+        return;
+    m_switch = switch_name { state.epoch, *state.preparedVersion, *state.heldPass };
+    m_armSent = state.heldPass;
+    m_holdOrdered = state.heldPass;
+}
+
+void map_switch::propose(const map_proposal& proposal)
+{
+    if (proposal.epoch != m_epoch || proposal.version <= m_proposedVersion)
+        return;
+    m_map = std::make_shared<group_map>(proposal.map);
+    m_proposedVersion = proposal.version;
+}
+
+void map_switch::request(const switch_request& request)
+{
+    const bool isOld = m_declinedPass && request.name.pass <= *m_declinedPass;
+    if (request.name.epoch != m_epoch || isOld || outcomeAt(request.name.pass))
+        return;
+    if (m_switch && *m_switch != request.name && !outcomeAt(m_switch->pass))
+        return;
+    if (m_switch == request.name)
+        return;
+    m_switch = request.name;
+    m_holdRefused = false;
+}
+
+void map_switch::conclude(const switch_outcome& outcome)
+{
+    if (outcome.name.epoch != m_epoch || outcomeAt(outcome.name.pass))
+        return;
+    m_outcomes.push_back(outcome);
+    if (m_outcomes.size() > rememberedOutcomes)
+        m_outcomes.pop_front();
+}
+
+void map_switch::noteRefused(const rank_order& order)
+{
+    if (order.epoch != m_epoch)
+        return;
+    if (order.kind == rank_order_kind::Prepare)
+        m_refusedVersion = std::max(m_refusedVersion, order.version);
+    if (order.kind == rank_order_kind::Hold && m_switch && m_switch->pass == order.pass)
+        m_holdRefused = true;
+}
+
+std::optional<bool> map_switch::outcomeAt(pass_number pass) const
+{
+    const auto found = std::find_if(m_outcomes.begin(), m_outcomes.end(), [pass](const auto& known) { return known.name.pass == pass; });
+    return found == m_outcomes.end() ? std::nullopt : std::optional(found->committed);
+}
+
+std::optional<switch_name> map_switch::waiting() const
+{
+    if (!m_switch || outcomeAt(m_switch->pass))
+        return std::nullopt;
+    return m_switch;
+}
+
+std::optional<rank_order> map_switch::advance(instant now, const rank_state& state)
+{
+    if (state.epoch != m_epoch)
+        enterEpoch(state.epoch);
+    if (!state.heldPass)
+        m_heldSince.reset();
+    else if (!m_heldSince)
+        m_heldSince = now;
+    adoptForeignHold(state);
+    if (m_armSent && state.armedPass == m_armSent)
+        m_armSent.reset();
+    if (state.heldPass) {
+        if (const auto outcome = outcomeAt(*state.heldPass))
+            return concludedOrder(state, *state.heldPass, *outcome);
+    }
+    if (m_switch)
+        return switchOrder(state);
+    return prepareOrder(state);
+}
+
+rank_order map_switch::order(const rank_state& state, rank_order_kind kind) const
+{
+    return { .kind = kind, .epoch = state.epoch, .expectedOrderCount = state.orderCount };
+}
+
+std::optional<rank_order> map_switch::concludedOrder(const rank_state& state, pass_number pass, bool committed)
+{
+    // An arm order that may still be carried out is made certain first: while held, it can only land at this pass.
+    if (!committed && m_armSent == pass)
+        return armOrder(state);
+    if (!committed && state.armedVersion && state.armedPass == pass) {
+        rank_order undo = order(state, rank_order_kind::Disarm);
+        undo.version = *state.armedVersion;
+        return undo;
+    }
+    rank_order release = order(state, rank_order_kind::Go);
+    release.pass = pass;
+    return release;
+}
+
+void map_switch::decline() { m_declinedPass = std::max(m_declinedPass.value_or(0), m_switch->pass); }
+
+std::optional<rank_order> map_switch::switchOrder(const rank_state& state)
+{
+    const switch_name& name = *m_switch;
+    if (const auto outcome = outcomeAt(name.pass)) {
+        // An aborted arm that the rank is not held for any more could switch it alone; the pass must not have begun then.
+        if (!*outcome && state.armedPass == name.pass)
+            return concludedOrder(state, name.pass, false);
+        if (!state.heldPass)
+            m_switch.reset();
+        return std::nullopt;
+    }
+    if (m_declinedPass && *m_declinedPass >= name.pass)
+        return std::nullopt;
+    if (state.heldPass != name.pass) {
+        if (state.pass >= name.pass || m_holdRefused) {
+            decline();
+            return std::nullopt;
+        }
+        rank_order hold = order(state, rank_order_kind::Hold);
+        hold.pass = name.pass;
+        m_holdOrdered = name.pass;
+        return hold;
+    }
+    if (state.armedPass == name.pass)
+        return std::nullopt;
+    return armOrder(state);
+}
+
+std::optional<rank_order> map_switch::armOrder(const rank_state& state)
+{
+    const switch_name& name = *m_switch;
+    if (state.preparedVersion != name.version) {
+        // Nothing can arm what is not prepared.
+        m_armSent.reset();
+        decline();
+        return std::nullopt;
+    }
+    rank_order arm = order(state, rank_order_kind::Arm);
+    arm.version = name.version;
+    arm.pass = name.pass;
+    m_armSent = name.pass;
+    return arm;
+}
+
+std::optional<rank_order> map_switch::prepareOrder(const rank_state& state)
+{
+    const bool isKnown = m_map && m_proposedVersion > state.mapVersion && m_proposedVersion > state.preparedVersion.value_or(0);
+    if (!isKnown || m_proposedVersion <= m_refusedVersion || state.isBusy || state.armedVersion || !state.groupOpen)
+        return std::nullopt;
+    rank_order prepare = order(state, rank_order_kind::Prepare);
+    prepare.version = m_proposedVersion;
+    prepare.map = m_map;
+    return prepare;
+}
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/decisions/groups/map_switch.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "decisions/groups/group_messages.h"
+#include "decisions/groups/rank_state.h"
+#include "model/time.h"
+
+#include <deque>
+#include <memory>
+#include <optional>
+
+namespace appleramp {
+
+// One rank's part in switches of its group's map.
+//
+// The rank holds the group before the pass, arms the map for it, and lets go only on a final outcome: committed, when
+// every rank was read back as armed with the same map, or aborted, when some rank will never arm. So no pass begins
+// with two maps whoever fails, and no coordinator is needed for safety. Every step is decided from a reading of the
+// engine; orders carry the count of orders begun, so that copies which are carried out late do nothing.
+class map_switch {
+public:
+    // A fresh reading. Returns the order that is due, if any.
+    std::optional<rank_order> advance(instant now, const rank_state& state);
+
+    void propose(const map_proposal& proposal);
+    void request(const switch_request& request);
+    void conclude(const switch_outcome& outcome);
+    // The engine said that the order does not fit.
+    void noteRefused(const rank_order& order);
+
+    std::optional<pass_number> declinedPass() const { return m_declinedPass; }
+    // The switch that waits for its outcome, and since when the rank has been held for it.
+    std::optional<switch_name> waiting() const;
+    std::optional<instant> heldSince() const { return m_heldSince; }
+    const std::shared_ptr<const group_map>& proposedMap() const { return m_map; }
+    map_number proposedVersion() const { return m_proposedVersion; }
+
+private:
+    void enterEpoch(group_epoch epoch);
+    void adoptForeignHold(const rank_state& state);
+    std::optional<bool> outcomeAt(pass_number pass) const;
+    std::optional<rank_order> prepareOrder(const rank_state& state);
+    std::optional<rank_order> switchOrder(const rank_state& state);
+    std::optional<rank_order> concludedOrder(const rank_state& state, pass_number pass, bool committed);
+    std::optional<rank_order> armOrder(const rank_state& state);
+    void decline();
+    rank_order order(const rank_state& state, rank_order_kind kind) const;
+
+    group_epoch m_epoch = 0;
+    std::shared_ptr<const group_map> m_map;
+    map_number m_proposedVersion = 0;
+    map_number m_refusedVersion = 0;
+
+    std::optional<switch_name> m_switch;
+    // An arm order for this pass may be under way; it must be read back before anything else is decided.
+    std::optional<pass_number> m_armSent;
+    std::optional<pass_number> m_declinedPass;
+    bool m_holdRefused = false;
+    // The pass of the latest hold that this life of the agent ordered.
+    std::optional<pass_number> m_holdOrdered;
+    std::optional<instant> m_heldSince;
+    // Final outcomes of this epoch, the latest last.
+    std::deque<switch_outcome> m_outcomes;
+};
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/decisions/groups/switch_coordinator.cpp
@@ -0,0 +1,246 @@
+#include "decisions/groups/switch_coordinator.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace appleramp {
+
+namespace {
+
+// A status older than this says nothing of its rank.
+constexpr duration statusValidity = std::chrono::milliseconds(1200);
+// Between two plans while none pays.
+constexpr duration planInterval = std::chrono::milliseconds(150);
+// Between two sends of a message that some rank has not acted on.
+constexpr duration proposalResend = std::chrono::milliseconds(300);
+constexpr duration switchResend = std::chrono::milliseconds(50);
+// A map that is not prepared everywhere by then is given up.
+constexpr duration prepareTimeout = std::chrono::seconds(4);
+// The outcome is told for so long at most; ranks that miss it ask.
+constexpr duration concludeTimeout = std::chrono::seconds(15);
+
+} // namespace
+
+void switch_coordinator::noteStatus(instant now, const rank_status& status)
+{
+    m_ranks[status.rank] = { status, now };
+    std::erase_if(m_ranks, [&](const auto& entry) { return entry.second.status.epoch < status.epoch; });
+}
+
+void switch_coordinator::noteChoices(instant now, const rank_choices& choices) { m_popularity.add(now, choices.chosen); }
+
+void switch_coordinator::adopt(instant now, const switch_name& name, const group_map& map)
+{
+    if (m_phase != phase::Idle)
+        return;
+    m_proposal = { name.epoch, name.version, map };
+    m_switch = name;
+    m_ranks.clear();
+    note("switch_adopted", "pass " + std::to_string(name.pass));
+    enter(now, phase::Switching);
+}
+
+void switch_coordinator::enter(instant now, phase next)
+{
+    m_phase = next;
+    m_enteredAt = now;
+    m_sentAt = {};
+}
+
+void switch_coordinator::note(std::string what, std::string detail) { m_notes.push_back({ std::move(what), std::move(detail) }); }
+
+std::vector<coordinator_note> switch_coordinator::takeNotes() { return std::exchange(m_notes, {}); }
+
+std::vector<outgoing_message> switch_coordinator::advance(instant now, bool leads)
+{
+    std::vector<outgoing_message> out;
+    const bool epochOver = m_phase != phase::Idle
+        && std::any_of(m_ranks.begin(), m_ranks.end(), [&](const auto& entry) { return entry.second.status.epoch > m_proposal.epoch; });
+    if (epochOver) {
+        note("switch_void", "the group formed anew");
+        enter(now, phase::Idle);
+    }
+    switch (m_phase) {
+    case phase::Idle:
+        if (leads)
+            planNext(now, out);
+        break;
+    case phase::Preparing:
+        prepare(now, out);
+        break;
+    case phase::Switching:
+        awaitArmed(now, out);
+        break;
+    case phase::Concluding:
+        tellOutcome(now, out);
+        break;
+    }
+    return out;
+}
+
+bool switch_coordinator::isComplete(instant now) const
+{
+    if (m_ranks.empty() || m_ranks.size() != m_ranks.begin()->second.status.ranks)
+        return false;
+    const rank_status& first = m_ranks.begin()->second.status;
+    return std::all_of(m_ranks.begin(), m_ranks.end(), [&](const auto& entry) {
+        const rank_status& status = entry.second.status;
+        return now - entry.second.heardAt < statusValidity && status.epoch == first.epoch && status.groupOpen
+            && status.mapVersion == first.mapVersion && status.experts.size() == first.experts.size() && !status.experts.empty();
+    });
+}
+
+bool switch_coordinator::isQuiet() const
+{
+    return std::none_of(m_ranks.begin(), m_ranks.end(),
+        [](const auto& entry) { return entry.second.status.armedVersion || entry.second.status.heldPass; });
+}
+
+group_map switch_coordinator::currentMap() const
+{
+    const std::size_t sets = m_ranks.begin()->second.status.experts.size();
+    group_map map(sets, m_ranks.size());
+    for (const auto& [rank, known] : m_ranks) {
+        for (std::size_t set = 0; set < sets; ++set)
+            map.at(set, rank) = known.status.experts[set];
+    }
+    return map;
+}
+
+map_number switch_coordinator::highestVersion() const
+{
+    map_number highest = m_highestUsed;
+    for (const auto& [rank, known] : m_ranks)
+        highest = std::max({ highest, known.status.mapVersion, known.status.preparedVersion.value_or(0) });
+    return highest;
+}
+
+pass_number switch_coordinator::latestPass() const
+{
+    pass_number latest = 0;
+    for (const auto& [rank, known] : m_ranks)
+        latest = std::max(latest, known.status.pass);
+    return latest;
+}
+
+void switch_coordinator::planNext(instant now, std::vector<outgoing_message>& out)
+{
+    const std::size_t cells = m_popularity.loads().size();
+    if (now < m_nextPlan || m_limits.planning.experts == 0 || m_popularity.weight() < m_limits.leastChoices)
+        return;
+    m_nextPlan = now + planInterval;
+    if (!isComplete(now) || !isQuiet())
+        return;
+    const group_map current = currentMap();
+    if (cells != current.sets() * m_limits.planning.experts)
+        return;
+    group_map_plan plan = planGroupMap(current, m_popularity.loads(), m_limits.planning);
+    if (plan.copies == 0 || plan.before - plan.after < m_limits.leastRelief * plan.before)
+        return;
+    m_highestUsed = highestVersion() + 1;
+    m_proposal = { m_ranks.begin()->second.status.epoch, m_highestUsed, std::move(plan.map) };
+    note("map_proposed", "version " + std::to_string(m_highestUsed) + " imbalance " + std::to_string(plan.before) + " to "
+            + std::to_string(plan.after) + " copies " + std::to_string(plan.copies) + " most " + std::to_string(plan.mostCopies));
+    enter(now, phase::Preparing);
+    prepare(now, out);
+}
+
+bool switch_coordinator::hasPrepared(const rank_status& status) const
+{
+    return status.epoch == m_proposal.epoch && status.preparedVersion == m_proposal.version
+        && status.preparedDigest == m_proposal.map.rankDigest(status.rank);
+}
+
+bool switch_coordinator::isArmed(const rank_status& status) const
+{
+    return hasPrepared(status) && status.armedVersion == m_switch.version && status.armedPass == m_switch.pass
+        && status.heldPass == m_switch.pass;
+}
+
+bool switch_coordinator::hasLetGo(const rank_status& status) const
+{
+    const bool armed = status.armedPass == m_switch.pass;
+    return status.heldPass != m_switch.pass && (m_committed || !armed);
+}
+
+void switch_coordinator::prepare(instant now, std::vector<outgoing_message>& out)
+{
+    if (now - m_enteredAt > prepareTimeout) {
+        note("map_given_up", "version " + std::to_string(m_proposal.version) + " is not prepared everywhere");
+        return enter(now, phase::Idle);
+    }
+    std::size_t prepared = 0;
+    const bool resend = now - m_sentAt >= proposalResend;
+    for (const auto& [rank, known] : m_ranks) {
+        if (hasPrepared(known.status))
+            ++prepared;
+        else if (resend)
+            out.push_back({ rank, m_proposal });
+    }
+    if (resend)
+        m_sentAt = now;
+    if (prepared == m_ranks.begin()->second.status.ranks)
+        beginSwitch(now, out);
+}
+
+void switch_coordinator::beginSwitch(instant now, std::vector<outgoing_message>& out)
+{
+    m_lead = std::clamp(m_lead, shortestLead, longestLead);
+    m_switch = { m_proposal.epoch, m_proposal.version, latestPass() + m_lead };
+    enter(now, phase::Switching);
+    awaitArmed(now, out);
+}
+
+void switch_coordinator::awaitArmed(instant now, std::vector<outgoing_message>& out)
+{
+    std::size_t armed = 0;
+    bool declined = false;
+    const bool resend = now - m_sentAt >= switchResend;
+    for (const auto& [rank, known] : m_ranks) {
+        const rank_status& status = known.status;
+        if (isArmed(status))
+            ++armed;
+        else if (status.epoch == m_switch.epoch && status.declinedPass && *status.declinedPass >= m_switch.pass)
+            declined = true;
+    }
+    if (declined)
+        return conclude(now, false, out);
+    if (!m_ranks.empty() && armed == m_ranks.begin()->second.status.ranks)
+        return conclude(now, true, out);
+    if (!resend)
+        return;
+    m_sentAt = now;
+    if (now - m_enteredAt < switchResend) {
+        out.push_back({ std::nullopt, switch_request { m_switch } });
+        return;
+    }
+    // Who has not heard of it may be unknown here as well, so all are told again.
+    out.push_back({ std::nullopt, switch_request { m_switch } });
+}
+
+void switch_coordinator::conclude(instant now, bool committed, std::vector<outgoing_message>& out)
+{
+    m_committed = committed;
+    m_lead = committed ? std::max(m_lead - 1, shortestLead) : std::min(m_lead * 2, longestLead);
+    note(committed ? "switch_committed" : "switch_aborted",
+        "version " + std::to_string(m_switch.version) + " pass " + std::to_string(m_switch.pass) + " after_ms "
+            + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - m_enteredAt).count()));
+    enter(now, phase::Concluding);
+    tellOutcome(now, out);
+}
+
+void switch_coordinator::tellOutcome(instant now, std::vector<outgoing_message>& out)
+{
+    const bool done = std::all_of(m_ranks.begin(), m_ranks.end(), [&](const auto& entry) { return hasLetGo(entry.second.status); });
+    const bool told = m_sentAt != instant {};
+    if ((done && told) || now - m_enteredAt > concludeTimeout) {
+        m_nextPlan = now;
+        return enter(now, phase::Idle);
+    }
+    if (now - m_sentAt < switchResend)
+        return;
+    m_sentAt = now;
+    out.push_back({ std::nullopt, switch_outcome { m_switch, m_committed } });
+}
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/decisions/groups/switch_coordinator.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "decisions/groups/expert_popularity.h"
+#include "decisions/groups/group_map_planner.h"
+#include "decisions/groups/group_messages.h"
+#include "model/time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace appleramp {
+
+struct coordinator_limits {
+    planning_limits planning;
+    // Part by which the most loaded rank must be relieved for a new map to be worth its copies.
+    double leastRelief = 0.06;
+    // Choices of experts that a plan must stand on.
+    double leastChoices = 20000;
+};
+
+// A message for one rank, or for all agents of the group.
+struct outgoing_message {
+    std::optional<std::uint32_t> rank;
+    group_message message;
+};
+
+struct coordinator_note {
+    std::string what;
+    std::string detail;
+};
+
+// Plans a group's maps and brings them into force, one after the other; also concludes a switch whose coordinator is gone.
+//
+// It works on statuses that ranks' agents report. That a rank is armed or has declined is final until the outcome is
+// told, so two coordinators at a time can only slow each other down.
+class switch_coordinator {
+public:
+    explicit switch_coordinator(coordinator_limits limits)
+        : m_limits(limits)
+    {
+    }
+
+    void setLimits(coordinator_limits limits) { m_limits = limits; }
+    void noteStatus(instant now, const rank_status& status);
+    void noteChoices(instant now, const rank_choices& choices);
+    // Takes over a switch that another coordinator began. The map is the one that was proposed under its version.
+    void adopt(instant now, const switch_name& name, const group_map& map);
+
+    // What is due now. Only a leading coordinator proposes new maps.
+    std::vector<outgoing_message> advance(instant now, bool leads);
+    std::vector<coordinator_note> takeNotes();
+    bool isIdle() const { return m_phase == phase::Idle; }
+
+private:
+    enum class phase {
+        Idle,
+        Preparing,
+        Switching,
+        // The outcome is known; it is told until every rank has let go.
+        Concluding,
+    };
+    struct known_status {
+        rank_status status;
+        instant heardAt;
+    };
+
+    bool isComplete(instant now) const;
+    bool isQuiet() const;
+    group_map currentMap() const;
+    map_number highestVersion() const;
+    pass_number latestPass() const;
+    void planNext(instant now, std::vector<outgoing_message>& out);
+    void prepare(instant now, std::vector<outgoing_message>& out);
+    void beginSwitch(instant now, std::vector<outgoing_message>& out);
+    void awaitArmed(instant now, std::vector<outgoing_message>& out);
+    void conclude(instant now, bool committed, std::vector<outgoing_message>& out);
+    void tellOutcome(instant now, std::vector<outgoing_message>& out);
+    bool hasPrepared(const rank_status& status) const;
+    bool isArmed(const rank_status& status) const;
+    bool hasLetGo(const rank_status& status) const;
+    void enter(instant now, phase next);
+    void note(std::string what, std::string detail);
+
+    coordinator_limits m_limits;
+    std::map<std::uint32_t, known_status> m_ranks;
+    expert_popularity m_popularity;
+    phase m_phase = phase::Idle;
+    instant m_enteredAt;
+    instant m_sentAt;
+    instant m_nextPlan;
+    map_proposal m_proposal;
+    switch_name m_switch;
+    bool m_committed = false;
+    map_number m_highestUsed = 0;
+    pass_number m_lead = 6;
+    std::vector<coordinator_note> m_notes;
+
+public:
+    // Passes between the latest one known and the one at which ranks switch; grows when ranks hear of it too late.
+    static constexpr pass_number shortestLead = 4;
+    static constexpr pass_number longestLead = 24;
+};
+
+} // namespace appleramp
--- a/packages/directagent/direct_agent_process.cpp
+++ b/packages/directagent/direct_agent_process.cpp
@@ -1,17 +1,20 @@
 #include "directagent/direct_agent_process.h"
 
 #include "datagrams/news_socket.h"
-#include "http/client_pool.h"
+#include "decisions/groups/group_agent.h"
+#include "directagent/engine_link.h"
 #include "membership/member_row.h"
 #include "observe/line_log.h"
 #include "ports/platform_adapter.h"
 #include "ports/row_store.h"
 #include "runtime/process_clock.h"
+#include "storefeed/table_follower.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <utility>
 
@@ -19,19 +22,28 @@
 
 namespace {
 
+using udp_endpoint = boost::asio::ip::udp::endpoint;
+
 // The engine's report is read this often; it is free on the engine's own machine.
-constexpr duration reportInterval = std::chrono::milliseconds(100);
+constexpr duration reportInterval = std::chrono::milliseconds(80);
+// While a switch is under way.
+constexpr duration switchingInterval = std::chrono::milliseconds(15);
+// Choices of experts are read this often; for large groups it grows with the ranks.
+constexpr duration choicesInterval = std::chrono::milliseconds(200);
+constexpr duration choicesIntervalPerRank = std::chrono::milliseconds(10);
 // An entry that has not been heard for so long is told nothing more.
 constexpr duration entrySilence = std::chrono::seconds(5);
 // Time between two load messages to one entry, for each entry there is: the bytes that an agent sends stay bounded.
 constexpr duration loadIntervalPerEntry = std::chrono::milliseconds(12);
+constexpr duration leastLoadInterval = std::chrono::milliseconds(100);
 constexpr std::chrono::milliseconds memberRetry { 700 };
-constexpr std::chrono::milliseconds reportTimeout { 1000 };
-
-constexpr pool_settings enginePool { .connectTimeout = std::chrono::milliseconds(500),
-    .silenceLimit = std::chrono::milliseconds(2000),
-    .reuseWithin = std::chrono::milliseconds(3000),
-    .maxIdlePerServer = 2 };
+constexpr std::chrono::milliseconds readTimeout { 500 };
+// Engines may leave an order unanswered; the next reading tells whether it was carried out.
+constexpr std::chrono::milliseconds orderTimeout { 100 };
+constexpr duration membersPoll = std::chrono::seconds(20);
+constexpr duration layoutRetry = std::chrono::seconds(1);
+// Experts that may be new to a rank in one map are copied one after the other; more would bring the map too late.
+constexpr std::size_t mostNewPerRank = 2;
 
 } // namespace
 
@@ -44,16 +56,17 @@
         , m_store(store)
         , m_platform(platform)
         , m_log({ settings.process.instance, settings.process.zone, life }, {})
-        , m_engines(loop, enginePool)
+        , m_engine(loop, settings.endpoint.address.str())
         , m_news(loop, settings.listen.links.host, settings.listen.links.port,
-              [this](const news& message, const boost::asio::ip::udp::endpoint& from) { onNews(message, from); })
+              [this](const news& message, const udp_endpoint& from) { onNews(message, from); })
         , m_tick(loop)
-        , m_timeout(loop)
         , m_memberTimer(loop)
+        , m_agent({})
     {
-        m_log.write(now(), "started", {}, { { "role", "direct_agent" }, { "engine", engineAddress() } });
+        m_log.write(now(), "started", {}, { { "role", "direct_agent" }, { "engine", m_engine.address() } });
+        followMembers(life ^ std::hash<std::string> {}(settings.process.instance.str()));
         writeMember();
-        readReport();
+        next();
     }
 
     void requestStop()
@@ -66,80 +79,213 @@
 private:
     static instant now() { return suspendAwareNow(); }
 
-    std::string engineAddress() const { return m_settings.endpoint.address.str(); }
+    // --- The engine, one exchange after the other.
 
-    void onNews(const news& message, const boost::asio::ip::udp::endpoint& from)
+    // Starts the exchange that is due most, or waits.
+    void next()
     {
-        if (!std::holds_alternative<entry_presence>(message))
+        if (m_engine.isBusy())
             return;
-        const auto [entry, isNew] = m_entries.insert_or_assign(from, now());
-        if (isNew)
-            m_log.write(now(), "entry_heard", {}, { { "address", std::get<entry_presence>(message).callerAddress } });
+        m_tick.cancel();
+        const instant moment = now();
+        if (m_order)
+            return sendOrder();
+        if (m_readDue || moment >= m_nextRead)
+            return readReport();
+        if (std::exchange(m_listsDue, false))
+            return readLists();
+        if (moment >= m_nextChoices && m_report && !m_report->group.empty())
+            return readChoices();
+        m_tick.expires_after(std::max(duration(1), std::min(m_nextRead, m_nextChoices) - moment));
+        m_tick.async_wait([this](const boost::system::error_code& cancelled) {
+            if (!cancelled)
+                next();
+        });
     }
 
     void readReport()
     {
-        m_body.clear();
-        m_status = 0;
-        m_connection = m_engines.acquire(engineAddress(), false);
-        m_timeout.expires_after(reportTimeout);
-        m_timeout.async_wait([this](const boost::system::error_code& cancelled) {
-            if (!cancelled && m_connection) {
-                std::exchange(m_connection, nullptr)->cancel();
-                onReportMissing();
-            }
+        m_readDue = false;
+        m_engine.exchange({ m_platform.reportRequest(m_engine.address()), {} }, readTimeout, [this](const auto& answer) {
+            onReport(answer);
+            m_nextRead = now() + (m_switching ? switchingInterval : reportInterval);
+            m_log.flush();
+            next();
         });
-        m_connection->exchange(serializeRequest(m_platform.reportRequest(engineAddress()), {}),
-            { .head = [this](const http_response_head& head) { m_status = head.status; },
-                .body = [this](const std::string& bytes) { m_body += bytes; },
-                .completed = [this] { onReport(); },
-                .failed =
-                    [this](exchange_failure) {
-                        m_connection.reset();
-                        onReportMissing();
-                    } });
     }
 
-    void onReport()
+    void onReport(const std::optional<http_response>& answer)
     {
-        m_engines.release(std::exchange(m_connection, nullptr));
-        const auto report = m_status == 200 ? m_platform.readReport(m_body) : std::nullopt;
-        if (!report)
-            return onReportMissing();
-        if (!std::exchange(m_engineAnswers, true))
-            m_log.write(now(), "engine_regained", {}, { { "engine", engineAddress() }, { "report", report->raw } });
-        tellLoad(*report);
-        scheduleNext();
+        auto report = answer && answer->head.status == 200 ? m_platform.readReport(answer->body) : std::nullopt;
+        if (report.has_value() != m_report.has_value())
+            m_log.write(now(), report ? "engine_regained" : "engine_lost", {}, { { "engine", m_engine.address() } });
+        m_report = std::move(report);
+        if (!m_report)
+            return;
+        tellLoad();
+        if (m_report->group.empty())
+            return;
+        noteGroupChange();
+        handle(rank_read { now(), m_report->rank });
+        handle(group_time_passed { now() });
+        m_switching = m_report->rank.heldPass || m_report->rank.armedPass;
     }
 
-    void onReportMissing()
+    void noteGroupChange()
     {
-        if (std::exchange(m_engineAnswers, false))
-            m_log.write(now(), "engine_lost", {}, { { "engine", engineAddress() } });
-        scheduleNext();
+        const rank_state& rank = m_report->rank;
+        const auto state = std::tuple(rank.epoch, rank.groupOpen, rank.mapVersion);
+        if (state == m_groupState)
+            return;
+        m_groupState = state;
+        m_log.write(now(), "group_state", {},
+            { { "group", m_report->group }, { "epoch", std::to_string(rank.epoch) }, { "open", rank.groupOpen ? "true" : "false" },
+                { "map", std::to_string(rank.mapVersion) }, { "pass", std::to_string(rank.pass) } });
+    }
+
+    void readLists()
+    {
+        m_engine.exchange({ m_platform.listsRequest(m_engine.address()), {} }, readTimeout, [this](const auto& answer) {
+            const auto lists = answer && answer->head.status == 200 ? m_platform.readLists(answer->body) : std::nullopt;
+            if (lists)
+                handle(rank_lists_read { now(), lists->epoch, lists->mapVersion, lists->experts, lists->preparedVersion, lists->preparedExperts });
+            next();
+        });
+    }
+
+    void readChoices()
+    {
+        const duration perRank = choicesIntervalPerRank * static_cast<duration::rep>(m_report->rank.ranks);
+        m_nextChoices = now() + std::max(choicesInterval, perRank);
+        m_engine.exchange({ m_platform.choicesRequest(m_engine.address()), {} }, readTimeout, [this](const auto& answer) {
+            if (answer && answer->head.status == 200)
+                handle(choices_read { now(), m_platform.readChoices(answer->body) });
+            next();
+        });
     }
 
-    void tellLoad(const engine_report& report)
+    void sendOrder()
     {
-        std::erase_if(m_entries, [](const auto& entry) { return now() - entry.second > entrySilence; });
-        const duration interval = std::max(reportInterval, loadIntervalPerEntry * static_cast<duration::rep>(m_entries.size()));
-        if (now() - m_loadTold < interval)
+        const rank_order order = *std::exchange(m_order, std::nullopt);
+        m_engine.exchange(m_platform.orderRequest(m_engine.address(), order), orderTimeout, [this, order](const auto& answer) {
+            const auto meaning = answer ? m_platform.readOrderAnswer(answer->head.status) : order_answer::Unclear;
+            m_log.write(now(), "order", {},
+                { { "order", std::string(nameOf(order.kind)) }, { "version", std::to_string(order.version) },
+                    { "pass", std::to_string(order.pass) }, { "status", answer ? std::to_string(answer->head.status) : "none" },
+                    { "answer", answer && meaning == order_answer::Refused ? answer->body : "" } });
+            if (meaning == order_answer::Refused)
+                handle(rank_order_refused { now(), order });
+            m_readDue = true;
+            next();
+        });
+    }
+
+    // --- The group.
+
+    void handle(const group_event& event)
+    {
+        for (group_effect& effect : m_agent.handle(event))
+            std::visit([this](auto& concrete) { carryOut(concrete); }, effect);
+    }
+
+    void carryOut(const give_order& effect)
+    {
+        m_order = effect.order;
+        next();
+    }
+
+    void carryOut(const read_lists&) { m_listsDue = true; }
+
+    void carryOut(const group_note& effect) { m_log.write(now(), effect.what, {}, { { "detail", effect.detail } }); }
+
+    void carryOut(const outgoing_message& effect)
+    {
+        const group_news message { m_report ? m_report->group : std::string(), effect.message };
+        if (effect.rank) {
+            const auto found = m_rankAddresses.find(*effect.rank);
+            if (found != m_rankAddresses.end())
+                m_news.send(message, found->second);
             return;
-        m_loadTold = now();
-        const endpoint_load load { engineAddress(), report.running, report.waiting, report.pace, report.groupOpen, report.step };
+        }
+        for (const auto& [name, member] : m_members) {
+            if (!member.isEntry && name != m_settings.process.instance.str())
+                m_news.send(message, newsEndpoint(member));
+        }
+    }
+
+    static udp_endpoint newsEndpoint(const member_row& member)
+    {
+        const auto target = endpointFromText(member.newsAddress);
+        return { target.address(), target.port() };
+    }
+
+    // --- News.
+
+    void onNews(const news& message, const udp_endpoint& from)
+    {
+        if (const auto* const presence = std::get_if<entry_presence>(&message)) {
+            if (m_entries.insert_or_assign(from, now()).second)
+                m_log.write(now(), "entry_heard", {}, { { "address", presence->callerAddress } });
+        }
+        const auto* const group = std::get_if<group_news>(&message);
+        if (group == nullptr || !m_report || group->group != m_report->group)
+            return;
+        noteSender(group->message, from);
+        handle(group_message_heard { now(), group->message });
+        if (m_agent.leads())
+            readLayoutIfUnknown();
+    }
+
+    void noteSender(const group_message& message, const udp_endpoint& from)
+    {
+        if (const auto* const beat = std::get_if<coordinator_beat>(&message))
+            m_rankAddresses[beat->rank] = from;
+        else if (const auto* const status = std::get_if<rank_status>(&message))
+            m_rankAddresses[status->rank] = from;
+    }
+
+    void tellLoad()
+    {
+        const instant moment = now();
+        std::erase_if(m_entries, [moment](const auto& entry) { return moment - entry.second > entrySilence; });
+        const duration interval = std::max(leastLoadInterval, loadIntervalPerEntry * static_cast<duration::rep>(m_entries.size()));
+        if (moment - m_loadTold < interval)
+            return;
+        m_loadTold = moment;
+        const bool isOpen = m_report->group.empty() || m_report->rank.groupOpen;
+        const endpoint_load load { m_engine.address(), m_report->running, m_report->waiting, m_report->pace, isOpen, m_report->rank.pass };
         for (const auto& [entry, heardAt] : m_entries)
             m_news.send(load, entry);
     }
 
-    void scheduleNext()
+    // --- The store.
+
+    void followMembers(incarnation seed)
     {
-        m_timeout.cancel();
-        m_log.flush();
-        m_tick.expires_after(reportInterval);
-        m_tick.async_wait([this](const boost::system::error_code& cancelled) {
-            if (!cancelled)
-                readReport();
-        });
+        follower_settings settings;
+        settings.wait = membersPoll;
+        m_membersFollower = std::make_shared<table_follower>(
+            m_loop, m_store, std::string(membersTable), settings, [] { return now(); },
+            follower_handlers { .whole =
+                                    [this](auto rows, instant) {
+                                        m_members.clear();
+                                        onMemberRows(rows);
+                                    },
+                .changes = [this](auto rows, instant) { onMemberRows(rows); },
+                .access = [this](bool reachable) { m_log.write(now(), reachable ? "store_regained" : "store_lost", {}, {}); } },
+            seed);
+        m_membersFollower->start();
+    }
+
+    void onMemberRows(const std::vector<store_row>& rows)
+    {
+        for (const store_row& row : rows) {
+            const auto member = row.removed ? std::nullopt : decodeMember(row.value);
+            if (member)
+                m_members[row.key] = *member;
+            else
+                m_members.erase(row.key);
+        }
     }
 
     void writeMember()
@@ -157,22 +303,64 @@
             });
     }
 
+    // The layout of a model's experts stays as it is while the service lives, so it is read once, by who coordinates.
+    void readLayoutIfUnknown()
+    {
+        if (m_layoutKnown || now() < m_layoutRetryAt)
+            return;
+        m_layoutRetryAt = now() + layoutRetry;
+        m_store.read(m_platform.configurationTable(), {}, [this](const store_result& result) {
+            if (const auto* const rows = std::get_if<store_rows>(&result)) {
+                for (const store_row& row : rows->rows)
+                    noteLayout(m_platform.readConfigurationRow(row));
+            }
+        });
+    }
+
+    void noteLayout(const configuration_row& row)
+    {
+        const auto* const configuration = std::get_if<routing_configuration>(&row);
+        if (configuration == nullptr || m_settings.endpoint.description.services.empty())
+            return;
+        for (const service_description& service : configuration->services) {
+            if (service.id != m_settings.endpoint.description.services.front() || !service.experts)
+                continue;
+            coordinator_limits limits;
+            limits.planning.experts = service.experts->expertsPerSet;
+            limits.planning.placesPerRank = service.experts->placesPerRank;
+            limits.planning.newPerRank = std::min<std::size_t>(service.experts->sparePlaces, mostNewPerRank);
+            m_agent.setLimits(limits);
+            m_layoutKnown = true;
+        }
+    }
+
     boost::asio::io_context& m_loop;
     process_settings m_settings;
     row_store& m_store;
     const platform_adapter& m_platform;
     line_log m_log;
-    client_pool m_engines;
+    engine_link m_engine;
     news_socket m_news;
     boost::asio::steady_timer m_tick;
-    boost::asio::steady_timer m_timeout;
     boost::asio::steady_timer m_memberTimer;
-    std::map<boost::asio::ip::udp::endpoint, instant> m_entries;
-    std::shared_ptr<client_connection> m_connection;
-    std::string m_body;
-    unsigned m_status = 0;
-    bool m_engineAnswers = false;
+    std::shared_ptr<table_follower> m_membersFollower;
+    group_agent m_agent;
+
+    std::optional<engine_report> m_report;
+    std::optional<rank_order> m_order;
+    bool m_readDue = true;
+    bool m_listsDue = false;
+    bool m_switching = false;
+    instant m_nextRead;
+    instant m_nextChoices;
+    std::tuple<group_epoch, bool, map_number> m_groupState;
+
+    std::map<std::string, member_row> m_members;
+    std::map<std::uint32_t, udp_endpoint> m_rankAddresses;
+    std::map<udp_endpoint, instant> m_entries;
     instant m_loadTold;
+    bool m_layoutKnown = false;
+    instant m_layoutRetryAt;
 };
 
 direct_agent_process::direct_agent_process(boost::asio::io_context& loop, const process_settings& settings, incarnation life,
--- /dev/null
+++ b/packages/directagent/engine_link.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "http/client_pool.h"
+#include "http/http_message.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace appleramp {
+
+// Exchanges with one engine, one at a time, each with a time-out.
+class engine_link {
+public:
+    // None if no whole answer came in time.
+    using handler = std::function<void(std::optional<http_response>)>;
+
+    engine_link(boost::asio::io_context& loop, std::string address);
+
+    void exchange(const http_request& request, std::chrono::milliseconds timeout, handler done);
+    bool isBusy() const { return m_done != nullptr; }
+    const std::string& address() const { return m_address; }
+
+private:
+    void finish(std::optional<http_response> answer);
+
+    client_pool m_pool;
+    boost::asio::steady_timer m_timeout;
+    std::string m_address;
+    std::shared_ptr<client_connection> m_connection;
+    http_response m_answer;
+    handler m_done;
+};
+
+} // namespace appleramp
--- a/packages/ports/platform_adapter.h
+++ b/packages/ports/platform_adapter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decisions/forwarding/forwarding_events.h"
+#include "decisions/groups/rank_state.h"
 #include "http/http_message.h"
 #include "model/endpoint_news.h"
 #include "model/routing.h"
@@ -61,31 +62,31 @@
     availability_zone_id zone;
 };
 
-// How one rank of a group of engines stands, as read on its own machine.
+// How an engine stands, as read on its own machine.
 struct engine_report {
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     double pace = 1.0;
-    // The engine is carrying out an order.
-    bool isBusy = false;
-    // Orders that it has begun since it started; orders may be made conditional on it.
-    std::uint64_t orderCount = 0;
+    // The group that the engine is a rank of; empty if of none.
     std::string group;
-    std::uint32_t rank = 0;
-    std::uint32_t ranks = 0;
-    bool groupOpen = true;
-    // Grows each time the group forms anew.
-    std::uint64_t epoch = 0;
-    // The latest pass that was begun.
-    std::uint64_t step = 0;
-    std::uint64_t mapVersion = 0;
-    std::optional<std::uint64_t> preparedVersion;
-    std::optional<std::uint64_t> armedVersion;
-    std::optional<std::uint64_t> armedStep;
-    // The pass before which the rank waits for a release.
-    std::optional<std::uint64_t> heldStep;
-    // The raw text where the report could be read only in part.
-    std::string raw;
+    rank_state rank;
+};
+
+// What a rank holds by the map in force, and by the one that is prepared.
+struct engine_lists {
+    group_epoch epoch = 0;
+    map_number mapVersion = 0;
+    std::vector<std::vector<expert_number>> experts;
+    std::optional<map_number> preparedVersion;
+    std::vector<std::vector<expert_number>> preparedExperts;
+};
+
+enum class order_answer {
+    Begun,
+    // It did not fit the engine's state and was not carried out.
+    Refused,
+    // Nothing is known of it.
+    Unclear,
 };
 
 // Translates between the product and the platform that it runs on. Nothing outside the adapter knows the platform's
@@ -114,6 +115,13 @@
 
     virtual http_request_head reportRequest(const std::string& address) const = 0;
     virtual std::optional<engine_report> readReport(std::string_view body) const = 0;
+    virtual http_request_head listsRequest(const std::string& address) const = 0;
+    virtual std::optional<engine_lists> readLists(std::string_view body) const = 0;
+    // Running totals of choices by set and expert.
+    virtual http_request_head choicesRequest(const std::string& address) const = 0;
+    virtual std::vector<std::uint32_t> readChoices(std::string_view body) const = 0;
+    virtual http_request orderRequest(const std::string& address, const rank_order& order) const = 0;
+    virtual order_answer readOrderAnswer(unsigned status) const = 0;
 };
 
 } // namespace appleramp
--- a/packages/settings/setting_descriptor.cpp
+++ b/packages/settings/setting_descriptor.cpp
@@ -250,7 +250,7 @@
         { .section = "endpoint",
             .key = "services",
             .type = setting_type::WordList,
-            .roles = agent,
+            .roles = { process_role::Agent, process_role::DirectAgent },
             .doc = "Models or plain services that the endpoint serves, separated by commas.",
             .assign
             = [](settings& s, const value& v) { s.endpoint.description.services = identifiers<service_id>(v); } },
