Groups: shifts of demand are followed within half a second

Ruled out: refused orders (none). Change: prepare once, again only when the order count shows that it was lost; lead by time; a fast average replaces the slow one at a shift; few copies first while the imbalance is great; changes must gain a part of the mean.

--- a/packages/decisions/groups/expert_popularity.cpp
+++ b/packages/decisions/groups/expert_popularity.cpp
@@ -1,37 +1,83 @@
 #include "decisions/groups/expert_popularity.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace appleramp {
 
+namespace {
+
+constexpr duration fastHalfLife = std::chrono::milliseconds(200);
+constexpr duration slowHalfLife = std::chrono::milliseconds(1500);
+// Choices in the fast average below which it says nothing.
+constexpr double leastWeight = 5000;
+// Times the usual distance from which the averages are apart by a shift.
+constexpr double shiftFactor = 1.8;
+// A part of the choices that moved below which nothing is a shift.
+constexpr double leastShift = 0.08;
+constexpr double usualGain = 0.02;
+
+} // namespace
+
 void expert_popularity::clear()
 {
-    m_loads.clear();
-    m_weight = 0;
+    m_fast = {};
+    m_slow = {};
+    m_usualDistance = 0;
 }
 
-void expert_popularity::decay(instant now)
+void expert_popularity::average::decay(duration passed, duration halfLife)
 {
-    const double halves = std::chrono::duration<double>(now - m_decayedAt) / std::chrono::duration<double>(halfLife);
-    const double factor = std::exp2(-halves);
-    for (double& load : m_loads)
+    const double factor = std::exp2(-std::chrono::duration<double>(passed) / std::chrono::duration<double>(halfLife));
+    for (double& load : loads)
         load *= factor;
-    m_weight *= factor;
-    m_decayedAt = now;
+    weight *= factor;
+}
+
+void expert_popularity::average::add(std::span<const std::uint32_t> chosen)
+{
+    loads.resize(chosen.size());
+    for (std::size_t index = 0; index < chosen.size(); ++index) {
+        loads[index] += chosen[index];
+        weight += chosen[index];
+    }
 }
 
 void expert_popularity::add(instant now, std::span<const std::uint32_t> chosen)
 {
-    if (m_loads.size() != chosen.size()) {
+    if (m_slow.loads.size() != chosen.size()) {
         clear();
-        m_loads.assign(chosen.size(), 0);
         m_decayedAt = now;
     }
-    decay(now);
-    for (std::size_t index = 0; index < chosen.size(); ++index) {
-        m_loads[index] += chosen[index];
-        m_weight += chosen[index];
+    const duration passed = now - m_decayedAt;
+    m_decayedAt = now;
+    m_fast.decay(passed, fastHalfLife);
+    m_slow.decay(passed, slowHalfLife);
+    m_fast.add(chosen);
+    m_slow.add(chosen);
+    followShift();
+}
+
+// Half the sum of the differences of the shares: the part of the choices that went elsewhere.
+double expert_popularity::distance() const
+{
+    double sum = 0;
+    for (std::size_t index = 0; index < m_slow.loads.size(); ++index)
+        sum += std::abs(m_slow.loads[index] / m_slow.weight - m_fast.loads[index] / m_fast.weight);
+    return sum / 2;
+}
+
+void expert_popularity::followShift()
+{
+    if (m_fast.weight < leastWeight)
+        return;
+    const double apart = distance();
+    if (m_usualDistance > 0 && apart > std::max(shiftFactor * m_usualDistance, leastShift)) {
+        m_slow = m_fast;
+        ++m_shifts;
+        return;
     }
+    m_usualDistance = m_usualDistance == 0 ? apart : m_usualDistance + usualGain * (apart - m_usualDistance);
 }
 
 std::vector<std::uint32_t> choice_counter::since(std::span<const std::uint32_t> totals)
--- a/packages/decisions/groups/expert_popularity.h
+++ b/packages/decisions/groups/expert_popularity.h
@@ -22,23 +22,36 @@
 
 // Follows how often each expert is chosen, summed over the ranks.
 //
-// What was chosen counts half after halfLife, so that a shift of demand is followed within that time.
+// A slow average keeps the noise of single requests out; a fast one shows a shift of demand. Where the two differ by
+// more than they used to, the slow one is dropped for the fast one.
 class expert_popularity {
 public:
     void add(instant now, std::span<const std::uint32_t> chosen);
     // Decayed choices by set and expert; empty before the first difference is known.
-    const std::vector<double>& loads() const { return m_loads; }
+    const std::vector<double>& loads() const { return m_slow.loads; }
     // Choices that the loads stand on.
-    double weight() const { return m_weight; }
+    double weight() const { return m_slow.weight; }
+    // Shifts of demand that were followed.
+    std::uint64_t shifts() const { return m_shifts; }
     void clear();
 
-    static constexpr duration halfLife = std::chrono::milliseconds(600);
-
 private:
-    void decay(instant now);
-
-    std::vector<double> m_loads;
-    double m_weight = 0;
+    struct average {
+        std::vector<double> loads;
+        double weight = 0;
+
+        void decay(duration passed, duration halfLife);
+        void add(std::span<const std::uint32_t> chosen);
+    };
+
+    void followShift();
+    double distance() const;
+
+    average m_fast;
+    average m_slow;
+    // Mean distance of the two averages while demand is steady.
+    double m_usualDistance = 0;
+    std::uint64_t m_shifts = 0;
     instant m_decayedAt;
 };
 
--- a/packages/decisions/groups/group_agent.h
+++ b/packages/decisions/groups/group_agent.h
@@ -74,6 +74,8 @@
     group_effects handle(const group_event& event);
 
     bool leads() const { return m_leads; }
+    // A map is being prepared or brought into force.
+    bool isSwitching() const { return m_state && m_switch.isUnderWay(*m_state); }
     const std::optional<rank_state>& state() const { return m_state; }
 
 private:
--- a/packages/decisions/groups/group_map_planner.cpp
+++ b/packages/decisions/groups/group_map_planner.cpp
@@ -9,15 +9,14 @@
 
 namespace {
 
-// An improvement smaller than this part of the mean rank's load is not worth a copy.
-constexpr double leastGain = 0.004;
-
 // Plans one set.
 class set_planner {
 public:
-    set_planner(const group_map& current, std::size_t set, std::span<const double> loads, const planning_limits& limits)
+    set_planner(const group_map& current, std::size_t set, std::span<const double> loads, const planning_limits& limits,
+        std::vector<std::size_t>& copies)
         : m_loads(loads)
         , m_limits(limits)
+        , m_copies(copies)
         , m_ranksOf(loads.size())
         , m_rankLoads(current.ranks())
     {
@@ -31,13 +30,10 @@
         recount();
     }
 
-    void plan()
-    {
-        for (std::size_t change = 0; change < m_limits.maxChanges; ++change) {
-            if (!improve())
-                return;
-        }
-    }
+    // Makes the best change there is. False if none is worth it.
+    bool improve();
+    // Load of the busiest rank, of which passes wait for the sum over the sets.
+    double most() const { return *std::max_element(m_rankLoads.begin(), m_rankLoads.end()); }
 
     const std::vector<expert_number>& held(std::size_t rank) const { return m_held[rank]; }
 
@@ -71,7 +67,7 @@
         if (!isNewTo(rank, expert))
             return true;
         const auto fresh = std::count_if(m_held[rank].begin(), m_held[rank].end(), [&](expert_number held) { return isNewTo(rank, held); });
-        return static_cast<std::size_t>(fresh) < m_limits.newPerRank;
+        return static_cast<std::size_t>(fresh) < m_limits.newPerRank && m_copies[rank] < m_limits.copiesPerRank;
     }
 
     void recount()
@@ -90,12 +86,16 @@
 
     void remove(std::size_t rank, expert_number expert)
     {
+        if (isNewTo(rank, expert))
+            --m_copies[rank];
         std::erase(m_held[rank], expert);
         std::erase(m_ranksOf[expert], rank);
     }
 
     void add(std::size_t rank, expert_number expert)
     {
+        if (isNewTo(rank, expert))
+            ++m_copies[rank];
         m_held[rank].push_back(expert);
         m_ranksOf[expert].push_back(rank);
     }
@@ -156,39 +156,12 @@
         }
     }
 
-    bool improve()
-    {
-        recount();
-        const auto most = std::max_element(m_rankLoads.begin(), m_rankLoads.end());
-        const double mostBefore = *most;
-        const double spreadBefore = spreadOf(m_rankLoads);
-        const auto busiest = static_cast<std::size_t>(most - m_rankLoads.begin());
-        std::vector<std::size_t> targets(m_held.size());
-        std::iota(targets.begin(), targets.end(), 0U);
-        std::sort(targets.begin(), targets.end(), [&](std::size_t left, std::size_t right) { return m_rankLoads[left] < m_rankLoads[right]; });
-        targets.resize(std::min(targets.size(), maxTargets));
-        std::optional<change> best;
-        const std::vector<expert_number> candidates = m_held[busiest];
-        for (const expert_number expert : candidates) {
-            for (const std::size_t target : targets) {
-                if (target != busiest)
-                    considerTarget(busiest, expert, target, best);
-            }
-        }
-        const bool lowersMost = best && best->most < mostBefore - leastGain * m_mean;
-        // Where several ranks are equally busy, relieving one is progress though the maximum stays.
-        const bool lowersSpread = best && best->most <= mostBefore && best->spread < spreadBefore * (1 - leastGain / 4);
-        if (!lowersMost && !lowersSpread)
-            return false;
-        apply(*best);
-        return true;
-    }
-
     // Least loaded ranks that are tried as targets of one change.
     static constexpr std::size_t maxTargets = 8;
 
     std::span<const double> m_loads;
     const planning_limits& m_limits;
+    std::vector<std::size_t>& m_copies;
     std::vector<std::vector<std::size_t>> m_ranksOf;
     std::vector<double> m_rankLoads;
     std::vector<double> m_scratch;
@@ -197,6 +170,35 @@
     double m_mean = 0;
 };
 
+bool set_planner::improve()
+{
+    recount();
+    const auto most = std::max_element(m_rankLoads.begin(), m_rankLoads.end());
+    const double mostBefore = *most;
+    const double spreadBefore = spreadOf(m_rankLoads);
+    const auto busiest = static_cast<std::size_t>(most - m_rankLoads.begin());
+    std::vector<std::size_t> targets(m_held.size());
+    std::iota(targets.begin(), targets.end(), 0U);
+    std::sort(targets.begin(), targets.end(), [&](std::size_t left, std::size_t right) { return m_rankLoads[left] < m_rankLoads[right]; });
+    targets.resize(std::min(targets.size(), maxTargets));
+    std::optional<change> best;
+    const std::vector<expert_number> candidates = m_held[busiest];
+    for (const expert_number expert : candidates) {
+        for (const std::size_t target : targets) {
+            if (target != busiest)
+                considerTarget(busiest, expert, target, best);
+        }
+    }
+    const bool lowersMost = best && best->most < mostBefore - m_limits.leastGain * m_mean;
+    // Where several ranks are equally busy, relieving one is progress though the maximum stays.
+    const bool lowersSpread = best && best->most <= mostBefore && best->spread < spreadBefore * (1 - m_limits.leastGain / 4);
+    if (!lowersMost && !lowersSpread)
+        return false;
+    apply(*best);
+    return true;
+}
+
+
 void countCopies(const group_map& current, group_map_plan& plan)
 {
     for (std::size_t rank = 0; rank < current.ranks(); ++rank) {
@@ -216,11 +218,23 @@
 group_map_plan planGroupMap(const group_map& current, std::span<const double> loads, const planning_limits& limits)
 {
     group_map_plan plan { current, imbalance(current, loads, limits.experts) };
+    std::vector<std::size_t> copies(current.ranks());
+    std::vector<set_planner> planners;
+    planners.reserve(current.sets());
+    for (std::size_t set = 0; set < current.sets(); ++set)
+        planners.emplace_back(current, set, loads.subspan(set * limits.experts, limits.experts), limits, copies);
+    std::vector<set_planner*> open;
+    for (set_planner& planner : planners)
+        open.push_back(&planner);
+    for (std::size_t change = 0; change < limits.maxChanges && !open.empty(); ++change) {
+        const auto worst = std::max_element(
+            open.begin(), open.end(), [](const auto* left, const auto* right) { return left->most() < right->most(); });
+        if (!(*worst)->improve())
+            open.erase(worst);
+    }
     for (std::size_t set = 0; set < current.sets(); ++set) {
-        set_planner planner(current, set, loads.subspan(set * limits.experts, limits.experts), limits);
-        planner.plan();
         for (std::size_t rank = 0; rank < current.ranks(); ++rank)
-            plan.map.at(set, rank) = planner.held(rank);
+            plan.map.at(set, rank) = planners[set].held(rank);
     }
     plan.after = imbalance(plan.map, loads, limits.experts);
     countCopies(current, plan);
--- a/packages/decisions/groups/group_map_planner.h
+++ b/packages/decisions/groups/group_map_planner.h
@@ -13,8 +13,12 @@
     std::size_t placesPerRank = 0;
     // Experts of one set that may be new to a rank.
     std::size_t newPerRank = 0;
-    // Changes tried in one set at most; bounds the time that planning takes.
-    std::size_t maxChanges = 64;
+    // Experts of all sets that may be new to a rank: they are copied one after the other.
+    std::size_t copiesPerRank = 8;
+    // Changes in all sets at most; bounds the time that planning takes.
+    std::size_t maxChanges = 600;
+    // Part of the mean load by which a change must relieve the busiest rank of its set.
+    double leastGain = 0.01;
 };
 
 struct group_map_plan {
--- a/packages/decisions/groups/map_switch.cpp
+++ b/packages/decisions/groups/map_switch.cpp
@@ -9,6 +9,10 @@
 
 // Outcomes that are remembered, for holds that are carried out late.
 constexpr std::size_t rememberedOutcomes = 64;
+// An order that the engine has not begun by then was lost or is late; copies of it exclude each other.
+constexpr duration unansweredTimeout = std::chrono::milliseconds(150);
+// Copying the experts of one map takes less.
+constexpr duration copyTimeout = std::chrono::milliseconds(3000);
 
 } // namespace
 
@@ -21,6 +25,7 @@
         m_map.reset();
         m_proposedVersion = 0;
         m_refusedVersion = 0;
+        m_prepareOrderedAt.reset();
     }
     m_switch.reset();
     m_armSent.reset();
@@ -48,6 +53,7 @@
         return;
     m_map = std::make_shared<group_map>(proposal.map);
     m_proposedVersion = proposal.version;
+    m_prepareOrderedAt.reset();
 }
 
 void map_switch::request(const switch_request& request)
@@ -112,7 +118,7 @@
     }
     if (m_switch)
         return switchOrder(state);
-    return prepareOrder(state);
+    return prepareOrder(now, state);
 }
 
 rank_order map_switch::order(const rank_state& state, rank_order_kind kind) const
@@ -181,11 +187,22 @@
     return arm;
 }
 
-std::optional<rank_order> map_switch::prepareOrder(const rank_state& state)
+bool map_switch::isUnderWay(const rank_state& state) const
+{
+    const bool prepares = m_prepareOrderedAt && m_proposedVersion > m_refusedVersion && state.mapVersion < m_proposedVersion;
+    return prepares || m_switch || state.heldPass || state.armedPass;
+}
+
+std::optional<rank_order> map_switch::prepareOrder(instant now, const rank_state& state)
 {
     const bool isKnown = m_map && m_proposedVersion > state.mapVersion && m_proposedVersion > state.preparedVersion.value_or(0);
     if (!isKnown || m_proposedVersion <= m_refusedVersion || state.isBusy || state.armedVersion || !state.groupOpen)
         return std::nullopt;
+    const bool begun = m_prepareOrderedAt && state.orderCount > m_prepareExpected;
+    if (m_prepareOrderedAt && now - *m_prepareOrderedAt < (begun ? copyTimeout : unansweredTimeout))
+        return std::nullopt;
+    m_prepareOrderedAt = now;
+    m_prepareExpected = state.orderCount;
     rank_order prepare = order(state, rank_order_kind::Prepare);
     prepare.version = m_proposedVersion;
     prepare.map = m_map;
--- a/packages/decisions/groups/map_switch.h
+++ b/packages/decisions/groups/map_switch.h
@@ -33,12 +33,14 @@
     std::optional<instant> heldSince() const { return m_heldSince; }
     const std::shared_ptr<const group_map>& proposedMap() const { return m_map; }
     map_number proposedVersion() const { return m_proposedVersion; }
+    // A map is being prepared or brought into force.
+    bool isUnderWay(const rank_state& state) const;
 
 private:
     void enterEpoch(group_epoch epoch);
     void adoptForeignHold(const rank_state& state);
     std::optional<bool> outcomeAt(pass_number pass) const;
-    std::optional<rank_order> prepareOrder(const rank_state& state);
+    std::optional<rank_order> prepareOrder(instant now, const rank_state& state);
     std::optional<rank_order> switchOrder(const rank_state& state);
     std::optional<rank_order> concludedOrder(const rank_state& state, pass_number pass, bool committed);
     std::optional<rank_order> armOrder(const rank_state& state);
@@ -49,6 +51,10 @@
     std::shared_ptr<const group_map> m_map;
     map_number m_proposedVersion = 0;
     map_number m_refusedVersion = 0;
+    // When the proposed map was last ordered to be prepared; copying takes its time and shows only at its end.
+    std::optional<instant> m_prepareOrderedAt;
+    // The count of orders that it expected: a higher one shows that the engine has begun it.
+    std::uint64_t m_prepareExpected = 0;
 
     std::optional<switch_name> m_switch;
     // An arm order for this pass may be under way; it must be read back before anything else is decided.
--- a/packages/decisions/groups/switch_coordinator.cpp
+++ b/packages/decisions/groups/switch_coordinator.cpp
@@ -17,12 +17,17 @@
 // A map that is not prepared everywhere by then is given up.
 constexpr duration prepareTimeout = std::chrono::seconds(4);
 // The outcome is told for so long at most; ranks that miss it ask.
+// Bounds of what is taken for the time of a pass; an idle group makes none.
+constexpr duration shortestPass = std::chrono::milliseconds(10);
+constexpr duration longestPass = std::chrono::milliseconds(400);
+constexpr int passTimeSmoothing = 6;
 constexpr duration concludeTimeout = std::chrono::seconds(15);
 
 } // namespace
 
 void switch_coordinator::noteStatus(instant now, const rank_status& status)
 {
+    notePass(now, status);
     m_ranks[status.rank] = { status, now };
     std::erase_if(m_ranks, [&](const auto& entry) { return entry.second.status.epoch < status.epoch; });
 }
@@ -115,12 +120,25 @@
     return highest;
 }
 
-pass_number switch_coordinator::latestPass() const
+void switch_coordinator::notePass(instant now, const rank_status& status)
 {
-    pass_number latest = 0;
-    for (const auto& [rank, known] : m_ranks)
-        latest = std::max(latest, known.status.pass);
-    return latest;
+    if (status.pass <= m_latestPass && status.epoch == m_proposal.epoch)
+        return;
+    const auto passes = static_cast<duration::rep>(status.pass - m_latestPass);
+    const duration each = passes > 0 ? (now - m_latestPassAt) / passes : m_passTime;
+    if (status.pass > m_latestPass && each < longestPass)
+        m_passTime += (each - m_passTime) / passTimeSmoothing;
+    m_latestPass = status.pass;
+    m_latestPassAt = now;
+}
+
+// Far enough ahead that every rank is held and armed before it; never a pass that was named before.
+pass_number switch_coordinator::switchPass(instant now) const
+{
+    const duration pass = std::max(m_passTime, shortestPass);
+    const duration ahead = std::min(now - m_latestPassAt, longestPass) + m_lead;
+    const pass_number due = m_latestPass + 1 + static_cast<pass_number>((ahead + pass - duration(1)) / pass);
+    return std::max(due, m_switch.epoch == m_proposal.epoch ? m_switch.pass + 1 : 0);
 }
 
 void switch_coordinator::planNext(instant now, std::vector<outgoing_message>& out)
@@ -134,7 +152,10 @@
     const group_map current = currentMap();
     if (cells != current.sets() * m_limits.planning.experts)
         return;
-    group_map_plan plan = planGroupMap(current, m_popularity.loads(), m_limits.planning);
+    planning_limits limits = m_limits.planning;
+    if (imbalance(current, m_popularity.loads(), limits.experts) >= m_limits.urgentImbalance)
+        limits.copiesPerRank = std::min(limits.copiesPerRank, m_limits.urgentCopiesPerRank);
+    group_map_plan plan = planGroupMap(current, m_popularity.loads(), limits);
     if (plan.copies == 0 || plan.before - plan.after < m_limits.leastRelief * plan.before)
         return;
     m_highestUsed = highestVersion() + 1;
@@ -185,8 +206,7 @@
 
 void switch_coordinator::beginSwitch(instant now, std::vector<outgoing_message>& out)
 {
-    m_lead = std::clamp(m_lead, shortestLead, longestLead);
-    m_switch = { m_proposal.epoch, m_proposal.version, latestPass() + m_lead };
+    m_switch = { m_proposal.epoch, m_proposal.version, switchPass(now) };
     enter(now, phase::Switching);
     awaitArmed(now, out);
 }
@@ -210,10 +230,6 @@
     if (!resend)
         return;
     m_sentAt = now;
-    if (now - m_enteredAt < switchResend) {
-        out.push_back({ std::nullopt, switch_request { m_switch } });
-        return;
-    }
     // Who has not heard of it may be unknown here as well, so all are told again.
     out.push_back({ std::nullopt, switch_request { m_switch } });
 }
@@ -221,7 +237,7 @@
 void switch_coordinator::conclude(instant now, bool committed, std::vector<outgoing_message>& out)
 {
     m_committed = committed;
-    m_lead = committed ? std::max(m_lead - 1, shortestLead) : std::min(m_lead * 2, longestLead);
+    m_lead = committed ? std::max(m_lead * 3 / 4, shortestLead) : std::min(m_lead * 2, longestLead);
     note(committed ? "switch_committed" : "switch_aborted",
         "version " + std::to_string(m_switch.version) + " pass " + std::to_string(m_switch.pass) + " after_ms "
             + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - m_enteredAt).count()));
--- a/packages/decisions/groups/switch_coordinator.h
+++ b/packages/decisions/groups/switch_coordinator.h
@@ -17,6 +17,9 @@
     planning_limits planning;
     // Part by which the most loaded rank must be relieved for a new map to be worth its copies.
     double leastRelief = 0.06;
+    // Imbalance from which a first map with few copies comes before the best one.
+    double urgentImbalance = 1.6;
+    std::size_t urgentCopiesPerRank = 2;
     // Choices of experts that a plan must stand on.
     double leastChoices = 20000;
 };
@@ -71,7 +74,8 @@
     bool isQuiet() const;
     group_map currentMap() const;
     map_number highestVersion() const;
-    pass_number latestPass() const;
+    void notePass(instant now, const rank_status& status);
+    pass_number switchPass(instant now) const;
     void planNext(instant now, std::vector<outgoing_message>& out);
     void prepare(instant now, std::vector<outgoing_message>& out);
     void beginSwitch(instant now, std::vector<outgoing_message>& out);
@@ -95,13 +99,16 @@
     switch_name m_switch;
     bool m_committed = false;
     map_number m_highestUsed = 0;
-    pass_number m_lead = 6;
+    // Time between the request and the pass at which ranks switch; grows when ranks hear of it too late.
+    duration m_lead = shortestLead;
+    // How long a pass takes, as the statuses show.
+    duration m_passTime = std::chrono::milliseconds(50);
+    pass_number m_latestPass = 0;
+    instant m_latestPassAt;
     std::vector<coordinator_note> m_notes;
 
-public:
-    // Passes between the latest one known and the one at which ranks switch; grows when ranks hear of it too late.
-    static constexpr pass_number shortestLead = 4;
-    static constexpr pass_number longestLead = 24;
+    static constexpr duration shortestLead = std::chrono::milliseconds(70);
+    static constexpr duration longestLead = std::chrono::milliseconds(600);
 };
 
 } // namespace appleramp
--- a/packages/directagent/direct_agent_process.cpp
+++ b/packages/directagent/direct_agent_process.cpp
@@ -27,10 +27,10 @@
 // The engine's report is read this often; it is free on the engine's own machine.
 constexpr duration reportInterval = std::chrono::milliseconds(80);
 // While a switch is under way.
-constexpr duration switchingInterval = std::chrono::milliseconds(15);
+constexpr duration switchingInterval = std::chrono::milliseconds(20);
 // Choices of experts are read this often; for large groups it grows with the ranks.
-constexpr duration choicesInterval = std::chrono::milliseconds(200);
-constexpr duration choicesIntervalPerRank = std::chrono::milliseconds(10);
+constexpr duration choicesInterval = std::chrono::milliseconds(100);
+constexpr duration choicesIntervalPerRank = std::chrono::milliseconds(6);
 // An entry that has not been heard for so long is told nothing more.
 constexpr duration entrySilence = std::chrono::seconds(5);
 // Time between two load messages to one entry, for each entry there is: the bytes that an agent sends stay bounded.
@@ -41,6 +41,8 @@
 // Engines may leave an order unanswered; the next reading tells whether it was carried out.
 constexpr std::chrono::milliseconds orderTimeout { 100 };
 constexpr duration membersPoll = std::chrono::seconds(20);
+// Many processes start at a time; their rows are read together.
+constexpr duration membersGap = std::chrono::milliseconds(1200);
 constexpr duration layoutRetry = std::chrono::seconds(1);
 // Experts that may be new to a rank in one map are copied one after the other; more would bring the map too late.
 constexpr std::size_t mostNewPerRank = 2;
@@ -128,7 +130,7 @@
         noteGroupChange();
         handle(rank_read { now(), m_report->rank });
         handle(group_time_passed { now() });
-        m_switching = m_report->rank.heldPass || m_report->rank.armedPass;
+        m_switching = m_agent.isSwitching();
     }
 
     void noteGroupChange()
@@ -264,6 +266,7 @@
     {
         follower_settings settings;
         settings.wait = membersPoll;
+        settings.gap = membersGap;
         m_membersFollower = std::make_shared<table_follower>(
             m_loop, m_store, std::string(membersTable), settings, [] { return now(); },
             follower_handlers { .whole =
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -38,6 +38,8 @@
 constexpr double cutOffPart = 0.93;
 // Members change seldom.
 constexpr duration membersPoll = std::chrono::seconds(20);
+// Many processes start at a time; their rows are read together.
+constexpr duration membersGap = std::chrono::milliseconds(1200);
 // Between two tries to write the member's row.
 constexpr std::chrono::milliseconds memberRetry { 700 };
 
@@ -268,6 +270,7 @@
                 .changes = [this](auto rows, instant) { onRegistryChanges(rows); },
                 .access = [this](bool reachable) { onAccess(reachable); } });
         settings.wait = membersPoll;
+        settings.gap = membersGap;
         m_membersFollower = follower(std::string(membersTable), settings, life + 2,
             { .whole =
                     [this](auto rows, instant) {
