Groups: no rank stays held without an outcome; tests of groups and forwarding

Change: a rank that takes no part declines when asked; a decline of its own lets a rank go; the leader takes stranded switches over; the number of a map holds its digest.

--- a/packages/decisions/groups/expert_popularity.cpp
+++ b/packages/decisions/groups/expert_popularity.cpp
@@ -16,6 +16,8 @@
 // A part of the choices that moved below which nothing is a shift.
 constexpr double leastShift = 0.08;
 constexpr double usualGain = 0.02;
+// Time that demand takes to settle after a shift was seen.
+constexpr duration shiftTime = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -52,10 +54,12 @@
     const duration passed = now - m_decayedAt;
     m_decayedAt = now;
     m_fast.decay(passed, fastHalfLife);
-    m_slow.decay(passed, slowHalfLife);
+    // Until what came before a shift has left the fast average, the slow one follows as fast.
+    const bool justShifted = m_shifts > 0 && now - m_shiftedAt < shiftTime;
+    m_slow.decay(passed, justShifted ? fastHalfLife : slowHalfLife);
     m_fast.add(chosen);
     m_slow.add(chosen);
-    followShift();
+    followShift(now);
 }
 
 // Half the sum of the differences of the shares: the part of the choices that went elsewhere.
@@ -67,14 +71,18 @@
     return sum / 2;
 }
 
-void expert_popularity::followShift()
+void expert_popularity::followShift(instant now)
 {
     if (m_fast.weight < leastWeight)
         return;
     const double apart = distance();
+    const bool justShifted = m_shifts > 0 && now - m_shiftedAt < shiftTime;
+    if (justShifted)
+        return;
     if (m_usualDistance > 0 && apart > std::max(shiftFactor * m_usualDistance, leastShift)) {
         m_slow = m_fast;
         ++m_shifts;
+        m_shiftedAt = now;
         return;
     }
     m_usualDistance = m_usualDistance == 0 ? apart : m_usualDistance + usualGain * (apart - m_usualDistance);
--- a/packages/decisions/groups/expert_popularity.h
+++ b/packages/decisions/groups/expert_popularity.h
@@ -44,7 +44,7 @@
         void add(std::span<const std::uint32_t> chosen);
     };
 
-    void followShift();
+    void followShift(instant now);
     double distance() const;
 
     average m_fast;
@@ -52,6 +52,7 @@
     // Mean distance of the two averages while demand is steady.
     double m_usualDistance = 0;
     std::uint64_t m_shifts = 0;
+    instant m_shiftedAt;
     instant m_decayedAt;
 };
 
--- a/packages/decisions/groups/group_agent.cpp
+++ b/packages/decisions/groups/group_agent.cpp
@@ -134,10 +134,15 @@
     actOn(now);
 }
 
-void group_agent::hear(instant now, const status_query&)
+void group_agent::hear(instant now, const status_query& message)
 {
-    if (m_state)
-        tellStatus(now, true);
+    if (!m_state || message.epoch != m_state->epoch)
+        return;
+    if (const auto outcome = m_switch.outcomeOf(message.pass))
+        m_effects.emplace_back(outgoing_message { std::nullopt, *outcome });
+    m_switch.declineUnlessEngaged(message.pass);
+    giveDueOrder(now);
+    tellStatus(now, true);
 }
 
 void group_agent::actOn(instant now)
@@ -219,11 +224,8 @@
 {
     const auto waiting = m_switch.waiting();
     const bool isBlocked = waiting && m_switch.heldSince() && now - *m_switch.heldSince() >= blockedAfter;
-    if (!isBlocked || !m_coordinator.isIdle() || !m_switch.proposedMap() || m_switch.proposedVersion() != waiting->version)
-        return;
-    m_coordinator.adopt(now, *waiting, *m_switch.proposedMap());
-    m_effects.emplace_back(outgoing_message { std::nullopt, status_query { waiting->epoch } });
-    tellStatus(now, true);
+    if (isBlocked)
+        m_coordinator.adopt(now, *waiting);
 }
 
 void group_agent::runCoordinator(instant now)
@@ -238,6 +240,8 @@
                 m_switch.request(*request);
             else if (const auto* const outcome = std::get_if<switch_outcome>(&message.message))
                 m_switch.conclude(*outcome);
+            else if (const auto* const query = std::get_if<status_query>(&message.message))
+                m_switch.declineUnlessEngaged(query->pass);
             m_selfTold = true;
         }
         if (!message.rank || !m_state || *message.rank != m_state->rank)
--- a/packages/decisions/groups/group_map.cpp
+++ b/packages/decisions/groups/group_map.cpp
@@ -12,6 +12,8 @@
 constexpr std::uint64_t hashFactor = 0x100000001b3ULL;
 // Separates the sets, so that an expert can't move between them unseen.
 constexpr std::uint64_t setMark = 0xffff;
+// Numbers of maps stay exact in a double: 29 bits are left to count.
+constexpr unsigned digestBits = 24;
 
 void mix(std::uint64_t& hash, std::uint64_t value)
 {
@@ -57,6 +59,15 @@
     return digestOfRank(held);
 }
 
+std::uint64_t numberAfter(std::uint64_t previous, const group_map& map)
+{
+    std::uint64_t hash = hashStart;
+    for (std::size_t rank = 0; rank < map.ranks(); ++rank)
+        mix(hash, map.rankDigest(rank));
+    const std::uint64_t count = (previous >> digestBits) + 1;
+    return count << digestBits | (hash & ((1ULL << digestBits) - 1));
+}
+
 std::vector<double> rankLoads(const group_map& map, std::size_t set, std::span<const double> expertLoads)
 {
     std::vector<std::uint32_t> holders(expertLoads.size());
--- a/packages/decisions/groups/group_map.h
+++ b/packages/decisions/groups/group_map.h
@@ -35,6 +35,9 @@
     std::vector<std::vector<expert_number>> m_places;
 };
 
+// The number of a map that follows one with that number: a count above, and a digest of the contents below.
+std::uint64_t numberAfter(std::uint64_t previous, const group_map& map);
+
 // The digest of one rank's experts by set, as group_map::rankDigest gives it.
 std::uint64_t digestOfRank(std::span<const std::vector<expert_number>> experts);
 
--- a/packages/decisions/groups/group_messages.h
+++ b/packages/decisions/groups/group_messages.h
@@ -11,6 +11,7 @@
 namespace appleramp {
 
 using group_epoch = std::uint64_t;
+// Grows with each map, and holds a digest of the map, so that equal numbers mean equal contents.
 using map_number = std::uint64_t;
 using pass_number = std::uint64_t;
 
@@ -72,9 +73,11 @@
     bool committed = false;
 };
 
-// Tell how your rank stands.
+// A rank waits at that pass without an outcome: tell the outcome if you know it, and else how your rank stands. A rank
+// that takes no part in a switch at that pass declines it.
 struct status_query {
     group_epoch epoch = 0;
+    pass_number pass = 0;
 };
 
 using group_message = std::variant<coordinator_beat, rank_status, rank_choices, map_proposal, switch_request, switch_outcome,
--- a/packages/decisions/groups/map_switch.cpp
+++ b/packages/decisions/groups/map_switch.cpp
@@ -40,8 +40,13 @@
 // carried out.
 void map_switch::adoptForeignHold(const rank_state& state)
 {
-    if (m_switch || !state.heldPass || m_holdOrdered == state.heldPass || !state.preparedVersion)
+    if (m_switch || !state.heldPass || m_holdOrdered == state.heldPass)
         return;
+    if (!state.preparedVersion) {
+        // Nothing can arm what is not prepared.
+        decline(*state.heldPass);
+        return;
+    }
     m_switch = switch_name { state.epoch, *state.preparedVersion, *state.heldPass };
     m_armSent = state.heldPass;
     m_holdOrdered = state.heldPass;
@@ -90,8 +95,8 @@
 
 std::optional<bool> map_switch::outcomeAt(pass_number pass) const
 {
-    const auto found = std::find_if(m_outcomes.begin(), m_outcomes.end(), [pass](const auto& known) { return known.name.pass == pass; });
-    return found == m_outcomes.end() ? std::nullopt : std::optional(found->committed);
+    const auto known = outcomeOf(pass);
+    return known ? std::optional(known->committed) : std::nullopt;
 }
 
 std::optional<switch_name> map_switch::waiting() const
@@ -116,6 +121,8 @@
         if (const auto outcome = outcomeAt(*state.heldPass))
             return concludedOrder(state, *state.heldPass, *outcome);
     }
+    if (mayLetGo(state))
+        return concludedOrder(state, *state.heldPass, false);
     if (m_switch)
         return switchOrder(state);
     return prepareOrder(now, state);
@@ -141,7 +148,27 @@
     return release;
 }
 
-void map_switch::decline() { m_declinedPass = std::max(m_declinedPass.value_or(0), m_switch->pass); }
+void map_switch::decline(pass_number pass) { m_declinedPass = std::max(m_declinedPass.value_or(0), pass); }
+
+void map_switch::declineUnlessEngaged(pass_number pass)
+{
+    const bool isEngaged = (m_switch && m_switch->pass == pass) || m_armSent == pass;
+    if (!isEngaged && !outcomeAt(pass))
+        decline(pass);
+}
+
+std::optional<switch_outcome> map_switch::outcomeOf(pass_number pass) const
+{
+    const auto found = std::find_if(m_outcomes.begin(), m_outcomes.end(), [pass](const auto& known) { return known.name.pass == pass; });
+    return found == m_outcomes.end() ? std::nullopt : std::optional(*found);
+}
+
+// That this rank has declined is itself the outcome, if no arm order of its own can still be carried out.
+bool map_switch::mayLetGo(const rank_state& state) const
+{
+    return state.heldPass && m_declinedPass && *m_declinedPass >= *state.heldPass && state.armedPass != state.heldPass
+        && m_armSent != state.heldPass;
+}
 
 std::optional<rank_order> map_switch::switchOrder(const rank_state& state)
 {
@@ -154,11 +181,14 @@
             m_switch.reset();
         return std::nullopt;
     }
-    if (m_declinedPass && *m_declinedPass >= name.pass)
+    if (m_declinedPass && *m_declinedPass >= name.pass) {
+        if (!state.heldPass && !m_armSent)
+            m_switch.reset();
         return std::nullopt;
+    }
     if (state.heldPass != name.pass) {
         if (state.pass >= name.pass || m_holdRefused) {
-            decline();
+            decline(name.pass);
             return std::nullopt;
         }
         rank_order hold = order(state, rank_order_kind::Hold);
@@ -177,7 +207,7 @@
     if (state.preparedVersion != name.version) {
         // Nothing can arm what is not prepared.
         m_armSent.reset();
-        decline();
+        decline(name.pass);
         return std::nullopt;
     }
     rank_order arm = order(state, rank_order_kind::Arm);
--- a/packages/decisions/groups/map_switch.h
+++ b/packages/decisions/groups/map_switch.h
@@ -24,6 +24,9 @@
     void propose(const map_proposal& proposal);
     void request(const switch_request& request);
     void conclude(const switch_outcome& outcome);
+    // Another rank waits at that pass: a rank that takes no part there never will.
+    void declineUnlessEngaged(pass_number pass);
+    std::optional<switch_outcome> outcomeOf(pass_number pass) const;
     // The engine said that the order does not fit.
     void noteRefused(const rank_order& order);
 
@@ -31,8 +34,6 @@
     // The switch that waits for its outcome, and since when the rank has been held for it.
     std::optional<switch_name> waiting() const;
     std::optional<instant> heldSince() const { return m_heldSince; }
-    const std::shared_ptr<const group_map>& proposedMap() const { return m_map; }
-    map_number proposedVersion() const { return m_proposedVersion; }
     // A map is being prepared or brought into force.
     bool isUnderWay(const rank_state& state) const;
 
@@ -44,7 +45,8 @@
     std::optional<rank_order> switchOrder(const rank_state& state);
     std::optional<rank_order> concludedOrder(const rank_state& state, pass_number pass, bool committed);
     std::optional<rank_order> armOrder(const rank_state& state);
-    void decline();
+    void decline(pass_number pass);
+    bool mayLetGo(const rank_state& state) const;
     rank_order order(const rank_state& state, rank_order_kind kind) const;
 
     group_epoch m_epoch = 0;
--- a/packages/decisions/groups/switch_coordinator.cpp
+++ b/packages/decisions/groups/switch_coordinator.cpp
@@ -21,6 +21,10 @@
 constexpr duration shortestPass = std::chrono::milliseconds(10);
 constexpr duration longestPass = std::chrono::milliseconds(400);
 constexpr int passTimeSmoothing = 6;
+// A switch that is not armed everywhere by then is declined by those that have not begun it.
+constexpr duration declineAfter = std::chrono::milliseconds(400);
+// A rank that is held for so long while nobody coordinates it is stranded.
+constexpr duration strandedAfter = std::chrono::milliseconds(400);
 constexpr duration concludeTimeout = std::chrono::seconds(15);
 
 } // namespace
@@ -34,13 +38,19 @@
 
 void switch_coordinator::noteChoices(instant now, const rank_choices& choices) { m_popularity.add(now, choices.chosen); }
 
-void switch_coordinator::adopt(instant now, const switch_name& name, const group_map& map)
+bool switch_coordinator::pursues(const switch_name& name) const
 {
-    if (m_phase != phase::Idle)
+    return (m_phase == phase::Switching || m_phase == phase::Concluding) && m_switch.epoch == name.epoch && m_switch.pass == name.pass;
+}
+
+void switch_coordinator::adopt(instant now, const switch_name& name)
+{
+    if (pursues(name))
         return;
-    m_proposal = { name.epoch, name.version, map };
+    if (m_proposal.epoch != name.epoch || m_proposal.version != name.version)
+        m_proposal = { name.epoch, name.version, {} };
     m_switch = name;
-    m_ranks.clear();
+    m_adopted = true;
     note("switch_adopted", "pass " + std::to_string(name.pass));
     enter(now, phase::Switching);
 }
@@ -67,8 +77,10 @@
     }
     switch (m_phase) {
     case phase::Idle:
-        if (leads)
+        if (leads) {
+            adoptStranded(now);
             planNext(now, out);
+        }
         break;
     case phase::Preparing:
         prepare(now, out);
@@ -83,6 +95,24 @@
     return out;
 }
 
+// A switch whose coordinator forgot it: by a restart, or since the ranks' news came too late.
+void switch_coordinator::adoptStranded(instant now)
+{
+    const auto stranded = std::find_if(m_ranks.begin(), m_ranks.end(), [](const auto& entry) { return entry.second.status.heldPass.has_value(); });
+    if (stranded == m_ranks.end()) {
+        m_strandedSince.reset();
+        return;
+    }
+    if (!m_strandedSince)
+        m_strandedSince = now;
+    if (now - *m_strandedSince < strandedAfter)
+        return;
+    m_strandedSince.reset();
+    const rank_status& status = stranded->second.status;
+    const map_number version = status.armedVersion ? *status.armedVersion : status.preparedVersion.value_or(0);
+    adopt(now, { status.epoch, version, *status.heldPass });
+}
+
 bool switch_coordinator::isComplete(instant now) const
 {
     if (m_ranks.empty() || m_ranks.size() != m_ranks.begin()->second.status.ranks)
@@ -158,7 +188,7 @@
     group_map_plan plan = planGroupMap(current, m_popularity.loads(), limits);
     if (plan.copies == 0 || plan.before - plan.after < m_limits.leastRelief * plan.before)
         return;
-    m_highestUsed = highestVersion() + 1;
+    m_highestUsed = numberAfter(highestVersion(), plan.map);
     m_proposal = { m_ranks.begin()->second.status.epoch, m_highestUsed, std::move(plan.map) };
     note("map_proposed", "version " + std::to_string(m_highestUsed) + " imbalance " + std::to_string(plan.before) + " to "
             + std::to_string(plan.after) + " copies " + std::to_string(plan.copies) + " most " + std::to_string(plan.mostCopies));
@@ -168,8 +198,9 @@
 
 bool switch_coordinator::hasPrepared(const rank_status& status) const
 {
-    return status.epoch == m_proposal.epoch && status.preparedVersion == m_proposal.version
-        && status.preparedDigest == m_proposal.map.rankDigest(status.rank);
+    // Who took a switch over may not know the map; its number says what it holds.
+    const bool isAsPlanned = m_proposal.map.empty() || status.preparedDigest == m_proposal.map.rankDigest(status.rank);
+    return status.epoch == m_proposal.epoch && status.preparedVersion == m_proposal.version && isAsPlanned;
 }
 
 bool switch_coordinator::isArmed(const rank_status& status) const
@@ -207,6 +238,7 @@
 void switch_coordinator::beginSwitch(instant now, std::vector<outgoing_message>& out)
 {
     m_switch = { m_proposal.epoch, m_proposal.version, switchPass(now) };
+    m_adopted = false;
     enter(now, phase::Switching);
     awaitArmed(now, out);
 }
@@ -230,8 +262,12 @@
     if (!resend)
         return;
     m_sentAt = now;
-    // Who has not heard of it may be unknown here as well, so all are told again.
-    out.push_back({ std::nullopt, switch_request { m_switch } });
+    // Who has not heard of it may be unknown here as well, so all are told again; after a while ranks that still take
+    // no part are asked to decline, so that the others are not held for long.
+    if (m_adopted || now - m_enteredAt >= declineAfter)
+        out.push_back({ std::nullopt, status_query { m_switch.epoch, m_switch.pass } });
+    else
+        out.push_back({ std::nullopt, switch_request { m_switch } });
 }
 
 void switch_coordinator::conclude(instant now, bool committed, std::vector<outgoing_message>& out)
--- a/packages/decisions/groups/switch_coordinator.h
+++ b/packages/decisions/groups/switch_coordinator.h
@@ -49,13 +49,14 @@
     void setLimits(coordinator_limits limits) { m_limits = limits; }
     void noteStatus(instant now, const rank_status& status);
     void noteChoices(instant now, const rank_choices& choices);
-    // Takes over a switch that another coordinator began. The map is the one that was proposed under its version.
-    void adopt(instant now, const switch_name& name, const group_map& map);
+    // Takes over a switch that another coordinator began.
+    void adopt(instant now, const switch_name& name);
 
     // What is due now. Only a leading coordinator proposes new maps.
     std::vector<outgoing_message> advance(instant now, bool leads);
     std::vector<coordinator_note> takeNotes();
-    bool isIdle() const { return m_phase == phase::Idle; }
+    // It seeks the outcome of that switch, or tells it.
+    bool pursues(const switch_name& name) const;
 
 private:
     enum class phase {
@@ -87,6 +88,7 @@
     bool hasLetGo(const rank_status& status) const;
     void enter(instant now, phase next);
     void note(std::string what, std::string detail);
+    void adoptStranded(instant now);
 
     coordinator_limits m_limits;
     std::map<std::uint32_t, known_status> m_ranks;
@@ -98,6 +100,9 @@
     map_proposal m_proposal;
     switch_name m_switch;
     bool m_committed = false;
+    bool m_adopted = false;
+    // Since when a rank has been held or armed while nothing was under way here.
+    std::optional<instant> m_strandedSince;
     map_number m_highestUsed = 0;
     // Time between the request and the pass at which ranks switch; grows when ranks hear of it too late.
     duration m_lead = shortestLead;
--- /dev/null
+++ b/tests/decisions/forwarding/forwarding_reducer_test.cpp
@@ -0,0 +1,256 @@
+#include "decisions/forwarding/forwarding_reducer.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+using namespace appleramp;
+using namespace std::chrono_literals;
+
+namespace {
+
+const service_id drafts("drafts");
+const service_id ledger("ledger");
+
+route routeOf(const std::string& prefix, route_kind kind, const service_id& service, std::uint32_t attempts)
+{
+    route result;
+    result.name = prefix;
+    result.host = "a.example";
+    result.prefix = prefix;
+    result.kind = kind;
+    result.resumable = kind == route_kind::Stream;
+    result.services = { { service, 1 } };
+    result.timeout = 8s;
+    result.latencyTarget = 500ms;
+    result.maxAttempts = attempts;
+    return result;
+}
+
+routing_configuration configurationOf(configuration_version version)
+{
+    routing_configuration configuration;
+    configuration.version = version;
+    configuration.routes = { routeOf("/draft/", route_kind::Stream, drafts, 2),
+        routeOf("/post/", route_kind::NonRepeatable, ledger, 1), routeOf("/read/", route_kind::Idempotent, ledger, 2) };
+    configuration.teams = { { team_id("t1"), { "key" }, {} } };
+    return configuration;
+}
+
+endpoint_record endpoint(const std::string& name, const service_id& service)
+{
+    return { endpoint_id(name), service, "10.0.0.1:" + name, availability_zone_id("a"), 12, false, {} };
+}
+
+// An entry that knows a configuration and two endpoints of each service, at second 10.
+class entry {
+public:
+    entry()
+        : m_reducer(instant {}, {})
+    {
+        handle(configuration_confirmed { now, now, configurationOf(1) });
+        handle(endpoints_read { now,
+            { endpoint("d1", drafts), endpoint("d2", drafts), endpoint("l1", ledger), endpoint("l2", ledger) } });
+    }
+
+    void handle(const forwarding_event& event) { m_effects = m_reducer.handle(event); }
+
+    void request(const std::string& path, const std::string& key = "key")
+    {
+        caller_request caller;
+        caller.host = "a.example";
+        caller.path = path;
+        caller.sendId = "s1";
+        caller.apiKey = key;
+        caller.timeout = 8s;
+        caller.contentHash = 77;
+        handle(request_arrived { now, ++m_number, caller });
+    }
+
+    void end(attempt_ending ending, bool begun = false) { handle(attempt_ended { now, m_number, ending, begun, {} }); }
+
+    template <typename Effect>
+    const Effect* effect() const
+    {
+        const auto found = std::find_if(m_effects.begin(), m_effects.end(), [](const auto& each) { return std::holds_alternative<Effect>(each); });
+        return found == m_effects.end() ? nullptr : &std::get<Effect>(*found);
+    }
+
+    bool refusedWith(refusal_reason reason) const
+    {
+        const auto* const refusal = effect<refuse_request>();
+        return refusal != nullptr && refusal->reason == reason;
+    }
+
+    instant now { 10s };
+
+private:
+    forwarding_reducer m_reducer;
+    request_number m_number = 0;
+    forwarding_effects m_effects;
+};
+
+} // namespace
+
+Test(forwarding_reducer, a_request_goes_to_an_endpoint_of_its_service_with_its_team)
+{
+    entry entry;
+    entry.request("/draft/x");
+    const auto* const sent = entry.effect<send_attempt>();
+    cr_assert_not_null(sent);
+    cr_assert(sent->endpoint.str().starts_with("d"));
+    cr_assert_eq(sent->team.str(), "t1");
+    cr_assert(sent->timeLeft == duration(8s));
+}
+
+Test(forwarding_reducer, a_non_repeatable_request_never_meets_a_kept_connection)
+{
+    entry entry;
+    entry.request("/post/x");
+    cr_assert(entry.effect<send_attempt>()->onlyNewConnection);
+    entry.request("/read/x");
+    cr_assert(!entry.effect<send_attempt>()->onlyNewConnection);
+}
+
+Test(forwarding_reducer, a_non_repeatable_request_that_may_have_run_is_never_called_not_run)
+{
+    for (const auto ending : { attempt_ending::NoAnswer, attempt_ending::CutAnswer, attempt_ending::ForeignAnswer }) {
+        entry entry;
+        entry.request("/post/x");
+        entry.end(ending);
+        cr_assert_null(entry.effect<send_attempt>());
+        cr_assert(entry.refusedWith(refusal_reason::OutcomeUnknown));
+    }
+}
+
+Test(forwarding_reducer, a_rejected_non_repeatable_request_is_refused_with_a_time_to_return)
+{
+    entry entry;
+    entry.request("/post/x");
+    entry.end(attempt_ending::Rejected);
+    cr_assert(entry.refusedWith(refusal_reason::NoCapacity));
+    cr_assert(entry.effect<refuse_request>()->retryAfter.has_value());
+}
+
+Test(forwarding_reducer, an_unsent_request_goes_to_another_endpoint)
+{
+    entry entry;
+    entry.request("/post/x");
+    const auto first = entry.effect<send_attempt>()->endpoint;
+    entry.end(attempt_ending::NotSent);
+    cr_assert_not_null(entry.effect<send_attempt>());
+    cr_assert(entry.effect<send_attempt>()->endpoint != first);
+}
+
+Test(forwarding_reducer, an_idempotent_request_is_repeated_elsewhere_and_not_more_often_than_allowed)
+{
+    entry entry;
+    entry.request("/read/x");
+    const auto first = entry.effect<send_attempt>()->endpoint;
+    entry.end(attempt_ending::FailureAnswer);
+    cr_assert_not_null(entry.effect<send_attempt>());
+    cr_assert(entry.effect<send_attempt>()->endpoint != first);
+    entry.end(attempt_ending::FailureAnswer);
+    cr_assert_null(entry.effect<send_attempt>());
+    cr_assert_not_null(entry.effect<pass_failure_answer>());
+}
+
+Test(forwarding_reducer, a_broken_stream_is_resumed_and_a_second_time_broken_off)
+{
+    entry entry;
+    entry.request("/draft/x");
+    entry.end(attempt_ending::CutAnswer, true);
+    cr_assert_not_null(entry.effect<send_attempt>());
+    entry.end(attempt_ending::CutAnswer, true);
+    cr_assert_not_null(entry.effect<break_answer>());
+}
+
+Test(forwarding_reducer, unknown_routes_and_keys_are_refused_only_with_fresh_knowledge)
+{
+    entry entry;
+    entry.request("/nowhere/");
+    cr_assert(entry.refusedWith(refusal_reason::UnknownRoute));
+    entry.request("/read/x", "stolen");
+    cr_assert(entry.refusedWith(refusal_reason::UnknownKey));
+    entry.now += 4s;
+    entry.request("/nowhere/");
+    cr_assert(entry.refusedWith(refusal_reason::NotReady));
+    entry.request("/read/x", "stolen");
+    cr_assert(entry.refusedWith(refusal_reason::NotReady));
+}
+
+// Pattern: keys are revoked while some entries are cut off from the store.
+Test(forwarding_reducer, an_entry_that_is_cut_off_serves_no_key_beyond_the_bound)
+{
+    entry entry;
+    entry.now += 4500ms;
+    entry.request("/read/x");
+    cr_assert_not_null(entry.effect<send_attempt>());
+    entry.now += 200ms;
+    entry.request("/read/x");
+    cr_assert(entry.refusedWith(refusal_reason::NotReady));
+}
+
+Test(forwarding_reducer, a_repeat_counts_as_a_new_use_of_the_key)
+{
+    entry entry;
+    entry.request("/read/x");
+    entry.now += 4700ms;
+    entry.end(attempt_ending::NoAnswer);
+    cr_assert_null(entry.effect<send_attempt>());
+}
+
+Test(forwarding_reducer, configuration_never_goes_back)
+{
+    entry entry;
+    auto newer = configurationOf(5);
+    newer.routes.clear();
+    entry.handle(configuration_confirmed { entry.now, entry.now, newer });
+    entry.handle(configuration_confirmed { entry.now, entry.now, configurationOf(1) });
+    entry.request("/read/x");
+    cr_assert(entry.refusedWith(refusal_reason::UnknownRoute));
+}
+
+// Pattern: one request breaks down each endpoint that runs it, and its caller sends it again.
+Test(forwarding_reducer, a_request_that_breaks_endpoints_is_refused_after_the_second)
+{
+    entry entry;
+    entry.handle(breakdown_heard { entry.now, 77, "s8" });
+    entry.request("/read/x");
+    cr_assert_not_null(entry.effect<send_attempt>());
+    entry.handle(breakdown_heard { entry.now, 77, "s9" });
+    entry.request("/read/x");
+    cr_assert(entry.refusedWith(refusal_reason::BreaksEndpoints));
+}
+
+// Pattern: a reset alone, as from a grey endpoint, makes no request suspect.
+Test(forwarding_reducer, a_breakdown_is_told_only_when_the_endpoint_is_down)
+{
+    entry entry;
+    entry.request("/read/x");
+    const auto broken = entry.effect<send_attempt>()->endpoint;
+    entry.end(attempt_ending::NoAnswer);
+    cr_assert_null(entry.effect<tell_breakdown>());
+    entry.handle(endpoint_unlisted { entry.now, broken });
+    cr_assert_not_null(entry.effect<tell_breakdown>());
+}
+
+Test(forwarding_reducer, a_request_whose_caller_left_is_cancelled)
+{
+    entry entry;
+    entry.request("/draft/x");
+    entry.handle(forwarded_caller_left { entry.now, 1 });
+    cr_assert_not_null(entry.effect<cancel_forwarded>());
+    entry.handle(attempt_ended { entry.now, 1, attempt_ending::NoAnswer, false, {} });
+    cr_assert_null(entry.effect<send_attempt>());
+}
+
+Test(forwarding_reducer, at_the_deadline_a_sent_request_is_called_timed_out_and_not_unrun)
+{
+    entry entry;
+    entry.request("/post/x");
+    entry.now += 8s;
+    entry.handle(deadline_passed { entry.now, 1, false });
+    cr_assert(entry.refusedWith(refusal_reason::TimedOut));
+    cr_assert(!promisesNotRun(refusal_reason::TimedOut));
+}
--- /dev/null
+++ b/tests/decisions/forwarding/route_table_test.cpp
@@ -0,0 +1,56 @@
+#include "decisions/forwarding/route_table.h"
+
+#include <criterion/criterion.h>
+
+using namespace appleramp;
+
+namespace {
+
+route routeTo(std::string name, std::string host, std::string prefix)
+{
+    route result;
+    result.name = std::move(name);
+    result.host = std::move(host);
+    result.prefix = std::move(prefix);
+    result.services = { { service_id("s"), 1 } };
+    return result;
+}
+
+route_table table()
+{
+    routing_configuration configuration;
+    configuration.version = 4;
+    configuration.routes = { routeTo("short", "a.example", "/x/"), routeTo("long", "a.example", "/x/y/"),
+        routeTo("other", "b.example", "/x/") };
+    configuration.teams = { { team_id("t1"), { "k1", "k2" }, 3 } };
+    return route_table(configuration);
+}
+
+} // namespace
+
+Test(route_table, the_longest_prefix_of_the_host_wins)
+{
+    const route_table routes = table();
+    cr_assert_eq(routes.find("a.example", "/x/y/z")->name, "long");
+    cr_assert_eq(routes.find("a.example", "/x/z")->name, "short");
+    cr_assert_eq(routes.find("b.example", "/x/y/z")->name, "other");
+    cr_assert_null(routes.find("a.example", "/xy"));
+    cr_assert_null(routes.find("c.example", "/x/"));
+}
+
+Test(route_table, a_key_names_its_team)
+{
+    const route_table routes = table();
+    cr_assert_eq(routes.teamOfKey("k2")->id.str(), "t1");
+    cr_assert_null(routes.teamOfKey("k"));
+}
+
+Test(route_table, services_are_picked_by_weight)
+{
+    route split = routeTo("split", "a", "/");
+    split.services = { { service_id("nine"), 90 }, { service_id("one"), 10 } };
+    cr_assert_eq(serviceByWeight(split, 0.0).str(), "nine");
+    cr_assert_eq(serviceByWeight(split, 0.89).str(), "nine");
+    cr_assert_eq(serviceByWeight(split, 0.91).str(), "one");
+    cr_assert_eq(serviceByWeight(split, 0.999999).str(), "one");
+}
--- /dev/null
+++ b/tests/decisions/groups/group_map_planner_test.cpp
@@ -0,0 +1,92 @@
+#include "decisions/groups/group_map_planner.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+
+using namespace appleramp;
+
+namespace {
+
+constexpr std::size_t sets = 4;
+constexpr std::size_t experts = 64;
+constexpr std::size_t ranks = 16;
+
+planning_limits limits() { return { .experts = experts, .placesPerRank = 5, .newPerRank = 2 }; }
+
+std::vector<double> skewedDemand(std::uint32_t seed)
+{
+    std::mt19937 random(seed);
+    std::vector<double> loads;
+    for (std::size_t set = 0; set < sets; ++set) {
+        std::vector<double> weights;
+        for (std::size_t expert = 0; expert < experts; ++expert)
+            weights.push_back(std::pow(static_cast<double>(expert + 1), -1.1));
+        std::shuffle(weights.begin(), weights.end(), random);
+        loads.insert(loads.end(), weights.begin(), weights.end());
+    }
+    return loads;
+}
+
+void assertFits(const group_map& from, const group_map& to)
+{
+    for (std::size_t set = 0; set < sets; ++set) {
+        std::vector<int> holders(experts);
+        for (std::size_t rank = 0; rank < ranks; ++rank) {
+            auto held = to.at(set, rank);
+            cr_assert_leq(held.size(), limits().placesPerRank);
+            std::sort(held.begin(), held.end());
+            cr_assert(std::adjacent_find(held.begin(), held.end()) == held.end(), "an expert stands twice on a rank");
+            const auto& old = from.at(set, rank);
+            const auto fresh = std::count_if(held.begin(), held.end(), [&](auto expert) { return std::find(old.begin(), old.end(), expert) == old.end(); });
+            cr_assert_leq(static_cast<std::size_t>(fresh), limits().newPerRank);
+            for (const auto expert : held)
+                ++holders[expert];
+        }
+        cr_assert(std::none_of(holders.begin(), holders.end(), [](int count) { return count == 0; }), "an expert is lost");
+    }
+}
+
+} // namespace
+
+Test(group_map_planner, a_skewed_demand_is_spread)
+{
+    const auto start = group_map::dealtInTurn(sets, experts, ranks);
+    for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+        const auto plan = planGroupMap(start, skewedDemand(seed), limits());
+        assertFits(start, plan.map);
+        cr_assert_gt(plan.before, 2.0);
+        cr_assert_lt(plan.after, 1.3, "seed %u: %f", seed, plan.after);
+    }
+}
+
+Test(group_map_planner, a_shift_needs_few_copies_first)
+{
+    const auto start = planGroupMap(group_map::dealtInTurn(sets, experts, ranks), skewedDemand(1), limits()).map;
+    auto urgent = limits();
+    urgent.copiesPerRank = 2;
+    const auto plan = planGroupMap(start, skewedDemand(2), urgent);
+    assertFits(start, plan.map);
+    cr_assert_leq(plan.mostCopies, 2);
+    cr_assert_lt(plan.after - 1, (plan.before - 1) / 2);
+}
+
+Test(group_map_planner, an_even_demand_moves_nothing)
+{
+    const auto start = group_map::dealtInTurn(sets, experts, ranks);
+    const auto plan = planGroupMap(start, std::vector<double>(sets * experts, 1.0), limits());
+    cr_assert_eq(plan.copies, 0);
+    cr_assert(plan.map == start);
+}
+
+Test(group_map, a_digest_tells_contents_apart)
+{
+    auto map = group_map::dealtInTurn(sets, experts, ranks);
+    const auto digest = map.rankDigest(3);
+    std::reverse(map.at(0, 3).begin(), map.at(0, 3).end());
+    cr_assert_eq(map.rankDigest(3), digest);
+    map.at(1, 3).push_back(map.at(0, 3).back() == 0 ? 1 : 0);
+    cr_assert_neq(map.rankDigest(3), digest);
+}
--- /dev/null
+++ b/tests/decisions/groups/group_schedules_test.cpp
@@ -0,0 +1,52 @@
+#include "group_schedule.h"
+
+#include <criterion/criterion.h>
+
+using namespace appleramp;
+
+namespace {
+
+// The group stands still no longer than this once the faults are over.
+constexpr std::int64_t heldBoundMs = 1000;
+
+void play(std::uint64_t first, std::uint64_t count, const group_faults* faults)
+{
+    for (std::uint64_t seed = first; seed < first + count; ++seed) {
+        const auto result = playGroupSchedule(seed, faults != nullptr ? *faults : drawGroupFaults(seed));
+        cr_assert_eq(result.mixedPasses, 0, "seed %lu", static_cast<unsigned long>(seed));
+        cr_assert_leq(result.heldAfterFaultsMs, heldBoundMs, "seed %lu", static_cast<unsigned long>(seed));
+    }
+}
+
+} // namespace
+
+Test(group_schedules, a_calm_group_follows_its_demand)
+{
+    const auto result = playGroupSchedule(1, {});
+    cr_assert_eq(result.mixedPasses, 0);
+    cr_assert_geq(result.mapChanges, 8);
+    cr_assert_leq(result.longestHeldMs, 200);
+}
+
+Test(group_schedules, late_orders_never_mix_maps)
+{
+    const group_faults faults { .ordersLate = 0.35, .answersLost = 0.2 };
+    play(1000, 150, &faults);
+}
+
+Test(group_schedules, killed_agents_leave_no_group_held)
+{
+    const group_faults faults { .messageLoss = 0.1, .agentKills = 8 };
+    play(2000, 150, &faults);
+}
+
+Test(group_schedules, frozen_and_cut_agents_never_mix_maps)
+{
+    const group_faults faults { .agentFreezes = 8, .cuts = 8 };
+    play(3000, 150, &faults);
+}
+
+Test(group_schedules, all_faults_together_never_mix_maps)
+{
+    play(4000, 600, nullptr);
+}
--- /dev/null
+++ b/tests/decisions/groups/map_switch_test.cpp
@@ -0,0 +1,135 @@
+#include "decisions/groups/map_switch.h"
+
+#include <criterion/criterion.h>
+
+using namespace appleramp;
+
+namespace {
+
+constexpr group_epoch epoch = 3;
+constexpr switch_name name { epoch, 7, 50 };
+
+rank_state reading()
+{
+    rank_state state;
+    state.ranks = 2;
+    state.epoch = epoch;
+    state.groupOpen = true;
+    state.pass = 40;
+    state.orderCount = 11;
+    state.preparedVersion = 7;
+    return state;
+}
+
+rank_state heldReading()
+{
+    rank_state state = reading();
+    state.heldPass = 50;
+    state.orderCount = 12;
+    return state;
+}
+
+// A rank that has read its engine and heard of the switch.
+map_switch askedToSwitch()
+{
+    map_switch rank;
+    cr_assert(!rank.advance(instant {}, reading()));
+    rank.request({ name });
+    return rank;
+}
+
+} // namespace
+
+Test(map_switch, a_rank_holds_before_it_arms)
+{
+    map_switch rank = askedToSwitch();
+    const auto hold = rank.advance(instant {}, reading());
+    cr_assert(hold && hold->kind == rank_order_kind::Hold);
+    cr_assert_eq(hold->expectedOrderCount, 11);
+    cr_assert_eq(hold->epoch, epoch);
+    const auto arm = rank.advance(instant {}, heldReading());
+    cr_assert(arm && arm->kind == rank_order_kind::Arm);
+    cr_assert_eq(arm->pass, 50);
+}
+
+Test(map_switch, an_armed_rank_lets_go_only_on_an_outcome)
+{
+    map_switch rank = askedToSwitch();
+    rank_state armed = heldReading();
+    armed.armedVersion = 7;
+    armed.armedPass = 50;
+    cr_assert(!rank.advance(instant {}, armed));
+    rank.conclude({ name, true });
+    const auto go = rank.advance(instant {}, armed);
+    cr_assert(go && go->kind == rank_order_kind::Go);
+}
+
+Test(map_switch, an_aborted_rank_disarms_before_it_lets_go)
+{
+    map_switch rank = askedToSwitch();
+    rank_state armed = heldReading();
+    armed.armedVersion = 7;
+    armed.armedPass = 50;
+    rank.advance(instant {}, armed);
+    rank.conclude({ name, false });
+    const auto disarm = rank.advance(instant {}, armed);
+    cr_assert(disarm && disarm->kind == rank_order_kind::Disarm);
+    const auto go = rank.advance(instant {}, heldReading());
+    cr_assert(go && go->kind == rank_order_kind::Go);
+}
+
+// An arm order without an answer may be carried out seconds later; while the rank is held it is made certain first.
+Test(map_switch, an_unanswered_arm_is_made_certain_before_an_abort)
+{
+    map_switch rank = askedToSwitch();
+    rank.advance(instant {}, reading());
+    cr_assert(rank.advance(instant {}, heldReading())->kind == rank_order_kind::Arm);
+    rank.conclude({ name, false });
+    cr_assert(rank.advance(instant {}, heldReading())->kind == rank_order_kind::Arm);
+    rank_state armed = heldReading();
+    armed.armedVersion = 7;
+    armed.armedPass = 50;
+    cr_assert(rank.advance(instant {}, armed)->kind == rank_order_kind::Disarm);
+}
+
+Test(map_switch, a_rank_that_is_too_late_declines)
+{
+    map_switch rank = askedToSwitch();
+    rank_state late = reading();
+    late.pass = 50;
+    cr_assert(!rank.advance(instant {}, late));
+    cr_assert(rank.declinedPass() == pass_number(50));
+}
+
+// A hold of an earlier life: that life may have sent an arm order too.
+Test(map_switch, a_restarted_agent_takes_the_hold_over)
+{
+    map_switch rank;
+    const auto order = rank.advance(instant {}, heldReading());
+    cr_assert(order && order->kind == rank_order_kind::Arm);
+    cr_assert(rank.waiting() == name);
+}
+
+Test(map_switch, a_late_hold_of_a_concluded_switch_is_let_go)
+{
+    map_switch rank = askedToSwitch();
+    rank.advance(instant {}, reading());
+    rank.conclude({ name, false });
+    rank.advance(instant {}, reading());
+    const auto go = rank.advance(instant {}, heldReading());
+    cr_assert(go && go->kind == rank_order_kind::Go);
+}
+
+Test(map_switch, a_lost_prepare_is_ordered_again_and_a_begun_one_is_not)
+{
+    map_switch rank;
+    rank_state state = reading();
+    state.preparedVersion.reset();
+    rank.advance(instant {}, state);
+    rank.propose({ epoch, 8, group_map::dealtInTurn(1, 4, 2) });
+    cr_assert(rank.advance(instant {}, state)->kind == rank_order_kind::Prepare);
+    cr_assert(!rank.advance(instant(std::chrono::milliseconds(100)), state));
+    cr_assert(rank.advance(instant(std::chrono::milliseconds(160)), state));
+    state.orderCount = 12;
+    cr_assert(!rank.advance(instant(std::chrono::milliseconds(900)), state));
+}
