--- a/packages/datagrams/news_codec.cpp
+++ b/packages/datagrams/news_codec.cpp
@@ -4,12 +4,17 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cmath>
+
 namespace appleramp {
 
 namespace {
 
 using nlohmann::json;
 
+// Paces travel in hundredths.
+constexpr double paceScale = 100.0;
+
 // Short member names: these datagrams cross zones many times a second.
 struct encoder {
     json operator()(const entry_presence& presence) const
@@ -19,8 +24,8 @@
     }
     json operator()(const endpoint_load& load) const
     {
-        return { { "k", "l" }, { "a", load.address }, { "r", load.running }, { "w", load.waiting }, { "p", load.pace },
-            { "o", load.groupOpen }, { "t", load.step } };
+        return { { "k", "l" }, { "a", load.address }, { "r", load.running }, { "w", load.waiting },
+            { "p", std::lround(load.pace * paceScale) }, { "o", load.groupOpen } };
     }
     json operator()(const breakdown_news& breakdown) const
     {
@@ -41,7 +46,7 @@
 endpoint_load loadIn(const json& body)
 {
     return { body.at("a").get<std::string>(), body.at("r").get<std::uint32_t>(), body.at("w").get<std::uint32_t>(),
-        body.at("p").get<double>(), body.at("o").get<bool>(), body.at("t").get<std::uint64_t>() };
+        body.at("p").get<double>() / paceScale, body.at("o").get<bool>() };
 }
 
 } // namespace
--- a/packages/decisions/groups/group_agent.cpp
+++ b/packages/decisions/groups/group_agent.cpp
@@ -13,6 +13,8 @@
 // Ranks wait this much longer each, so that the lowest that lives takes over alone.
 constexpr duration leaderSilencePerRank = std::chrono::milliseconds(30);
 constexpr duration statusInterval = std::chrono::milliseconds(250);
+// Up to this size every rank tells the coordinator what it chose; beyond it those of its zone do.
+constexpr std::uint32_t allRanksReportUpTo = 24;
 // A rank that is held for so long without an outcome concludes the switch itself.
 constexpr duration blockedAfter = std::chrono::milliseconds(350);
 
@@ -21,13 +23,14 @@
     return told.epoch != now.epoch || told.groupOpen != now.groupOpen || told.mapVersion != now.mapVersion
         || told.experts != now.experts || told.preparedVersion != now.preparedVersion
         || told.preparedDigest != now.preparedDigest || told.armedPass != now.armedPass || told.heldPass != now.heldPass
-        || told.declinedPass != now.declinedPass;
+        || told.declinedPasses != now.declinedPasses;
 }
 
 } // namespace
 
-group_agent::group_agent(coordinator_limits limits)
-    : m_coordinator(limits)
+group_agent::group_agent(coordinator_limits limits, std::string zone)
+    : m_zone(std::move(zone))
+    , m_coordinator(limits)
 {
 }
 
@@ -70,7 +73,11 @@
     auto chosen = m_choices.since(event.totals);
     if (chosen.empty())
         return;
+    m_cells = event.totals.size();
     rank_choices message { m_state->rank, std::move(chosen) };
+    const bool isFarFromLeader = m_state->ranks > allRanksReportUpTo && m_leaderZone != m_zone;
+    if (isFarFromLeader && !m_leads)
+        return;
     if (m_leads)
         m_coordinator.noteChoices(event.now, message);
     else
@@ -101,6 +108,7 @@
         return;
     const bool isNewLeader = message.rank != m_leaderRank || now - m_leaderHeardAt >= leaderSilence;
     m_leaderRank = message.rank;
+    m_leaderZone = message.zone;
     m_leaderHeardAt = now;
     if (isNewLeader)
         m_statusDue = true;
@@ -120,6 +128,19 @@
     actOn(now);
 }
 
+void group_agent::hear(instant now, const map_changes& message)
+{
+    proposeChanges(message);
+    actOn(now);
+}
+
+void group_agent::proposeChanges(const map_changes& changes)
+{
+    const std::size_t sets = m_lists.experts.size();
+    if (m_state && sets > 0)
+        m_switch.propose(changes, m_cells / sets, sets, m_state->ranks);
+}
+
 void group_agent::hear(instant now, const switch_request& message)
 {
     m_switch.request(message);
@@ -130,6 +151,7 @@
 void group_agent::hear(instant now, const switch_outcome& message)
 {
     m_switch.conclude(message);
+    m_coordinator.noteOutcome(now, message);
     m_statusDue = true;
     actOn(now);
 }
@@ -140,7 +162,7 @@
         return;
     if (const auto outcome = m_switch.outcomeOf(message.pass))
         m_effects.emplace_back(outgoing_message { std::nullopt, *outcome });
-    m_switch.declineUnlessEngaged(message.pass);
+    m_switch.declineUnlessEngaged(message.pass, *m_state);
     giveDueOrder(now);
     tellStatus(now, true);
 }
@@ -176,7 +198,7 @@
         .armedVersion = m_state->armedVersion,
         .armedPass = m_state->armedPass,
         .heldPass = m_state->heldPass,
-        .declinedPass = m_switch.declinedPass() };
+        .declinedPasses = m_switch.declinedPasses() };
     // Only what was listed for this very state may be told of it.
     if (listsAreCurrent()) {
         told.experts = m_lists.experts;
@@ -217,7 +239,7 @@
         return;
     m_leaderRank = m_state->rank;
     m_beatAt = now;
-    m_effects.emplace_back(outgoing_message { std::nullopt, coordinator_beat { m_state->rank, m_state->epoch } });
+    m_effects.emplace_back(outgoing_message { std::nullopt, coordinator_beat { m_state->rank, m_state->epoch, m_zone } });
 }
 
 void group_agent::takeOverIfBlocked(instant now)
@@ -236,12 +258,14 @@
         if (forSelf) {
             if (const auto* const proposal = std::get_if<map_proposal>(&message.message))
                 m_switch.propose(*proposal);
+            else if (const auto* const changes = std::get_if<map_changes>(&message.message))
+                proposeChanges(*changes);
             else if (const auto* const request = std::get_if<switch_request>(&message.message))
                 m_switch.request(*request);
             else if (const auto* const outcome = std::get_if<switch_outcome>(&message.message))
                 m_switch.conclude(*outcome);
             else if (const auto* const query = std::get_if<status_query>(&message.message))
-                m_switch.declineUnlessEngaged(query->pass);
+                m_switch.declineUnlessEngaged(query->pass, *m_state);
             m_selfTold = true;
         }
         if (!message.rank || !m_state || *message.rank != m_state->rank)
--- a/packages/decisions/groups/group_agent.h
+++ b/packages/decisions/groups/group_agent.h
@@ -68,7 +68,7 @@
 // a pass begin only on a final outcome.
 class group_agent {
 public:
-    explicit group_agent(coordinator_limits limits);
+    group_agent(coordinator_limits limits, std::string zone);
 
     void setLimits(coordinator_limits limits) { m_coordinator.setLimits(limits); }
     group_effects handle(const group_event& event);
@@ -90,6 +90,8 @@
     void hear(instant now, const rank_status& message);
     void hear(instant now, const rank_choices& message);
     void hear(instant now, const map_proposal& message);
+    void hear(instant now, const map_changes& message);
+    void proposeChanges(const map_changes& changes);
     void hear(instant now, const switch_request& message);
     void hear(instant now, const switch_outcome& message);
     void hear(instant now, const status_query& message);
@@ -103,15 +105,19 @@
     rank_status status() const;
     bool listsAreCurrent() const;
 
+    std::string m_zone;
     map_switch m_switch;
     switch_coordinator m_coordinator;
     choice_counter m_choices;
     std::optional<rank_state> m_state;
     rank_lists_read m_lists;
     bool m_listsKnown = false;
+    // Counts of choices that the engine keeps: sets times experts.
+    std::size_t m_cells = 0;
 
     bool m_leads = false;
     std::uint32_t m_leaderRank = 0;
+    std::string m_leaderZone;
     instant m_leaderHeardAt;
     instant m_startedAt;
     instant m_beatAt;
--- a/packages/decisions/groups/group_map.cpp
+++ b/packages/decisions/groups/group_map.cpp
@@ -14,12 +14,21 @@
 constexpr std::uint64_t setMark = 0xffff;
 // Numbers of maps stay exact in a double: 29 bits are left to count.
 constexpr unsigned digestBits = 24;
+constexpr std::uint64_t digestMask = (1ULL << digestBits) - 1;
 
 void mix(std::uint64_t& hash, std::uint64_t value)
 {
     hash = (hash ^ value) * hashFactor;
 }
 
+std::uint64_t shortDigest(const group_map& map)
+{
+    std::uint64_t hash = hashStart;
+    for (std::size_t rank = 0; rank < map.ranks(); ++rank)
+        mix(hash, map.rankDigest(rank));
+    return hash & digestMask;
+}
+
 } // namespace
 
 group_map::group_map(std::size_t sets, std::size_t ranks)
@@ -39,6 +48,12 @@
     return map;
 }
 
+void group_map::normalize()
+{
+    for (auto& held : m_places)
+        std::sort(held.begin(), held.end());
+}
+
 std::uint64_t digestOfRank(std::span<const std::vector<expert_number>> experts)
 {
     std::uint64_t hash = hashStart;
@@ -61,13 +76,12 @@
 
 std::uint64_t numberAfter(std::uint64_t previous, const group_map& map)
 {
-    std::uint64_t hash = hashStart;
-    for (std::size_t rank = 0; rank < map.ranks(); ++rank)
-        mix(hash, map.rankDigest(rank));
     const std::uint64_t count = (previous >> digestBits) + 1;
-    return count << digestBits | (hash & ((1ULL << digestBits) - 1));
+    return count << digestBits | shortDigest(map);
 }
 
+bool isNumberOf(std::uint64_t number, const group_map& map) { return (number & digestMask) == shortDigest(map); }
+
 std::vector<double> rankLoads(const group_map& map, std::size_t set, std::span<const double> expertLoads)
 {
     std::vector<std::uint32_t> holders(expertLoads.size());
--- a/packages/decisions/groups/group_map.h
+++ b/packages/decisions/groups/group_map.h
@@ -24,6 +24,8 @@
     std::vector<expert_number>& at(std::size_t set, std::size_t rank) { return m_places[set * m_ranks + rank]; }
     const std::vector<expert_number>& at(std::size_t set, std::size_t rank) const { return m_places[set * m_ranks + rank]; }
 
+    // Puts the experts of every list in order, so that equal contents are equal values.
+    void normalize();
     // A number for what one rank holds; the same for equal contents, whatever the order.
     std::uint64_t rankDigest(std::size_t rank) const;
 
@@ -37,6 +39,8 @@
 
 // The number of a map that follows one with that number: a count above, and a digest of the contents below.
 std::uint64_t numberAfter(std::uint64_t previous, const group_map& map);
+// False if the number was made for other contents.
+bool isNumberOf(std::uint64_t number, const group_map& map);
 
 // The digest of one rank's experts by set, as group_map::rankDigest gives it.
 std::uint64_t digestOfRank(std::span<const std::vector<expert_number>> experts);
--- a/packages/decisions/groups/group_messages.h
+++ b/packages/decisions/groups/group_messages.h
@@ -28,6 +28,8 @@
 struct coordinator_beat {
     std::uint32_t rank = 0;
     group_epoch epoch = 0;
+    // Agents of its zone tell it what their ranks chose; that is enough, and crosses no zones.
+    std::string zone;
 };
 
 // How a rank stands, as read back from its engine, and what its agent has promised.
@@ -45,8 +47,8 @@
     std::optional<map_number> armedVersion;
     std::optional<pass_number> armedPass;
     std::optional<pass_number> heldPass;
-    // The latest pass at which the rank will never switch.
-    std::optional<pass_number> declinedPass;
+    // Passes at which the rank will never switch; the latest few.
+    std::vector<pass_number> declinedPasses;
 };
 
 // Choices of experts by one rank's requests since its last message, by set and expert.
@@ -55,6 +57,15 @@
     std::vector<std::uint32_t> chosen;
 };
 
+// What one rank is to hold of one set.
+struct rank_experts {
+    std::uint16_t set = 0;
+    std::uint16_t rank = 0;
+    std::vector<expert_number> experts;
+
+    friend bool operator==(const rank_experts&, const rank_experts&) = default;
+};
+
 // Load what this map brings, beside the map in force.
 struct map_proposal {
     group_epoch epoch = 0;
@@ -62,6 +73,14 @@
     group_map map;
 };
 
+// The same, as what differs from the map in force: a tenth of the bytes in a large group.
+struct map_changes {
+    group_epoch epoch = 0;
+    map_number version = 0;
+    map_number base = 0;
+    std::vector<rank_experts> changes;
+};
+
 // Hold before the pass, then arm the map for it.
 struct switch_request {
     switch_name name;
@@ -80,7 +99,7 @@
     pass_number pass = 0;
 };
 
-using group_message = std::variant<coordinator_beat, rank_status, rank_choices, map_proposal, switch_request, switch_outcome,
+using group_message = std::variant<coordinator_beat, rank_status, rank_choices, map_proposal, map_changes, switch_request, switch_outcome,
     status_query>;
 
 } // namespace appleramp
--- a/packages/decisions/groups/map_switch.cpp
+++ b/packages/decisions/groups/map_switch.cpp
@@ -9,6 +9,9 @@
 
 // Outcomes that are remembered, for holds that are carried out late.
 constexpr std::size_t rememberedOutcomes = 64;
+constexpr std::size_t rememberedMaps = 4;
+// Declined passes that are told; a switch is settled long before so many others are declined.
+constexpr std::size_t rememberedDeclines = 8;
 // An order that the engine has not begun by then was lost or is late; copies of it exclude each other.
 constexpr duration unansweredTimeout = std::chrono::milliseconds(150);
 // Copying the experts of one map takes less.
@@ -23,13 +26,14 @@
     m_epoch = epoch;
     if (!keepsProposal) {
         m_map.reset();
+        m_known.clear();
         m_proposedVersion = 0;
         m_refusedVersion = 0;
         m_prepareOrderedAt.reset();
     }
     m_switch.reset();
     m_armSent.reset();
-    m_declinedPass.reset();
+    m_declined.clear();
     m_holdRefused = false;
     m_holdOrdered.reset();
     m_heldSince.reset();
@@ -54,17 +58,38 @@
 
 void map_switch::propose(const map_proposal& proposal)
 {
-    if (proposal.epoch != m_epoch || proposal.version <= m_proposedVersion)
+    // Changes applied to another base than was meant would give this rank a map of its own.
+    const bool isMeant = isNumberOf(proposal.version, proposal.map);
+    if (proposal.epoch != m_epoch || proposal.version <= m_proposedVersion || !isMeant)
         return;
-    m_map = std::make_shared<group_map>(proposal.map);
+    auto map = std::make_shared<group_map>(proposal.map);
+    map->normalize();
+    m_map = std::move(map);
     m_proposedVersion = proposal.version;
     m_prepareOrderedAt.reset();
+    m_known[proposal.version] = m_map;
+    if (m_known.size() > rememberedMaps)
+        m_known.erase(m_known.begin());
+}
+
+void map_switch::propose(const map_changes& changes, std::size_t experts, std::size_t sets, std::size_t ranks)
+{
+    const auto known = m_known.find(changes.base);
+    if (changes.base != 0 && known == m_known.end())
+        return;
+    map_proposal whole { changes.epoch, changes.version,
+        changes.base == 0 ? group_map::dealtInTurn(sets, experts, ranks) : *known->second };
+    for (const rank_experts& change : changes.changes) {
+        if (change.set >= whole.map.sets() || change.rank >= whole.map.ranks())
+            return;
+        whole.map.at(change.set, change.rank) = change.experts;
+    }
+    propose(whole);
 }
 
 void map_switch::request(const switch_request& request)
 {
-    const bool isOld = m_declinedPass && request.name.pass <= *m_declinedPass;
-    if (request.name.epoch != m_epoch || isOld || outcomeAt(request.name.pass))
+    if (request.name.epoch != m_epoch || hasDeclined(request.name.pass) || outcomeAt(request.name.pass))
         return;
     if (m_switch && *m_switch != request.name && !outcomeAt(m_switch->pass))
         return;
@@ -148,12 +173,26 @@
     return release;
 }
 
-void map_switch::decline(pass_number pass) { m_declinedPass = std::max(m_declinedPass.value_or(0), pass); }
+bool map_switch::hasDeclined(pass_number pass) const
+{
+    return std::find(m_declined.begin(), m_declined.end(), pass) != m_declined.end();
+}
+
+void map_switch::decline(pass_number pass)
+{
+    if (hasDeclined(pass))
+        return;
+    m_declined.push_back(pass);
+    if (m_declined.size() > rememberedDeclines)
+        m_declined.erase(m_declined.begin());
+}
 
-void map_switch::declineUnlessEngaged(pass_number pass)
+void map_switch::declineUnlessEngaged(pass_number pass, const rank_state& state)
 {
-    const bool isEngaged = (m_switch && m_switch->pass == pass) || m_armSent == pass;
-    if (!isEngaged && !outcomeAt(pass))
+    // An earlier life of this agent may have armed the rank and let it go on an outcome that this one does not know.
+    const bool isArmed = state.armedPass && *state.armedPass <= pass;
+    const bool isEngaged = isArmed || (m_switch && m_switch->pass == pass) || m_armSent == pass;
+    if (!isEngaged && state.pass < pass && !outcomeAt(pass))
         decline(pass);
 }
 
@@ -166,7 +205,7 @@
 // That this rank has declined is itself the outcome, if no arm order of its own can still be carried out.
 bool map_switch::mayLetGo(const rank_state& state) const
 {
-    return state.heldPass && m_declinedPass && *m_declinedPass >= *state.heldPass && state.armedPass != state.heldPass
+    return state.heldPass && hasDeclined(*state.heldPass) && state.armedPass != state.heldPass
         && m_armSent != state.heldPass;
 }
 
@@ -181,7 +220,10 @@
             m_switch.reset();
         return std::nullopt;
     }
-    if (m_declinedPass && *m_declinedPass >= name.pass) {
+    // Armed for an earlier pass, to which it is committed: arming anew would undo that.
+    if (state.armedVersion && state.armedPass != name.pass)
+        decline(name.pass);
+    if (hasDeclined(name.pass)) {
         if (!state.heldPass && !m_armSent)
             m_switch.reset();
         return std::nullopt;
--- a/packages/decisions/groups/map_switch.h
+++ b/packages/decisions/groups/map_switch.h
@@ -5,8 +5,10 @@
 #include "model/time.h"
 
 #include <deque>
+#include <map>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace appleramp {
 
@@ -22,15 +24,19 @@
     std::optional<rank_order> advance(instant now, const rank_state& state);
 
     void propose(const map_proposal& proposal);
+    // Ignored if the map that it is based on is not known.
+    void propose(const map_changes& changes, std::size_t experts, std::size_t sets, std::size_t ranks);
     void request(const switch_request& request);
     void conclude(const switch_outcome& outcome);
     // Another rank waits at that pass: a rank that takes no part there never will.
-    void declineUnlessEngaged(pass_number pass);
+    void declineUnlessEngaged(pass_number pass, const rank_state& state);
     std::optional<switch_outcome> outcomeOf(pass_number pass) const;
     // The engine said that the order does not fit.
     void noteRefused(const rank_order& order);
 
-    std::optional<pass_number> declinedPass() const { return m_declinedPass; }
+    // The latest passes at which this rank will never switch.
+    const std::vector<pass_number>& declinedPasses() const { return m_declined; }
+    bool hasDeclined(pass_number pass) const;
     // The switch that waits for its outcome, and since when the rank has been held for it.
     std::optional<switch_name> waiting() const;
     std::optional<instant> heldSince() const { return m_heldSince; }
@@ -51,6 +57,8 @@
 
     group_epoch m_epoch = 0;
     std::shared_ptr<const group_map> m_map;
+    // Maps that were proposed in this epoch, by their numbers; only the latest few.
+    std::map<map_number, std::shared_ptr<const group_map>> m_known;
     map_number m_proposedVersion = 0;
     map_number m_refusedVersion = 0;
     // When the proposed map was last ordered to be prepared; copying takes its time and shows only at its end.
@@ -61,7 +69,7 @@
     std::optional<switch_name> m_switch;
     // An arm order for this pass may be under way; it must be read back before anything else is decided.
     std::optional<pass_number> m_armSent;
-    std::optional<pass_number> m_declinedPass;
+    std::vector<pass_number> m_declined;
     bool m_holdRefused = false;
     // The pass of the latest hold that this life of the agent ordered.
     std::optional<pass_number> m_holdOrdered;
--- a/packages/decisions/groups/switch_coordinator.cpp
+++ b/packages/decisions/groups/switch_coordinator.cpp
@@ -12,7 +12,8 @@
 // Between two plans while none pays.
 constexpr duration planInterval = std::chrono::milliseconds(150);
 // Between two sends of a message that some rank has not acted on.
-constexpr duration proposalResend = std::chrono::milliseconds(300);
+// A rank that shows nothing of the proposal by then may not know the map that it is based on, and is sent the whole.
+constexpr duration proposalResend = std::chrono::milliseconds(900);
 constexpr duration switchResend = std::chrono::milliseconds(50);
 // A map that is not prepared everywhere by then is given up.
 constexpr duration prepareTimeout = std::chrono::seconds(4);
@@ -43,6 +44,14 @@
     return (m_phase == phase::Switching || m_phase == phase::Concluding) && m_switch.epoch == name.epoch && m_switch.pass == name.pass;
 }
 
+void switch_coordinator::noteOutcome(instant now, const switch_outcome& outcome)
+{
+    if (m_phase != phase::Switching || !pursues(outcome.name))
+        return;
+    m_committed = outcome.committed;
+    enter(now, phase::Concluding);
+}
+
 void switch_coordinator::adopt(instant now, const switch_name& name)
 {
     if (pursues(name))
@@ -139,6 +148,7 @@
         for (std::size_t set = 0; set < sets; ++set)
             map.at(set, rank) = known.status.experts[set];
     }
+    map.normalize();
     return map;
 }
 
@@ -188,24 +198,48 @@
     group_map_plan plan = planGroupMap(current, m_popularity.loads(), limits);
     if (plan.copies == 0 || plan.before - plan.after < m_limits.leastRelief * plan.before)
         return;
-    m_highestUsed = numberAfter(highestVersion(), plan.map);
-    m_proposal = { m_ranks.begin()->second.status.epoch, m_highestUsed, std::move(plan.map) };
-    note("map_proposed", "version " + std::to_string(m_highestUsed) + " imbalance " + std::to_string(plan.before) + " to " + std::to_string(plan.after) + " copies " + std::to_string(plan.copies) + " most " + std::to_string(plan.mostCopies));
+    note("map_proposed", "imbalance " + std::to_string(plan.before) + " to " + std::to_string(plan.after) + " copies " + std::to_string(plan.copies) + " most " + std::to_string(plan.mostCopies));
+    propose(current, std::move(plan));
     enter(now, phase::Preparing);
     prepare(now, out);
 }
 
+void switch_coordinator::propose(const group_map& current, group_map_plan plan)
+{
+    const rank_status& any = m_ranks.begin()->second.status;
+    plan.map.normalize();
+    m_highestUsed = numberAfter(highestVersion(), plan.map);
+    m_proposal = { any.epoch, m_highestUsed, std::move(plan.map) };
+    m_changes = { any.epoch, m_highestUsed, any.mapVersion, {} };
+    m_digests.clear();
+    m_proposedOnce = false;
+    const group_map& next = m_proposal.map;
+    for (std::size_t rank = 0; rank < next.ranks(); ++rank) {
+        m_digests.push_back(next.rankDigest(rank));
+        for (std::size_t set = 0; set < next.sets(); ++set) {
+            if (next.at(set, rank) != current.at(set, rank))
+                m_changes.changes.push_back({ static_cast<std::uint16_t>(set), static_cast<std::uint16_t>(rank), next.at(set, rank) });
+        }
+    }
+}
+
 bool switch_coordinator::hasPrepared(const rank_status& status) const
 {
     // Who took a switch over may not know the map; its number says what it holds.
-    const bool isAsPlanned = m_proposal.map.empty() || status.preparedDigest == m_proposal.map.rankDigest(status.rank);
+    const bool isAsPlanned = m_proposal.map.empty() || (status.rank < m_digests.size() && status.preparedDigest == m_digests[status.rank]);
     return status.epoch == m_proposal.epoch && status.preparedVersion == m_proposal.version && isAsPlanned;
 }
 
+// Whether it is still held does not matter: an armed rank that was let go has been told that all are committed.
 bool switch_coordinator::isArmed(const rank_status& status) const
 {
-    return hasPrepared(status) && status.armedVersion == m_switch.version && status.armedPass == m_switch.pass
-        && status.heldPass == m_switch.pass;
+    return hasPrepared(status) && status.armedVersion == m_switch.version && status.armedPass == m_switch.pass;
+}
+
+bool switch_coordinator::hasDeclined(const rank_status& status) const
+{
+    const auto& declined = status.declinedPasses;
+    return std::find(declined.begin(), declined.end(), m_switch.pass) != declined.end();
 }
 
 bool switch_coordinator::hasLetGo(const rank_status& status) const
@@ -225,9 +259,11 @@
     for (const auto& [rank, known] : m_ranks) {
         if (hasPrepared(known.status))
             ++prepared;
-        else if (resend)
+        else if (resend && m_proposedOnce)
             out.push_back({ rank, m_proposal });
     }
+    if (resend && !std::exchange(m_proposedOnce, true))
+        out.push_back({ std::nullopt, m_changes });
     if (resend)
         m_sentAt = now;
     if (prepared == m_ranks.begin()->second.status.ranks)
@@ -251,11 +287,14 @@
         const rank_status& status = known.status;
         if (isArmed(status))
             ++armed;
-        else if (status.epoch == m_switch.epoch && status.declinedPass && *status.declinedPass >= m_switch.pass)
+        else if (status.epoch == m_switch.epoch && hasDeclined(status))
             declined = true;
     }
     if (declined)
         return conclude(now, false, out);
+    // It was concluded by others, or else the pass could not have begun.
+    if (m_latestPass >= m_switch.pass && m_ranks.begin()->second.status.epoch == m_switch.epoch)
+        return enter(now, phase::Idle);
     if (!m_ranks.empty() && armed == m_ranks.begin()->second.status.ranks)
         return conclude(now, true, out);
     if (!resend)
--- a/packages/decisions/groups/switch_coordinator.h
+++ b/packages/decisions/groups/switch_coordinator.h
@@ -49,6 +49,8 @@
     void setLimits(coordinator_limits limits) { m_limits = limits; }
     void noteStatus(instant now, const rank_status& status);
     void noteChoices(instant now, const rank_choices& choices);
+    // Another agent knows the outcome.
+    void noteOutcome(instant now, const switch_outcome& outcome);
     // Takes over a switch that another coordinator began.
     void adopt(instant now, const switch_name& name);
 
@@ -85,8 +87,10 @@
     void tellOutcome(instant now, std::vector<outgoing_message>& out);
     bool hasPrepared(const rank_status& status) const;
     bool isArmed(const rank_status& status) const;
+    bool hasDeclined(const rank_status& status) const;
     bool hasLetGo(const rank_status& status) const;
     void enter(instant now, phase next);
+    void propose(const group_map& current, group_map_plan plan);
     void note(std::string what, std::string detail);
     void adoptStranded(instant now);
 
@@ -98,6 +102,10 @@
     instant m_sentAt;
     instant m_nextPlan;
     map_proposal m_proposal;
+    map_changes m_changes;
+    // What each rank holds by the proposed map.
+    std::vector<std::uint64_t> m_digests;
+    bool m_proposedOnce = false;
     switch_name m_switch;
     bool m_committed = false;
     bool m_adopted = false;
--- a/packages/directagent/direct_agent_process.cpp
+++ b/packages/directagent/direct_agent_process.cpp
@@ -36,13 +36,15 @@
 // Time between two load messages to one entry, for each entry there is: the bytes that an agent sends stay bounded.
 constexpr duration loadIntervalPerEntry = std::chrono::milliseconds(12);
 constexpr duration leastLoadInterval = std::chrono::milliseconds(100);
+// Entries of other zones, which prefer other engines, hear of the load this many times less often.
+constexpr unsigned otherZonesEvery = 2;
 constexpr std::chrono::milliseconds memberRetry { 700 };
 constexpr std::chrono::milliseconds readTimeout { 500 };
 // Engines may leave an order unanswered; the next reading tells whether it was carried out.
 constexpr std::chrono::milliseconds orderTimeout { 100 };
 constexpr duration membersPoll = std::chrono::seconds(20);
 // Many processes start at a time; their rows are read together.
-constexpr duration membersGap = std::chrono::milliseconds(1200);
+constexpr duration membersGap = std::chrono::milliseconds(2500);
 constexpr duration layoutRetry = std::chrono::seconds(1);
 // Experts that may be new to a rank in one map are copied one after the other; more would bring the map too late.
 constexpr std::size_t mostNewPerRank = 2;
@@ -63,7 +65,7 @@
               [this](const news& message, const udp_endpoint& from) { onNews(message, from); })
         , m_tick(loop)
         , m_memberTimer(loop)
-        , m_agent({})
+        , m_agent({}, settings.process.zone.str())
     {
         m_log.write(now(), "started", {}, { { "role", "direct_agent" }, { "engine", m_engine.address() } });
         followMembers(life ^ std::hash<std::string> {}(settings.process.instance.str()));
@@ -79,6 +81,11 @@
     }
 
 private:
+    struct known_entry {
+        availability_zone_id zone;
+        instant heardAt;
+    };
+
     static instant now() { return suspendAwareNow(); }
 
     // --- The engine, one exchange after the other.
@@ -226,7 +233,7 @@
     void onNews(const news& message, const udp_endpoint& from)
     {
         if (const auto* const presence = std::get_if<entry_presence>(&message)) {
-            if (m_entries.insert_or_assign(from, now()).second)
+            if (m_entries.insert_or_assign(from, known_entry { presence->zone, now() }).second)
                 m_log.write(now(), "entry_heard", {}, { { "address", presence->callerAddress } });
         }
         const auto* const group = std::get_if<group_news>(&message);
@@ -249,15 +256,18 @@
     void tellLoad()
     {
         const instant moment = now();
-        std::erase_if(m_entries, [moment](const auto& entry) { return moment - entry.second > entrySilence; });
+        std::erase_if(m_entries, [moment](const auto& entry) { return moment - entry.second.heardAt > entrySilence; });
         const duration interval = std::max(leastLoadInterval, loadIntervalPerEntry * static_cast<duration::rep>(m_entries.size()));
         if (moment - m_loadTold < interval)
             return;
         m_loadTold = moment;
+        m_loadRound = (m_loadRound + 1) % otherZonesEvery;
         const bool isOpen = m_report->group.empty() || m_report->rank.groupOpen;
-        const endpoint_load load { m_engine.address(), m_report->running, m_report->waiting, m_report->pace, isOpen, m_report->rank.pass };
-        for (const auto& [entry, heardAt] : m_entries)
-            m_news.send(load, entry);
+        const endpoint_load load { m_engine.address(), m_report->running, m_report->waiting, m_report->pace, isOpen };
+        for (const auto& [entry, known] : m_entries) {
+            if (known.zone == m_settings.process.zone || m_loadRound == 0)
+                m_news.send(load, entry);
+        }
     }
 
     // --- The store.
@@ -360,8 +370,9 @@
 
     std::map<std::string, member_row> m_members;
     std::map<std::uint32_t, udp_endpoint> m_rankAddresses;
-    std::map<udp_endpoint, instant> m_entries;
+    std::map<udp_endpoint, known_entry> m_entries;
     instant m_loadTold;
+    unsigned m_loadRound = 0;
     bool m_layoutKnown = false;
     instant m_layoutRetryAt;
 };
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -30,6 +30,8 @@
 constexpr std::chrono::milliseconds tick { 25 };
 // Presence is told to the others this often.
 constexpr duration presenceInterval = std::chrono::milliseconds(700);
+// Agents only need to know where entries are.
+constexpr duration agentPresenceInterval = std::chrono::milliseconds(1800);
 // A caller keeps an answer of the directory this long.
 constexpr duration addressesValidFor = std::chrono::seconds(2);
 // After SIGTERM the process goes on serving callers that still hold its address, for this part of the grace period.
@@ -269,6 +271,7 @@
             { .whole = [this](auto rows, instant sentAt) { onConfigurationRows(std::move(rows), sentAt, true); },
                 .changes = [this](auto rows, instant sentAt) { onConfigurationRows(std::move(rows), sentAt, false); },
                 .access = [this](bool reachable) { onAccess(reachable); } });
+        settings.wait = m_settings.store.poll * 3 / 2;
         m_registryFollower = follower(m_platform.registryTable(), settings, life + 1,
             { .whole = [this](auto rows, instant) { onRegistryWhole(rows); },
                 .changes = [this](auto rows, instant) { onRegistryChanges(rows); },
@@ -415,8 +418,11 @@
     {
         m_presenceTold = now();
         const entry_presence self = presence();
+        const bool toAgents = m_presenceTold - m_presenceToldToAgents >= agentPresenceInterval;
+        if (toAgents)
+            m_presenceToldToAgents = m_presenceTold;
         for (const auto& [name, member] : m_members) {
-            if (name != m_settings.process.instance.str())
+            if (name != m_settings.process.instance.str() && (member.isEntry || toAgents))
                 sendNews(self, member);
         }
     }
@@ -502,6 +508,7 @@
     request_number m_lastRequest = 0;
     int m_followersAway = 0;
     instant m_presenceTold;
+    instant m_presenceToldToAgents;
     std::optional<instant> m_stopping;
 };
 
--- a/packages/settings/setting_descriptor.cpp
+++ b/packages/settings/setting_descriptor.cpp
@@ -161,7 +161,7 @@
             .key = "poll_ms",
             .type = setting_type::Integer,
             .unit = "milliseconds",
-            .defaultValue = "1500",
+            .defaultValue = "2000",
             .minimum = 100,
             .maximum = 30'000,
             .roles = direct,
