Groups, Forwarding: limits by copy time, proposals sent again at once, a sample of endpoints compared

Change: statuses name the latest proposal, so that only who missed it is sent it again; copies are bounded by the time they take; a placement compares six endpoints drawn at random.

--- a/packages/datagrams/group_codec.cpp
+++ b/packages/datagrams/group_codec.cpp
@@ -114,7 +114,7 @@
     json operator()(const rank_status& status) const
     {
         json body { { "k", "s" }, { "r", status.rank }, { "n", status.ranks }, { "e", status.epoch }, { "o", status.groupOpen },
-            { "p", status.pass }, { "m", status.mapVersion }, { "x", listsToJson(status.experts) }, { "d", status.preparedDigest } };
+            { "p", status.pass }, { "m", status.mapVersion }, { "x", listsToJson(status.experts) }, { "d", status.preparedDigest }, { "q", status.proposedVersion } };
         setIf(body, "v", status.preparedVersion);
         setIf(body, "a", status.armedVersion);
         setIf(body, "ap", status.armedPass);
@@ -167,6 +167,7 @@
     status.mapVersion = body.at("m").get<map_number>();
     status.experts = listsFromJson(body.at("x"));
     status.preparedDigest = body.at("d").get<std::uint64_t>();
+    status.proposedVersion = body.at("q").get<map_number>();
     status.preparedVersion = numberIf(body, "v");
     status.armedVersion = numberIf(body, "a");
     status.armedPass = numberIf(body, "ap");
--- a/packages/decisions/forwarding/endpoint_fleet.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <random>
 #include <utility>
 
 namespace appleramp {
@@ -30,6 +31,8 @@
 // Weight of the newest answer time relative to the service's mean from which an endpoint counts as slow.
 constexpr double tolerableSlowness = 1.3;
 constexpr double greatestSlowness = 20.0;
+// Draws of the caller are spread over this many seeds.
+constexpr double seedRange = 2'000'000'000.0;
 
 double seconds(duration time) { return std::chrono::duration<double>(time).count(); }
 
@@ -186,26 +189,27 @@
     return query.now - state.lastSend >= duration(static_cast<duration::rep>(1e6 / share));
 }
 
-std::optional<placement> endpoint_fleet::choose(const placement_query& query)
+// The usable endpoints, or a random sample of them.
+std::vector<endpoint_fleet::endpoint_state*> endpoint_fleet::candidates(const placement_query& query)
 {
-    endpoint_state* best = nullptr;
-    double least = 0;
-    std::size_t equals = 0;
+    std::vector<endpoint_state*> found;
     for (auto& [id, state] : m_endpoints) {
-        if (!usable(state, query) || !withinColdRate(state, query))
-            continue;
-        const double price = cost(state, query);
-        const bool isEqual = best != nullptr && price == least;
-        equals = isEqual ? equals + 1 : 1;
-        // Reservoir sampling: each of the equals is as likely as the others.
-        const double turn = std::fmod(query.point * 997.0 * static_cast<double>(equals), 1.0);
-        if (best == nullptr || price < least || (isEqual && turn * static_cast<double>(equals) < 1)) {
-            best = &state;
-            least = price;
-        }
+        if (usable(state, query) && withinColdRate(state, query))
+            found.push_back(&state);
     }
-    if (best == nullptr)
+    std::minstd_rand random(static_cast<std::minstd_rand::result_type>(query.point * seedRange) + 1);
+    std::shuffle(found.begin(), found.end(), random);
+    found.resize(std::min(found.size(), m_settings.compared));
+    return found;
+}
+
+std::optional<placement> endpoint_fleet::choose(const placement_query& query)
+{
+    const auto found = candidates(query);
+    if (found.empty())
         return std::nullopt;
+    const auto best = *std::min_element(found.begin(), found.end(),
+        [&](const auto* left, const auto* right) { return cost(*left, query) < cost(*right, query); });
     const duration age = best->report ? query.now - best->reportedAt : duration(-1);
     return placement { best->record.id, best->record.address, best->record.slots, load(*best, query.now, query.sharers), age };
 }
--- a/packages/decisions/forwarding/endpoint_fleet.h
+++ b/packages/decisions/forwarding/endpoint_fleet.h
@@ -23,6 +23,9 @@
     double coldConstant = 5;
     // Part of that bound that is used, since entries count their seconds apart.
     double coldUse = 0.85;
+    // Endpoints that one placement compares, drawn at random: where all entries compared all endpoints by reports of some
+    // age, they would all choose the same one.
+    std::size_t compared = 6;
     // Records that lapsed while the registry was away are believed gone only after this time from its return.
     duration lapseGrace = std::chrono::milliseconds(1900);
 };
@@ -119,6 +122,7 @@
     endpoint_state* find(const endpoint_id& endpoint);
     bool usable(const endpoint_state& state, const placement_query& query) const;
     bool withinColdRate(endpoint_state& state, const placement_query& query) const;
+    std::vector<endpoint_state*> candidates(const placement_query& query);
     double load(const endpoint_state& state, instant now, std::size_t sharers) const;
     double cost(const endpoint_state& state, const placement_query& query) const;
     double slowness(const endpoint_state& state, instant now) const;
--- a/packages/decisions/groups/group_agent.cpp
+++ b/packages/decisions/groups/group_agent.cpp
@@ -20,7 +20,7 @@
 
 bool isNews(const rank_status& told, const rank_status& now)
 {
-    return told.epoch != now.epoch || told.groupOpen != now.groupOpen || told.mapVersion != now.mapVersion
+    return told.epoch != now.epoch || told.proposedVersion != now.proposedVersion || told.groupOpen != now.groupOpen || told.mapVersion != now.mapVersion
         || told.experts != now.experts || told.preparedVersion != now.preparedVersion
         || told.preparedDigest != now.preparedDigest || told.armedPass != now.armedPass || told.heldPass != now.heldPass
         || told.declinedPasses != now.declinedPasses;
@@ -195,6 +195,7 @@
         .groupOpen = m_state->groupOpen,
         .pass = m_state->pass,
         .mapVersion = m_state->mapVersion,
+        .proposedVersion = m_switch.proposedVersion(),
         .armedVersion = m_state->armedVersion,
         .armedPass = m_state->armedPass,
         .heldPass = m_state->heldPass,
--- a/packages/decisions/groups/group_messages.h
+++ b/packages/decisions/groups/group_messages.h
@@ -42,6 +42,8 @@
     map_number mapVersion = 0;
     // What the rank holds by the map in force, set by set.
     std::vector<std::vector<expert_number>> experts;
+    // The latest map that the agent was told of.
+    map_number proposedVersion = 0;
     std::optional<map_number> preparedVersion;
     std::uint64_t preparedDigest = 0;
     std::optional<map_number> armedVersion;
--- a/packages/decisions/groups/map_switch.h
+++ b/packages/decisions/groups/map_switch.h
@@ -37,6 +37,7 @@
     // The latest passes at which this rank will never switch.
     const std::vector<pass_number>& declinedPasses() const { return m_declined; }
     bool hasDeclined(pass_number pass) const;
+    map_number proposedVersion() const { return m_proposedVersion; }
     // The switch that waits for its outcome, and since when the rank has been held for it.
     std::optional<switch_name> waiting() const;
     std::optional<instant> heldSince() const { return m_heldSince; }
--- a/packages/decisions/groups/switch_coordinator.cpp
+++ b/packages/decisions/groups/switch_coordinator.cpp
@@ -12,8 +12,10 @@
 // Between two plans while none pays.
 constexpr duration planInterval = std::chrono::milliseconds(150);
 // Between two sends of a message that some rank has not acted on.
-// A rank that shows nothing of the proposal by then may not know the map that it is based on, and is sent the whole.
-constexpr duration proposalResend = std::chrono::milliseconds(900);
+// To ranks that show nothing of the proposal: the changes once more, and then the whole map, since they may not know the
+// one that the changes are based on.
+constexpr duration proposalResend = std::chrono::milliseconds(90);
+constexpr unsigned changesSent = 2;
 constexpr duration switchResend = std::chrono::milliseconds(50);
 // A map that is not prepared everywhere by then is given up.
 constexpr duration prepareTimeout = std::chrono::seconds(4);
@@ -193,8 +195,9 @@
     if (cells != current.sets() * m_limits.planning.experts)
         return;
     planning_limits limits = m_limits.planning;
-    if (imbalance(current, m_popularity.loads(), limits.experts) >= m_limits.urgentImbalance)
-        limits.copiesPerRank = std::min(limits.copiesPerRank, m_limits.urgentCopiesPerRank);
+    const bool isUrgent = imbalance(current, m_popularity.loads(), limits.experts) >= m_limits.urgentImbalance;
+    const duration copying = isUrgent ? m_limits.urgentCopying : m_limits.longestCopying;
+    limits.copiesPerRank = static_cast<std::size_t>(std::max<duration::rep>(copying / std::max(m_limits.copyTime, duration(1)), 1));
     group_map_plan plan = planGroupMap(current, m_popularity.loads(), limits);
     if (plan.copies == 0 || plan.before - plan.after < m_limits.leastRelief * plan.before)
         return;
@@ -212,7 +215,7 @@
     m_proposal = { any.epoch, m_highestUsed, std::move(plan.map) };
     m_changes = { any.epoch, m_highestUsed, any.mapVersion, {} };
     m_digests.clear();
-    m_proposedOnce = false;
+    m_proposals = 0;
     const group_map& next = m_proposal.map;
     for (std::size_t rank = 0; rank < next.ranks(); ++rank) {
         m_digests.push_back(next.rankDigest(rank));
@@ -259,10 +262,10 @@
     for (const auto& [rank, known] : m_ranks) {
         if (hasPrepared(known.status))
             ++prepared;
-        else if (resend && m_proposedOnce)
-            out.push_back({ rank, m_proposal });
+        else if (resend && m_proposals > 0 && known.status.proposedVersion != m_proposal.version)
+            sendAgain(rank, out);
     }
-    if (resend && !std::exchange(m_proposedOnce, true))
+    if (resend && m_proposals++ == 0)
         out.push_back({ std::nullopt, m_changes });
     if (resend)
         m_sentAt = now;
@@ -270,6 +273,14 @@
         beginSwitch(now, out);
 }
 
+void switch_coordinator::sendAgain(std::uint32_t rank, std::vector<outgoing_message>& out) const
+{
+    if (m_proposals < changesSent)
+        out.push_back({ rank, m_changes });
+    else
+        out.push_back({ rank, m_proposal });
+}
+
 void switch_coordinator::beginSwitch(instant now, std::vector<outgoing_message>& out)
 {
     m_switch = { m_proposal.epoch, m_proposal.version, switchPass(now) };
--- a/packages/decisions/groups/switch_coordinator.h
+++ b/packages/decisions/groups/switch_coordinator.h
@@ -19,7 +19,11 @@
     double leastRelief = 0.06;
     // Imbalance from which a first map with few copies comes before the best one.
     double urgentImbalance = 1.6;
-    std::size_t urgentCopiesPerRank = 2;
+    // A rank copies one expert after the other, each in this time.
+    duration copyTime = std::chrono::milliseconds(100);
+    // Time that the copies of a map may take on a rank: of an urgent map, and of any other.
+    duration urgentCopying = std::chrono::milliseconds(240);
+    duration longestCopying = std::chrono::milliseconds(680);
     // Choices of experts that a plan must stand on.
     double leastChoices = 20000;
 };
@@ -90,6 +94,7 @@
     bool hasDeclined(const rank_status& status) const;
     bool hasLetGo(const rank_status& status) const;
     void enter(instant now, phase next);
+    void sendAgain(std::uint32_t rank, std::vector<outgoing_message>& out) const;
     void propose(const group_map& current, group_map_plan plan);
     void note(std::string what, std::string detail);
     void adoptStranded(instant now);
@@ -105,7 +110,8 @@
     map_changes m_changes;
     // What each rank holds by the proposed map.
     std::vector<std::uint64_t> m_digests;
-    bool m_proposedOnce = false;
+    // Times that the proposal was sent.
+    unsigned m_proposals = 0;
     switch_name m_switch;
     bool m_committed = false;
     bool m_adopted = false;
--- a/packages/directagent/direct_agent_process.cpp
+++ b/packages/directagent/direct_agent_process.cpp
@@ -46,8 +46,8 @@
 // Many processes start at a time; their rows are read together.
 constexpr duration membersGap = std::chrono::milliseconds(2500);
 constexpr duration layoutRetry = std::chrono::seconds(1);
-// Experts that may be new to a rank in one map are copied one after the other; more would bring the map too late.
-constexpr std::size_t mostNewPerRank = 2;
+// Part of the mean load by which a copy must relieve the busiest rank, for each megabyte that it moves.
+constexpr double leastGainPerMegabyte = 4e-6;
 
 } // namespace
 
@@ -341,7 +341,9 @@
             coordinator_limits limits;
             limits.planning.experts = service.experts->expertsPerSet;
             limits.planning.placesPerRank = service.experts->placesPerRank;
-            limits.planning.newPerRank = std::min<std::size_t>(service.experts->sparePlaces, mostNewPerRank);
+            limits.planning.newPerRank = service.experts->sparePlaces;
+            limits.copyTime = service.experts->copyTime();
+            limits.planning.leastGain = leastGainPerMegabyte * service.experts->expertMegabytes;
             m_agent.setLimits(limits);
             m_layoutKnown = true;
         }
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -38,6 +38,8 @@
 constexpr double serveOnPart = 0.45;
 // Part of the grace period after which what is left is cut off: better here than by SIGKILL.
 constexpr double cutOffPart = 0.93;
+// Engines that start together are read together; well below the time in which one that leaves must get nothing more.
+constexpr duration registryGap = std::chrono::milliseconds(400);
 // Members change seldom.
 constexpr duration membersPoll = std::chrono::seconds(20);
 // Many processes start at a time; their rows are read together.
@@ -272,6 +274,7 @@
                 .changes = [this](auto rows, instant sentAt) { onConfigurationRows(std::move(rows), sentAt, false); },
                 .access = [this](bool reachable) { onAccess(reachable); } });
         settings.wait = m_settings.store.poll * 3 / 2;
+        settings.gap = registryGap;
         m_registryFollower = follower(m_platform.registryTable(), settings, life + 1,
             { .whole = [this](auto rows, instant) { onRegistryWhole(rows); },
                 .changes = [this](auto rows, instant) { onRegistryChanges(rows); },
--- a/packages/model/routing.h
+++ b/packages/model/routing.h
@@ -78,6 +78,14 @@
     double linkMegabitsPerSecond = 0;
     // Part of a token's work that experts do.
     double expertShare = 0;
+
+    // For one expert to be copied to a rank.
+    duration copyTime() const
+    {
+        constexpr double bitsPerByte = 8.0;
+        const double seconds = linkMegabitsPerSecond > 0 ? expertMegabytes * bitsPerByte / linkMegabitsPerSecond : 0;
+        return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+    }
 };
 
 struct service_description {
