Datagrams: large messages go by relays in their zone

Change: from 500 bytes on, one agent of each eight passes the message on; proposals are sent again after 200 ms.

--- a/packages/datagrams/news.h
+++ b/packages/datagrams/news.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace appleramp {
 
@@ -21,7 +22,15 @@
     group_message message;
 };
 
+// News for several, which the receiver passes on, so that a large message does not fill one sender's link.
+struct relayed_news {
+    // Addresses to which the receiver sends the message.
+    std::vector<std::string> targets;
+    // One encoded message, which is also for the receiver.
+    std::string message;
+};
+
 // What processes tell each other in single datagrams.
-using news = std::variant<entry_presence, endpoint_load, breakdown_news, group_news>;
+using news = std::variant<entry_presence, endpoint_load, breakdown_news, group_news, relayed_news>;
 
 } // namespace appleramp
--- a/packages/datagrams/news_codec.cpp
+++ b/packages/datagrams/news_codec.cpp
@@ -31,6 +31,11 @@
     {
         return { { "k", "b" }, { "c", breakdown.content }, { "n", breakdown.sendId } };
     }
+    json operator()(const relayed_news& relayed) const
+    {
+        return { { "k", "r" }, { "t", relayed.targets },
+            { "m", json::binary({ relayed.message.begin(), relayed.message.end() }) } };
+    }
     json operator()(const group_news& group) const
     {
         return { { "k", "g" }, { "g", group.group }, { "m", groupMessageToJson(group.message) } };
@@ -69,6 +74,10 @@
             return presenceIn(body);
         if (kind == "l")
             return loadIn(body);
+        if (kind == "r") {
+            const auto& message = body.at("m").get_binary();
+            return relayed_news { body.at("t").get<std::vector<std::string>>(), { message.begin(), message.end() } };
+        }
         if (kind == "g") {
             if (auto message = groupMessageFromJson(body.at("m")))
                 return group_news { body.at("g").get<std::string>(), std::move(*message) };
--- a/packages/datagrams/news_socket.cpp
+++ b/packages/datagrams/news_socket.cpp
@@ -26,7 +26,11 @@
 
 void news_socket::send(const news& message, const boost::asio::ip::udp::endpoint& to)
 {
-    const std::string bytes = encodeNews(message);
+    sendEncoded(encodeNews(message), to);
+}
+
+void news_socket::sendEncoded(const std::string& bytes, const boost::asio::ip::udp::endpoint& to)
+{
     boost::system::error_code failure;
     m_socket.send_to(boost::asio::buffer(bytes), to, 0, failure);
     if (failure)
--- a/packages/datagrams/news_socket.h
+++ b/packages/datagrams/news_socket.h
@@ -21,6 +21,7 @@
     news_socket(boost::asio::io_context& loop, const std::string& address, std::uint16_t port, receiver onNews);
 
     void send(const news& message, const boost::asio::ip::udp::endpoint& to);
+    void sendEncoded(const std::string& bytes, const boost::asio::ip::udp::endpoint& to);
     std::uint16_t port() const { return m_socket.local_endpoint().port(); }
     // Datagrams that could not be read, or not be sent.
     std::uint64_t dropped() const { return m_dropped; }
--- a/packages/decisions/groups/switch_coordinator.cpp
+++ b/packages/decisions/groups/switch_coordinator.cpp
@@ -14,7 +14,7 @@
 // Between two sends of a message that some rank has not acted on.
 // To ranks that show nothing of the proposal: the changes once more, and then the whole map, since they may not know the
 // one that the changes are based on.
-constexpr duration proposalResend = std::chrono::milliseconds(90);
+constexpr duration proposalResend = std::chrono::milliseconds(200);
 constexpr unsigned changesSent = 2;
 constexpr duration switchResend = std::chrono::milliseconds(50);
 // A map that is not prepared everywhere by then is given up.
--- a/packages/directagent/direct_agent_process.cpp
+++ b/packages/directagent/direct_agent_process.cpp
@@ -1,5 +1,6 @@
 #include "directagent/direct_agent_process.h"
 
+#include "datagrams/news_codec.h"
 #include "datagrams/news_socket.h"
 #include "decisions/groups/group_agent.h"
 #include "directagent/engine_link.h"
@@ -16,6 +17,7 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <span>
 #include <utility>
 
 namespace appleramp {
@@ -36,6 +38,9 @@
 // Time between two load messages to one entry, for each entry there is: the bytes that an agent sends stay bounded.
 constexpr duration loadIntervalPerEntry = std::chrono::milliseconds(12);
 constexpr duration leastLoadInterval = std::chrono::milliseconds(100);
+// Messages from this size on are relayed, and so many agents hear them by one relay.
+constexpr std::size_t relayedFrom = 500;
+constexpr std::size_t relayFanOut = 8;
 // Entries of other zones, which prefer other engines, hear of the load this many times less often.
 constexpr unsigned otherZonesEvery = 2;
 constexpr std::chrono::milliseconds memberRetry { 700 };
@@ -216,15 +221,36 @@
                 m_news.send(message, found->second);
             return;
         }
+        tellAgents(encodeNews(message));
+    }
+
+    // Large messages go by relays, a few for each zone.
+    void tellAgents(const std::string& message)
+    {
+        std::map<availability_zone_id, std::vector<std::string>> agents;
         for (const auto& [name, member] : m_members) {
             if (!member.isEntry && name != m_settings.process.instance.str())
-                m_news.send(message, newsEndpoint(member));
+                agents[member.zone].push_back(member.newsAddress);
+        }
+        const std::size_t fanOut = message.size() < relayedFrom ? 1 : relayFanOut;
+        for (const auto& [zone, addresses] : agents) {
+            for (std::size_t at = 0; at < addresses.size(); at += fanOut)
+                tellSlice(message, std::span(addresses).subspan(at, std::min(fanOut, addresses.size() - at)));
         }
     }
 
-    static udp_endpoint newsEndpoint(const member_row& member)
+    void tellSlice(const std::string& message, std::span<const std::string> addresses)
     {
-        const auto target = endpointFromText(member.newsAddress);
+        const udp_endpoint first = udpEndpoint(addresses.front());
+        if (addresses.size() == 1)
+            m_news.sendEncoded(message, first);
+        else
+            m_news.send(relayed_news { { addresses.begin() + 1, addresses.end() }, message }, first);
+    }
+
+    static udp_endpoint udpEndpoint(const std::string& address)
+    {
+        const auto target = endpointFromText(address);
         return { target.address(), target.port() };
     }
 
@@ -236,10 +262,20 @@
             if (m_entries.insert_or_assign(from, known_entry { presence->zone, now() }).second)
                 m_log.write(now(), "entry_heard", {}, { { "address", presence->callerAddress } });
         }
+        if (const auto* const relayed = std::get_if<relayed_news>(&message)) {
+            for (const std::string& target : relayed->targets)
+                m_news.sendEncoded(relayed->message, udpEndpoint(target));
+            // One step only: a relay inside a relay is none of ours.
+            const auto inner = decodeNews(relayed->message);
+            if (inner && !std::holds_alternative<relayed_news>(*inner))
+                onNews(*inner, {});
+            return;
+        }
         const auto* const group = std::get_if<group_news>(&message);
         if (group == nullptr || !m_report || group->group != m_report->group)
             return;
-        noteSender(group->message, from);
+        if (from.port() != 0)
+            noteSender(group->message, from);
         handle(group_message_heard { now(), group->message });
         if (m_agent.leads())
             readLayoutIfUnknown();
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -436,6 +436,7 @@
     }
     // Groups are the agents' business.
     void onNews(const group_news&) { }
+    void onNews(const relayed_news&) { }
     void onNews(entry_presence presence) { post(entry_heard { now(), std::move(presence) }); }
     void onNews(endpoint_load load) { post(endpoint_load_heard { now(), std::move(load) }); }
     void onNews(breakdown_news breakdown) { post(breakdown_heard { now(), breakdown.content, std::move(breakdown.sendId) }); }
--- a/tests/datagrams/news_codec_test.cpp
+++ b/tests/datagrams/news_codec_test.cpp
@@ -29,7 +29,7 @@
     return { entry_presence { instance_id("i"), availability_zone_id("z"), "10.0.0.1:80", true },
         endpoint_load { "10.0.0.1:81", 3, 4, 1.5, true }, breakdown_news { 7, "s" }, group_news { "g", status },
         group_news { "g", map_proposal { 2, 9, group_map::dealtInTurn(2, 8, 4) } },
-        group_news { "g", switch_outcome { { 1, 2, 3 }, true } } };
+        relayed_news { { "10.0.0.1:1" }, "x" }, group_news { "g", switch_outcome { { 1, 2, 3 }, true } } };
 }
 
 } // namespace
