Groups, Entry: only the leader looks after silent ranks; silence of a whole service is no reason to switch

Change: the leader alone reads from afar; a switch begins only when all ranks have just answered; a stream is given up as silent only while another endpoint of its service sends something. Conclusion: a frozen giver blocks its group until it wakes; listed as open.

--- a/packages/datagrams/group_codec.cpp
+++ b/packages/datagrams/group_codec.cpp
@@ -153,6 +153,7 @@
     {
         return { { "k", "o" }, { "n", nameToJson(outcome.name) }, { "c", outcome.committed } };
     }
+    json operator()(const status_wanted& wanted) const { return { { "k", "w" }, { "e", wanted.epoch } }; }
     json operator()(const status_query& query) const { return { { "k", "q" }, { "n", nameToJson(query.name) } }; }
 };
 
@@ -229,6 +230,8 @@
         return switch_request { nameFromJson(body.at("n")) };
     if (kind == "o")
         return switch_outcome { nameFromJson(body.at("n")), body.at("c").get<bool>() };
+    if (kind == "w")
+        return status_wanted { body.at("e").get<group_epoch>() };
     if (kind == "q")
         return status_query { nameFromJson(body.at("n")) };
     return std::nullopt;
--- a/packages/decisions/forwarding/forwarding_effects.h
+++ b/packages/decisions/forwarding/forwarding_effects.h
@@ -18,6 +18,7 @@
     request_number request = 0;
     endpoint_id endpoint;
     std::string address;
+    service_id service;
     // Set for requests of a team.
     team_id team;
     // What is left of the caller's time and of the route's.
--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -178,6 +178,7 @@
     send_attempt attempt { .request = number,
         .endpoint = place.endpoint,
         .address = place.address,
+        .service = request.service,
         .team = request.team,
         .timeLeft = request.deadline - now,
         .onlyNewConnection = !taken.repeatable(),
--- a/packages/decisions/groups/group_agent.cpp
+++ b/packages/decisions/groups/group_agent.cpp
@@ -173,6 +173,13 @@
     tellStatus(now, true);
 }
 
+void group_agent::hear(instant now, const status_wanted&)
+{
+    m_statusDue = true;
+    if (m_state)
+        tellStatus(now, false);
+}
+
 void group_agent::actOn(instant now)
 {
     if (!m_state)
@@ -271,6 +278,8 @@
                 m_switch.request(*request);
             else if (const auto* const outcome = std::get_if<switch_outcome>(&message.message))
                 m_switch.conclude(*outcome);
+            else if (std::holds_alternative<status_wanted>(message.message))
+                m_statusDue = true;
             else if (const auto* const query = std::get_if<status_query>(&message.message))
                 m_switch.answerQuery(query->name, *m_state);
             m_selfTold = true;
--- a/packages/decisions/groups/group_agent.h
+++ b/packages/decisions/groups/group_agent.h
@@ -102,6 +102,7 @@
     void hear(instant now, const switch_request& message);
     void hear(instant now, const switch_outcome& message);
     void hear(instant now, const status_query& message);
+    void hear(instant now, const status_wanted& message);
 
     void actOn(instant now);
     void giveDueOrder(instant now);
--- a/packages/decisions/groups/group_messages.h
+++ b/packages/decisions/groups/group_messages.h
@@ -100,7 +100,12 @@
     switch_name name;
 };
 
+// Tell the coordinator now how your rank stands.
+struct status_wanted {
+    group_epoch epoch = 0;
+};
+
 using group_message = std::variant<coordinator_beat, rank_status, rank_choices, map_proposal, map_changes, switch_request, switch_outcome,
-    status_query>;
+    status_query, status_wanted>;
 
 } // namespace appleramp
--- a/packages/decisions/groups/switch_coordinator.cpp
+++ b/packages/decisions/groups/switch_coordinator.cpp
@@ -106,11 +106,11 @@
         prepare(now, out);
         break;
     case phase::Switching:
-        lookAfterSilentRanks(now);
+        lookAfterSilentRanks(now, leads);
         awaitArmed(now, out);
         break;
     case phase::Concluding:
-        lookAfterSilentRanks(now);
+        lookAfterSilentRanks(now, leads);
         tellOutcome(now, out);
         break;
     }
@@ -241,6 +241,7 @@
     m_changes = { any.epoch, m_highestUsed, any.mapVersion, {} };
     m_digests.clear();
     m_proposals = 0;
+    m_askedAt.reset();
     m_base = std::make_shared<group_map>(current);
     const group_map& next = m_proposal.map;
     for (std::size_t rank = 0; rank < next.ranks(); ++rank) {
@@ -254,9 +255,10 @@
 
 std::vector<foreign_step> switch_coordinator::takeForeignSteps() { return std::exchange(m_foreignSteps, {}); }
 
-void switch_coordinator::lookAfterSilentRanks(instant now)
+// Only the leader does, or all that wait would ask all engines.
+void switch_coordinator::lookAfterSilentRanks(instant now, bool leads)
 {
-    if (now - m_enteredAt < silentFor)
+    if (!leads || now - m_enteredAt < silentFor)
         return;
     for (auto& [rank, known] : m_ranks) {
         const bool isSettled = m_phase == phase::Concluding && hasLetGo(known.status);
@@ -322,6 +324,11 @@
     return order;
 }
 
+bool switch_coordinator::allAnsweredSince(instant then) const
+{
+    return std::all_of(m_ranks.begin(), m_ranks.end(), [then](const auto& entry) { return entry.second.heardAt > then; });
+}
+
 bool switch_coordinator::hasPrepared(const rank_status& status) const
 {
     // Who took a switch over may not know the map; its number says what it holds.
@@ -365,8 +372,17 @@
         out.push_back({ std::nullopt, m_changes });
     if (resend)
         m_sentAt = now;
-    if (prepared == m_ranks.begin()->second.status.ranks)
-        beginSwitch(now, out);
+    if (prepared != m_ranks.begin()->second.status.ranks)
+        return;
+    // An agent that was frozen or killed while it waited would hold the group until it is back.
+    if (m_askedAt && allAnsweredSince(*m_askedAt))
+        return beginSwitch(now, out);
+    if (m_askedAt && now - m_sentAt < switchResend)
+        return;
+    if (!m_askedAt)
+        m_askedAt = now;
+    m_sentAt = now;
+    out.push_back({ std::nullopt, status_wanted { m_proposal.epoch } });
 }
 
 void switch_coordinator::sendAgain(std::uint32_t rank, std::vector<outgoing_message>& out) const
--- a/packages/decisions/groups/switch_coordinator.h
+++ b/packages/decisions/groups/switch_coordinator.h
@@ -112,6 +112,7 @@
     void awaitArmed(instant now, std::vector<outgoing_message>& out);
     void conclude(instant now, bool committed, std::vector<outgoing_message>& out);
     void tellOutcome(instant now, std::vector<outgoing_message>& out);
+    bool allAnsweredSince(instant then) const;
     bool hasPrepared(const rank_status& status) const;
     bool isArmed(const rank_status& status) const;
     bool hasDeclined(const rank_status& status) const;
@@ -120,7 +121,7 @@
     void sendAgain(std::uint32_t rank, std::vector<outgoing_message>& out) const;
     void propose(const group_map& current, group_map_plan plan);
     void note(std::string what, std::string detail);
-    void lookAfterSilentRanks(instant now);
+    void lookAfterSilentRanks(instant now, bool leads);
     std::optional<rank_order> foreignOrder(const rank_state& state);
     rank_order preventArming(const rank_state& state);
     void adoptStranded(instant now);
@@ -137,6 +138,8 @@
     map_changes m_changes;
     // What each rank holds by the proposed map.
     std::vector<std::uint64_t> m_digests;
+    // When the ranks were asked whether they are all there; a switch begins only if all have answered since.
+    std::optional<instant> m_askedAt;
     // Times that the proposal was sent.
     unsigned m_proposals = 0;
     switch_name m_switch;
--- a/packages/directagent/direct_agent_process.cpp
+++ b/packages/directagent/direct_agent_process.cpp
@@ -213,10 +213,16 @@
     void carryOut(const read_foreign_rank& effect)
     {
         engine_link* const link = foreignEngine(effect.rank);
+        if (link == nullptr)
+            m_log.write(now(), "foreign_engine_unknown", {}, { { "rank", std::to_string(effect.rank) } });
         if (link == nullptr || link->isBusy())
             return;
-        link->exchange({ m_platform.reportRequest(link->address()), {} }, readTimeout, [this](const auto& answer) {
+        link->exchange({ m_platform.reportRequest(link->address()), {} }, readTimeout, [this, effect](const auto& answer) {
             const auto report = answer && answer->head.status == 200 ? m_platform.readReport(answer->body) : std::nullopt;
+            m_log.write(now(), "foreign_read", {},
+                { { "rank", std::to_string(effect.rank) }, { "status", answer ? std::to_string(answer->head.status) : "none" },
+                    { "armed_pass", report ? std::to_string(report->rank.armedPass.value_or(0)) : "" },
+                    { "held_pass", report ? std::to_string(report->rank.heldPass.value_or(0)) : "" } });
             if (report && m_report && report->group == m_report->group)
                 handle(foreign_rank_read { now(), report->rank });
         });
--- a/packages/directentry/caller_exchange.cpp
+++ b/packages/directentry/caller_exchange.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr unsigned firstFailureStatus = 500;
+// A service of which nothing was heard for so long stands still as a whole.
+constexpr duration serviceSilence = std::chrono::milliseconds(300);
 constexpr double secondsPerMicrosecond = 1e-6;
 
 unsigned statusOf(refusal_reason reason)
@@ -133,9 +135,22 @@
                 } });
 }
 
-void caller_exchange::onHead(http_response_head head)
+void caller_exchange::noteProgress()
 {
     m_lastProgress = m_services.now();
+    m_services.serviceProgress[m_attempt.service] = m_lastProgress;
+}
+
+// Where no endpoint of the service sends anything, another one would be as silent.
+bool caller_exchange::othersProgress(instant now) const
+{
+    const auto found = m_services.serviceProgress.find(m_attempt.service);
+    return found != m_services.serviceProgress.end() && now - found->second < serviceSilence;
+}
+
+void caller_exchange::onHead(http_response_head head)
+{
+    noteProgress();
     const answer_reading reading = m_services.platform.readAnswer(head, m_caller.sendId);
     m_retryAfter = reading.retryAfter;
     switch (reading.kind) {
@@ -173,7 +188,7 @@
     const std::string events = m_events.take(bytes);
     if (events.empty())
         return;
-    m_lastProgress = m_services.now();
+    noteProgress();
     m_attemptHasAnswer = true;
     if (!std::exchange(m_begun, true))
         m_connection->beginStream(m_answer.head);
@@ -267,6 +282,8 @@
     const duration limit = m_attemptHasAnswer ? m_attempt.laterSilence : m_attempt.firstSilence;
     if (limit == duration::zero() || now - m_lastProgress < limit)
         return;
+    if (m_attempt.isStream && !othersProgress(now))
+        return;
     cancelAttempt();
     endAttempt(attempt_ending::Silent);
 }
--- a/packages/directentry/caller_exchange.h
+++ b/packages/directentry/caller_exchange.h
@@ -8,6 +8,7 @@
 #include "model/time.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -24,6 +25,8 @@
     client_pool& endpoints;
     std::function<instant()> now;
     std::function<void(const forwarding_event&)> post;
+    // When any endpoint of a service last sent something.
+    std::map<service_id, instant>& serviceProgress;
 };
 
 // One request of a caller, from its arrival to the end of its answer, over as many attempts as the reducer orders.
@@ -66,6 +69,8 @@
     void endAttempt(attempt_ending ending, std::optional<duration> retryAfter = {});
     void answered();
     void finish();
+    void noteProgress();
+    bool othersProgress(instant now) const;
 
     exchange_services m_services;
     request_number m_number;
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -143,7 +143,7 @@
     {
         const request_number number = ++m_lastRequest;
         m_metrics.add(entry_metrics::requests);
-        exchange_services services { m_platform, m_endpoints, [] { return now(); }, [this](const forwarding_event& event) { post(event); } };
+        exchange_services services { m_platform, m_endpoints, [] { return now(); }, [this](const forwarding_event& event) { post(event); }, m_serviceProgress };
         auto exchange = std::make_shared<caller_exchange>(std::move(services), number, connection, std::move(request));
         m_exchanges.emplace(number, exchange);
         exchange->start();
@@ -509,6 +509,7 @@
     std::map<std::string, member_row> m_members;
     std::set<availability_zone_id> m_zonesOut;
     std::set<std::string> m_unreadable;
+    std::map<service_id, instant> m_serviceProgress;
     request_number m_lastRequest = 0;
     int m_followersAway = 0;
     instant m_presenceTold;
