--- a/packages/applerampd/direct_fleet.cpp
+++ b/packages/applerampd/direct_fleet.cpp
@@ -66,7 +66,8 @@
     users_platform::store_client store(loop, settings.store.address.str());
     const users_platform::platform platform;
     Process process(loop, settings, life, store, platform);
-    const signal_watch watch(loop, [&process] { process.requestStop(); }, settingsPath);
+    const signal_watch watch(
+        loop, [&process] { process.requestStop(); }, settingsPath);
     loop.run();
 }
 
