Store feed: answers are as old as the store's clock shows; returns after an outage of the store or a service

Change: two answers with the store's clock bound when the later one was composed; callers that are refused since the store or a whole service is away return after 1.4 to 2.6 s.

--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -11,6 +11,9 @@
 constexpr duration soonestReturn = std::chrono::milliseconds(200);
 // Added at random, so that callers refused together do not return together.
 constexpr duration returnSpread = std::chrono::milliseconds(600);
+// Where the store is away, or a whole service is: both take seconds, and a caller may return only once.
+constexpr duration outageReturn = std::chrono::milliseconds(1400);
+constexpr duration outageSpread = std::chrono::milliseconds(1200);
 // Less time than this is no use to an endpoint.
 constexpr duration leastTimeLeft = std::chrono::milliseconds(20);
 // Silence before a stream's first event after which another endpoint is tried, in latency targets.
@@ -90,6 +93,8 @@
 
 duration forwarding_reducer::soon() { return soonestReturn + scaled(returnSpread, draw()); }
 
+duration forwarding_reducer::later() { return outageReturn + scaled(outageSpread, draw()); }
+
 void forwarding_reducer::on(const request_arrived& event)
 {
     request_state request { .caller = event.caller, .table = m_routes, .arrivedAt = event.now };
@@ -115,7 +120,7 @@
     request.urgencyRank = request.taken->urgencyRank;
     if (request.table->asksForKeys() && !request.taken->isPublic) {
         if (!m_freshness.allowsKeys(now))
-            return refused(refusal_reason::NotReady, soon());
+            return refused(refusal_reason::NotReady, later());
         const team* const owner = request.table->teamOfKey(request.caller.apiKey);
         if (owner == nullptr)
             return definite ? refused(refusal_reason::UnknownKey, {}) : refused(refusal_reason::NotReady, soon());
@@ -147,7 +152,7 @@
         .coldRequestsPerSecond = service == nullptr ? 0 : service->coldRequestsPerSecond,
         .point = draw() });
     if (!found) {
-        refuse(number, request, request.mayHaveRun ? refusal_reason::OutcomeUnknown : refusal_reason::NoCapacity, soon());
+        refuse(number, request, request.mayHaveRun ? refusal_reason::OutcomeUnknown : refusal_reason::NoCapacity, later());
         m_requests.erase(number);
         return;
     }
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -93,6 +93,7 @@
     void endpointDown(instant now, const endpoint_id& endpoint);
     double draw();
     duration soon();
+    duration later();
 
     forwarding_settings m_settings;
     std::shared_ptr<const route_table> m_routes;
--- a/packages/decisions/forwarding/freshness_lease.h
+++ b/packages/decisions/forwarding/freshness_lease.h
@@ -10,7 +10,7 @@
     // A key that operators revoked may be honoured no longer than this after the store's acknowledgement.
     duration revocationBound = std::chrono::milliseconds(5000);
     // Room for a pause between the check and the send.
-    duration margin = std::chrono::milliseconds(400);
+    duration margin = std::chrono::milliseconds(300);
     // Definite refusals (unknown route, unknown key) need a configuration confirmed within this time.
     duration definiteWithin = std::chrono::milliseconds(3500);
 };
--- a/packages/ports/row_store.h
+++ b/packages/ports/row_store.h
@@ -25,6 +25,8 @@
     bool hasMore = false;
     // The newest version of the store that the rows include.
     std::uint64_t version = 0;
+    // The store's steady clock when it composed the answer; zero if it did not say.
+    duration storeTime {};
 };
 
 enum class store_failure {
--- a/packages/storefeed/table_follower.cpp
+++ b/packages/storefeed/table_follower.cpp
@@ -57,6 +57,8 @@
     }
     m_version = m_firstPageVersion;
     noteReachable();
+    // Later pages may be newer, but the first one bounds what all of them show.
+    composedAt(page.storeTime);
     m_handlers.whole(std::move(m_rows), m_sentAt);
     m_rows.clear();
     readChanges();
@@ -82,12 +84,28 @@
     m_version = std::max(m_version, changed.version);
     noteReachable();
     const bool isQuiet = changed.rows.empty();
-    m_handlers.changes(std::move(changed.rows), m_sentAt);
+    m_handlers.changes(std::move(changed.rows), composedAt(changed.storeTime));
     // An answer without rows that came early must not make the loop spin.
     const bool waited = m_now() - m_sentAt >= m_settings.gap;
     after(isQuiet && waited ? duration::zero() : m_settings.gap, &table_follower::readChanges);
 }
 
+// An answer was composed no earlier than its read was sent. Two answers show how far the store's clock went on between
+// them, and so that the later one was composed no earlier than the sending of the first plus that time.
+instant table_follower::composedAt(duration storeTime)
+{
+    if (storeTime == duration::zero())
+        return m_sentAt;
+    const duration offset = m_sentAt.time_since_epoch() - storeTime;
+    m_clockOffset = std::max(m_clockOffset.value_or(offset), offset);
+    const instant composed { storeTime + *m_clockOffset };
+    if (composed <= m_now())
+        return composed;
+    // Its clock jumped: another store answers, or it began anew.
+    m_clockOffset = offset;
+    return m_sentAt;
+}
+
 void table_follower::onFailure(store_failure)
 {
     if (std::exchange(m_reachable, false))
--- a/packages/storefeed/table_follower.h
+++ b/packages/storefeed/table_follower.h
@@ -9,18 +9,20 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
 
 namespace appleramp {
 
-// What a follower reports. A read's news hold at least as of the moment when it was sent.
+// What a follower reports. The moment is one at which the news held for certain: that of the sending of the read, or a
+// later one if the store's clock shows that it composed its answer later.
 struct follower_handlers {
     // The table was read whole.
-    std::function<void(std::vector<store_row> rows, instant readSentAt)> whole;
+    std::function<void(std::vector<store_row> rows, instant heldAt)> whole;
     // Changes, or none: then what is known was confirmed.
-    std::function<void(std::vector<store_row> rows, instant readSentAt)> changes;
+    std::function<void(std::vector<store_row> rows, instant heldAt)> changes;
     // The store stopped or began to answer.
     std::function<void(bool reachable)> access;
 };
@@ -53,6 +55,7 @@
     void onChanges(store_result result);
     void onFailure(store_failure failure);
     void noteReachable();
+    instant composedAt(duration storeTime);
     void after(duration pause, void (table_follower::*next)());
 
     boost::asio::steady_timer m_timer;
@@ -67,6 +70,8 @@
     std::uint64_t m_version = 0;
     std::uint64_t m_firstPageVersion = 0;
     instant m_sentAt;
+    // A lower bound of the difference between our clock and the store's.
+    std::optional<duration> m_clockOffset;
     bool m_reachable = true;
     bool m_stopped = false;
     std::uint32_t m_failures = 0;
--- a/tests/decisions/forwarding/forwarding_reducer_test.cpp
+++ b/tests/decisions/forwarding/forwarding_reducer_test.cpp
@@ -186,7 +186,7 @@
     entry.now += 4500ms;
     entry.request("/read/x");
     cr_assert_not_null(entry.effect<send_attempt>());
-    entry.now += 200ms;
+    entry.now += 300ms;
     entry.request("/read/x");
     cr_assert(entry.refusedWith(refusal_reason::NotReady));
 }
@@ -195,7 +195,7 @@
 {
     entry entry;
     entry.request("/read/x");
-    entry.now += 4700ms;
+    entry.now += 4800ms;
     entry.end(attempt_ending::NoAnswer);
     cr_assert_null(entry.effect<send_attempt>());
 }
--- a/tests/decisions/forwarding/freshness_lease_test.cpp
+++ b/tests/decisions/forwarding/freshness_lease_test.cpp
@@ -23,8 +23,8 @@
 {
     freshness_lease lease({});
     lease.confirm(at(10s));
-    cr_assert(lease.allowsKeys(at(10s + 4600ms)));
-    cr_assert(!lease.allowsKeys(at(10s + 4601ms)));
+    cr_assert(lease.allowsKeys(at(10s + 4700ms)));
+    cr_assert(!lease.allowsKeys(at(10s + 4701ms)));
     cr_assert(lease.allowsDefiniteRefusal(at(13500ms)));
     cr_assert(!lease.allowsDefiniteRefusal(at(13501ms)));
 }
--- a/tests/storefeed/table_follower_test.cpp
+++ b/tests/storefeed/table_follower_test.cpp
@@ -89,6 +89,45 @@
     cr_assert_eq(f.changed, 1);
 }
 
+// Pattern: a long read is answered at its end. The store's clock shows that, and an answer that was held up on its way
+// still counts as old.
+Test(table_follower, the_stores_clock_shows_when_an_answer_was_composed)
+{
+    fixture f;
+    auto first = rowsOf({ "a" }, 7);
+    first.storeTime = std::chrono::seconds(500);
+    f.now += std::chrono::milliseconds(10);
+    f.store.answer(first);
+    const instant firstSent { std::chrono::seconds(1) };
+    f.now = firstSent + std::chrono::milliseconds(2020);
+    auto quiet = rowsOf({}, 7);
+    quiet.storeTime = std::chrono::milliseconds(502'010);
+    f.store.answer(quiet);
+    cr_assert(f.confirmedAt == firstSent + std::chrono::milliseconds(2010));
+    f.untilCall();
+    f.now = firstSent + std::chrono::seconds(9);
+    quiet.storeTime = std::chrono::milliseconds(504'020);
+    f.store.answer(quiet);
+    cr_assert(f.confirmedAt == firstSent + std::chrono::milliseconds(4020));
+}
+
+Test(table_follower, a_clock_of_the_store_that_jumps_makes_nothing_fresh)
+{
+    fixture f;
+    auto first = rowsOf({ "a" }, 7);
+    first.storeTime = std::chrono::seconds(500);
+    f.store.answer(first);
+    f.now += std::chrono::seconds(1);
+    const instant sent = f.now;
+    f.store.answer(rowsOf({}, 7));
+    f.untilCall();
+    f.now += std::chrono::seconds(2);
+    auto jumped = rowsOf({}, 7);
+    jumped.storeTime = std::chrono::seconds(90'000);
+    f.store.answer(jumped);
+    cr_assert(f.confirmedAt == sent);
+}
+
 Test(table_follower, lost_history_is_read_whole_again)
 {
     fixture f;
