Groups, Forwarding: no flood while a group waits; shares count the entries that the store lists

Change: only the leader seeks outcomes and is told statuses; what nobody acts on is repeated ever less often; shares count the members' rows; 0.6 of the cold bound is used, since entries that space their sends may meet in one second.

--- a/packages/datagrams/group_codec.cpp
+++ b/packages/datagrams/group_codec.cpp
@@ -153,8 +153,8 @@
     {
         return { { "k", "o" }, { "n", nameToJson(outcome.name) }, { "c", outcome.committed } };
     }
-    json operator()(const status_wanted& wanted) const { return { { "k", "w" }, { "e", wanted.epoch } }; }
-    json operator()(const status_query& query) const { return { { "k", "q" }, { "n", nameToJson(query.name) } }; }
+    json operator()(const status_wanted& wanted) const { return { { "k", "w" }, { "e", wanted.epoch }, { "r", wanted.rank } }; }
+    json operator()(const status_query& query) const { return { { "k", "q" }, { "n", nameToJson(query.name) }, { "r", query.rank } }; }
 };
 
 rank_status statusIn(const json& body)
@@ -231,9 +231,9 @@
     if (kind == "o")
         return switch_outcome { nameFromJson(body.at("n")), body.at("c").get<bool>() };
     if (kind == "w")
-        return status_wanted { body.at("e").get<group_epoch>() };
+        return status_wanted { body.at("e").get<group_epoch>(), body.at("r").get<std::uint32_t>() };
     if (kind == "q")
-        return status_query { nameFromJson(body.at("n")) };
+        return status_query { nameFromJson(body.at("n")), body.at("r").get<std::uint32_t>() };
     return std::nullopt;
 }
 
--- a/packages/decisions/forwarding/endpoint_fleet.h
+++ b/packages/decisions/forwarding/endpoint_fleet.h
@@ -22,7 +22,7 @@
     double coldFactor = 1.5;
     double coldConstant = 5;
     // Part of that bound that is used, since entries count their seconds apart.
-    double coldUse = 0.85;
+    double coldUse = 0.6;
     // Endpoints that one placement compares, drawn at random: where all entries compared all endpoints by reports of some
     // age, they would all choose the same one.
     std::size_t compared = 6;
--- a/packages/decisions/forwarding/entry_peers.cpp
+++ b/packages/decisions/forwarding/entry_peers.cpp
@@ -40,7 +40,8 @@
     const auto counted = static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(),
         [&](const auto& entry) { return now - entry.second.heardAt < m_settings.countedFor; }));
     const bool listenedLong = now - m_startedAt >= m_settings.listenFor;
-    return listenedLong ? counted + 1 : std::max(counted + 1, m_settings.assumedEntries);
+    const std::size_t known = std::max(counted + 1, m_listed);
+    return listenedLong ? known : std::max(known, m_settings.assumedEntries);
 }
 
 } // namespace appleramp
--- a/packages/decisions/forwarding/entry_peers.h
+++ b/packages/decisions/forwarding/entry_peers.h
@@ -27,6 +27,8 @@
 
     // Returns true if the peer was unknown or silent before.
     bool heard(instant now, const entry_presence& presence);
+    // Entries that the store lists, whether they are heard or not.
+    void noteListed(std::size_t entries) { m_listed = entries; }
     // Addresses for callers in a zone: those that serve, the caller's zone first.
     std::vector<std::string> callerAddresses(instant now, const entry_presence& self, const availability_zone_id& zone) const;
     // Entries among which shared budgets are divided, this one included. Errs upwards.
@@ -40,6 +42,7 @@
 
     instant m_startedAt;
     peer_settings m_settings;
+    std::size_t m_listed = 0;
     std::map<std::string, peer> m_peers;
 };
 
--- a/packages/decisions/forwarding/forwarding_events.h
+++ b/packages/decisions/forwarding/forwarding_events.h
@@ -6,6 +6,7 @@
 #include "model/routing.h"
 #include "model/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <set>
@@ -114,12 +115,18 @@
     std::string sendId;
 };
 
+// The number of entries that the store lists.
+struct entries_listed {
+    instant now;
+    std::size_t entries = 0;
+};
+
 struct time_passed_by {
     instant now;
 };
 
 using forwarding_event = std::variant<request_arrived, attempt_ended, attempt_answered, forwarded_caller_left, deadline_passed,
     configuration_confirmed, zones_out_changed, endpoint_listed, endpoint_unlisted, endpoints_read,
-    registry_access_changed, endpoint_load_heard, entry_heard, breakdown_heard, time_passed_by>;
+    registry_access_changed, endpoint_load_heard, entry_heard, breakdown_heard, entries_listed, time_passed_by>;
 
 } // namespace appleramp
--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -404,6 +404,8 @@
 
 void forwarding_reducer::on(const breakdown_heard& event) { m_suspects.note(event.now, event.content, event.sendId); }
 
+void forwarding_reducer::on(const entries_listed& event) { m_peers.noteListed(event.entries); }
+
 void forwarding_reducer::on(const time_passed_by& event)
 {
     m_suspects.forgetOld(event.now);
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -80,6 +80,7 @@
     void on(const endpoint_load_heard& event);
     void on(const entry_heard& event);
     void on(const breakdown_heard& event);
+    void on(const entries_listed& event);
     void on(const time_passed_by& event);
 
     // Fills in route and team, or refuses.
--- a/packages/decisions/groups/group_agent.cpp
+++ b/packages/decisions/groups/group_agent.cpp
@@ -9,7 +9,7 @@
 
 constexpr duration beatInterval = std::chrono::milliseconds(250);
 // A coordinator that was silent for so long is replaced by the next rank.
-constexpr duration leaderSilence = std::chrono::milliseconds(1000);
+constexpr duration leaderSilence = std::chrono::milliseconds(800);
 // Ranks wait this much longer each, so that the lowest that lives takes over alone.
 constexpr duration leaderSilencePerRank = std::chrono::milliseconds(30);
 constexpr duration statusInterval = std::chrono::milliseconds(250);
@@ -62,7 +62,7 @@
     m_lists = event;
     m_listsKnown = true;
     if (m_state)
-        tellStatus(event.now, false);
+        tellStatus(event.now);
     if (m_state && m_lists.mapVersion == 0 && m_cells > 0 && !m_lists.experts.empty())
         m_switch.noteFirstMap(group_map::dealtInTurn(m_lists.experts.size(), m_cells / m_lists.experts.size(), m_state->ranks));
     notePlaceholder();
@@ -117,7 +117,7 @@
     decideLeader(event.now);
     takeOverIfBlocked(event.now);
     if (event.now - m_statusAt >= statusInterval)
-        tellStatus(event.now, false);
+        tellStatus(event.now);
     runCoordinator(event.now);
 }
 
@@ -183,14 +183,13 @@
         m_effects.emplace_back(outgoing_message { std::nullopt, *outcome });
     m_switch.answerQuery(message.name, *m_state);
     giveDueOrder(now);
-    tellStatus(now, true);
+    tellStatus(now, message.rank);
 }
 
-void group_agent::hear(instant now, const status_wanted&)
+void group_agent::hear(instant now, const status_wanted& message)
 {
-    m_statusDue = true;
     if (m_state)
-        tellStatus(now, false);
+        tellStatus(now, message.rank);
 }
 
 void group_agent::actOn(instant now)
@@ -198,7 +197,7 @@
     if (!m_state)
         return;
     giveDueOrder(now);
-    tellStatus(now, false);
+    tellStatus(now);
     runCoordinator(now);
 }
 
@@ -235,20 +234,18 @@
     return told;
 }
 
-void group_agent::tellStatus(instant now, bool toAll)
+void group_agent::tellStatus(instant now, std::optional<std::uint32_t> asker)
 {
     rank_status told = status();
-    const bool due = std::exchange(m_statusDue, false) || toAll || now - m_statusAt >= statusInterval || isNews(m_statusTold, told);
+    const bool due = std::exchange(m_statusDue, false) || asker || now - m_statusAt >= statusInterval || isNews(m_statusTold, told);
     if (!due)
         return;
     m_statusAt = now;
     m_statusTold = told;
     m_coordinator.noteStatus(now, told);
-    const bool isBlocked = m_switch.waiting() && m_switch.heldSince() && now - *m_switch.heldSince() >= blockedAfter;
-    if (toAll || isBlocked)
-        m_effects.emplace_back(outgoing_message { std::nullopt, std::move(told) });
-    else if (!m_leads)
-        m_effects.emplace_back(outgoing_message { m_leaderRank, std::move(told) });
+    const std::uint32_t target = asker.value_or(m_leaderRank);
+    if (target != m_state->rank)
+        m_effects.emplace_back(outgoing_message { target, std::move(told) });
 }
 
 void group_agent::decideLeader(instant now)
@@ -272,14 +269,17 @@
 void group_agent::takeOverIfBlocked(instant now)
 {
     const auto waiting = m_switch.waiting();
-    const bool isBlocked = waiting && m_switch.heldSince() && now - *m_switch.heldSince() >= blockedAfter;
+    // The others tell the leader how they stand; if it is silent, one of them leads soon.
+    const bool isBlocked = m_leads && waiting && m_switch.heldSince() && now - *m_switch.heldSince() >= blockedAfter;
     if (isBlocked)
         m_coordinator.adopt(now, *waiting, m_state->ranks, m_switch.proposedMap());
 }
 
 void group_agent::runCoordinator(instant now)
 {
-    for (outgoing_message& message : m_coordinator.advance(now, m_leads)) {
+    if (!m_state)
+        return;
+    for (outgoing_message& message : m_coordinator.advance(now, m_leads, m_state->rank)) {
         // What is for all, or for this rank, is also for the agent that says it.
         const bool forSelf = m_state && (!message.rank || *message.rank == m_state->rank);
         if (forSelf) {
--- a/packages/decisions/groups/group_agent.h
+++ b/packages/decisions/groups/group_agent.h
@@ -106,7 +106,8 @@
 
     void actOn(instant now);
     void giveDueOrder(instant now);
-    void tellStatus(instant now, bool toAll);
+    // Tells the leader what is new, and an asker in any case.
+    void tellStatus(instant now, std::optional<std::uint32_t> asker = {});
     void decideLeader(instant now);
     void takeOverIfBlocked(instant now);
     void runCoordinator(instant now);
--- a/packages/decisions/groups/group_messages.h
+++ b/packages/decisions/groups/group_messages.h
@@ -98,11 +98,14 @@
 // that takes no part in a switch at that pass declines it.
 struct status_query {
     switch_name name;
+    // Who asks.
+    std::uint32_t rank = 0;
 };
 
 // Tell the coordinator now how your rank stands.
 struct status_wanted {
     group_epoch epoch = 0;
+    std::uint32_t rank = 0;
 };
 
 using group_message = std::variant<coordinator_beat, rank_status, rank_choices, map_proposal, map_changes, switch_request, switch_outcome,
--- a/packages/decisions/groups/switch_coordinator.cpp
+++ b/packages/decisions/groups/switch_coordinator.cpp
@@ -17,6 +17,9 @@
 constexpr duration proposalResend = std::chrono::milliseconds(200);
 constexpr unsigned changesSent = 2;
 constexpr duration switchResend = std::chrono::milliseconds(50);
+// What goes on for long is sent less often: in a large group every message goes to all.
+constexpr int resendSlowing = 10;
+constexpr duration longestResend = std::chrono::milliseconds(400);
 // A map that is not prepared everywhere by then is given up.
 constexpr duration prepareTimeout = std::chrono::seconds(4);
 // The outcome is told for so long at most; ranks that miss it ask.
@@ -28,6 +31,8 @@
 constexpr duration declineAfter = std::chrono::milliseconds(400);
 // An agent that was silent for so long in a switch is looked after by the coordinator.
 constexpr duration silentFor = std::chrono::milliseconds(450);
+// For the ranks to tell a new leader how they stand.
+constexpr duration settlingTime = std::chrono::milliseconds(200);
 constexpr duration foreignReadInterval = std::chrono::milliseconds(120);
 // A rank that is held for so long while nobody coordinates it is stranded.
 constexpr duration strandedAfter = std::chrono::milliseconds(400);
@@ -86,8 +91,9 @@
 
 std::vector<coordinator_note> switch_coordinator::takeNotes() { return std::exchange(m_notes, {}); }
 
-std::vector<outgoing_message> switch_coordinator::advance(instant now, bool leads)
+std::vector<outgoing_message> switch_coordinator::advance(instant now, bool leads, std::uint32_t ownRank)
 {
+    m_ownRank = ownRank;
     std::vector<outgoing_message> out;
     const bool epochOver = m_phase != phase::Idle
         && std::any_of(m_ranks.begin(), m_ranks.end(), [&](const auto& entry) { return entry.second.status.epoch > m_proposal.epoch; });
@@ -149,6 +155,11 @@
     }
 }
 
+duration switch_coordinator::resendInterval(instant now) const
+{
+    return std::min(switchResend + (now - m_enteredAt) / resendSlowing, longestResend);
+}
+
 bool switch_coordinator::isComplete(instant now) const
 {
     if (m_ranks.empty() || m_ranks.size() != m_ranks.begin()->second.status.ranks)
@@ -258,7 +269,7 @@
 // Only the leader does, or all that wait would ask all engines.
 void switch_coordinator::lookAfterSilentRanks(instant now, bool leads)
 {
-    if (!leads || now - m_enteredAt < silentFor)
+    if (!leads || now - m_enteredAt < (m_adopted ? settlingTime : silentFor))
         return;
     for (auto& [rank, known] : m_ranks) {
         const bool isSettled = m_phase == phase::Concluding && hasLetGo(known.status);
@@ -397,7 +408,7 @@
     if (!m_askedAt)
         m_askedAt = now;
     m_sentAt = now;
-    out.push_back({ std::nullopt, status_wanted { m_proposal.epoch } });
+    out.push_back({ std::nullopt, status_wanted { m_proposal.epoch, m_ownRank } });
 }
 
 void switch_coordinator::sendAgain(std::uint32_t rank, std::vector<outgoing_message>& out) const
@@ -440,7 +451,7 @@
         findVersion();
     std::size_t armed = 0;
     bool declined = false;
-    const bool resend = now - m_sentAt >= switchResend;
+    const bool resend = now - m_sentAt >= resendInterval(now);
     for (const auto& [rank, known] : m_ranks) {
         const rank_status& status = known.status;
         if (isArmed(status))
@@ -461,7 +472,7 @@
     // Who has not heard of it may be unknown here as well, so all are told again; after a while ranks that still take
     // no part are asked to decline, so that the others are not held for long.
     if (m_adopted || now - m_enteredAt >= declineAfter)
-        out.push_back({ std::nullopt, status_query { m_switch } });
+        out.push_back({ std::nullopt, status_query { m_switch, m_ownRank } });
     else
         out.push_back({ std::nullopt, switch_request { m_switch } });
 }
@@ -485,7 +496,7 @@
         m_nextPlan = now;
         return enter(now, phase::Idle);
     }
-    if (now - m_sentAt < switchResend)
+    if (now - m_sentAt < resendInterval(now))
         return;
     m_sentAt = now;
     out.push_back({ std::nullopt, switch_outcome { m_switch, m_committed } });
--- a/packages/decisions/groups/switch_coordinator.h
+++ b/packages/decisions/groups/switch_coordinator.h
@@ -75,7 +75,7 @@
     void adopt(instant now, const switch_name& name, std::uint32_t ranks, std::shared_ptr<const group_map> anyMap);
 
     // What is due now. Only a leading coordinator proposes new maps.
-    std::vector<outgoing_message> advance(instant now, bool leads);
+    std::vector<outgoing_message> advance(instant now, bool leads, std::uint32_t ownRank);
     std::vector<coordinator_note> takeNotes();
     // What is to be done at the engines of ranks whose agents were killed, frozen or cut off in the middle of a switch.
     // Only what can't contradict such an agent when it wakes: a rank is made unable to arm, or let go on an outcome.
@@ -99,6 +99,8 @@
         instant readAt;
     };
 
+    // Messages that nobody acts on are sent ever less often.
+    duration resendInterval(instant now) const;
     bool isComplete(instant now) const;
     bool isQuiet() const;
     group_map currentMap() const;
@@ -146,6 +148,7 @@
     switch_name m_switch;
     bool m_committed = false;
     bool m_adopted = false;
+    std::uint32_t m_ownRank = 0;
     // Since when a rank has been held or armed while nothing was under way here.
     std::optional<instant> m_strandedSince;
     map_number m_highestUsed = 0;
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -387,6 +387,8 @@
             if (!member && !row.removed)
                 logUnreadable(row, "no member of this version");
         }
+        const auto entries = std::count_if(m_members.begin(), m_members.end(), [](const auto& entry) { return entry.second.isEntry; });
+        post(entries_listed { now(), static_cast<std::size_t>(entries) });
     }
 
     void writeMember()
--- a/tests/decisions/forwarding/entry_peers_test.cpp
+++ b/tests/decisions/forwarding/entry_peers_test.cpp
@@ -55,4 +55,8 @@
     peers.heard(instant(4s), entry("10.0.0.2:1", zoneB));
     cr_assert_eq(peers.sharers(instant(5s)), 2);
     cr_assert_eq(peers.sharers(instant(25s)), 1);
+    // Found by fresh-553b of fshga-ramp-grown: 36 entries that had just started shared a cold rate by 16.
+    peers.noteListed(36);
+    cr_assert_eq(peers.sharers(instant(1s)), 36);
+    cr_assert_eq(peers.sharers(instant(25s)), 36);
 }
