Membership, Groups, Forwarding: one registration of members; two long files split

Change: member_registration; the reducer's news and the coordinator's care for silent ranks have files of their own; behaviour is the same. Result: test_groups 25 of 25, test_forwarding 47 of 47, test_group_schedules 7 of 7.

--- /dev/null
+++ b/packages/decisions/forwarding/forwarding_reducer_news.cpp
@@ -0,0 +1,103 @@
+#include "decisions/forwarding/forwarding_reducer.h"
+
+#include <utility>
+
+// What the reducer learns from the store, the registry, agents and other entries.
+
+namespace appleramp {
+
+namespace {
+
+std::string millisecondsText(duration time)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
+} // namespace
+
+void forwarding_reducer::on(const configuration_confirmed& event)
+{
+    const bool isNewer = event.configuration && event.configuration->version > configurationVersion();
+    const bool isOlder = event.configuration && event.configuration->version < configurationVersion();
+    if (isOlder) {
+        m_effects.emplace_back(log_decision { "older_configuration_ignored", {},
+            { { "version", std::to_string(event.configuration->version) },
+                { "in_force", std::to_string(configurationVersion()) } } });
+        return;
+    }
+    if (isNewer) {
+        m_routes = std::make_shared<route_table>(*event.configuration);
+        m_effects.emplace_back(log_decision { "configuration_adopted", {},
+            { { "version", std::to_string(event.configuration->version) },
+                { "routes", std::to_string(event.configuration->routes.size()) },
+                { "age_ms", millisecondsText(event.now - event.readSentAt) } } });
+    }
+    if (m_routes)
+        m_freshness.confirm(event.readSentAt);
+}
+
+void forwarding_reducer::on(const zones_out_changed& event)
+{
+    std::string names;
+    for (const availability_zone_id& zone : event.zones)
+        names.append(names.empty() ? "" : ",").append(zone.str());
+    m_fleet.setZonesOut(event.zones);
+    m_effects.emplace_back(log_decision { "zones_out", {}, { { "zones", names } } });
+}
+
+void forwarding_reducer::on(const endpoint_listed& event)
+{
+    const bool isNew = !m_fleet.knows(event.record.id);
+    m_fleet.list(event.now, event.record);
+    if (isNew || event.record.leaving || event.record.coldFor > duration::zero())
+        m_effects.emplace_back(log_decision { event.record.leaving ? "endpoint_leaving" : "endpoint_listed", {},
+            { { "endpoint", event.record.id.str() }, { "address", event.record.address },
+                { "service", event.record.service.str() }, { "zone", event.record.zone.str() },
+                { "cold_for_ms", millisecondsText(event.record.coldFor) } } });
+}
+
+void forwarding_reducer::on(const endpoint_unlisted& event)
+{
+    m_fleet.unlist(event.now, event.endpoint);
+    endpointDown(event.now, event.endpoint);
+    m_effects.emplace_back(log_decision { "endpoint_unlisted", {},
+        { { "endpoint", event.endpoint.str() }, { "kept_for_now", m_fleet.knows(event.endpoint) ? "true" : "false" } } });
+}
+
+void forwarding_reducer::on(const endpoints_read& event)
+{
+    m_fleet.listOnly(event.now, event.records);
+    m_effects.emplace_back(log_decision { "endpoints_read", {},
+        { { "listed", std::to_string(event.records.size()) }, { "known", std::to_string(m_fleet.size()) } } });
+}
+
+void forwarding_reducer::on(const registry_access_changed& event)
+{
+    if (event.reachable)
+        m_fleet.registryBack(event.now);
+    else
+        m_fleet.registryAway(event.now);
+    m_effects.emplace_back(log_decision { event.reachable ? "store_regained" : "store_lost", {}, {} });
+}
+
+void forwarding_reducer::on(const endpoint_load_heard& event) { m_fleet.noteLoad(event.now, event.load); }
+
+void forwarding_reducer::on(const entry_heard& event)
+{
+    if (m_peers.heard(event.now, event.presence))
+        m_effects.emplace_back(log_decision { "entry_heard", {},
+            { { "entry", event.presence.instance.str() }, { "address", event.presence.callerAddress } } });
+}
+
+void forwarding_reducer::on(const breakdown_heard& event) { m_suspects.note(event.now, event.content, event.sendId); }
+
+void forwarding_reducer::on(const entries_listed& event) { m_peers.noteListed(event.entries); }
+
+void forwarding_reducer::on(const time_passed_by& event)
+{
+    m_suspects.forgetOld(event.now);
+    for (const endpoint_id& gone : m_fleet.expireLapsed(event.now))
+        m_effects.emplace_back(log_decision { "endpoint_gone", {}, { { "endpoint", gone.str() } } });
+}
+
+} // namespace appleramp
--- a/packages/decisions/groups/switch_coordinator.h
+++ b/packages/decisions/groups/switch_coordinator.h
@@ -163,6 +163,8 @@
     std::vector<coordinator_note> m_notes;
     std::vector<foreign_step> m_foreignSteps;
 
+    // An agent that was silent for so long in a switch is looked after by the coordinator.
+    static constexpr duration silentRankAfter = std::chrono::milliseconds(450);
     static constexpr duration shortestLead = std::chrono::milliseconds(70);
     static constexpr duration longestLead = std::chrono::milliseconds(600);
 };
--- a/packages/directagent/direct_agent_process.cpp
+++ b/packages/directagent/direct_agent_process.cpp
@@ -4,7 +4,7 @@
 #include "datagrams/news_socket.h"
 #include "decisions/groups/group_agent.h"
 #include "directagent/engine_link.h"
-#include "membership/member_row.h"
+#include "membership/member_registration.h"
 #include "observe/line_log.h"
 #include "ports/platform_adapter.h"
 #include "ports/row_store.h"
@@ -43,7 +43,6 @@
 constexpr std::size_t relayFanOut = 8;
 // Entries of other zones, which prefer other engines, hear of the load this many times less often.
 constexpr unsigned otherZonesEvery = 2;
-constexpr std::chrono::milliseconds memberRetry { 700 };
 constexpr std::chrono::milliseconds readTimeout { 500 };
 // Engines may leave an order unanswered; the next reading tells whether it was carried out.
 constexpr std::chrono::milliseconds orderTimeout { 100 };
@@ -69,12 +68,13 @@
         , m_news(loop, settings.listen.links.host, settings.listen.links.port,
               [this](const news& message, const udp_endpoint& from) { onNews(message, from); })
         , m_tick(loop)
-        , m_memberTimer(loop)
+        , m_registration(loop, store, settings.process.instance.str(),
+              { false, settings.process.zone, settings.listen.links.str(), settings.endpoint.address.str() })
         , m_agent({}, settings.process.zone.str())
     {
         m_log.write(now(), "started", {}, { { "role", "direct_agent" }, { "engine", m_engine.address() } });
         followMembers(life ^ std::hash<std::string> {}(settings.process.instance.str()));
-        writeMember();
+        m_registration.start();
         next();
     }
 
@@ -384,21 +384,6 @@
         }
     }
 
-    void writeMember()
-    {
-        const member_row row { false, m_settings.process.zone, m_settings.listen.links.str(), m_engine.address() };
-        m_store.write({}, { { std::string(membersTable), m_settings.process.instance.str(), encodeMember(row), false } },
-            [this](const store_result& result) {
-                if (std::holds_alternative<store_rows>(result))
-                    return;
-                m_memberTimer.expires_after(memberRetry);
-                m_memberTimer.async_wait([this](const boost::system::error_code& cancelled) {
-                    if (!cancelled)
-                        writeMember();
-                });
-            });
-    }
-
     // The layout of a model's experts stays as it is while the service lives, so it is read once, by who coordinates.
     void readLayoutIfUnknown()
     {
@@ -440,7 +425,7 @@
     engine_link m_engine;
     news_socket m_news;
     boost::asio::steady_timer m_tick;
-    boost::asio::steady_timer m_memberTimer;
+    member_registration m_registration;
     std::shared_ptr<table_follower> m_membersFollower;
     group_agent m_agent;
 
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -6,7 +6,7 @@
 #include "directentry/entry_metrics.h"
 #include "http/client_pool.h"
 #include "http/http_acceptor.h"
-#include "membership/member_row.h"
+#include "membership/member_registration.h"
 #include "observe/line_log.h"
 #include "observe/metrics_registry.h"
 #include "ports/platform_adapter.h"
@@ -44,8 +44,6 @@
 constexpr duration membersPoll = std::chrono::seconds(20);
 // Many processes start at a time; their rows are read together.
 constexpr duration membersGap = std::chrono::milliseconds(1200);
-// Between two tries to write the member's row.
-constexpr std::chrono::milliseconds memberRetry { 700 };
 
 constexpr pool_settings endpointPool { .connectTimeout = std::chrono::milliseconds(700),
     .silenceLimit = std::chrono::milliseconds(2500),
@@ -80,11 +78,12 @@
               loop, settings.listen.operations.host, settings.listen.operations.port, [] { return server_limits {}; },
               [this](const auto& connection, const http_request& request) { onOperations(connection, request); })
         , m_tick(loop)
-        , m_memberTimer(loop)
+        , m_registration(loop, store, settings.process.instance.str(),
+              { true, settings.process.zone, settings.listen.links.str(), {} })
     {
         m_log.write(now(), "started", {}, { { "role", "direct_entry" }, { "zone", settings.process.zone.str() } });
         follow(life ^ std::hash<std::string> {}(settings.process.instance.str()));
-        writeMember();
+        m_registration.start();
         scheduleTick();
     }
 
@@ -103,8 +102,7 @@
         m_directory.beginDrain();
         m_readiness.beginDrain();
         tellPresence();
-        m_memberTimer.cancel();
-        m_store.write({}, { { std::string(membersTable), m_settings.process.instance.str(), {}, true } }, [](const store_result&) {});
+        m_registration.drop();
     }
 
 private:
@@ -391,21 +389,6 @@
         post(entries_listed { now(), static_cast<std::size_t>(entries) });
     }
 
-    void writeMember()
-    {
-        const member_row row { true, m_settings.process.zone, m_settings.listen.links.str() };
-        m_store.write({}, { { std::string(membersTable), m_settings.process.instance.str(), encodeMember(row), false } },
-            [this](const store_result& result) {
-                if (std::holds_alternative<store_rows>(result) || m_stopping)
-                    return;
-                m_memberTimer.expires_after(memberRetry);
-                m_memberTimer.async_wait([this](const boost::system::error_code& cancelled) {
-                    if (!cancelled)
-                        writeMember();
-                });
-            });
-    }
-
     // --- News.
 
     entry_presence presence() const
@@ -503,7 +486,7 @@
     http_acceptor m_directory;
     http_acceptor m_operations;
     boost::asio::steady_timer m_tick;
-    boost::asio::steady_timer m_memberTimer;
+    member_registration m_registration;
     std::shared_ptr<table_follower> m_configurationFollower;
     std::shared_ptr<table_follower> m_registryFollower;
     std::shared_ptr<table_follower> m_membersFollower;
--- /dev/null
+++ b/packages/membership/member_registration.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "membership/member_row.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <string>
+
+namespace appleramp {
+
+class row_store;
+
+// Keeps a process's row in the members' table: writes it until the store has it, and drops it at a planned stop.
+class member_registration {
+public:
+    member_registration(boost::asio::io_context& loop, row_store& store, std::string instance, member_row row);
+
+    void start();
+    void drop();
+
+private:
+    row_store& m_store;
+    boost::asio::steady_timer m_retry;
+    std::string m_instance;
+    member_row m_row;
+    bool m_dropped = false;
+};
+
+} // namespace appleramp
