All: what clang-tidy found in the new code

Cause: the first whole lint run on the direct fleet: copies of parameters, vectors without reserved room. Change: as it asks; behaviour is the same.

--- a/packages/datagrams/group_codec.cpp
+++ b/packages/datagrams/group_codec.cpp
@@ -73,6 +73,7 @@
 {
     const std::uint32_t greatest = counts.empty() ? 0 : *std::max_element(counts.begin(), counts.end());
     std::vector<std::uint8_t> bytes;
+    bytes.reserve(counts.size());
     for (const std::uint32_t count : counts)
         bytes.push_back(greatest == 0 ? 0 : static_cast<std::uint8_t>(std::lround(fullScale * std::sqrt(static_cast<double>(count) / greatest))));
     return { greatest, json::binary(std::move(bytes)) };
--- a/packages/decisions/forwarding/entry_peers.cpp
+++ b/packages/decisions/forwarding/entry_peers.cpp
@@ -30,6 +30,7 @@
     }
     std::stable_partition(serving.begin(), serving.end(), [&](const auto* entry) { return entry->zone == zone; });
     std::vector<std::string> addresses;
+    addresses.reserve(serving.size());
     for (const entry_presence* entry : serving)
         addresses.push_back(entry->callerAddress);
     return addresses;
--- a/packages/decisions/groups/group_map_planner.cpp
+++ b/packages/decisions/groups/group_map_planner.cpp
@@ -223,6 +223,7 @@
     for (std::size_t set = 0; set < current.sets(); ++set)
         planners.emplace_back(current, set, loads.subspan(set * limits.experts, limits.experts), limits, copies);
     std::vector<set_planner*> open;
+    open.reserve(planners.size());
     for (set_planner& planner : planners)
         open.push_back(&planner);
     for (std::size_t change = 0; change < limits.maxChanges && !open.empty(); ++change) {
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -67,7 +67,7 @@
               [this](news message, const boost::asio::ip::udp::endpoint& from) { onNews(std::move(message), from); })
         , m_callers(
               loop, settings.listen.callers.host, settings.listen.callers.port, [this] { return callerLimits(); },
-              [this](const auto& connection, http_request request) { onRequest(connection, std::move(request)); })
+              [this](const auto& connection, const http_request& request) { onRequest(connection, request); })
         , m_readiness(
               loop, settings.listen.readiness.host, settings.listen.readiness.port, [] { return server_limits {}; },
               [this](const auto& connection, const http_request& request) { onReadiness(connection, request); })
@@ -137,12 +137,12 @@
 
     // --- Requests.
 
-    void onRequest(const std::shared_ptr<server_connection>& connection, http_request request)
+    void onRequest(const std::shared_ptr<server_connection>& connection, const http_request& request)
     {
         const request_number number = ++m_lastRequest;
         m_metrics.add(entry_metrics::requests);
         exchange_services services { m_platform, m_endpoints, [] { return now(); }, [this](const forwarding_event& event) { post(event); }, m_serviceProgress };
-        auto exchange = std::make_shared<caller_exchange>(std::move(services), number, connection, std::move(request));
+        auto exchange = std::make_shared<caller_exchange>(std::move(services), number, connection, request);
         m_exchanges.emplace(number, exchange);
         exchange->start();
         forgetIfOver(number);
--- a/packages/http/server_connection.cpp
+++ b/packages/http/server_connection.cpp
@@ -179,7 +179,7 @@
 
 void server_connection::abort() { closeNow(); }
 
-void server_connection::send(std::string bytes)
+void server_connection::send(std::string_view bytes)
 {
     if (m_closed)
         return;
--- a/packages/http/server_connection.h
+++ b/packages/http/server_connection.h
@@ -61,7 +61,7 @@
     void parse();
     void dispatch();
     void reject(unsigned status);
-    void send(std::string bytes);
+    void send(std::string_view bytes);
     void writeNext();
     void onWritten();
     void answerDone();
--- a/tests/users_platform/store_client_test.cpp
+++ b/tests/users_platform/store_client_test.cpp
@@ -16,7 +16,7 @@
 // The client against a server that answers as the test says.
 class fixture {
 public:
-    fixture(unsigned status, std::string body)
+    fixture(unsigned status, const std::string& body)
         : m_acceptor(
             m_loop, "127.0.0.1", 0, [] { return server_limits {}; },
             [this, status, body](const auto& connection, http_request request) {
