--- a/packages/decisions/forwarding/endpoint_fleet.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet.cpp
@@ -28,13 +28,6 @@
 constexpr duration fullAvoidance = std::chrono::milliseconds(120);
 // After another endpoint answered at the address: the registry will follow.
 constexpr duration wrongEndpointAvoidance = std::chrono::seconds(2);
-// Reports that must be missing, and seconds that this must last at least, for an agent to have fallen silent; after the
-// longest its silence says only that there is no agent.
-constexpr double silentReports = 3.0;
-constexpr double leastSilence = 0.5;
-constexpr double longestSilence = 10.0;
-// Requests that the silence of an agent weighs as much as.
-constexpr double silentCost = 15.0;
 // Weight of the newest answer time relative to the service's mean from which an endpoint counts as slow.
 constexpr double tolerableSlowness = 1.3;
 constexpr double greatestSlowness = 20.0;
@@ -130,8 +123,6 @@
     for (auto& [id, state] : m_endpoints) {
         if (state.record.address != load.address)
             continue;
-        if (state.report && now - state.reportedAt < reportValidity)
-            follow(state.reportSeconds, seconds(now - state.reportedAt), answerGain);
         state.report = load;
         state.reportedAt = now;
         state.sentSinceReport = 0;
@@ -143,15 +134,6 @@
     return state.report && now - state.reportedAt < reportValidity;
 }
 
-// The agent reported regularly and does no more: its machine stands still, is cut off or down, and its engine with it.
-bool endpoint_fleet::hasFallenSilent(const endpoint_state& state, instant now) const
-{
-    if (!state.report || state.reportSeconds <= 0)
-        return false;
-    const double silence = seconds(now - state.reportedAt);
-    return silence > std::max(silentReports * state.reportSeconds, leastSilence) && silence < longestSilence;
-}
-
 double endpoint_fleet::load(const endpoint_state& state, instant now, std::size_t sharers) const
 {
     if (hasReport(state, now))
@@ -180,8 +162,7 @@
     const double queued = (load(state, query.now, query.sharers) + 1) * slowness(state, query.now);
     const double failing = failureCost * std::max(0.0, failuresNow(state, query.now) - excusedFailures);
     const double away = state.record.zone == query.zone ? 0 : otherZoneCost;
-    const double silent = hasFallenSilent(state, query.now) ? silentCost : 0;
-    return queued + failing + away + silent;
+    return queued + failing + away;
 }
 
 bool endpoint_fleet::usable(const endpoint_state& state, const placement_query& query) const
--- a/packages/decisions/forwarding/endpoint_fleet.h
+++ b/packages/decisions/forwarding/endpoint_fleet.h
@@ -112,8 +112,6 @@
         double answerSeconds = 0;
         std::optional<endpoint_load> report;
         instant reportedAt;
-        // Mean seconds between two reports.
-        double reportSeconds = 0;
         std::uint32_t sentSinceReport = 0;
     };
     struct service_state {
@@ -131,7 +129,6 @@
     double failuresNow(const endpoint_state& state, instant now) const;
     void addOutcome(endpoint_state& state, instant now, double failure);
     bool hasReport(const endpoint_state& state, instant now) const;
-    bool hasFallenSilent(const endpoint_state& state, instant now) const;
 
     fleet_settings m_settings;
     std::map<endpoint_id, endpoint_state> m_endpoints;
