--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -152,7 +152,10 @@
         .coldRequestsPerSecond = service == nullptr ? 0 : service->coldRequestsPerSecond,
         .point = draw() });
     if (!found) {
-        refuse(number, request, request.mayHaveRun ? refusal_reason::OutcomeUnknown : refusal_reason::NoCapacity, later());
+        // Endpoints that are only at their rate, or left alone for a moment, take requests again within a second.
+        const bool isBrief = m_fleet.obstacle(request.service) == placement_obstacle::AllAtColdRate;
+        const duration retryAfter = isBrief ? soon() : later();
+        refuse(number, request, request.mayHaveRun ? refusal_reason::OutcomeUnknown : refusal_reason::NoCapacity, retryAfter);
         m_requests.erase(number);
         return;
     }
