Groups: a map that no rank knows goes to all by relays

Ruled out: lost choices (proposals were made every 4 s), late orders.

Change: the whole map goes first where the map in force was not proposed by this coordinator, and to all by relays where more than 4 ranks show nothing of it. Each round uses other relays. The new test failed before the change.

--- a/packages/decisions/groups/switch_coordinator.cpp
+++ b/packages/decisions/groups/switch_coordinator.cpp
@@ -11,11 +11,16 @@
 constexpr duration statusValidity = std::chrono::milliseconds(1200);
 // Between two plans while none pays.
 constexpr duration planInterval = std::chrono::milliseconds(150);
-// Between two sends of a message that some rank has not acted on.
-// To ranks that show nothing of the proposal: the changes once more, and then the whole map, since they may not know the
-// one that the changes are based on.
+// Between two sends of a proposal to ranks that show nothing of it.
 constexpr duration proposalResend = std::chrono::milliseconds(200);
+// Sends of the changes before the whole map: a rank may not know the map that they are based on.
 constexpr unsigned changesSent = 2;
+// Ranks that are told one by one; with more, the whole map goes to all by relays, since copies for each would fill a
+// narrow link for seconds.
+constexpr std::size_t toldOneByOne = 4;
+// Maps proposed here that are remembered; ranks remember as many.
+constexpr std::size_t rememberedProposals = 4;
+// Between two messages of a switch that some rank has not acted on.
 constexpr duration switchResend = std::chrono::milliseconds(50);
 // What goes on for long is sent less often: in a large group every message goes to all.
 constexpr int resendSlowing = 10;
@@ -242,9 +247,14 @@
 {
     const rank_status& any = m_ranks.begin()->second.status;
     plan.map.normalize();
+    m_baseWasProposedHere = any.mapVersion == 0
+        || std::find(m_proposedHere.begin(), m_proposedHere.end(), any.mapVersion) != m_proposedHere.end();
     m_highestUsed = numberAfter(highestVersion(), plan.map);
     m_proposal = { any.epoch, m_highestUsed, std::move(plan.map) };
     m_changes = { any.epoch, m_highestUsed, any.mapVersion, {} };
+    m_proposedHere.push_back(m_highestUsed);
+    if (m_proposedHere.size() > rememberedProposals)
+        m_proposedHere.erase(m_proposedHere.begin());
     m_digests.clear();
     m_proposals = 0;
     m_askedAt.reset();
@@ -311,17 +321,17 @@
         return enter(now, phase::Idle);
     }
     std::size_t prepared = 0;
-    const bool resend = now - m_sentAt >= proposalResend;
+    std::vector<std::uint32_t> unaware;
     for (const auto& [rank, known] : m_ranks) {
         if (hasPrepared(known.status))
             ++prepared;
-        else if (resend && m_proposals > 0 && known.status.proposedVersion != m_proposal.version)
-            sendAgain(rank, out);
+        else if (known.status.proposedVersion != m_proposal.version)
+            unaware.push_back(rank);
     }
-    if (resend && m_proposals++ == 0)
-        out.push_back({ std::nullopt, m_changes });
-    if (resend)
+    if (now - m_sentAt >= proposalResend) {
+        sendProposal(unaware, out);
         m_sentAt = now;
+    }
     if (prepared != m_ranks.begin()->second.status.ranks)
         return;
     // An agent that was frozen or killed while it waited would hold the group until it is back.
@@ -335,12 +345,27 @@
     out.push_back({ std::nullopt, status_wanted { m_proposal.epoch, m_ownRank } });
 }
 
-void switch_coordinator::sendAgain(std::uint32_t rank, std::vector<outgoing_message>& out) const
+void switch_coordinator::sendProposal(std::span<const std::uint32_t> unaware, std::vector<outgoing_message>& out)
 {
-    if (m_proposals < changesSent)
-        out.push_back({ rank, m_changes });
-    else
-        out.push_back({ rank, m_proposal });
+    const unsigned sent = m_proposals++;
+    if (sent == 0) {
+        // Who has proposed the map in force knows that the others heard of it; after a restart none may know it.
+        if (m_baseWasProposedHere)
+            out.push_back({ std::nullopt, m_changes });
+        else
+            out.push_back({ std::nullopt, m_proposal });
+        return;
+    }
+    if (unaware.size() > toldOneByOne) {
+        out.push_back({ std::nullopt, m_proposal });
+        return;
+    }
+    for (const std::uint32_t rank : unaware) {
+        if (sent < changesSent)
+            out.push_back({ rank, m_changes });
+        else
+            out.push_back({ rank, m_proposal });
+    }
 }
 
 void switch_coordinator::beginSwitch(instant now, std::vector<outgoing_message>& out)
--- a/packages/decisions/groups/switch_coordinator.h
+++ b/packages/decisions/groups/switch_coordinator.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <variant>
 #include <vector>
@@ -121,7 +122,8 @@
     bool hasDeclined(const rank_status& status) const;
     bool hasLetGo(const rank_status& status) const;
     void enter(instant now, phase next);
-    void sendAgain(std::uint32_t rank, std::vector<outgoing_message>& out) const;
+    // To all at first, and later to those that have shown nothing of it.
+    void sendProposal(std::span<const std::uint32_t> unaware, std::vector<outgoing_message>& out);
     void propose(const group_map& current, group_map_plan plan);
     void note(std::string what, std::string detail);
     void lookAfterSilentRanks(instant now, bool leads);
@@ -145,6 +147,10 @@
     std::optional<instant> m_askedAt;
     // Times that the proposal was sent.
     unsigned m_proposals = 0;
+    // The changes are based on a map that this coordinator proposed, or on the first map, which all know.
+    bool m_baseWasProposedHere = false;
+    // The latest maps that this coordinator proposed.
+    std::vector<map_number> m_proposedHere;
     switch_name m_switch;
     bool m_committed = false;
     bool m_adopted = false;
--- a/packages/directagent/direct_agent_process.cpp
+++ b/packages/directagent/direct_agent_process.cpp
@@ -280,7 +280,10 @@
                 agents[member.zone].push_back(member.newsAddress);
         }
         const std::size_t fanOut = message.size() < relayedFrom ? 1 : relayFanOut;
-        for (const auto& [zone, addresses] : agents) {
+        ++m_relayRound;
+        for (auto& [zone, addresses] : agents) {
+            // Other relays each time: one that is gone must not keep the same agents uninformed.
+            std::rotate(addresses.begin(), addresses.begin() + static_cast<std::ptrdiff_t>(m_relayRound % addresses.size()), addresses.end());
             for (std::size_t at = 0; at < addresses.size(); at += fanOut)
                 tellSlice(message, std::span(addresses).subspan(at, std::min(fanOut, addresses.size() - at)));
         }
@@ -444,6 +447,7 @@
     std::map<udp_endpoint, known_entry> m_entries;
     instant m_loadTold;
     unsigned m_loadRound = 0;
+    std::size_t m_relayRound = 0;
     bool m_layoutKnown = false;
     instant m_layoutRetryAt;
 };
--- a/tests/decisions/groups/switch_coordinator_test.cpp
+++ b/tests/decisions/groups/switch_coordinator_test.cpp
@@ -40,6 +40,50 @@
     return std::nullopt;
 }
 
+// A large group on a map that nobody knows: its agents have all been started anew.
+class restarted_group {
+public:
+    static constexpr std::uint32_t ranks = 24;
+    static constexpr std::size_t experts = 48;
+
+    restarted_group()
+        : m_coordinator(limits())
+    {
+        const auto map = group_map::dealtInTurn(1, experts, ranks);
+        for (std::uint32_t rank = 0; rank < ranks; ++rank) {
+            m_statuses.push_back({ .rank = rank, .ranks = ranks, .epoch = 1, .groupOpen = true, .pass = 10, .mapVersion = 77 });
+            m_statuses.back().experts = { map.at(0, rank) };
+        }
+        std::vector<std::uint32_t> chosen(experts, 10);
+        chosen[0] = 2000;
+        m_coordinator.noteChoices(instant(1s), { 0, chosen });
+    }
+
+    std::vector<outgoing_message> advance(instant now)
+    {
+        for (const rank_status& status : m_statuses)
+            m_coordinator.noteStatus(now, status);
+        return m_coordinator.advance(now, true, 0);
+    }
+
+private:
+    static coordinator_limits limits()
+    {
+        coordinator_limits result;
+        result.planning = { .experts = experts, .placesPerRank = 3, .newPerRank = 2 };
+        result.leastChoices = 100;
+        return result;
+    }
+
+    switch_coordinator m_coordinator;
+    std::vector<rank_status> m_statuses;
+};
+
+bool isWholeMapForAll(const outgoing_message& message)
+{
+    return !message.rank && std::holds_alternative<map_proposal>(message.message);
+}
+
 } // namespace
 
 Test(switch_coordinator, a_switch_is_committed_when_all_ranks_are_armed)
@@ -80,3 +124,18 @@
     other.preparedVersion = 8;
     cr_assert(outcomeOf({ armedStatus(0), armedStatus(1), other }) == false);
 }
+
+// Pattern: all agents restarted at once (closing fault of trouble-3, fshga-ramp-grown). Copies of the whole map for each
+// rank filled the coordinator's link for seconds; its beats were lost and no map came into force any more.
+Test(switch_coordinator, agents_that_know_no_map_are_told_it_together)
+{
+    restarted_group group;
+    const auto first = group.advance(instant(1s));
+    cr_assert_eq(first.size(), 1);
+    cr_assert(isWholeMapForAll(first.front()));
+    for (instant now(1250ms); now < instant(3s); now += 250ms) {
+        const auto again = group.advance(now);
+        cr_assert_eq(again.size(), 1, "%zu messages", again.size());
+        cr_assert(isWholeMapForAll(again.front()));
+    }
+}
