Groups: slow ranks hold few experts; switches come in time

A rank that turns 4 to 12 times slower (srv_slow) set the pace of all: passes of 0.65 s, every stream late. The planner counted it like any other. A switch was named five passes ahead by the usual pass time, which then were four seconds. 2. While orders were left unanswered (applied_late) switches took 125 to 250 ms with a lead of 70 ms, so the group stood still and each stream that ran had a pause over its limit. Ruled out: aborted switches (none).

Change: ranks tell their pace, maps are planned by the time that a rank takes, entries give a slow rank work last; the pass time follows a slow pass at once; the lead is 5/4 of what the last switch took; an order is given up after 40 ms in place of 100. Four tests failed first.

--- a/packages/datagrams/group_codec.cpp
+++ b/packages/datagrams/group_codec.cpp
@@ -66,6 +66,9 @@
     return lists;
 }
 
+// Left out of messages.
+constexpr double usualPace = 1.0;
+
 // Counts on a square-root scale of one byte each, relative to the greatest: small ones keep their proportions.
 constexpr double fullScale = 255.0;
 
@@ -122,6 +125,8 @@
         setIf(body, "h", status.heldPass);
         if (!status.declinedPasses.empty())
             body["no"] = status.declinedPasses;
+        if (status.pace != usualPace)
+            body["t"] = status.pace;
         return body;
     }
     json operator()(const rank_choices& choices) const
@@ -175,6 +180,7 @@
     status.armedPass = numberIf(body, "ap");
     status.heldPass = numberIf(body, "h");
     status.declinedPasses = body.value("no", std::vector<pass_number> {});
+    status.pace = body.value("t", usualPace);
     return status;
 }
 
--- a/packages/decisions/forwarding/endpoint_fleet.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet.cpp
@@ -31,6 +31,10 @@
 // Weight of the newest answer time relative to the service's mean from which an endpoint counts as slow.
 constexpr double tolerableSlowness = 1.3;
 constexpr double greatestSlowness = 20.0;
+// Ranks of a group step together: what a slow one works on slows the streams of all, as if so many requests more ran there
+// for each time that it is slower. Smaller paces are the usual variation.
+constexpr double slowRankCost = 4.0;
+constexpr double slowRankFrom = 1.25;
 // Draws of the caller are spread over this many seeds.
 constexpr double seedRange = 2'000'000'000.0;
 
@@ -162,7 +166,9 @@
     const double queued = (load(state, query.now, query.sharers) + 1) * slowness(state, query.now);
     const double failing = failureCost * std::max(0.0, failuresNow(state, query.now) - excusedFailures);
     const double away = state.record.zone == query.zone ? 0 : otherZoneCost;
-    return queued + failing + away;
+    const bool isSlowRank = hasReport(state, query.now) && state.report->pace >= slowRankFrom;
+    const double holdsUpOthers = isSlowRank ? slowRankCost * (state.report->pace - 1) : 0;
+    return queued + failing + away + holdsUpOthers;
 }
 
 bool endpoint_fleet::usable(const endpoint_state& state, const placement_query& query) const
--- a/packages/decisions/groups/group_agent.cpp
+++ b/packages/decisions/groups/group_agent.cpp
@@ -1,6 +1,7 @@
 #include "decisions/groups/group_agent.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace appleramp {
@@ -18,8 +19,13 @@
 // A rank that is held for so long without an outcome concludes the switch itself.
 constexpr duration blockedAfter = std::chrono::milliseconds(350);
 
+// Part by which a pace must change to be told at once.
+constexpr double paceChange = 0.25;
+
 bool isNews(const rank_status& told, const rank_status& now)
 {
+    if (std::abs(told.pace - now.pace) > paceChange * told.pace)
+        return true;
     return told.epoch != now.epoch || told.proposedVersion != now.proposedVersion || told.groupOpen != now.groupOpen || told.mapVersion != now.mapVersion
         || told.experts != now.experts || told.preparedVersion != now.preparedVersion
         || told.preparedDigest != now.preparedDigest || told.armedPass != now.armedPass || told.heldPass != now.heldPass
@@ -224,7 +230,8 @@
         .armedVersion = m_state->armedVersion,
         .armedPass = m_state->armedPass,
         .heldPass = m_state->heldPass,
-        .declinedPasses = m_switch.declinedPasses() };
+        .declinedPasses = m_switch.declinedPasses(),
+        .pace = m_state->pace };
     // Only what was listed for this very state may be told of it.
     if (listsAreCurrent()) {
         told.experts = m_lists.experts;
--- a/packages/decisions/groups/group_map.cpp
+++ b/packages/decisions/groups/group_map.cpp
@@ -116,13 +116,15 @@
     return loads;
 }
 
-double imbalance(const group_map& map, std::span<const double> loads, std::size_t experts)
+double imbalance(const group_map& map, std::span<const double> loads, std::size_t experts, std::span<const double> paces)
 {
     double most = 0;
     double total = 0;
     for (std::size_t set = 0; set < map.sets(); ++set) {
         const auto part = loads.subspan(set * experts, experts);
-        const auto ranks = rankLoads(map, set, part);
+        auto ranks = rankLoads(map, set, part);
+        for (std::size_t rank = 0; rank < std::min(ranks.size(), paces.size()); ++rank)
+            ranks[rank] *= paces[rank];
         most += *std::max_element(ranks.begin(), ranks.end());
         total += std::accumulate(part.begin(), part.end(), 0.0);
     }
--- a/packages/decisions/groups/group_map.h
+++ b/packages/decisions/groups/group_map.h
@@ -51,7 +51,8 @@
 // The load of each rank of a set when each expert has that load.
 std::vector<double> rankLoads(const group_map& map, std::size_t set, std::span<const double> expertLoads);
 
-// Of the most loaded rank relative to the mean, averaged over the sets weighted by their loads. One is perfect.
-double imbalance(const group_map& map, std::span<const double> loads, std::size_t experts);
+// Time of the slowest rank relative to the mean load, averaged over the sets weighted by their loads. One is perfect. A
+// rank takes its load times its pace; without paces all take one.
+double imbalance(const group_map& map, std::span<const double> loads, std::size_t experts, std::span<const double> paces = {});
 
 } // namespace appleramp
--- a/packages/decisions/groups/group_map_planner.cpp
+++ b/packages/decisions/groups/group_map_planner.cpp
@@ -32,7 +32,7 @@
 
     // Makes the best change there is. False if none is worth it.
     bool improve();
-    // Load of the busiest rank, of which passes wait for the sum over the sets.
+    // Time of the slowest rank, of which passes wait for the sum over the sets.
     double most() const { return *std::max_element(m_rankLoads.begin(), m_rankLoads.end()); }
 
     const std::vector<expert_number>& held(std::size_t rank) const { return m_held[rank]; }
@@ -50,6 +50,8 @@
         double spread = 0;
     };
 
+    double pace(std::size_t rank) const { return rank < m_limits.paces.size() ? m_limits.paces[rank] : 1; }
+
     bool holds(std::size_t rank, expert_number expert) const
     {
         return std::find(m_held[rank].begin(), m_held[rank].end(), expert) != m_held[rank].end();
@@ -75,7 +77,7 @@
         for (std::size_t rank = 0; rank < m_held.size(); ++rank) {
             m_rankLoads[rank] = 0;
             for (const expert_number expert : m_held[rank])
-                m_rankLoads[rank] += m_loads[expert] / static_cast<double>(m_ranksOf[expert].size());
+                m_rankLoads[rank] += pace(rank) * m_loads[expert] / static_cast<double>(m_ranksOf[expert].size());
         }
     }
 
@@ -118,11 +120,11 @@
         const std::size_t after = before + (gains ? 1 : 0) - (loses ? 1 : 0);
         const double load = m_loads[expert];
         for (const std::size_t rank : m_ranksOf[expert])
-            m_scratch[rank] += load / static_cast<double>(after) - load / static_cast<double>(before);
+            m_scratch[rank] += pace(rank) * (load / static_cast<double>(after) - load / static_cast<double>(before));
         if (loses)
-            m_scratch[*loses] -= load / static_cast<double>(after);
+            m_scratch[*loses] -= pace(*loses) * load / static_cast<double>(after);
         if (gains)
-            m_scratch[*gains] += load / static_cast<double>(after);
+            m_scratch[*gains] += pace(*gains) * load / static_cast<double>(after);
     }
 
     void consider(change candidate, std::optional<change>& best)
@@ -216,7 +218,7 @@
 
 group_map_plan planGroupMap(const group_map& current, std::span<const double> loads, const planning_limits& limits)
 {
-    group_map_plan plan { current, imbalance(current, loads, limits.experts) };
+    group_map_plan plan { current, imbalance(current, loads, limits.experts, limits.paces) };
     std::vector<std::size_t> copies(current.ranks());
     std::vector<set_planner> planners;
     planners.reserve(current.sets());
@@ -236,7 +238,7 @@
         for (std::size_t rank = 0; rank < current.ranks(); ++rank)
             plan.map.at(set, rank) = planners[set].held(rank);
     }
-    plan.after = imbalance(plan.map, loads, limits.experts);
+    plan.after = imbalance(plan.map, loads, limits.experts, limits.paces);
     countCopies(current, plan);
     return plan;
 }
--- a/packages/decisions/groups/group_map_planner.h
+++ b/packages/decisions/groups/group_map_planner.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <span>
+#include <vector>
 
 namespace appleramp {
 
@@ -19,6 +20,8 @@
     std::size_t maxChanges = 600;
     // Part of the mean load by which a change must relieve the busiest rank of its set.
     double leastGain = 0.01;
+    // How many times longer than usual each rank takes for its work; empty if all are as usual.
+    std::vector<double> paces;
 };
 
 struct group_map_plan {
@@ -35,7 +38,7 @@
 // Plans the next map: from the map in force, the few changes that take most load off the most loaded ranks.
 //
 // Set by set, the expert that weighs most on the busiest rank gets a further replica on a rank with room, or is
-// exchanged; a replica that helps least makes room. No rank gets more new experts than it can copy beside the old ones.
+// exchanged; a replica that helps least makes room. A slow rank counts by the time that it takes. No rank gets more new experts than it can copy beside the old ones.
 group_map_plan planGroupMap(const group_map& current, std::span<const double> loads, const planning_limits& limits);
 
 } // namespace appleramp
--- a/packages/decisions/groups/group_messages.h
+++ b/packages/decisions/groups/group_messages.h
@@ -51,6 +51,8 @@
     std::optional<pass_number> heldPass;
     // Passes at which the rank will never switch; the latest few.
     std::vector<pass_number> declinedPasses;
+    // How many times longer than usual the rank takes for its work.
+    double pace = 1;
 };
 
 // Choices of experts by one rank's requests since its last message, by set and expert.
--- a/packages/decisions/groups/rank_state.h
+++ b/packages/decisions/groups/rank_state.h
@@ -24,6 +24,8 @@
     // Orders that the engine has begun; an order that expects another count is refused.
     std::uint64_t orderCount = 0;
     bool isBusy = false;
+    // How many times longer than usual the rank takes for its work.
+    double pace = 1;
 };
 
 enum class rank_order_kind {
--- a/packages/decisions/groups/switch_coordinator.cpp
+++ b/packages/decisions/groups/switch_coordinator.cpp
@@ -30,12 +30,23 @@
 // The outcome is told for so long at most; ranks that miss it ask.
 // Bounds of what is taken for the time of a pass; an idle group makes none.
 constexpr duration shortestPass = std::chrono::milliseconds(10);
-constexpr duration longestPass = std::chrono::milliseconds(400);
+constexpr duration longestPass = std::chrono::seconds(3);
 constexpr int passTimeSmoothing = 6;
+// Passes that take so many times longer than before show a slow rank: its time is taken over at once.
+constexpr int suddenlySlower = 2;
+// Statuses show a pass this much later than it began.
+constexpr duration passNewsDelay = std::chrono::milliseconds(60);
+// Passes from this length on are few enough to do without one to spare.
+constexpr duration longPass = std::chrono::milliseconds(200);
+// The lead in parts of the time that the last switch took, for orders that are lost.
+constexpr int leadFactorNumerator = 5;
+constexpr int leadFactorDenominator = 4;
 // A switch that is not armed everywhere by then is declined by those that have not begun it.
 constexpr duration declineAfter = std::chrono::milliseconds(400);
 // A rank that is held for so long while nobody coordinates it is stranded.
 constexpr duration strandedAfter = std::chrono::milliseconds(400);
+// Smaller paces are the usual variation between engines, and no reason to move experts.
+constexpr double slowFrom = 1.25;
 constexpr duration concludeTimeout = std::chrono::seconds(15);
 
 } // namespace
@@ -190,6 +201,14 @@
     return map;
 }
 
+std::vector<double> switch_coordinator::paces() const
+{
+    std::vector<double> paces;
+    for (const auto& [rank, known] : m_ranks)
+        paces.push_back(known.status.pace < slowFrom ? 1 : known.status.pace);
+    return paces;
+}
+
 map_number switch_coordinator::highestVersion() const
 {
     map_number highest = m_highestUsed;
@@ -205,7 +224,7 @@
     const auto passes = static_cast<duration::rep>(status.pass - m_latestPass);
     const duration each = passes > 0 ? (now - m_latestPassAt) / passes : m_passTime;
     if (status.pass > m_latestPass && each < longestPass)
-        m_passTime += (each - m_passTime) / passTimeSmoothing;
+        m_passTime += each > m_passTime * suddenlySlower ? each - m_passTime : (each - m_passTime) / passTimeSmoothing;
     m_latestPass = status.pass;
     m_latestPassAt = now;
 }
@@ -213,9 +232,11 @@
 // Far enough ahead that every rank is held and armed before it; never a pass that was named before.
 pass_number switch_coordinator::switchPass(instant now) const
 {
-    const duration pass = std::max(m_passTime, shortestPass);
-    const duration ahead = std::min(now - m_latestPassAt, longestPass) + m_lead;
-    const pass_number due = m_latestPass + 1 + static_cast<pass_number>((ahead + pass - duration(1)) / pass);
+    const duration since = std::min(now - m_latestPassAt, longestPass);
+    // The pass under way has lasted for so long already.
+    const duration pass = std::max({ m_passTime, since - passNewsDelay, shortestPass });
+    const duration spare = pass >= longPass ? passNewsDelay : pass;
+    const pass_number due = m_latestPass + static_cast<pass_number>((since + m_lead + spare + pass - duration(1)) / pass);
     return std::max(due, m_switch.epoch == m_proposal.epoch ? m_switch.pass + 1 : 0);
 }
 
@@ -231,13 +252,15 @@
     if (cells != current.sets() * m_limits.planning.experts)
         return;
     planning_limits limits = m_limits.planning;
-    const bool isUrgent = imbalance(current, m_popularity.loads(), limits.experts) >= m_limits.urgentImbalance;
+    limits.paces = paces();
+    const bool isUrgent = imbalance(current, m_popularity.loads(), limits.experts, limits.paces) >= m_limits.urgentImbalance;
     const duration copying = isUrgent ? m_limits.urgentCopying : m_limits.longestCopying;
     limits.copiesPerRank = static_cast<std::size_t>(std::max<duration::rep>(copying / std::max(m_limits.copyTime, duration(1)), 1));
     group_map_plan plan = planGroupMap(current, m_popularity.loads(), limits);
     if (plan.copies == 0 || plan.before - plan.after < m_limits.leastRelief * plan.before)
         return;
-    note("map_proposed", "imbalance " + std::to_string(plan.before) + " to " + std::to_string(plan.after) + " copies " + std::to_string(plan.copies) + " most " + std::to_string(plan.mostCopies));
+    note("map_proposed", "imbalance " + std::to_string(plan.before) + " to " + std::to_string(plan.after) + " copies " + std::to_string(plan.copies) + " most " + std::to_string(plan.mostCopies)
+            + " slowest_pace " + std::to_string(*std::max_element(limits.paces.begin(), limits.paces.end())));
     propose(current, std::move(plan));
     enter(now, phase::Preparing);
     prepare(now, out);
@@ -372,6 +395,7 @@
 {
     m_switch = { m_proposal.epoch, m_proposal.version, switchPass(now) };
     m_adopted = false;
+    m_beganAt = now;
     enter(now, phase::Switching);
     awaitArmed(now, out);
 }
@@ -429,7 +453,8 @@
 void switch_coordinator::conclude(instant now, bool committed, std::vector<outgoing_message>& out)
 {
     m_committed = committed;
-    m_lead = committed ? std::max(m_lead * 3 / 4, shortestLead) : std::min(m_lead * 2, longestLead);
+    if (!committed)
+        m_lead = std::min(m_lead * 2, longestLead);
     note(committed ? "switch_committed" : "switch_aborted",
         "version " + std::to_string(m_switch.version) + " pass " + std::to_string(m_switch.pass) + " after_ms "
             + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - m_enteredAt).count()));
@@ -437,10 +462,19 @@
     tellOutcome(now, out);
 }
 
+// Ranks that let go before the pass begins do not stop the group.
+void switch_coordinator::learnLead(duration taken)
+{
+    const duration wanted = taken * leadFactorNumerator / leadFactorDenominator;
+    m_lead = std::clamp(std::max(m_lead * 3 / 4, wanted), shortestLead, longestLead);
+}
+
 void switch_coordinator::tellOutcome(instant now, std::vector<outgoing_message>& out)
 {
     const bool done = std::all_of(m_ranks.begin(), m_ranks.end(), [&](const auto& entry) { return hasLetGo(entry.second.status); });
     const bool told = m_sentAt != instant {};
+    if (done && told && m_committed && !m_adopted)
+        learnLead(now - m_beganAt);
     if ((done && told) || now - m_enteredAt > concludeTimeout) {
         m_nextPlan = now;
         return enter(now, phase::Idle);
--- a/packages/decisions/groups/switch_coordinator.h
+++ b/packages/decisions/groups/switch_coordinator.h
@@ -105,6 +105,8 @@
     bool isComplete(instant now) const;
     bool isQuiet() const;
     group_map currentMap() const;
+    // Of all ranks, as they report.
+    std::vector<double> paces() const;
     map_number highestVersion() const;
     void notePass(instant now, const rank_status& status);
     pass_number switchPass(instant now) const;
@@ -114,6 +116,7 @@
     void beginSwitch(instant now, std::vector<outgoing_message>& out);
     void awaitArmed(instant now, std::vector<outgoing_message>& out);
     void conclude(instant now, bool committed, std::vector<outgoing_message>& out);
+    void learnLead(duration taken);
     void tellOutcome(instant now, std::vector<outgoing_message>& out);
     bool allAnsweredSince(instant then) const;
     bool hasPrepared(const rank_status& status) const;
@@ -158,7 +161,8 @@
     // Since when a rank has been held or armed while nothing was under way here.
     std::optional<instant> m_strandedSince;
     map_number m_highestUsed = 0;
-    // Time between the request and the pass at which ranks switch; grows when ranks hear of it too late.
+    instant m_beganAt;
+    // Time between the request and the pass at which ranks switch; as long as the last switch took and somewhat more.
     duration m_lead = shortestLead;
     // How long a pass takes, as the statuses show.
     duration m_passTime = std::chrono::milliseconds(50);
@@ -172,7 +176,7 @@
     // An agent that was silent for so long in a switch is looked after by the coordinator.
     static constexpr duration silentRankAfter = std::chrono::milliseconds(450);
     static constexpr duration shortestLead = std::chrono::milliseconds(70);
-    static constexpr duration longestLead = std::chrono::milliseconds(600);
+    static constexpr duration longestLead = std::chrono::milliseconds(900);
 };
 
 } // namespace appleramp
--- a/packages/directagent/direct_agent_process.cpp
+++ b/packages/directagent/direct_agent_process.cpp
@@ -45,7 +45,7 @@
 constexpr unsigned otherZonesEvery = 2;
 constexpr std::chrono::milliseconds readTimeout { 500 };
 // Engines may leave an order unanswered; the next reading tells whether it was carried out.
-constexpr std::chrono::milliseconds orderTimeout { 100 };
+constexpr std::chrono::milliseconds orderTimeout { 40 };
 constexpr duration membersPoll = std::chrono::seconds(20);
 // Many processes start at a time; their rows are read together.
 constexpr duration membersGap = std::chrono::milliseconds(2500);
--- a/tests/datagrams/news_codec_test.cpp
+++ b/tests/datagrams/news_codec_test.cpp
@@ -22,6 +22,7 @@
 std::vector<news> samples()
 {
     rank_status status;
+    status.pace = 2.5;
     status.rank = 3;
     status.ranks = 16;
     status.experts = { { 1, 2 }, { 3 } };
--- a/tests/decisions/forwarding/endpoint_fleet_test.cpp
+++ b/tests/decisions/forwarding/endpoint_fleet_test.cpp
@@ -47,6 +47,17 @@
     cr_assert_eq(chosen(fleet, 1s), "e2");
 }
 
+// Pattern: one rank of a group turns slow; all streams of the group wait for what it is given.
+Test(endpoint_fleet, a_slow_rank_gets_nothing_while_others_have_room)
+{
+    endpoint_fleet fleet = fleetOf({ "e1", "e2" });
+    fleet.noteLoad(instant(1s), { record("e1").address, 0, 0, 3.8, true });
+    fleet.noteLoad(instant(1s), { record("e2").address, 6, 0, 1.0, true });
+    cr_assert_eq(chosen(fleet, 1s), "e2");
+    fleet.noteLoad(instant(1s), { record("e2").address, 18, 9, 1.0, true });
+    cr_assert_eq(chosen(fleet, 1s), "e1");
+}
+
 // Pattern: a burst between two load reports must not all go to the endpoint that was idle in the last one.
 Test(endpoint_fleet, what_was_sent_since_the_report_counts)
 {
--- a/tests/decisions/groups/group_map_planner_test.cpp
+++ b/tests/decisions/groups/group_map_planner_test.cpp
@@ -73,6 +73,23 @@
     cr_assert_lt(plan.after - 1, (plan.before - 1) / 2);
 }
 
+// Pattern: one rank of the group turns 12 times slower (srv_slow of trouble-2): all passes wait for it.
+Test(group_map_planner, a_slow_rank_is_relieved_of_its_experts)
+{
+    const auto start = planGroupMap(group_map::dealtInTurn(sets, experts, ranks), skewedDemand(3), limits()).map;
+    auto slow = limits();
+    slow.paces.assign(ranks, 1.0);
+    slow.paces[5] = 12;
+    group_map_plan plan { start };
+    for (int round = 0; round < 3; ++round) {
+        const group_map before = plan.map;
+        plan = planGroupMap(before, skewedDemand(3), slow);
+        assertFits(before, plan.map);
+    }
+    cr_assert_gt(imbalance(start, skewedDemand(3), experts, slow.paces), 10.0);
+    cr_assert_lt(plan.after, 2.0, "%f", plan.after);
+}
+
 Test(group_map_planner, an_even_demand_moves_nothing)
 {
     const auto start = group_map::dealtInTurn(sets, experts, ranks);
--- a/tests/decisions/groups/switch_coordinator_test.cpp
+++ b/tests/decisions/groups/switch_coordinator_test.cpp
@@ -49,16 +49,50 @@
     restarted_group()
         : m_coordinator(limits())
     {
-        const auto map = group_map::dealtInTurn(1, experts, ranks);
         for (std::uint32_t rank = 0; rank < ranks; ++rank) {
             m_statuses.push_back({ .rank = rank, .ranks = ranks, .epoch = 1, .groupOpen = true, .pass = 10, .mapVersion = 77 });
-            m_statuses.back().experts = { map.at(0, rank) };
+            m_statuses.back().experts = { m_map.at(0, rank) };
         }
         std::vector<std::uint32_t> chosen(experts, 10);
         chosen[0] = 2000;
         m_coordinator.noteChoices(instant(1s), { 0, chosen });
     }
 
+    void beginPass(pass_number pass)
+    {
+        for (rank_status& status : m_statuses)
+            status.pass = pass;
+    }
+
+    void prepare(const map_proposal& proposal)
+    {
+        m_next = proposal.map;
+        for (rank_status& status : m_statuses) {
+            status.proposedVersion = proposal.version;
+            status.preparedVersion = proposal.version;
+            status.preparedDigest = proposal.map.rankDigest(status.rank);
+        }
+    }
+
+    void prepare(const map_changes& changes)
+    {
+        // The only base that is used here is the map in force.
+        map_proposal whole { changes.epoch, changes.version, m_map };
+        for (const rank_experts& change : changes.changes)
+            whole.map.at(change.set, change.rank) = change.experts;
+        prepare(whole);
+    }
+
+    pass_number pass() const { return m_statuses.front().pass; }
+
+    void follow(const switch_request& request)
+    {
+        for (rank_status& status : m_statuses) {
+            status.armedVersion = request.name.version;
+            status.armedPass = request.name.pass;
+        }
+    }
+
     std::vector<outgoing_message> advance(instant now)
     {
         for (const rank_status& status : m_statuses)
@@ -66,6 +100,26 @@
         return m_coordinator.advance(now, true, 0);
     }
 
+    // The map of the switch is in force.
+    void arrive(const switch_name& name)
+    {
+        m_map = m_next;
+        for (rank_status& status : m_statuses) {
+            status.experts = { m_map.at(0, status.rank) };
+            status.mapVersion = name.version;
+            status.preparedVersion.reset();
+            status.armedVersion.reset();
+            status.armedPass.reset();
+        }
+    }
+
+    void shiftDemand(instant now)
+    {
+        std::vector<std::uint32_t> chosen(experts, 10);
+        chosen[7] = 40000;
+        m_coordinator.noteChoices(now, { 0, chosen });
+    }
+
 private:
     static coordinator_limits limits()
     {
@@ -77,6 +131,8 @@
 
     switch_coordinator m_coordinator;
     std::vector<rank_status> m_statuses;
+    group_map m_map = group_map::dealtInTurn(1, experts, ranks);
+    group_map m_next;
 };
 
 bool isWholeMapForAll(const outgoing_message& message)
@@ -139,3 +195,66 @@
         cr_assert(isWholeMapForAll(again.front()));
     }
 }
+
+namespace {
+
+// Brings the group to the request of a switch while passes begin, and tells its time and pass.
+std::pair<instant, switch_name> switchOf(restarted_group& group, instant now, duration passTime)
+{
+    for (instant nextPass = now + passTime;; now += 10ms) {
+        if (now >= nextPass) {
+            group.beginPass(group.pass() + 1);
+            nextPass += passTime;
+        }
+        for (const outgoing_message& message : group.advance(now)) {
+            if (const auto* const proposal = std::get_if<map_proposal>(&message.message))
+                group.prepare(*proposal);
+            else if (const auto* const changes = std::get_if<map_changes>(&message.message))
+                group.prepare(*changes);
+            if (const auto* const request = std::get_if<switch_request>(&message.message)) {
+                group.follow(*request);
+                return { now, request->name };
+            }
+        }
+    }
+}
+
+} // namespace
+
+// Pattern: a rank turns slow and passes take 0.8 s (srv_slow of trouble-2). Five passes ahead would be four seconds.
+Test(switch_coordinator, a_switch_comes_soon_where_passes_are_long)
+{
+    restarted_group group;
+    for (pass_number pass = 11; pass < 20; ++pass) {
+        group.beginPass(pass);
+        group.advance(instant(1s + 50ms * pass));
+    }
+    group.beginPass(20);
+    group.advance(instant(3000ms));
+    group.beginPass(21);
+    const auto [at, name] = switchOf(group, instant(3800ms), 800ms);
+    cr_assert_leq(name.pass, group.pass() + 2);
+}
+
+// Pattern: engines leave orders unanswered (applied_late): ranks need longer, and must not stop the group meanwhile.
+Test(switch_coordinator, the_lead_follows_the_time_that_switches_take)
+{
+    restarted_group group;
+    group.beginPass(11);
+    const auto [asked, name] = switchOf(group, instant(2s), 50ms);
+    // All are armed and have let go 300 ms later, and the pass begins.
+    group.advance(asked + 300ms);
+    group.beginPass(name.pass);
+    group.advance(asked + 310ms);
+    group.arrive(name);
+    instant now = asked + 310ms;
+    for (int pass = 0; pass < 40; ++pass) {
+        now += 50ms;
+        group.beginPass(group.pass() + 1);
+        group.advance(now);
+    }
+    group.shiftDemand(now);
+    const auto [askedNext, next] = switchOf(group, now, 50ms);
+    const auto passes = static_cast<std::int64_t>(next.pass - group.pass());
+    cr_assert_geq(passes * 50, 300, "%ld passes ahead", static_cast<long>(passes));
+}
