Forwarding: streams are refused only early in a standstill

Change: refused are only those that would wait in vain, from 0.7 to 1.7 s of the standstill; who comes later is still there when the group goes on.

--- a/packages/decisions/forwarding/stream_pace.cpp
+++ b/packages/decisions/forwarding/stream_pace.cpp
@@ -22,7 +22,8 @@
 
 bool stream_pace::standsStill(instant now, std::size_t waiting) const
 {
-    return m_lastEvent != instant {} && waiting >= leastWaiting && now - m_lastEvent >= standstillAfter;
+    const duration silence = now - m_lastEvent;
+    return m_lastEvent != instant {} && waiting >= leastWaiting && silence >= standstillAfter && silence < waitsInVainUntil;
 }
 
 double stream_pace::bearableFill(duration pauseTarget) const
--- a/tests/decisions/forwarding/stream_pace_test.cpp
+++ b/tests/decisions/forwarding/stream_pace_test.cpp
@@ -30,4 +30,5 @@
     cr_assert(!pace.standsStill(instant(1500ms), 10));
     cr_assert(pace.standsStill(instant(1800ms), 10));
     cr_assert(!pace.standsStill(instant(1800ms), 2));
+    cr_assert(!pace.standsStill(instant(2800ms), 10));
 }
