Forwarding: streams leave ranks that turn slow

Cause: after a slow rank had lost its experts, passes still took 0.14 to 0.37 s for five seconds, until the streams that ran there had ended: a rank's own part counts by its pace, and it was full.

Change: where an agent reports a pace of 2 or more, entries end their streams there and resume them elsewhere behind the last event, within the attempts of the route and the repeats of the service. Only streams that may be resumed move, and only where another endpoint reports that it is not slow. The test failed first.

--- a/packages/decisions/forwarding/endpoint_fleet.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet.cpp
@@ -295,6 +295,15 @@
         state->inFlight -= std::min(state->inFlight, 1U);
 }
 
+bool endpoint_fleet::hasOther(instant now, const service_id& service, const endpoint_id& endpoint) const
+{
+    return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& entry) {
+        const endpoint_state& state = entry.second;
+        const bool isOpen = state.record.service == service && !state.record.leaving && !m_zonesOut.contains(state.record.zone);
+        return isOpen && entry.first != endpoint && hasReport(state, now) && state.report->pace < slowRankFrom && now >= state.avoidUntil;
+    });
+}
+
 double endpoint_fleet::fill(instant now, const service_id& service) const
 {
     double requests = 0;
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -94,6 +94,7 @@
     bool mayGoOn(instant now, request_state& request, const attempt_ended& event);
     void concludeEnded(request_number number, const request_state& request, const attempt_ended& event);
     void refuse(request_number number, const request_state& request, refusal_reason reason, std::optional<duration> retryAfter);
+    void leaveSlowEndpoint(instant now, const endpoint_id& slow, double pace);
     void noteEnding(instant now, const request_state& request, attempt_ending ending);
     void endpointDown(instant now, const endpoint_id& endpoint);
     double draw();
--- a/packages/decisions/forwarding/forwarding_reducer_news.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_news.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// Streams leave endpoints that are slower by this factor: moving costs a prompt read again and one of few attempts.
+constexpr double leaveFromPace = 2.0;
+
 std::string millisecondsText(duration time)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
@@ -80,7 +83,38 @@
     m_effects.emplace_back(log_decision { event.reachable ? "store_regained" : "store_lost", {}, {} });
 }
 
-void forwarding_reducer::on(const endpoint_load_heard& event) { m_fleet.noteLoad(event.now, event.load); }
+void forwarding_reducer::on(const endpoint_load_heard& event)
+{
+    m_fleet.noteLoad(event.now, event.load);
+    if (event.load.pace < leaveFromPace)
+        return;
+    if (const auto slow = m_fleet.atAddress(event.load.address))
+        leaveSlowEndpoint(event.now, *slow, event.load.pace);
+}
+
+// What runs at a slow rank slows the streams of its whole group until it ends; elsewhere it goes on behind its last event.
+void forwarding_reducer::leaveSlowEndpoint(instant now, const endpoint_id& slow, double pace)
+{
+    std::vector<request_number> leaving;
+    for (const auto& [number, request] : m_requests) {
+        const route& taken = *request.taken;
+        const bool mayMove = taken.kind == route_kind::Stream && taken.resumable && request.sends < taken.maxAttempts;
+        if (request.current == slow && mayMove && m_fleet.hasOther(now, request.service, slow))
+            leaving.push_back(number);
+    }
+    for (const request_number number : leaving) {
+        request_state& request = m_requests.at(number);
+        if (!m_repeats.take(now, request.service, m_peers.sharers(now)))
+            return;
+        m_fleet.noteCancelled(slow);
+        request.mayHaveRun = true;
+        m_effects.emplace_back(cancel_forwarded { number });
+        m_effects.emplace_back(log_decision { "left_slow_endpoint", request.caller.sendId,
+            { { "endpoint", slow.str() }, { "pace", std::to_string(pace) },
+                { "after_ms", millisecondsText(now - request.sentAt) } } });
+        place(now, number, request);
+    }
+}
 
 void forwarding_reducer::on(const entry_heard& event)
 {
--- a/tests/decisions/forwarding/forwarding_reducer_test.cpp
+++ b/tests/decisions/forwarding/forwarding_reducer_test.cpp
@@ -328,3 +328,30 @@
     entry.request("/read/x");
     cr_assert_not_null(entry.effect<send_attempt>());
 }
+
+// Pattern: a rank turns slow under the streams that run there, and its whole group waits for it (srv_slow of trouble-2).
+Test(forwarding_reducer, streams_leave_an_endpoint_that_turns_slow_once)
+{
+    entry entry;
+    entry.hearLoad(2, 0);
+    entry.request("/draft/x");
+    const std::string first = entry.effect<send_attempt>()->endpoint.str();
+    const endpoint_load slow { endpoint(first, drafts).address, 2, 0, 5.0, true };
+    entry.handle(endpoint_load_heard { entry.now, slow });
+    cr_assert_not_null(entry.effect<cancel_forwarded>());
+    const auto* const again = entry.effect<send_attempt>();
+    cr_assert_not_null(again);
+    cr_assert_neq(again->endpoint.str(), first);
+    // Its attempts are used up; it stays where it is.
+    entry.handle(endpoint_load_heard { entry.now, { again->address, 2, 0, 5.0, true } });
+    cr_assert_null(entry.effect<cancel_forwarded>());
+}
+
+Test(forwarding_reducer, what_may_not_be_repeated_stays_at_a_slow_endpoint)
+{
+    entry entry;
+    entry.request("/post/x");
+    const std::string at = entry.effect<send_attempt>()->endpoint.str();
+    entry.handle(endpoint_load_heard { entry.now, { endpoint(at, ledger).address, 2, 0, 9.0, true } });
+    cr_assert_null(entry.effect<cancel_forwarded>());
+}
