Store feed: one entry of a zone reads the store, the others ask it

It answers with a digest of the rows that it knows of each table and how old they are; the age counts from the question. Who knows other rows, or gets no fresh answer, reads for itself. A configuration that could not be read is not confirmed by others either.

--- a/packages/datagrams/news.h
+++ b/packages/datagrams/news.h
@@ -2,6 +2,7 @@
 
 #include "decisions/groups/group_messages.h"
 #include "model/endpoint_news.h"
+#include "model/freshness_news.h"
 
 #include <cstdint>
 #include <string>
@@ -31,6 +32,7 @@
 };
 
 // What processes tell each other in single datagrams.
-using news = std::variant<entry_presence, endpoint_load, breakdown_news, group_news, relayed_news>;
+using news = std::variant<entry_presence, endpoint_load, breakdown_news, group_news, relayed_news, freshness_question,
+    freshness_answer>;
 
 } // namespace appleramp
--- a/packages/datagrams/news_codec.cpp
+++ b/packages/datagrams/news_codec.cpp
@@ -36,6 +36,14 @@
         return { { "k", "r" }, { "t", relayed.targets },
             { "m", json::binary({ relayed.message.begin(), relayed.message.end() }) } };
     }
+    json operator()(const freshness_question& question) const { return { { "k", "q" }, { "t", question.askedAt.time_since_epoch().count() } }; }
+    json operator()(const freshness_answer& answer) const
+    {
+        json tables = json::array();
+        for (const table_confirmation& table : answer.tables)
+            tables.push_back({ table.digest, table.age.count() });
+        return { { "k", "a" }, { "t", answer.askedAt.time_since_epoch().count() }, { "c", std::move(tables) } };
+    }
     json operator()(const group_news& group) const
     {
         return { { "k", "g" }, { "g", group.group }, { "m", groupMessageToJson(group.message) } };
@@ -54,6 +62,16 @@
         body.at("p").get<double>() / paceScale, body.at("o").get<bool>() };
 }
 
+instant momentIn(const json& body) { return instant(duration(body.at("t").get<duration::rep>())); }
+
+freshness_answer answerIn(const json& body)
+{
+    freshness_answer answer { momentIn(body), {} };
+    for (const json& table : body.at("c"))
+        answer.tables.push_back({ table.at(0).get<std::uint64_t>(), duration(table.at(1).get<duration::rep>()) });
+    return answer;
+}
+
 } // namespace
 
 std::string encodeNews(const news& message)
@@ -83,6 +101,10 @@
                 return group_news { body.at("g").get<std::string>(), std::move(*message) };
             return std::nullopt;
         }
+        if (kind == "q")
+            return freshness_question { momentIn(body) };
+        if (kind == "a")
+            return answerIn(body);
         if (kind == "b")
             return breakdown_news { body.at("c").get<std::uint64_t>(), body.at("n").get<std::string>() };
     } catch (const json::exception&) {
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -11,6 +11,7 @@
 #include "observe/metrics_registry.h"
 #include "ports/platform_adapter.h"
 #include "runtime/process_clock.h"
+#include "storefeed/freshness_relay.h"
 #include "storefeed/table_follower.h"
 
 #include <boost/asio/io_context.hpp>
@@ -45,6 +46,10 @@
 // Many processes start at a time; their rows are read together.
 constexpr duration membersGap = std::chrono::milliseconds(1200);
 
+// Places of the followed tables in answers about freshness.
+constexpr std::size_t configurationPlace = 0;
+constexpr std::size_t registryPlace = 1;
+
 constexpr pool_settings endpointPool { .connectTimeout = std::chrono::milliseconds(700),
     .silenceLimit = std::chrono::milliseconds(2500),
     .reuseWithin = std::chrono::milliseconds(1200),
@@ -80,6 +85,7 @@
         , m_tick(loop)
         , m_registration(loop, store, settings.process.instance.str(),
               { true, settings.process.zone, settings.listen.links.str(), {} })
+        , m_relay(settings.process.instance.str())
     {
         m_log.write(now(), "started", {}, { { "role", "direct_entry" }, { "zone", settings.process.zone.str() } });
         follow(life ^ std::hash<std::string> {}(settings.process.instance.str()));
@@ -267,16 +273,20 @@
     {
         follower_settings settings;
         settings.wait = m_settings.store.poll;
+        const auto confirmed = [this](std::size_t table) {
+            return [this, table](std::uint64_t digest) { return m_relay.heldAt(now(), table, digest).has_value(); };
+        };
         m_configurationFollower = follower(m_platform.configurationTable(), settings, life,
             { .whole = [this](auto rows, instant sentAt) { onConfigurationRows(std::move(rows), sentAt, true); },
                 .changes = [this](auto rows, instant sentAt) { onConfigurationRows(std::move(rows), sentAt, false); },
-                .access = [this](bool reachable) { onAccess(reachable); } });
-        settings.wait = m_settings.store.poll * 3 / 2;
+                .access = [this](bool reachable) { onAccess(reachable); },
+                .isConfirmed = confirmed(configurationPlace) });
         settings.gap = registryGap;
         m_registryFollower = follower(m_platform.registryTable(), settings, life + 1,
             { .whole = [this](auto rows, instant) { onRegistryWhole(rows); },
                 .changes = [this](auto rows, instant) { onRegistryChanges(rows); },
-                .access = [this](bool reachable) { onAccess(reachable); } });
+                .access = [this](bool reachable) { onAccess(reachable); },
+                .isConfirmed = confirmed(registryPlace) });
         settings.wait = membersPoll;
         settings.gap = membersGap;
         m_membersFollower = follower(std::string(membersTable), settings, life + 2,
@@ -326,6 +336,7 @@
             m_zonesOut = zones;
             post(zones_out_changed { now(), std::move(zones) });
         }
+        m_configurationReadable = isReadable;
         // A configuration that can't be read may have taken a key away: what is known ages on.
         if (isReadable)
             post(configuration_confirmed { now(), sentAt, std::move(newest) });
@@ -415,14 +426,47 @@
         }
     }
 
-    void onNews(news message, const boost::asio::ip::udp::endpoint&)
+    void onNews(news message, const boost::asio::ip::udp::endpoint& from)
     {
+        if (const auto* const question = std::get_if<freshness_question>(&message))
+            return answer(*question, from);
         std::visit([this](auto& concrete) { onNews(std::move(concrete)); }, message);
     }
     // Groups are the agents' business.
     void onNews(const group_news&) { }
     void onNews(const relayed_news&) { }
-    void onNews(entry_presence presence) { post(entry_heard { now(), std::move(presence) }); }
+    void onNews(entry_presence presence)
+    {
+        if (presence.zone == m_settings.process.zone)
+            m_relay.notePeer(now(), presence.instance.str());
+        post(entry_heard { now(), std::move(presence) });
+    }
+    void onNews(const freshness_question&) { }
+    void onNews(const freshness_answer& answer)
+    {
+        m_relay.noteAnswer(now(), answer);
+        const auto heldAt = m_relay.heldAt(now(), configurationPlace, m_configurationFollower->digest());
+        // What can't be read here may have taken a key away.
+        if (heldAt && m_configurationReadable)
+            post(configuration_confirmed { now(), *heldAt, std::nullopt });
+    }
+    void answer(const freshness_question& question, const boost::asio::ip::udp::endpoint& from)
+    {
+        freshness_answer answer { question.askedAt, {} };
+        for (const auto& follower : { m_configurationFollower, m_registryFollower }) {
+            if (!follower->heldAt())
+                return;
+            answer.tables.push_back({ follower->digest(), now() - *follower->heldAt() });
+        }
+        m_news.send(answer, from);
+    }
+    void askReader(instant moment)
+    {
+        const auto reader = m_relay.askDue(moment);
+        const auto member = reader ? m_members.find(*reader) : m_members.end();
+        if (member != m_members.end())
+            sendNews(freshness_question { moment }, member->second);
+    }
     void onNews(endpoint_load load) { post(endpoint_load_heard { now(), std::move(load) }); }
     void onNews(breakdown_news breakdown) { post(breakdown_heard { now(), breakdown.content, std::move(breakdown.sendId) }); }
 
@@ -452,6 +496,7 @@
             m_endpoints.sweep();
             post(time_passed_by { moment });
         }
+        askReader(moment);
         m_log.flush();
         if (m_stopping && isStopComplete(moment))
             return stopLoop();
@@ -487,6 +532,8 @@
     http_acceptor m_operations;
     boost::asio::steady_timer m_tick;
     member_registration m_registration;
+    freshness_relay m_relay;
+    bool m_configurationReadable = true;
     std::shared_ptr<table_follower> m_configurationFollower;
     std::shared_ptr<table_follower> m_registryFollower;
     std::shared_ptr<table_follower> m_membersFollower;
--- a/packages/settings/setting_descriptor.cpp
+++ b/packages/settings/setting_descriptor.cpp
@@ -161,11 +161,11 @@
             .key = "poll_ms",
             .type = setting_type::Integer,
             .unit = "milliseconds",
-            .defaultValue = "2000",
+            .defaultValue = "1000",
             .minimum = 100,
             .maximum = 30'000,
             .roles = direct,
-            .doc = "Longest wait of a read for changes; a quiet store is asked this often.",
+            .doc = "Longest wait of a read for changes; one entry of each zone asks a quiet store this often.",
             .assign = [](settings& s, const value& v) { s.store.poll = milliseconds(v); } },
     };
 }
--- a/packages/storefeed/table_follower.cpp
+++ b/packages/storefeed/table_follower.cpp
@@ -59,6 +59,9 @@
     noteReachable();
     // Later pages may be newer, but the first one bounds what all of them show.
     composedAt(page.storeTime);
+    m_digest.clear();
+    m_digest.note(m_rows);
+    m_heldAt = m_sentAt;
     m_handlers.whole(std::move(m_rows), m_sentAt);
     m_rows.clear();
     readChanges();
@@ -66,6 +69,10 @@
 
 void table_follower::readChanges()
 {
+    if (m_handlers.isConfirmed && m_handlers.isConfirmed(m_digest.value())) {
+        noteReachable();
+        return after(m_settings.recheck, &table_follower::readChanges);
+    }
     m_sentAt = m_now();
     m_store.changes(m_table, m_version, m_settings.wait,
         [self = shared_from_this()](store_result result) { self->onChanges(std::move(result)); });
@@ -84,7 +91,9 @@
     m_version = std::max(m_version, changed.version);
     noteReachable();
     const bool isQuiet = changed.rows.empty();
-    m_handlers.changes(std::move(changed.rows), composedAt(changed.storeTime));
+    m_digest.note(changed.rows);
+    m_heldAt = composedAt(changed.storeTime);
+    m_handlers.changes(std::move(changed.rows), *m_heldAt);
     // An answer without rows that came early must not make the loop spin.
     const bool waited = m_now() - m_sentAt >= m_settings.gap;
     after(isQuiet && waited ? duration::zero() : m_settings.gap, &table_follower::readChanges);
--- a/packages/storefeed/table_follower.h
+++ b/packages/storefeed/table_follower.h
@@ -2,6 +2,7 @@
 
 #include "model/time.h"
 #include "ports/row_store.h"
+#include "storefeed/table_digest.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -25,6 +26,8 @@
     std::function<void(std::vector<store_row> rows, instant heldAt)> changes;
     // The store stopped or began to answer.
     std::function<void(bool reachable)> access;
+    // Optional: another reader of the store confirms contents with that digest, so that no read is needed now.
+    std::function<bool(std::uint64_t digest)> isConfirmed;
 };
 
 struct follower_settings {
@@ -35,6 +38,8 @@
     // After a failed read; doubles up to the longest.
     duration firstRetry = std::chrono::milliseconds(150);
     duration longestRetry = std::chrono::milliseconds(800);
+    // While another reader confirms what is known, this is asked so often.
+    duration recheck = std::chrono::milliseconds(100);
 };
 
 // Keeps up with one table of the store: reads it whole, then its changes, and whole again where history is lost.
@@ -48,6 +53,11 @@
     void start();
     void stop();
 
+    // Of the rows that are known.
+    std::uint64_t digest() const { return m_digest.value(); }
+    // When they held for certain, by reads of this follower; none before the first.
+    std::optional<instant> heldAt() const { return m_heldAt; }
+
 private:
     void readWhole();
     void onPage(store_result result);
@@ -67,6 +77,8 @@
     std::minstd_rand m_random;
 
     std::vector<store_row> m_rows;
+    table_digest m_digest;
+    std::optional<instant> m_heldAt;
     std::uint64_t m_version = 0;
     std::uint64_t m_firstPageVersion = 0;
     instant m_sentAt;
--- a/tests/datagrams/news_codec_test.cpp
+++ b/tests/datagrams/news_codec_test.cpp
@@ -57,7 +57,9 @@
     status.preparedDigest = 0xfedcba9876543210ULL;
     status.armedVersion = 9;
     status.armedPass = 77;
+    status.pace = 2.5;
     const auto heard = passed<rank_status>(status);
+    cr_assert_float_eq(heard.pace, 2.5, 1e-9);
     cr_assert(heard.experts == status.experts);
     cr_assert_eq(heard.preparedDigest, status.preparedDigest);
     cr_assert(heard.armedPass == status.armedPass);
@@ -76,6 +78,17 @@
     cr_assert_eq(counts[3], 0);
 }
 
+Test(news_codec, questions_and_answers_about_freshness_pass)
+{
+    const instant asked(std::chrono::microseconds(123456789));
+    cr_assert(std::get<freshness_question>(*decodeNews(encodeNews(freshness_question { asked }))).askedAt == asked);
+    const auto answer = std::get<freshness_answer>(*decodeNews(encodeNews(freshness_answer { asked, { { 1ULL << 63U, duration(42) }, {} } })));
+    cr_assert(answer.askedAt == asked);
+    cr_assert_eq(answer.tables.size(), 2);
+    cr_assert_eq(answer.tables[0].digest, 1ULL << 63U);
+    cr_assert(answer.tables[0].age == duration(42));
+}
+
 // A newer version adds members and kinds; both must do no harm.
 Test(news_codec, unknown_members_are_passed_over_and_unknown_kinds_are_none)
 {
--- a/tests/storefeed/table_follower_test.cpp
+++ b/tests/storefeed/table_follower_test.cpp
@@ -29,17 +29,26 @@
         follower_settings settings { .wait = duration(1000),
             .gap = duration(1000),
             .firstRetry = duration(1000),
-            .longestRetry = duration(4000) };
+            .longestRetry = duration(4000),
+            .recheck = duration(500) };
         follower = std::make_shared<table_follower>(
             m_loop, store, "op", settings, [this] { return now; },
             follower_handlers { .whole = [this](auto rows, instant sentAt) { whole = rows.size(); confirmedAt = sentAt; },
                 .changes = [this](auto rows, instant sentAt) { changed += rows.size(); confirmedAt = sentAt; },
-                .access = [this](bool reachable) { accessNews.push_back(reachable); } },
+                .access = [this](bool reachable) { accessNews.push_back(reachable); },
+                .isConfirmed = [this](std::uint64_t digest) { return confirmedDigest == digest; } },
             1);
         follower->start();
     }
     ~fixture() { follower->stop(); }
 
+    // Runs what is due in the loop.
+    void runSome()
+    {
+        for (int event = 0; event < 5; ++event)
+            m_loop.run_one_for(std::chrono::milliseconds(5));
+    }
+
     // Runs the loop until the follower calls the store again.
     void untilCall()
     {
@@ -49,6 +58,7 @@
 
     fake_row_store store;
     instant now { std::chrono::seconds(1) };
+    std::optional<std::uint64_t> confirmedDigest;
     std::optional<std::size_t> whole;
     std::size_t changed = 0;
     instant confirmedAt;
@@ -161,3 +171,18 @@
     f.untilCall();
     cr_assert_eq(f.store.next().what, "read op");
 }
+
+// Pattern: every entry asked a quiet store for changes all day long.
+Test(table_follower, no_call_is_made_while_another_reader_confirms_what_is_known)
+{
+    fixture fixture;
+    fixture.store.answer(rowsOf({ "a" }, 5));
+    fixture.confirmedDigest = fixture.follower->digest();
+    fixture.store.answer(rowsOf({}, 5));
+    fixture.runSome();
+    cr_assert(!fixture.store.hasCall());
+    // The reader knows something else by now.
+    fixture.confirmedDigest = fixture.follower->digest() + 1;
+    fixture.untilCall();
+    cr_assert_str_eq(fixture.store.next().what.c_str(), "changes op");
+}
