Store feed: settled processes read members and versions less often

Cause: in a rolling restart every process read each change of the members, two a second; versions in quick succession were read every 150 ms by all.

Change: ten seconds after their start entries read members every 6 s and agents every 8 s; an entry that hears one it does not know answers at once and counts it from then on. Versions are read 350 ms apart.

--- a/packages/directagent/direct_agent_process.cpp
+++ b/packages/directagent/direct_agent_process.cpp
@@ -49,6 +49,8 @@
 constexpr duration membersPoll = std::chrono::seconds(20);
 // Many processes start at a time; their rows are read together.
 constexpr duration membersGap = std::chrono::milliseconds(2500);
+// Entries tell agents themselves where they are, and agents that start again keep their addresses.
+constexpr duration settledMembersGap = std::chrono::seconds(8);
 constexpr duration layoutRetry = std::chrono::seconds(1);
 // Part of the mean load by which a copy must relieve the busiest rank, for each megabyte that it moves.
 constexpr double leastGainPerMegabyte = 4e-6;
@@ -363,6 +365,7 @@
         follower_settings settings;
         settings.wait = membersPoll;
         settings.gap = membersGap;
+        settings.settledGap = settledMembersGap;
         m_membersFollower = std::make_shared<table_follower>(
             m_loop, m_store, std::string(membersTable), settings, [] { return now(); },
             follower_handlers { .whole =
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -45,6 +45,10 @@
 constexpr duration membersPoll = std::chrono::seconds(20);
 // Many processes start at a time; their rows are read together.
 constexpr duration membersGap = std::chrono::milliseconds(1200);
+// Later on entries learn of new ones by their presence.
+constexpr duration settledMembersGap = std::chrono::seconds(6);
+// Versions in quick succession are read together; a fifth of the time in which a change must be in force.
+constexpr duration configurationGap = std::chrono::milliseconds(350);
 
 // Places of the followed tables in answers about freshness.
 constexpr std::size_t configurationPlace = 0;
@@ -273,6 +277,7 @@
     {
         follower_settings settings;
         settings.wait = m_settings.store.poll;
+        settings.gap = configurationGap;
         const auto confirmed = [this](std::size_t table) {
             return [this, table](std::uint64_t digest) { return m_relay.heldAt(now(), table, digest).has_value(); };
         };
@@ -289,6 +294,7 @@
                 .isConfirmed = confirmed(registryPlace) });
         settings.wait = membersPoll;
         settings.gap = membersGap;
+        settings.settledGap = settledMembersGap;
         m_membersFollower = follower(std::string(membersTable), settings, life + 2,
             { .whole =
                     [this](auto rows, instant) {
@@ -430,11 +436,20 @@
     {
         if (const auto* const question = std::get_if<freshness_question>(&message))
             return answer(*question, from);
+        if (const auto* const presence = std::get_if<entry_presence>(&message))
+            noteSender(*presence, from);
         std::visit([this](auto& concrete) { onNews(std::move(concrete)); }, message);
     }
     // Groups are the agents' business.
     void onNews(const group_news&) { }
     void onNews(const relayed_news&) { }
+    // An entry whose row was not read yet is told of this one at once, and from then on like the others.
+    void noteSender(const entry_presence& presence, const boost::asio::ip::udp::endpoint& from)
+    {
+        const member_row row { true, presence.zone, from.address().to_string() + ":" + std::to_string(from.port()), {} };
+        if (m_members.emplace(presence.instance.str(), row).second)
+            sendNews(this->presence(), row);
+    }
     void onNews(entry_presence presence)
     {
         if (presence.zone == m_settings.process.zone)
--- a/packages/storefeed/table_follower.cpp
+++ b/packages/storefeed/table_follower.cpp
@@ -23,7 +23,11 @@
 {
 }
 
-void table_follower::start() { readWhole(); }
+void table_follower::start()
+{
+    m_startedAt = m_now();
+    readWhole();
+}
 
 void table_follower::stop()
 {
@@ -96,7 +100,13 @@
     m_handlers.changes(std::move(changed.rows), *m_heldAt);
     // An answer without rows that came early must not make the loop spin.
     const bool waited = m_now() - m_sentAt >= m_settings.gap;
-    after(isQuiet && waited ? duration::zero() : m_settings.gap, &table_follower::readChanges);
+    after(isQuiet && waited ? duration::zero() : gap(), &table_follower::readChanges);
+}
+
+duration table_follower::gap() const
+{
+    const bool isSettled = m_settings.settledGap > duration::zero() && m_now() - m_startedAt >= m_settings.settledAfter;
+    return isSettled ? m_settings.settledGap : m_settings.gap;
 }
 
 // An answer was composed no earlier than its read was sent. Two answers show how far the store's clock went on between
--- a/packages/storefeed/table_follower.h
+++ b/packages/storefeed/table_follower.h
@@ -35,6 +35,9 @@
     duration wait = std::chrono::milliseconds(1500);
     // Between two reads that brought changes, so that a storm of changes is read in few calls.
     duration gap = std::chrono::milliseconds(150);
+    // The same once the follower has run for some time; zero if it stays as it is.
+    duration settledGap {};
+    duration settledAfter = std::chrono::seconds(10);
     // After a failed read; doubles up to the longest.
     duration firstRetry = std::chrono::milliseconds(150);
     duration longestRetry = std::chrono::milliseconds(800);
@@ -66,6 +69,7 @@
     void onFailure(store_failure failure);
     void noteReachable();
     instant composedAt(duration storeTime);
+    duration gap() const;
     void after(duration pause, void (table_follower::*next)());
 
     boost::asio::steady_timer m_timer;
@@ -84,6 +88,7 @@
     instant m_sentAt;
     // A lower bound of the difference between our clock and the store's.
     std::optional<duration> m_clockOffset;
+    instant m_startedAt;
     bool m_reachable = true;
     bool m_stopped = false;
     std::uint32_t m_failures = 0;
--- a/tests/storefeed/table_follower_test.cpp
+++ b/tests/storefeed/table_follower_test.cpp
@@ -28,6 +28,7 @@
     {
         follower_settings settings { .wait = duration(1000),
             .gap = duration(1000),
+            .settledGap = std::chrono::milliseconds(200),
             .firstRetry = duration(1000),
             .longestRetry = duration(4000),
             .recheck = duration(500) };
@@ -186,3 +187,15 @@
     fixture.untilCall();
     cr_assert_str_eq(fixture.store.next().what.c_str(), "changes op");
 }
+
+// Pattern: a rolling restart changes the members every second, and every process read each change (trouble-2).
+Test(table_follower, a_settled_follower_reads_changes_less_often)
+{
+    fixture fixture;
+    fixture.store.answer(rowsOf({ "a" }, 5));
+    fixture.now += std::chrono::seconds(20);
+    fixture.store.answer(rowsOf({ "b" }, 6));
+    fixture.runSome();
+    cr_assert(!fixture.store.hasCall());
+    fixture.untilCall();
+}
