Forwarding: requests wait for a service that turns all away for a moment

Change: after three rejections in a row requests of the service wait in steps of 100 to 200 ms, at most 1.5 s and a fifth of their time; one probes every 300 ms. An outage of over 2.5 s keeps nobody waiting.

--- a/packages/decisions/forwarding/forwarding_effects.h
+++ b/packages/decisions/forwarding/forwarding_effects.h
@@ -60,6 +60,12 @@
     std::optional<duration> retryAfter;
 };
 
+// Send nothing yet; ask again at that time.
+struct wait_for_service {
+    request_number request = 0;
+    instant until;
+};
+
 // Give the caller the endpoint's own failure answer.
 struct pass_failure_answer {
     request_number request = 0;
@@ -89,7 +95,7 @@
     std::vector<std::pair<std::string_view, std::string>> inputs;
 };
 
-using forwarding_effect = std::variant<send_attempt, refuse_request, pass_failure_answer, break_answer, cancel_forwarded,
+using forwarding_effect = std::variant<send_attempt, refuse_request, wait_for_service, pass_failure_answer, break_answer, cancel_forwarded,
     tell_breakdown, log_decision>;
 using forwarding_effects = std::vector<forwarding_effect>;
 
--- a/packages/decisions/forwarding/forwarding_events.h
+++ b/packages/decisions/forwarding/forwarding_events.h
@@ -61,6 +61,12 @@
     std::optional<duration> pause;
 };
 
+// The time that a request was to wait is over.
+struct wait_over {
+    instant now;
+    request_number request = 0;
+};
+
 struct forwarded_caller_left {
     instant now;
     request_number request = 0;
@@ -133,7 +139,8 @@
     instant now;
 };
 
-using forwarding_event = std::variant<request_arrived, attempt_ended, attempt_answered, stream_advanced, forwarded_caller_left, deadline_passed,
+using forwarding_event = std::variant<request_arrived, attempt_ended, attempt_answered, stream_advanced, wait_over,
+    forwarded_caller_left, deadline_passed,
     configuration_confirmed, zones_out_changed, endpoint_listed, endpoint_unlisted, endpoints_read,
     registry_access_changed, endpoint_load_heard, entry_heard, breakdown_heard, entries_listed, time_passed_by>;
 
--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -21,6 +21,10 @@
 // Part of the new streams that is refused for each part by which the fill exceeds what is bearable: entries know the fill
 // of some hundred milliseconds ago, and refusing all or none would swing.
 constexpr double shedPerExcess = 3.0;
+// A request waits for a service that is back soon, in steps, this long at most and for no more than this part of its time.
+constexpr duration longestWait = std::chrono::milliseconds(1500);
+constexpr int waitPart = 5;
+constexpr duration waitStep = std::chrono::milliseconds(100);
 // Less time than this is no use to an endpoint.
 constexpr duration leastTimeLeft = std::chrono::milliseconds(20);
 // Silence before a stream's first event after which another endpoint is tried, in latency targets.
@@ -150,6 +154,8 @@
         m_requests.erase(number);
         return;
     }
+    if (waitsForService(now, number, request))
+        return;
     if (const auto retryAfter = request.sends == 0 ? heldOff(now, request) : std::nullopt) {
         refuse(number, request, refusal_reason::NoCapacity, retryAfter);
         m_requests.erase(number);
@@ -166,6 +172,11 @@
     if (!found) {
         // Endpoints that are only at their rate, or left alone for a moment, take requests again within a second.
         const bool isBrief = m_fleet.obstacle(request.service) == placement_obstacle::AllAtColdRate;
+        if (!isBrief) {
+            m_outages[request.service].noteRejected(now);
+            if (waitsForService(now, number, request))
+                return;
+        }
         const duration retryAfter = isBrief ? soon() : later();
         refuse(number, request, request.mayHaveRun ? refusal_reason::OutcomeUnknown : refusal_reason::NoCapacity, retryAfter);
         m_requests.erase(number);
@@ -186,6 +197,29 @@
     send(now, number, request, *found);
 }
 
+bool forwarding_reducer::waitsForService(instant now, request_number number, request_state& request)
+{
+    const auto outage = m_outages.find(request.service);
+    if (outage == m_outages.end() || !outage->second.shouldWait(now))
+        return false;
+    if (request.waitsUntil == instant {})
+        request.waitsUntil = now + std::min(longestWait, (request.deadline - now) / waitPart);
+    if (now >= request.waitsUntil)
+        return false;
+    const instant until = std::min(now + waitStep + scaled(waitStep, draw()), request.waitsUntil);
+    m_effects.emplace_back(wait_for_service { number, until });
+    m_effects.emplace_back(log_decision { "waits_for_service", request.caller.sendId,
+        { { "service", request.service.str() }, { "for_ms", millisecondsText(until - now) }, { "sends", std::to_string(request.sends) } } });
+    return true;
+}
+
+void forwarding_reducer::on(const wait_over& event)
+{
+    const auto found = m_requests.find(event.request);
+    if (found != m_requests.end())
+        place(event.now, event.request, found->second);
+}
+
 std::optional<duration> forwarding_reducer::heldOff(instant now, const request_state& request)
 {
     const auto pace = m_paces.find(request.service);
@@ -293,6 +327,10 @@
         m_suspects.noteBroken({ request.caller.contentHash, request.current, request.caller.sendId, now });
     if (ending == attempt_ending::NotSent)
         endpointDown(now, request.current);
+    if (ending == attempt_ending::Rejected)
+        m_outages[request.service].noteRejected(now);
+    else if (proofOf(ending) != run_proof::NotRun)
+        m_outages[request.service].noteProgress();
 }
 
 void forwarding_reducer::endpointDown(instant now, const endpoint_id& endpoint)
@@ -324,6 +362,7 @@
     if (found == m_requests.end())
         return;
     const request_state& request = found->second;
+    m_outages[request.service].noteProgress();
     m_fleet.noteAnswered(event.now, request.current, event.now - request.sentAt);
     m_effects.emplace_back(log_decision { "answered", request.caller.sendId,
         { { "endpoint", request.current.str() }, { "took_ms", millisecondsText(event.now - request.arrivedAt) },
@@ -334,8 +373,10 @@
 void forwarding_reducer::on(const stream_advanced& event)
 {
     const auto found = m_requests.find(event.request);
-    if (found != m_requests.end())
-        m_paces[found->second.service].noteEvent(event.now, event.pause);
+    if (found == m_requests.end())
+        return;
+    m_outages[found->second.service].noteProgress();
+    m_paces[found->second.service].noteEvent(event.now, event.pause);
 }
 
 void forwarding_reducer::on(const forwarded_caller_left& event)
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decisions/forwarding/admission_gate.h"
+#include "decisions/forwarding/brief_outage.h"
 #include "decisions/forwarding/crash_suspects.h"
 #include "decisions/forwarding/endpoint_fleet.h"
 #include "decisions/forwarding/entry_peers.h"
@@ -63,6 +64,8 @@
         std::vector<endpoint_id> tried;
         endpoint_id current;
         instant sentAt;
+        // When it has waited enough for its service to come back.
+        instant waitsUntil;
         // An earlier attempt may have run.
         bool mayHaveRun = false;
     };
@@ -71,6 +74,7 @@
     void on(const attempt_ended& event);
     void on(const attempt_answered& event);
     void on(const stream_advanced& event);
+    void on(const wait_over& event);
     void on(const forwarded_caller_left& event);
     void on(const deadline_passed& event);
     void on(const configuration_confirmed& event);
@@ -88,6 +92,8 @@
     // Fills in route and team, or refuses.
     bool admit(instant now, request_number number, request_state& request);
     void place(instant now, request_number number, request_state& request);
+    // The service turns all away and may be back soon: orders to wait, and returns true.
+    bool waitsForService(instant now, request_number number, request_state& request);
     // When to come back, where the service's streams stand still or are too slow to bear one more.
     std::optional<duration> heldOff(instant now, const request_state& request);
     void send(instant now, request_number number, request_state& request, const placement& place);
@@ -109,6 +115,7 @@
     endpoint_fleet m_fleet;
     entry_peers m_peers;
     std::map<service_id, stream_pace> m_paces;
+    std::map<service_id, brief_outage> m_outages;
     std::map<request_number, request_state> m_requests;
     std::mt19937_64 m_random;
     forwarding_effects m_effects;
--- a/packages/directentry/caller_exchange.cpp
+++ b/packages/directentry/caller_exchange.cpp
@@ -135,6 +135,8 @@
                 } });
 }
 
+void caller_exchange::carryOut(const wait_for_service& effect) { m_waitsUntil = effect.until; }
+
 void caller_exchange::noteProgress()
 {
     m_lastProgress = m_services.now();
@@ -276,7 +278,13 @@
 
 void caller_exchange::checkTime(instant now)
 {
-    if (m_over || !m_endpoint)
+    if (m_over)
+        return;
+    if (m_waitsUntil && now >= *m_waitsUntil) {
+        m_waitsUntil.reset();
+        m_services.post(wait_over { now, m_number });
+    }
+    if (!m_endpoint)
         return;
     if (now >= m_deadline) {
         m_services.post(deadline_passed { now, m_number, m_begun });
--- a/packages/directentry/caller_exchange.h
+++ b/packages/directentry/caller_exchange.h
@@ -40,6 +40,7 @@
     // Posts the arrival.
     void start();
     void carryOut(const send_attempt& effect);
+    void carryOut(const wait_for_service& effect);
     void refuse(const refuse_request& effect);
     void passFailureAnswer();
     void breakAnswer();
@@ -78,6 +79,8 @@
     http_request m_request;
     caller_request m_caller;
     instant m_deadline = instant::max();
+    // When to ask again for an endpoint.
+    std::optional<instant> m_waitsUntil;
 
     send_attempt m_attempt;
     std::shared_ptr<client_connection> m_endpoint;
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -190,6 +190,12 @@
             target->refuse(effect);
     }
 
+    void carryOut(const wait_for_service& effect)
+    {
+        if (const auto target = exchange(effect.request))
+            target->carryOut(effect);
+    }
+
     void carryOut(const pass_failure_answer& effect)
     {
         if (const auto target = exchange(effect.request))
--- a/tests/decisions/forwarding/forwarding_reducer_test.cpp
+++ b/tests/decisions/forwarding/forwarding_reducer_test.cpp
@@ -355,3 +355,26 @@
     entry.handle(endpoint_load_heard { entry.now, { endpoint(at, ledger).address, 2, 0, 9.0, true } });
     cr_assert_null(entry.effect<cancel_forwarded>());
 }
+
+// Pattern: a group forms anew after all engines lost power and rejects all for a second (closing fault of trouble-1). Each
+// request used up its attempts at once and was refused for good.
+Test(forwarding_reducer, requests_wait_for_a_service_that_rejects_all_for_a_moment)
+{
+    entry entry;
+    for (int request = 0; request < 3; ++request) {
+        entry.request("/draft/x");
+        entry.end(attempt_ending::Rejected);
+    }
+    cr_assert_not_null(entry.effect<wait_for_service>());
+    const instant until = entry.effect<wait_for_service>()->until;
+    cr_assert_lt(until.time_since_epoch().count(), (entry.now + 500ms).time_since_epoch().count());
+    // The group is open again.
+    entry.now = until;
+    entry.handle(wait_over { entry.now, 3 });
+    entry.now += 600ms;
+    entry.request("/draft/x");
+    cr_assert_not_null(entry.effect<send_attempt>());
+    entry.handle(stream_advanced { entry.now, 4, {} });
+    entry.request("/draft/x");
+    cr_assert_not_null(entry.effect<send_attempt>());
+}
