Store feed: the store is back with the first answer

An endpoint that left at 15.0 counted as lapsed in the outage and got requests for 1.9 s and up to 0.7 s more, since lapses were looked at with the presence. Ruled out: lost changes (the entry logged the removal at 15.018).

Change: one answer of any followed table ends the outage (store_access); lapses are looked at every 100 ms. Also the test of requests that wait now spaces its requests, as a rejecting endpoint is left alone for 120 ms.

--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -12,6 +12,7 @@
 #include "ports/platform_adapter.h"
 #include "runtime/process_clock.h"
 #include "storefeed/freshness_relay.h"
+#include "storefeed/store_access.h"
 #include "storefeed/table_follower.h"
 
 #include <boost/asio/io_context.hpp>
@@ -31,6 +32,8 @@
 constexpr std::chrono::milliseconds tick { 25 };
 // Presence is told to the others this often.
 constexpr duration presenceInterval = std::chrono::milliseconds(700);
+// What lapses with time is looked at this often: endpoints must be left soon after their grace period.
+constexpr duration agingInterval = std::chrono::milliseconds(100);
 // Agents only need to know where entries are.
 constexpr duration agentPresenceInterval = std::chrono::milliseconds(1800);
 // A caller keeps an answer of the directory this long.
@@ -53,6 +56,7 @@
 // Places of the followed tables in answers about freshness.
 constexpr std::size_t configurationPlace = 0;
 constexpr std::size_t registryPlace = 1;
+constexpr std::size_t followedTables = 2;
 
 constexpr pool_settings endpointPool { .connectTimeout = std::chrono::milliseconds(700),
     .silenceLimit = std::chrono::milliseconds(2500),
@@ -290,13 +294,13 @@
         m_configurationFollower = follower(m_platform.configurationTable(), settings, life,
             { .whole = [this](auto rows, instant sentAt) { onConfigurationRows(std::move(rows), sentAt, true); },
                 .changes = [this](auto rows, instant sentAt) { onConfigurationRows(std::move(rows), sentAt, false); },
-                .access = [this](bool reachable) { onAccess(reachable); },
+                .access = [this](bool reachable) { onAccess(configurationPlace, reachable); },
                 .isConfirmed = confirmed(configurationPlace) });
         settings.gap = registryGap;
         m_registryFollower = follower(m_platform.registryTable(), settings, life + 1,
             { .whole = [this](auto rows, instant) { onRegistryWhole(rows); },
                 .changes = [this](auto rows, instant) { onRegistryChanges(rows); },
-                .access = [this](bool reachable) { onAccess(reachable); },
+                .access = [this](bool reachable) { onAccess(registryPlace, reachable); },
                 .isConfirmed = confirmed(registryPlace) });
         settings.wait = membersPoll;
         settings.gap = membersGap;
@@ -319,13 +323,10 @@
         return result;
     }
 
-    void onAccess(bool reachable)
+    void onAccess(std::size_t place, bool reachable)
     {
-        // Two tables are followed; the registry counts as away while either can't be read.
-        m_followersAway = reachable ? m_followersAway - 1 : m_followersAway + 1;
-        const bool changed = reachable ? m_followersAway == 0 : m_followersAway == 1;
-        if (changed)
-            post(registry_access_changed { now(), reachable });
+        if (const auto changed = m_access.note(place, reachable))
+            post(registry_access_changed { now(), *changed });
     }
 
     void onConfigurationRows(const std::vector<store_row>& rows, instant sentAt, bool isWhole)
@@ -515,6 +516,9 @@
         if (moment - m_presenceTold >= presenceInterval) {
             tellPresence();
             m_endpoints.sweep();
+        }
+        if (moment - m_agedAt >= agingInterval) {
+            m_agedAt = moment;
             post(time_passed_by { moment });
         }
         askReader(moment);
@@ -564,8 +568,9 @@
     std::set<std::string> m_unreadable;
     std::map<service_id, instant> m_serviceProgress;
     request_number m_lastRequest = 0;
-    int m_followersAway = 0;
+    store_access m_access { followedTables };
     instant m_presenceTold;
+    instant m_agedAt;
     instant m_presenceToldToAgents;
     std::optional<instant> m_stopping;
 };
--- a/tests/decisions/forwarding/forwarding_reducer_test.cpp
+++ b/tests/decisions/forwarding/forwarding_reducer_test.cpp
@@ -362,6 +362,7 @@
 {
     entry entry;
     for (int request = 0; request < 3; ++request) {
+        entry.now += 150ms;
         entry.request("/draft/x");
         entry.end(attempt_ending::Rejected);
     }
