--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -88,7 +88,13 @@
 
 forwarding_effects forwarding_reducer::handle(const forwarding_event& event)
 {
-    std::visit([this](const auto& concrete) { on(concrete); }, event);
+    std::visit(
+        [this](const auto& concrete) {
+            if constexpr (requires { concrete.now; })
+                m_now = concrete.now;
+            on(concrete);
+        },
+        event);
     return std::exchange(m_effects, {});
 }
 
@@ -345,11 +351,16 @@
     m_effects.emplace_back(refuse_request { number, reason, retryAfter });
     log_decision line { "refused", request.caller.sendId, { { "reason", std::string(nameOf(reason)) } } };
     line.inputs.emplace_back("configuration", std::to_string(configurationVersion()));
+    if (const auto age = m_freshness.age(m_now))
+        line.inputs.emplace_back("configuration_age_ms", millisecondsText(*age));
     if (request.taken != nullptr)
         line.inputs.emplace_back("route", request.taken->name);
     if (!request.service.empty()) {
         line.inputs.emplace_back("service", request.service.str());
         line.inputs.emplace_back("sends", std::to_string(request.sends));
+        line.inputs.emplace_back("fill", std::to_string(m_fleet.fill(m_now, request.service)));
+        if (const auto pace = m_paces.find(request.service); pace != m_paces.end())
+            line.inputs.emplace_back("pause_ms", millisecondsText(pace->second.pause()));
     }
     if (retryAfter)
         line.inputs.emplace_back("retry_after_ms", millisecondsText(*retryAfter));
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -118,6 +118,8 @@
     std::map<service_id, brief_outage> m_outages;
     std::map<request_number, request_state> m_requests;
     std::mt19937_64 m_random;
+    // Of the event that is handled.
+    instant m_now;
     forwarding_effects m_effects;
 };
 
--- a/packages/decisions/groups/group_agent.cpp
+++ b/packages/decisions/groups/group_agent.cpp
@@ -36,7 +36,7 @@
 
 group_agent::group_agent(coordinator_limits limits, std::string zone)
     : m_zone(std::move(zone))
-    , m_coordinator(limits)
+    , m_coordinator(std::move(limits))
 {
 }
 
--- a/packages/decisions/groups/group_agent.h
+++ b/packages/decisions/groups/group_agent.h
@@ -76,7 +76,7 @@
 public:
     group_agent(coordinator_limits limits, std::string zone);
 
-    void setLimits(coordinator_limits limits) { m_coordinator.setLimits(limits); }
+    void setLimits(coordinator_limits limits) { m_coordinator.setLimits(std::move(limits)); }
     group_effects handle(const group_event& event);
 
     bool leads() const { return m_leads; }
--- a/packages/decisions/groups/switch_coordinator.cpp
+++ b/packages/decisions/groups/switch_coordinator.cpp
@@ -259,8 +259,7 @@
     group_map_plan plan = planGroupMap(current, m_popularity.loads(), limits);
     if (plan.copies == 0 || plan.before - plan.after < m_limits.leastRelief * plan.before)
         return;
-    note("map_proposed", "imbalance " + std::to_string(plan.before) + " to " + std::to_string(plan.after) + " copies " + std::to_string(plan.copies) + " most " + std::to_string(plan.mostCopies)
-            + " slowest_pace " + std::to_string(*std::max_element(limits.paces.begin(), limits.paces.end())));
+    note("map_proposed", "imbalance " + std::to_string(plan.before) + " to " + std::to_string(plan.after) + " copies " + std::to_string(plan.copies) + " most " + std::to_string(plan.mostCopies) + " slowest_pace " + std::to_string(*std::max_element(limits.paces.begin(), limits.paces.end())));
     propose(current, std::move(plan));
     enter(now, phase::Preparing);
     prepare(now, out);
--- a/packages/decisions/groups/switch_coordinator.h
+++ b/packages/decisions/groups/switch_coordinator.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -63,11 +64,11 @@
 class switch_coordinator {
 public:
     explicit switch_coordinator(coordinator_limits limits)
-        : m_limits(limits)
+        : m_limits(std::move(limits))
     {
     }
 
-    void setLimits(coordinator_limits limits) { m_limits = limits; }
+    void setLimits(coordinator_limits limits) { m_limits = std::move(limits); }
     void noteStatus(instant now, const rank_status& status);
     void noteChoices(instant now, const rank_choices& choices);
     // Another agent knows the outcome.
--- a/packages/storefeed/freshness_relay.cpp
+++ b/packages/storefeed/freshness_relay.cpp
@@ -24,7 +24,7 @@
 
 std::optional<std::string> freshness_relay::askDue(instant now)
 {
-    const auto target = reader(now);
+    auto target = reader(now);
     if (!target || now - m_askedAt < askInterval)
         return std::nullopt;
     m_askedAt = now;
