--- a/packages/decisions/groups/switch_coordinator.h
+++ b/packages/decisions/groups/switch_coordinator.h
@@ -176,6 +176,8 @@
 
     // An agent that was silent for so long in a switch is looked after by the coordinator.
     static constexpr duration silentRankAfter = std::chrono::milliseconds(450);
+    // Between two messages of a switch that some rank has not acted on.
+    static constexpr duration switchResend = std::chrono::milliseconds(50);
     static constexpr duration shortestLead = std::chrono::milliseconds(70);
     static constexpr duration longestLead = std::chrono::milliseconds(900);
 };
