--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -94,8 +94,6 @@
     void place(instant now, request_number number, request_state& request);
     // The service turns all away and may be back soon: orders to wait, and returns true.
     bool waitsForService(instant now, request_number number, request_state& request);
-    // Orders to wait, within the time that a request may wait in all.
-    bool waitsBriefly(instant now, request_number number, request_state& request);
     // When to come back, where the service's streams stand still or are too slow to bear one more.
     std::optional<duration> heldOff(instant now, const request_state& request);
     void send(instant now, request_number number, request_state& request, const placement& place);
