Forwarding: a request that waits is at no endpoint

Cause, found by reading the change: after a rejection a request that waits kept its last endpoint. If that one then reported that it is slow, the request was sent at once and again when its wait was over; if its caller left, the endpoint's count of requests in flight was lowered twice.

Change: the endpoint is forgotten when the attempt has ended; a send ends a wait.

--- a/packages/decisions/forwarding/endpoint_fleet.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet.cpp
@@ -325,7 +325,7 @@
         state->inFlight -= std::min(state->inFlight, 1U);
 }
 
-bool endpoint_fleet::hasOther(instant now, const service_id& service, const endpoint_id& endpoint) const
+bool endpoint_fleet::hasFasterEndpoint(instant now, const service_id& service, const endpoint_id& endpoint) const
 {
     return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& entry) {
         const endpoint_state& state = entry.second;
--- a/packages/decisions/forwarding/endpoint_fleet.h
+++ b/packages/decisions/forwarding/endpoint_fleet.h
@@ -92,7 +92,7 @@
     // How long an answer of the service takes at present.
     duration occupancy(const service_id& service) const;
     // Another endpoint of the service reports that it is not slow.
-    bool hasOther(instant now, const service_id& service, const endpoint_id& endpoint) const;
+    bool hasFasterEndpoint(instant now, const service_id& service, const endpoint_id& endpoint) const;
     // Requests running and waiting relative to the slots, over the endpoints that tell; zero if none does.
     double fill(instant now, const service_id& service) const;
     // Requests that this entry has sent there and that are not over.
--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -285,6 +285,8 @@
     m_effects.emplace_back(log_decision { "attempt_ended", request.caller.sendId,
         { { "endpoint", request.current.str() }, { "ending", std::string(nameOf(event.ending)) },
             { "after_ms", millisecondsText(event.now - request.sentAt) }, { "begun", event.answerBegun ? "true" : "false" } } });
+    // While it waits for the next attempt it is nowhere.
+    request.current = {};
     if (mayGoOn(event.now, request, event)) {
         place(event.now, event.request, request);
         return;
--- a/packages/decisions/forwarding/forwarding_reducer_news.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_news.cpp
@@ -99,7 +99,7 @@
     for (const auto& [number, request] : m_requests) {
         const route& taken = *request.taken;
         const bool mayMove = taken.kind == route_kind::Stream && taken.resumable && request.sends < taken.maxAttempts;
-        if (request.current == slow && mayMove && m_fleet.hasOther(now, request.service, slow))
+        if (request.current == slow && mayMove && m_fleet.hasFasterEndpoint(now, request.service, slow))
             leaving.push_back(number);
     }
     for (const request_number number : leaving) {
--- a/packages/directentry/caller_exchange.cpp
+++ b/packages/directentry/caller_exchange.cpp
@@ -98,6 +98,7 @@
 {
     const instant now = m_services.now();
     m_attempt = effect;
+    m_waitsUntil.reset();
     m_deadline = now + effect.timeLeft;
     m_lastProgress = now;
     m_attemptHasAnswer = false;
--- a/tests/decisions/forwarding/forwarding_reducer_test.cpp
+++ b/tests/decisions/forwarding/forwarding_reducer_test.cpp
@@ -379,3 +379,25 @@
     entry.request("/draft/x");
     cr_assert_not_null(entry.effect<send_attempt>());
 }
+
+// Found by reading: a request that waits after a rejection was sent at once when the endpoint that had rejected it reported
+// that it is slow, and a second time when its wait was over.
+Test(forwarding_reducer, a_request_that_waits_does_not_leave_a_slow_endpoint)
+{
+    entry entry;
+    for (int request = 0; request < 3; ++request) {
+        entry.now += 150ms;
+        entry.hearLoad(1, 0);
+        entry.request("/draft/x");
+        entry.end(attempt_ending::Rejected);
+    }
+    cr_assert_not_null(entry.effect<wait_for_service>());
+    for (const char* name : { "d1", "d2" }) {
+        // Past the time for which a rejecting endpoint is left alone.
+        entry.now += 150ms;
+        entry.hearLoad(1, 0);
+        entry.handle(endpoint_load_heard { entry.now, { endpoint(name, drafts).address, 1, 0, 5.0, true } });
+        cr_assert_null(entry.effect<send_attempt>());
+        cr_assert_null(entry.effect<cancel_forwarded>());
+    }
+}
