--- a/packages/storefeed/freshness_relay.cpp
+++ b/packages/storefeed/freshness_relay.cpp
@@ -20,8 +20,6 @@
     return first->first;
 }
 
-bool freshness_relay::reads(instant now) const { return !reader(now); }
-
 std::optional<std::string> freshness_relay::askDue(instant now)
 {
     auto target = reader(now);
--- a/packages/storefeed/freshness_relay.h
+++ b/packages/storefeed/freshness_relay.h
@@ -22,9 +22,7 @@
 
     // Another entry of the zone was heard.
     void notePeer(instant now, const std::string& instance);
-    // This entry reads for its zone.
-    bool reads(instant now) const;
-    // Whom to ask now, if anybody.
+    // Whom to ask now; nobody while it was just asked, or while this entry reads for its zone.
     std::optional<std::string> askDue(instant now);
     void noteAnswer(instant now, const freshness_answer& answer);
     // A moment at which the contents with that digest were current, if it is recent enough to do without a read.
@@ -38,6 +36,7 @@
     static constexpr duration validFor = std::chrono::milliseconds(1900);
 
 private:
+    // None if it is this entry.
     std::optional<std::string> reader(instant now) const;
 
     std::string m_self;
--- a/tests/storefeed/freshness_relay_test.cpp
+++ b/tests/storefeed/freshness_relay_test.cpp
@@ -21,17 +21,15 @@
 Test(freshness_relay, the_first_that_is_heard_reads_and_the_others_ask_it)
 {
     freshness_relay relay("entry-2");
-    cr_assert(relay.reads(instant(1s)));
+    cr_assert(!relay.askDue(instant(1s)));
     relay.notePeer(instant(1s), "entry-3");
-    cr_assert(relay.reads(instant(1s)));
     cr_assert(!relay.askDue(instant(1s)));
     relay.notePeer(instant(1s), "entry-1");
-    cr_assert(!relay.reads(instant(1s)));
     cr_assert(relay.askDue(instant(1s)) == "entry-1");
     cr_assert(!relay.askDue(instant(1100ms)));
     cr_assert(relay.askDue(instant(1500ms)) == "entry-1");
     // It fell silent.
-    cr_assert(relay.reads(instant(2700ms)));
+    cr_assert(!relay.askDue(instant(2700ms)));
 }
 
 // Pattern: an entry sleeps with an answer in its socket and wakes seconds later: the age counts from its question.
