Tests: the soak starts processes again that lost their port, and reports others that end by themselves

Its log shows that it never started: another process of the machine had taken its port 40187 between the choice and the bind. Ruled out: a fault of the shutdown (the log has no line started).

Change: a supervisor for each process; one that lost its port gets others, any other end is reported as FAULT, which was not checked before.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -62,7 +62,10 @@
                 await self.use_connection(self.random.choice(addresses))
 
     async def use_connection(self, address):
-        member = next(member for member in self.members if member.callers == address)
+        member = next((member for member in self.members if member.callers == address), None)
+        if member is None:
+            # Its process had to take another port.
+            return
         host, port = address.split(":")
         try:
             reader, writer = await asyncio.wait_for(asyncio.open_connection(host, int(port)), 1)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -24,7 +24,16 @@
 
     def __init__(self, name, zone, store_address, folder, endpoint=None):
         self.name, self.zone, self.folder = name, zone, folder
+        self.store_address, self.endpoint = store_address, endpoint
         self.is_entry = endpoint is None
+        # Spans in which the process or its links were disturbed.
+        self.disturbances = []
+        self.process = None
+        # A process is stopped, killed or frozen by one fault at a time.
+        self.lifecycle = asyncio.Lock()
+        self.choose_ports()
+
+    def choose_ports(self):
         tcp = {port: f"127.0.0.1:{free_port(socket.SOCK_STREAM)}" for port in ("callers", "readiness", "directory", "operations")}
         self.callers, self.directory = tcp["callers"], tcp["directory"]
         role = "direct_entry" if self.is_entry else "direct_agent"
@@ -34,23 +43,36 @@
             listen += [f"{port} = {tcp[port]}" for port in ("callers", "readiness", "directory")]
             bounds += [f"revocation_ms = {REVOKE_MS}", f"drain_ms = {DRAIN_MS}", "repeat_window_ms = 10000", "pause_ms = 150",
                        "repeat_ratio = 0.2", "repeat_constant = 90", "cold_factor = 1.5", "cold_constant = 5"]
-        text = ["[process]", f"role = {role}", f"instance = {name}", f"availability_zone = {zone}", "[listen]", *listen,
-                "[store]", f"address = {store_address}", "[bounds]", *bounds]
-        if endpoint:
-            text += ["[endpoint]", f"address = {endpoint}", "services = pool"]
-        self.settings = folder / f"{name}.ini"
+        text = ["[process]", f"role = {role}", f"instance = {self.name}", f"availability_zone = {self.zone}", "[listen]", *listen,
+                "[store]", f"address = {self.store_address}", "[bounds]", *bounds]
+        if self.endpoint:
+            text += ["[endpoint]", f"address = {self.endpoint}", "services = pool"]
+        self.settings = self.folder / f"{self.name}.ini"
         self.settings.write_text("\n".join(text) + "\n")
-        # Spans in which the process or its links were disturbed; the last one may be open.
-        self.disturbances = []
-        self.process = None
-        # A process is stopped, killed or frozen by one fault at a time.
-        self.lifecycle = asyncio.Lock()
 
     def start(self):
         log = open(self.folder / f"{self.name}.log", "a")
         self.process = subprocess.Popen([str(PROGRAM), f"--settings={self.settings}"], stdout=log, stderr=log)
         self.note_disturbance(time.monotonic(), time.monotonic())
 
+    def lost_its_port(self):
+        """Another process of the machine took a port between its choice and its use."""
+        log = (self.folder / f"{self.name}.log").read_text()
+        return log.rstrip().endswith("Address already in use")
+
+    async def supervise(self, report):
+        """Starts the process again if it ended by itself, which is a fault unless it could not have its port."""
+        while True:
+            await asyncio.sleep(0.2)
+            async with self.lifecycle:
+                code = self.process.poll()
+                if code is None:
+                    continue
+                if not self.lost_its_port():
+                    report(f"FAULT {self.name} ended by itself with {code}")
+                self.choose_ports()
+                self.start()
+
     def send(self, number):
         if self.process and self.process.poll() is None:
             self.process.send_signal(number)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -65,6 +65,7 @@
             self.agents.append(Member(f"agent{rank.rank}", rank.zone, address, self.folder, rank.address))
         for member in self.entries + self.agents:
             member.start()
+        self.supervisors = [asyncio.create_task(member.supervise(self.broken.append)) for member in self.entries + self.agents]
         self.callers = Callers(self.entries, self.random, KEYS)
 
     def register(self, endpoint):
