Schedules: checks run after each event, also after those queued during a pause

Agent-1 pauses from 8.46 s to 9.25 s. On waking, it handles all queued events at one instant; the checks ran once after the whole batch. Within it an entry's grant rises from 1 to 2 (held 3 to 4, capacity 4), and then a late first token makes the endpoint cold (capacity 4 to 1). Each step alone is allowed: the rise stays within the capacity of its moment, and slots held when the capacity falls may only decrease. The check saw 3 before and 4 of 1 after. Ruled out: the gate granting above its capacity (held never exceeds the capacity before it falls; grants shrink in the same event), grants that outlive the agent's pause (no entry's grant had expired), an overloaded endpoint (one request ran). Change: simulated processes run the checks after each event of the reducer, so the sum is compared with the capacity of its moment. It is stricter: steps inside a batch were not checked at all before.

--- a/tests/schedules/schedule_world.cpp
+++ b/tests/schedules/schedule_world.cpp
@@ -135,6 +135,7 @@
     slot.process = std::make_shared<entry_simulation>(m_queue, entry_reducer(identity),
         [this, index](entry_effect&& effect) { std::visit(entry_effect_visitor { { *this, m_entries.at(index) } }, std::move(effect)); });
     const auto process = slot.process;
+    process->setAfterEvent([this] { runChecks(); });
     slot.node = m_network.join({ slot.instance.str(), [process](const link_opened& event) { process->post(event); },
         [process](const link_closed& event) { process->post(event); },
         [process](const message_received& event) { process->post(event); } });
@@ -156,6 +157,7 @@
     slot.process = std::make_shared<agent_simulation>(m_queue, agent_reducer(identity),
         [this, index](agent_effect&& effect) { std::visit(agent_effect_visitor { { *this, m_agents.at(index) }, index }, std::move(effect)); });
     const auto process = slot.process;
+    process->setAfterEvent([this] { runChecks(); });
     slot.endpoint->attach([process](agent_event_body event) { process->post(std::move(event)); });
     slot.node = m_network.join({ slot.instance.str(), [process](const link_opened& event) { process->post(event); },
         [process](const link_closed& event) { process->post(event); },
@@ -167,11 +169,16 @@
 {
     while (m_queue.runNext(end)) {
         checkVersions();
-        if (m_afterEvent)
-            m_afterEvent();
+        runChecks();
     }
 }
 
+void schedule_world::runChecks() const
+{
+    if (m_afterEvent)
+        m_afterEvent();
+}
+
 bool schedule_world::post(std::size_t entry, const std::function<entry_event_body(request_number)>& makeEvent,
     reply_sink sink)
 {
--- a/tests/schedules/schedule_world.h
+++ b/tests/schedules/schedule_world.h
@@ -112,6 +112,7 @@
     template <typename Process>
     void callPlatform(const std::shared_ptr<Process>& process, const call_platform& effect);
     void checkVersions();
+    void runChecks() const;
     std::vector<listed_instance> instanceList() const;
 
     world_options m_options;
--- a/tests/schedules/simulated_process.h
+++ b/tests/schedules/simulated_process.h
@@ -24,6 +24,10 @@
     {
     }
 
+    // Sets a check that is called after each event that the reducer has handled, also after each of those that were queued
+    // during a pause.
+    void setAfterEvent(std::function<void()> check) { m_afterEvent = std::move(check); }
+
     void start() { post(time_passed {}); }
 
     void post(event_body body)
@@ -74,6 +78,8 @@
             if (m_alive)
                 m_handler(std::move(effect));
         }
+        if (m_afterEvent)
+            m_afterEvent();
         scheduleWakeUp();
     }
 
@@ -93,6 +99,7 @@
     event_queue& m_queue;
     Reducer m_reducer;
     std::function<void(Effect&&)> m_handler;
+    std::function<void()> m_afterEvent;
     std::deque<event_body> m_pendingEvents;
     std::optional<instant> m_scheduled;
     instant m_pausedUntil;
