--- a/packages/datagrams/datagram_codec.cpp
+++ b/packages/datagrams/datagram_codec.cpp
@@ -20,13 +20,14 @@
     json operator()(const entry_presence& presence) const
     {
         return { { "k", "e" }, { "i", presence.instance.str() }, { "z", presence.zone.str() }, { "a", presence.callerAddress },
-            { "s", presence.serving } };
+            { "s", presence.serving }, { "c", presence.configuration }, { "n", presence.starting } };
     }
     json operator()(const endpoint_load& load) const
     {
         return { { "k", "l" }, { "a", load.address }, { "r", load.running }, { "w", load.waiting },
-            { "p", std::lround(load.slowdownFactor * paceScale) }, { "o", load.groupOpen } };
+            { "p", std::lround(load.slowdownFactor * paceScale) }, { "o", load.groupOpen }, { "n", load.subscribers }, { "x", load.leaving }, { "t", load.startedAtMs } };
     }
+    json operator()(const load_subscription& subscription) const { return { { "k", "u" }, { "z", subscription.zone.str() }, { "g", subscription.storeGeneration } }; }
     json operator()(const crash_report& breakdown) const
     {
         return { { "k", "b" }, { "c", breakdown.contentHash }, { "n", breakdown.sendId } };
@@ -53,13 +54,13 @@
 entry_presence presenceFromJson(const json& body)
 {
     return { instance_id(body.at("i").get<std::string>()), availability_zone_id(body.at("z").get<std::string>()),
-        body.at("a").get<std::string>(), body.at("s").get<bool>() };
+        body.at("a").get<std::string>(), body.at("s").get<bool>(), body.value("c", std::uint64_t { 0 }), body.value("n", false) };
 }
 
 endpoint_load loadFromJson(const json& body)
 {
     return { body.at("a").get<std::string>(), body.at("r").get<std::uint32_t>(), body.at("w").get<std::uint32_t>(),
-        body.at("p").get<double>() / paceScale, body.at("o").get<bool>() };
+        body.at("p").get<double>() / paceScale, body.at("o").get<bool>(), body.value("n", 0U), body.value("x", false), body.value("t", std::uint64_t { 0 }) };
 }
 
 instant askedAtFromJson(const json& body) { return instant(duration(body.at("t").get<duration::rep>())); }
@@ -93,6 +94,8 @@
             return presenceFromJson(body);
         if (kind == "l")
             return loadFromJson(body);
+        if (kind == "u")
+            return load_subscription { availability_zone_id(body.at("z").get<std::string>()), body.at("g").get<std::uint64_t>() };
         if (kind == "r") {
             const auto& message = body.at("m").get_binary();
             return relay_request { body.at("t").get<std::vector<std::string>>(), { message.begin(), message.end() } };
--- a/packages/datagrams/group_codec.cpp
+++ b/packages/datagrams/group_codec.cpp
@@ -1,10 +1,12 @@
 #include "datagrams/group_codec.h"
 
+#include "datagrams/packed_lists.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
+#include <optional>
 
 namespace appleramp {
 
@@ -12,59 +14,13 @@
 
 using nlohmann::json;
 
-// Appends the number as two bytes in little-endian order. Numbers above 65535 are clamped to it.
-void appendUint16(std::vector<std::uint8_t>& bytes, std::uint32_t value)
-{
-    const std::uint32_t clamped = std::min<std::uint32_t>(value, std::numeric_limits<std::uint16_t>::max());
-    bytes.push_back(static_cast<std::uint8_t>(clamped & 0xffU));
-    bytes.push_back(static_cast<std::uint8_t>(clamped >> 8U));
-}
-
-using expert_lists = std::vector<std::vector<expert_number>>;
-
-// Encodes the lists as one byte string: the first byte is the width of all numbers in bytes (1 or 2), followed by the
-// length and the numbers of each list.
-json listsToJson(const expert_lists& lists)
-{
-    const bool fitsOneByte = std::all_of(lists.begin(), lists.end(), [](const auto& list) {
-        return list.size() < 256 && std::all_of(list.begin(), list.end(), [](expert_number expert) { return expert < 256; });
-    });
-    std::vector<std::uint8_t> bytes { static_cast<std::uint8_t>(fitsOneByte ? 1 : 2) };
-    const auto append = [&](std::size_t value) {
-        if (fitsOneByte)
-            bytes.push_back(static_cast<std::uint8_t>(value));
-        else
-            appendUint16(bytes, static_cast<std::uint32_t>(value));
-    };
-    for (const auto& list : lists) {
-        append(list.size());
-        for (const expert_number expert : list)
-            append(expert);
-    }
-    return json::binary(std::move(bytes));
-}
+json listsToJson(const expert_lists& lists) { return json::binary(packLists(lists)); }
 
-expert_lists listsFromJson(const json& body)
+// Throws json::exception, like the other readers, if the member is no byte string.
+std::optional<expert_lists> listsFromJson(const json& body)
 {
     const auto& bytes = body.get_binary();
-    expert_lists lists;
-    if (bytes.empty())
-        return lists;
-    const std::size_t width = bytes[0] == 1 ? 1 : 2;
-    std::size_t offset = 1;
-    const auto readNumber = [&] {
-        const unsigned low = bytes[offset];
-        const unsigned high = width == 2 ? bytes[offset + 1] : 0;
-        offset += width;
-        return static_cast<std::uint16_t>(low | high << 8U);
-    };
-    while (offset + width <= bytes.size()) {
-        const std::uint16_t count = readNumber();
-        auto& list = lists.emplace_back();
-        for (std::uint16_t index = 0; index < count && offset + width <= bytes.size(); ++index)
-            list.push_back(readNumber());
-    }
-    return lists;
+    return unpackLists({ bytes.data(), bytes.size() });
 }
 
 // Pace of a rank at normal speed; omitted from messages.
@@ -116,7 +72,7 @@
 }
 
 struct encoder {
-    json operator()(const coordinator_heartbeat& beat) const { return { { "k", "b" }, { "r", beat.rank }, { "e", beat.epoch }, { "z", beat.zone } }; }
+    json operator()(const coordinator_heartbeat& beat) const { return { { "k", "b" }, { "r", beat.rank }, { "e", beat.epoch }, { "z", beat.zone }, { "a", beat.address } }; }
     json operator()(const rank_status& status) const
     {
         json body { { "k", "s" }, { "r", status.rank }, { "n", status.ranks }, { "e", status.epoch }, { "o", status.groupOpen },
@@ -165,16 +121,19 @@
     json operator()(const status_query& query) const { return { { "k", "q" }, { "n", switchNameToJson(query.name) }, { "r", query.rank } }; }
 };
 
-rank_status statusFromJson(const json& body)
+std::optional<group_message> statusFromJson(const json& body)
 {
+    auto experts = listsFromJson(body.at("x"));
+    if (!experts)
+        return std::nullopt;
     rank_status status;
+    status.experts = std::move(*experts);
     status.rank = body.at("r").get<std::uint32_t>();
     status.ranks = body.at("n").get<std::uint32_t>();
     status.epoch = body.at("e").get<group_epoch>();
     status.groupOpen = body.at("o").get<bool>();
     status.pass = body.at("p").get<pass_number>();
     status.mapVersion = body.at("m").get<group_map_version>();
-    status.experts = listsFromJson(body.at("x"));
     status.preparedDigest = body.at("d").get<std::uint64_t>();
     status.proposedVersion = body.at("q").get<group_map_version>();
     status.preparedVersion = numberIfPresent(body, "v");
@@ -193,27 +152,28 @@
 
 std::optional<group_message> proposalFromJson(const json& body)
 {
-    const expert_lists lists = listsFromJson(body.at("x"));
+    auto lists = listsFromJson(body.at("x"));
     const auto sets = body.at("s").get<std::size_t>();
-    if (sets == 0 || lists.size() % sets != 0)
+    if (!lists || sets == 0 || lists->size() % sets != 0)
         return std::nullopt;
-    group_map map(sets, lists.size() / sets);
-    for (std::size_t index = 0; index < lists.size(); ++index)
-        map.at(index / map.ranks(), index % map.ranks()) = lists[index];
+    group_map map(sets, lists->size() / sets);
+    for (std::size_t index = 0; index < lists->size(); ++index)
+        map.at(index / map.ranks(), index % map.ranks()) = std::move((*lists)[index]);
     return map_proposal { body.at("e").get<group_epoch>(), body.at("v").get<group_map_version>(), std::move(map) };
 }
 
 std::optional<group_message> changesFromJson(const json& body)
 {
     map_changes proposal { body.at("e").get<group_epoch>(), body.at("v").get<group_map_version>(), body.at("b").get<group_map_version>(), {} };
-    const expert_lists positions = listsFromJson(body.at("p"));
-    expert_lists lists = listsFromJson(body.at("x"));
-    if (positions.size() != lists.size())
+    const auto positions = listsFromJson(body.at("p"));
+    auto lists = listsFromJson(body.at("x"));
+    if (!positions || !lists || positions->size() != lists->size())
         return std::nullopt;
-    for (std::size_t index = 0; index < positions.size(); ++index) {
-        if (positions[index].size() != 2)
+    for (std::size_t index = 0; index < positions->size(); ++index) {
+        const auto& position = (*positions)[index];
+        if (position.size() != 2)
             return std::nullopt;
-        proposal.changes.push_back({ positions[index][0], positions[index][1], std::move(lists[index]) });
+        proposal.changes.push_back({ position[0], position[1], std::move((*lists)[index]) });
     }
     return proposal;
 }
@@ -226,7 +186,7 @@
 {
     const std::string kind = body.at("k").get<std::string>();
     if (kind == "b")
-        return coordinator_heartbeat { body.at("r").get<std::uint32_t>(), body.at("e").get<group_epoch>(), body.at("z").get<std::string>() };
+        return coordinator_heartbeat { body.at("r").get<std::uint32_t>(), body.at("e").get<group_epoch>(), body.at("z").get<std::string>(), body.at("a").get<std::string>() };
     if (kind == "s")
         return statusFromJson(body);
     if (kind == "c")
--- a/packages/decisions/forwarding/endpoint_fleet.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet.cpp
@@ -38,6 +38,10 @@
 // variation.
 constexpr double slowRankCost = 4.0;
 constexpr double slowRankPaceThreshold = 1.25;
+// Fractions of a cold endpoint's limit for the entries that subscribe to its reports, which share it by their number, and
+// for all others together.
+constexpr double subscribersColdShare = 0.75;
+constexpr double othersColdShare = 0.25;
 // Number of seeds to which the caller's random fraction is mapped.
 constexpr double sampleSeedRange = 2'000'000'000.0;
 
@@ -66,7 +70,12 @@
             formerAddress->second.erase(record.id);
         m_byAddress[record.address].insert(record.id);
     }
+    if (state.record.startedAtMs != record.startedAtMs)
+        state.pausedUntil = {};
+    if (record.leaving)
+        m_departed.recordUnlisted(now, record);
     state.record = record;
+    state.source = loadSourceOf(record.address);
     state.recordReceivedAt = now;
     state.lapsedAt.reset();
 }
@@ -99,10 +108,12 @@
     if (found == m_endpoints.end())
         return;
     const bool registryUnsettled = m_registryLost || (m_registryRegainedAt && now - *m_registryRegainedAt < m_settings.lapseGracePeriod);
-    if (registryUnsettled && !found->second.record.leaving)
+    if (registryUnsettled && !found->second.record.leaving) {
         found->second.lapsedAt = now;
-    else
-        erase(endpoint);
+        return;
+    }
+    m_departed.recordUnlisted(now, found->second.record);
+    erase(endpoint);
 }
 
 void endpoint_fleet::replaceAll(instant now, std::span<const endpoint_record> records)
@@ -129,10 +140,49 @@
     m_registryRegainedAt = now;
 }
 
+// Endpoints that registered after the copy was made are missing in it until they write their rows again.
+void endpoint_fleet::onRegistryRestored(instant now)
+{
+    m_departed.onStoreRestored(now);
+    m_registryRegainedAt = now;
+}
+
+bool endpoint_fleet::recordLeaving(instant now, const endpoint_id& endpoint)
+{
+    const endpoint_state* const state = find(endpoint);
+    return state != nullptr && m_departed.recordLeaving(now, state->record);
+}
+
+void endpoint_fleet::pause(const endpoint_id& endpoint, instant until)
+{
+    if (endpoint_state* const state = find(endpoint))
+        state->pausedUntil = std::max(state->pausedUntil, until);
+}
+
+std::optional<instant> endpoint_fleet::allPausedUntil(instant now, const service_id& service) const
+{
+    std::optional<instant> earliest;
+    for (const auto& [id, state] : m_endpoints) {
+        if (state.record.service != service || !isInService(state, now))
+            continue;
+        if (state.pausedUntil <= now)
+            return std::nullopt;
+        earliest = earliest ? std::min(*earliest, state.pausedUntil) : state.pausedUntil;
+    }
+    return earliest;
+}
+
+std::size_t endpoint_fleet::pausedCount(instant now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_endpoints.begin(), m_endpoints.end(), [now](const auto& entry) { return entry.second.pausedUntil > now; }));
+}
+
 void endpoint_fleet::setZonesOutOfService(std::set<availability_zone_id> zones) { m_zonesOutOfService = std::move(zones); }
 
 std::vector<endpoint_id> endpoint_fleet::removeLapsed(instant now)
 {
+    m_departed.removeExpired(now);
     std::vector<endpoint_id> expired;
     if (m_registryLost || !m_registryRegainedAt || now - *m_registryRegainedAt < m_settings.lapseGracePeriod)
         return expired;
@@ -140,8 +190,10 @@
         if (state.lapsedAt)
             expired.push_back(id);
     }
-    for (const endpoint_id& id : expired)
+    for (const endpoint_id& id : expired) {
+        m_departed.recordUnlisted(now, m_endpoints.at(id).record);
         erase(id);
+    }
     return expired;
 }
 
@@ -155,6 +207,31 @@
     });
 }
 
+std::optional<endpoint_id> endpoint_fleet::atAddress(std::string_view address, std::uint64_t startedAtMs) const
+{
+    const auto listed = m_byAddress.find(address);
+    if (listed == m_byAddress.end())
+        return std::nullopt;
+    const auto found = std::find_if(listed->second.begin(), listed->second.end(),
+        [&](const endpoint_id& endpoint) { return m_endpoints.at(endpoint).record.startedAtMs == startedAtMs; });
+    return found == listed->second.end() ? std::nullopt : std::optional(*found);
+}
+
+void endpoint_fleet::setSubset(std::set<std::string> reporting, std::set<std::string> subscribed)
+{
+    m_reporting = std::move(reporting);
+    m_subscribed = std::move(subscribed);
+    for (auto& [id, state] : m_endpoints)
+        state.source = loadSourceOf(state.record.address);
+}
+
+endpoint_fleet::load_source endpoint_fleet::loadSourceOf(const std::string& address) const
+{
+    if (m_subscribed.contains(address))
+        return load_source::Subscription;
+    return m_reporting.contains(address) ? load_source::None : load_source::OwnRequests;
+}
+
 void endpoint_fleet::recordLoad(instant now, const endpoint_load& load)
 {
     const auto endpoint = latestAtAddress(load.address);
@@ -175,6 +252,9 @@
 {
     if (hasFreshReport(state, now))
         return std::max<double>(state.report->running + state.report->waiting + state.sentSinceReport, state.inFlight);
+    // An endpoint whose reports do not arrive must not look idle.
+    if (state.source != load_source::OwnRequests)
+        return std::max<double>(meanReportedLoad(state.record.service, now) + state.inFlight, state.inFlight);
     return static_cast<double>(state.inFlight) * std::max(1.0, 0.5 * static_cast<double>(entryCount));
 }
 
@@ -204,11 +284,16 @@
     return queueCost + failurePenalty + crossZonePenalty + slowRankPenalty;
 }
 
+bool endpoint_fleet::isInService(const endpoint_state& state, instant now) const
+{
+    return !state.record.leaving && !m_zonesOutOfService.contains(state.record.zone) && !m_departed.excludes(now, state.record);
+}
+
 bool endpoint_fleet::isUsable(const endpoint_state& state, const placement_query& query) const
 {
-    if (state.record.service != query.service || state.record.leaving || m_zonesOutOfService.contains(state.record.zone))
+    if (state.record.service != query.service || !isInService(state, query.now))
         return false;
-    if (query.now < state.avoidUntil || isReplaced(state))
+    if (query.now < std::max(state.avoidUntil, state.pausedUntil) || isReplaced(state))
         return false;
     return std::find(query.excludedEndpoints.begin(), query.excludedEndpoints.end(), state.record.id) == query.excludedEndpoints.end();
 }
@@ -222,20 +307,40 @@
     const double rateLimit = isCold
         ? query.coldRequestsPerSecond
         : m_settings.usableColdFraction * (query.coldRequestsPerSecond * m_settings.coldRateFactor + m_settings.coldRateAllowance);
-    const double share = rateLimit / static_cast<double>(std::max<std::size_t>(query.entryCount, 1));
+    const double share = rateLimit * coldRateShare(state, query);
     if (share >= 1)
         return static_cast<double>(state.recentSends.count(query.now)) + 1 <= share;
     return query.now - state.lastSend >= duration(static_cast<duration::rep>(1e6 / share));
 }
 
-// Returns all usable endpoints, or a random sample if there are more than sampleSize.
-std::vector<endpoint_fleet::endpoint_state*> endpoint_fleet::sampleCandidates(const placement_query& query)
+double endpoint_fleet::coldRateShare(const endpoint_state& state, const placement_query& query) const
+{
+    const auto entries = static_cast<double>(std::max<std::size_t>(query.entryCount, 1));
+    if (state.source == load_source::OwnRequests)
+        return 1 / entries;
+    const bool isCounted = hasFreshReport(state, query.now) && state.report->subscribers > 0;
+    return isCounted ? subscribersColdShare / state.report->subscribers : othersColdShare / entries;
+}
+
+std::vector<endpoint_fleet::endpoint_state*> endpoint_fleet::candidates(const placement_query& query, bool onlySubset)
 {
     std::vector<endpoint_state*> found;
     for (auto& [id, state] : m_endpoints) {
+        if (onlySubset && state.source == load_source::None)
+            continue;
         if (isUsable(state, query) && isWithinColdRate(state, query))
             found.push_back(&state);
     }
+    return found;
+}
+
+// Returns the usable endpoints of the subset, or of the whole fleet if there are none; a random sample of them if there are
+// more than sampleSize.
+std::vector<endpoint_fleet::endpoint_state*> endpoint_fleet::sampleCandidates(const placement_query& query)
+{
+    auto found = candidates(query, true);
+    if (found.empty())
+        found = candidates(query, false);
     std::minstd_rand random(static_cast<std::minstd_rand::result_type>(query.randomFraction * sampleSeedRange) + 1);
     std::shuffle(found.begin(), found.end(), random);
     found.resize(std::min(found.size(), m_settings.sampleSize));
@@ -253,14 +358,14 @@
     return placement { best->record.id, best->record.address, best->record.slots, estimatedLoad(*best, query.now, query.entryCount), age };
 }
 
-placement_failure endpoint_fleet::failureReason(const service_id& service) const
+placement_failure endpoint_fleet::failureReason(instant now, const service_id& service) const
 {
     bool hasEndpoint = false;
     for (const auto& [id, state] : m_endpoints) {
         if (state.record.service != service)
             continue;
         hasEndpoint = true;
-        if (!state.record.leaving && !m_zonesOutOfService.contains(state.record.zone))
+        if (isInService(state, now))
             return placement_failure::TemporarilyUnavailable;
     }
     return hasEndpoint ? placement_failure::AllOutOfService : placement_failure::NoEndpoint;
@@ -332,8 +437,8 @@
 {
     return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& entry) {
         const endpoint_state& state = entry.second;
-        const bool isInService = state.record.service == service && !state.record.leaving && !m_zonesOutOfService.contains(state.record.zone);
-        return isInService && entry.first != endpoint && hasFreshReport(state, now) && state.report->slowdownFactor < slowRankPaceThreshold && now >= state.avoidUntil;
+        return state.record.service == service && isInService(state, now) && entry.first != endpoint && hasFreshReport(state, now) && state.report->slowdownFactor < slowRankPaceThreshold
+            && now >= std::max(state.avoidUntil, state.pausedUntil);
     });
 }
 
@@ -350,6 +455,19 @@
     return slots > 0 ? requests / slots : 0;
 }
 
+double endpoint_fleet::meanReportedLoad(const service_id& service, instant now) const
+{
+    double requests = 0;
+    std::size_t reports = 0;
+    for (const auto& [id, state] : m_endpoints) {
+        if (state.source != load_source::Subscription || state.record.service != service || !hasFreshReport(state, now))
+            continue;
+        requests += state.report->running + state.report->waiting;
+        ++reports;
+    }
+    return reports > 0 ? requests / static_cast<double>(reports) : 0;
+}
+
 std::size_t endpoint_fleet::inFlight(const service_id& service) const
 {
     std::size_t requests = 0;
--- a/packages/decisions/forwarding/endpoint_fleet.h
+++ b/packages/decisions/forwarding/endpoint_fleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decisions/forwarding/attempt_ending.h"
+#include "decisions/forwarding/departed_endpoints.h"
 #include "decisions/forwarding/sliding_window_counter.h"
 #include "model/endpoint_news.h"
 #include "model/routing.h"
@@ -80,11 +81,26 @@
     // Removes and returns the lapsed endpoints whose grace period is over.
     std::vector<endpoint_id> removeLapsed(instant now);
 
+    // The store that holds the registry came back from an older copy.
+    void onRegistryRestored(instant now);
+
+    // The endpoint announced that it leaves. Returns true if this incarnation had not announced it before.
+    bool recordLeaving(instant now, const endpoint_id& endpoint);
+    // The endpoint asked for no requests until then.
+    void pause(const endpoint_id& endpoint, instant until);
+    // When the first endpoint of the service resumes; nothing unless all that are in service are paused.
+    std::optional<instant> allPausedUntil(instant now, const service_id& service) const;
+    std::size_t pausedCount(instant now) const;
+
     // Stores a load report for the endpoint that was started last at its address.
     void recordLoad(instant now, const endpoint_load& load);
 
+    // Sets the addresses of the endpoints that report their load, and of those whose reports come to this entry. Endpoints
+    // that report, but not here, are used only if none of the others is usable.
+    void setSubset(std::set<std::string> reporting, std::set<std::string> subscribed);
+
     std::optional<placement> choose(const placement_query& query);
-    placement_failure failureReason(const service_id& service) const;
+    placement_failure failureReason(instant now, const service_id& service) const;
     void recordSend(instant now, const endpoint_id& endpoint);
     // An attempt is over, with a whole answer or without one.
     void recordAnswer(instant now, const endpoint_id& endpoint, duration answerTime);
@@ -104,16 +120,29 @@
     std::size_t size() const { return m_endpoints.size(); }
     // The endpoint that was started last at the address.
     std::optional<endpoint_id> latestAtAddress(std::string_view address) const;
+    // The endpoint with that address and start time.
+    std::optional<endpoint_id> atAddress(std::string_view address, std::uint64_t startedAtMs) const;
 
 private:
+    // Where this entry learns the load of an endpoint.
+    enum class load_source {
+        // From its own requests only: the endpoint has no agent.
+        OwnRequests,
+        Subscription,
+        // The endpoint reports to other entries.
+        None,
+    };
     struct endpoint_state {
         endpoint_record record;
+        load_source source = load_source::OwnRequests;
         instant recordReceivedAt;
         std::optional<instant> lapsedAt;
         std::uint32_t inFlight = 0;
         sliding_window_counter recentSends { std::chrono::seconds(1) };
         instant lastSend;
         instant avoidUntil;
+        // The endpoint asked for a pause until then.
+        instant pausedUntil;
         std::uint32_t refusedConnections = 0;
         // Moving average of the attempts that failed, 0 to 1, decayed since failureRateUpdatedAt.
         double failureRate = 0;
@@ -133,9 +162,17 @@
     void erase(const endpoint_id& endpoint);
     // True if another endpoint started later at the same address: this one is gone, though the registry still lists it.
     bool isReplaced(const endpoint_state& state) const;
+    // Listed as ready, not known to leave, and in a zone that is in service.
+    bool isInService(const endpoint_state& state, instant now) const;
     bool isUsable(const endpoint_state& state, const placement_query& query) const;
     bool isWithinColdRate(endpoint_state& state, const placement_query& query) const;
+    load_source loadSourceOf(const std::string& address) const;
+    // Fraction of the limit of a cold endpoint that this entry may use.
+    double coldRateShare(const endpoint_state& state, const placement_query& query) const;
+    std::vector<endpoint_state*> candidates(const placement_query& query, bool onlySubset);
     std::vector<endpoint_state*> sampleCandidates(const placement_query& query);
+    // Mean load of the service's endpoints that report it.
+    double meanReportedLoad(const service_id& service, instant now) const;
     double estimatedLoad(const endpoint_state& state, instant now, std::size_t entryCount) const;
     double cost(const endpoint_state& state, const placement_query& query) const;
     double slowdown(const endpoint_state& state, instant now) const;
@@ -148,6 +185,9 @@
     std::map<std::string, std::set<endpoint_id>, std::less<>> m_byAddress;
     std::map<service_id, service_state> m_services;
     std::set<availability_zone_id> m_zonesOutOfService;
+    std::set<std::string> m_reporting;
+    std::set<std::string> m_subscribed;
+    departed_endpoints m_departed;
     bool m_registryLost = false;
     std::optional<instant> m_registryRegainedAt;
 };
--- a/packages/decisions/forwarding/entry_peers.cpp
+++ b/packages/decisions/forwarding/entry_peers.cpp
@@ -1,9 +1,24 @@
 #include "decisions/forwarding/entry_peers.h"
 
+#include "decisions/membership/rendezvous.h"
+
 #include <algorithm>
+#include <span>
+#include <string_view>
 
 namespace appleramp {
 
+namespace {
+
+// Entries that answer give different orders, so that callers that read only a part spread over all entries.
+void shuffleByAnsweringEntry(std::string_view answering, std::span<const entry_presence*> entries)
+{
+    const auto score = [answering](const entry_presence* entry) { return rendezvousScore(answering, entry->callerAddress); };
+    std::sort(entries.begin(), entries.end(), [&](const auto* left, const auto* right) { return score(left) > score(right); });
+}
+
+} // namespace
+
 entry_peers::entry_peers(instant startedAt, peer_settings settings)
     : m_startedAt(startedAt)
     , m_settings(settings)
@@ -28,7 +43,10 @@
         if (peer.presence.serving && now - peer.heardAt < m_settings.silenceTimeout)
             serving.push_back(&peer.presence);
     }
-    std::stable_partition(serving.begin(), serving.end(), [&](const auto* entry) { return entry->zone == zone; });
+    const auto others = std::stable_partition(serving.begin(), serving.end(), [&](const auto* entry) { return entry->zone == zone; });
+    if (serving.size() > m_settings.maxAddresses)
+        shuffleByAnsweringEntry(self.callerAddress, { others, serving.end() });
+    serving.resize(std::min(serving.size(), m_settings.maxAddresses));
     std::vector<std::string> addresses;
     addresses.reserve(serving.size());
     for (const entry_presence* entry : serving)
--- a/packages/decisions/forwarding/entry_peers.h
+++ b/packages/decisions/forwarding/entry_peers.h
@@ -19,6 +19,8 @@
     std::size_t initialEntryEstimate = 16;
     // Time after the start of the process within which the presence messages of all entries are expected.
     duration discoveryPeriod = std::chrono::seconds(4);
+    // Callers read no more addresses of an answer than this.
+    std::size_t maxAddresses = 64;
 };
 
 // Tracks the other entries by their presence messages.
@@ -30,7 +32,8 @@
     bool recordPresence(instant now, const entry_presence& presence);
     // Sets the number of entries that the store lists, whether or not their presence messages arrive.
     void setListedEntries(std::size_t entries) { m_listedEntries = entries; }
-    // Addresses of the entries that serve callers, those in the caller's zone first.
+    // Addresses of the entries that serve callers, those in the caller's zone first. If there are more than `maxAddresses`,
+    // the answer holds a part of the others, which differs between the entries that answer.
     std::vector<std::string> callerAddresses(instant now, const entry_presence& self, const availability_zone_id& zone) const;
     // Number of entries among which shared budgets are divided, including this one. Overestimated rather than
     // underestimated, so that the shares do not add up to more than the budget.
--- a/packages/decisions/forwarding/forwarding_events.h
+++ b/packages/decisions/forwarding/forwarding_events.h
@@ -48,6 +48,12 @@
     std::optional<duration> retryAfter;
 };
 
+// An answer of the endpoint announces that it leaves.
+struct endpoint_leaving_announced {
+    instant now;
+    endpoint_id endpoint;
+};
+
 // The endpoint's whole answer has been sent to the caller.
 struct attempt_succeeded {
     instant now;
@@ -114,11 +120,23 @@
     bool reachable = true;
 };
 
+// The store that holds the registry came back from an older copy, and may list endpoints that have left.
+struct registry_restored {
+    instant now;
+};
+
 struct endpoint_load_received {
     instant now;
     endpoint_load load;
 };
 
+// Addresses of the endpoints whose agents report their load, and of those to which this entry subscribes.
+struct load_subset_changed {
+    instant now;
+    std::set<std::string> reporting;
+    std::set<std::string> subscribed;
+};
+
 struct entry_presence_received {
     instant now;
     entry_presence presence;
@@ -132,10 +150,11 @@
     std::string sendId;
 };
 
-// The store lists this many entries.
+// The store lists this many entries, and this many besides this one.
 struct entry_count_read {
     instant now;
     std::size_t entries = 0;
+    std::size_t others = 0;
 };
 
 // Periodic tick for state that expires with time.
@@ -146,6 +165,6 @@
 using forwarding_event = std::variant<request_arrived, attempt_ended, attempt_succeeded, stream_advanced, service_wait_ended,
     caller_disconnected, deadline_passed,
     configuration_read, out_of_service_zones_changed, endpoint_listed, endpoint_unlisted, registry_read,
-    registry_access_changed, endpoint_load_received, entry_presence_received, crash_report_received, entry_count_read, timer_ticked>;
+    registry_access_changed, registry_restored, endpoint_leaving_announced, endpoint_load_received, load_subset_changed, entry_presence_received, crash_report_received, entry_count_read, timer_ticked>;
 
 } // namespace appleramp
--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -36,6 +36,9 @@
 // Timeout for the answer to an idempotent request that is no stream, after which another endpoint is tried, in latency
 // targets.
 constexpr double plainAnswerTimeoutFactor = 0.6;
+// Random addition to the pause that an endpoint asks for, as a fraction of it and at most.
+constexpr double pauseSpread = 0.2;
+constexpr duration maxPauseSpread = std::chrono::seconds(1);
 // For callers and routes that set no timeout.
 constexpr duration defaultTimeout = std::chrono::seconds(60);
 
@@ -115,6 +118,13 @@
 
 duration forwarding_reducer::longRetryAfter() { return longRetryAfterMin + scaled(longRetryAfterJitter, randomFraction()); }
 
+// When every endpoint of the service asked for a pause, callers come back after the first of them ends.
+duration forwarding_reducer::retryAfterPause(instant now, const service_id& service)
+{
+    const auto resumed = m_fleet.allPausedUntil(now, service);
+    return shortRetryAfter() + (resumed ? *resumed - now : duration::zero());
+}
+
 void forwarding_reducer::on(const request_arrived& event)
 {
     request_state request { .caller = event.caller, .routes = m_routes, .arrivedAt = event.now };
@@ -180,13 +190,13 @@
         .randomFraction = randomFraction() });
     if (!found) {
         // Endpoints that are only at their cold rate limit or in backoff accept requests again within a second.
-        const bool isTemporary = m_fleet.failureReason(request.service) == placement_failure::TemporarilyUnavailable;
+        const bool isTemporary = m_fleet.failureReason(now, request.service) == placement_failure::TemporarilyUnavailable;
         if (!isTemporary) {
             m_outages[request.service].recordRejection(now);
             if (deferDuringOutage(now, number, request))
                 return;
         }
-        const duration retryAfter = isTemporary ? shortRetryAfter() : longRetryAfter();
+        const duration retryAfter = isTemporary ? retryAfterPause(now, request.service) : longRetryAfter();
         refuse(number, request, request.mayHaveRun ? refusal_reason::OutcomeUnknown : refusal_reason::NoCapacity, retryAfter);
         m_requests.erase(number);
         return;
@@ -283,6 +293,8 @@
     request_state& request = found->second;
     m_fleet.recordEnding(event.now, request.currentEndpoint, event.ending);
     recordEnding(event.now, request, event.ending);
+    if (event.retryAfter)
+        pauseEndpoint(event.now, request, *event.retryAfter);
     if (executionStatusAfter(event.ending) != execution_status::NotRun)
         request.mayHaveRun = true;
     m_effects.emplace_back(log_decision { "attempt_ended", request.caller.sendId,
@@ -344,6 +356,16 @@
         m_outages[request.service].recordProgress();
 }
 
+void forwarding_reducer::pauseEndpoint(instant now, const request_state& request, duration time)
+{
+    // The entries resume at different times, so that the endpoint does not get all of their first requests at once.
+    const duration spread = std::min(scaled(time, pauseSpread), maxPauseSpread);
+    const duration pause = time + scaled(spread, randomFraction());
+    m_fleet.pause(request.currentEndpoint, now + pause);
+    m_effects.emplace_back(log_decision { "endpoint_paused", request.caller.sendId,
+        { { "endpoint", request.currentEndpoint.str() }, { "asked_ms", millisecondsText(time) }, { "for_ms", millisecondsText(pause) } } });
+}
+
 void forwarding_reducer::announceBreakdowns(instant now, const endpoint_id& endpoint)
 {
     for (const broken_attempt& breakdown : m_suspects.confirmBreakdowns(now, endpoint))
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -2,6 +2,7 @@
 
 #include "decisions/forwarding/admission_gate.h"
 #include "decisions/forwarding/brief_outage.h"
+#include "decisions/forwarding/configuration_trust.h"
 #include "decisions/forwarding/crash_suspects.h"
 #include "decisions/forwarding/endpoint_fleet.h"
 #include "decisions/forwarding/entry_peers.h"
@@ -85,7 +86,10 @@
     void on(const endpoint_unlisted& event);
     void on(const registry_read& event);
     void on(const registry_access_changed& event);
+    void on(const registry_restored& event);
+    void on(const endpoint_leaving_announced& event);
     void on(const endpoint_load_received& event);
+    void on(const load_subset_changed& event);
     void on(const entry_presence_received& event);
     void on(const crash_report_received& event);
     void on(const entry_count_read& event);
@@ -106,14 +110,23 @@
     void refuse(request_number number, const request_state& request, refusal_reason reason, std::optional<duration> retryAfter);
     void moveStreamsFromSlowEndpoint(instant now, const endpoint_id& slow, double pace);
     void recordEnding(instant now, const request_state& request, attempt_ending ending);
+    // The endpoint asked for no requests for that long.
+    void pauseEndpoint(instant now, const request_state& request, duration time);
+    void recordLeaving(instant now, const endpoint_id& endpoint, std::string_view source);
     void announceBreakdowns(instant now, const endpoint_id& endpoint);
+    // Confirms the configuration in force by the last read, if that read is to be trusted.
+    void confirmConfiguration(instant now);
     double randomFraction();
     duration shortRetryAfter();
     duration longRetryAfter();
+    duration retryAfterPause(instant now, const service_id& service);
 
     forwarding_settings m_settings;
     std::shared_ptr<const route_table> m_routes;
     freshness_lease m_freshness;
+    configuration_trust m_trust;
+    // When the last read that has confirmed nothing yet was sent.
+    std::optional<instant> m_unconfirmedReadAt;
     shared_retry_budget m_retryBudget;
     crash_suspects m_suspects;
     endpoint_fleet m_fleet;
--- a/packages/decisions/forwarding/forwarding_reducer_news.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_news.cpp
@@ -1,5 +1,6 @@
 #include "decisions/forwarding/forwarding_reducer.h"
 
+#include <algorithm>
 #include <utility>
 
 // Handlers of the events that come from the store, the registry, agents and other entries.
@@ -23,6 +24,8 @@
 {
     const bool isNewer = event.configuration && event.configuration->version > configurationVersion();
     const bool isOlder = event.configuration && event.configuration->version < configurationVersion();
+    if (event.configuration)
+        m_trust.onStoreVersion(event.configuration->version, configurationVersion());
     if (isOlder) {
         m_effects.emplace_back(log_decision { "older_configuration_ignored", {},
             { { "version", std::to_string(event.configuration->version) },
@@ -36,8 +39,14 @@
                 { "routes", std::to_string(event.configuration->routes.size()) },
                 { "age_ms", millisecondsText(event.now - event.readSentAt) } } });
     }
-    if (m_routes)
-        m_freshness.confirm(event.readSentAt);
+    m_unconfirmedReadAt = std::max(m_unconfirmedReadAt.value_or(event.readSentAt), event.readSentAt);
+    confirmConfiguration(event.now);
+}
+
+void forwarding_reducer::confirmConfiguration(instant now)
+{
+    if (m_routes && m_unconfirmedReadAt && m_trust.allowsConfirmation(now, configurationVersion()))
+        m_freshness.confirm(*std::exchange(m_unconfirmedReadAt, std::nullopt));
 }
 
 void forwarding_reducer::on(const out_of_service_zones_changed& event)
@@ -84,9 +93,25 @@
     m_effects.emplace_back(log_decision { event.reachable ? "store_regained" : "store_lost", {}, {} });
 }
 
+void forwarding_reducer::on(const registry_restored& event)
+{
+    m_fleet.onRegistryRestored(event.now);
+    m_effects.emplace_back(log_decision { "registry_restored", {}, { { "known", std::to_string(m_fleet.size()) } } });
+}
+
+void forwarding_reducer::on(const endpoint_leaving_announced& event) { recordLeaving(event.now, event.endpoint, "answer"); }
+
+void forwarding_reducer::recordLeaving(instant now, const endpoint_id& endpoint, std::string_view source)
+{
+    if (m_fleet.recordLeaving(now, endpoint))
+        m_effects.emplace_back(log_decision { "endpoint_leaving", {}, { { "endpoint", endpoint.str() }, { "source", std::string(source) } } });
+}
+
 void forwarding_reducer::on(const endpoint_load_received& event)
 {
     m_fleet.recordLoad(event.now, event.load);
+    if (const auto endpoint = event.load.leaving ? m_fleet.atAddress(event.load.address, event.load.startedAtMs) : std::nullopt)
+        recordLeaving(event.now, *endpoint, "agent");
     if (event.load.slowdownFactor < moveStreamsPaceThreshold)
         return;
     if (const auto slow = m_fleet.latestAtAddress(event.load.address))
@@ -117,8 +142,16 @@
     }
 }
 
+void forwarding_reducer::on(const load_subset_changed& event)
+{
+    m_fleet.setSubset(event.reporting, event.subscribed);
+    m_effects.emplace_back(log_decision { "load_subset_changed", {},
+        { { "reporting", std::to_string(event.reporting.size()) }, { "subscribed", std::to_string(event.subscribed.size()) } } });
+}
+
 void forwarding_reducer::on(const entry_presence_received& event)
 {
+    m_trust.onPeerVersion(event.presence.configuration);
     if (m_peers.recordPresence(event.now, event.presence))
         m_effects.emplace_back(log_decision { "entry_heard", {},
             { { "entry", event.presence.instance.str() }, { "address", event.presence.callerAddress } } });
@@ -126,10 +159,16 @@
 
 void forwarding_reducer::on(const crash_report_received& event) { m_suspects.recordBreakdown(event.now, event.contentHash, event.sendId); }
 
-void forwarding_reducer::on(const entry_count_read& event) { m_peers.setListedEntries(event.entries); }
+void forwarding_reducer::on(const entry_count_read& event)
+{
+    m_peers.setListedEntries(event.entries);
+    m_trust.onMembersKnown(event.now, event.others > 0);
+    confirmConfiguration(event.now);
+}
 
 void forwarding_reducer::on(const timer_ticked& event)
 {
+    confirmConfiguration(event.now);
     m_suspects.removeExpired(event.now);
     for (const endpoint_id& gone : m_fleet.removeLapsed(event.now))
         m_effects.emplace_back(log_decision { "endpoint_gone", {}, { { "endpoint", gone.str() } } });
--- a/packages/decisions/groups/group_messages.h
+++ b/packages/decisions/groups/group_messages.h
@@ -33,6 +33,8 @@
     // In a large group only the agents in this zone report expert choices: they are a sufficient sample, and the reports
     // cause no traffic between zones.
     std::string zone;
+    // Where the sender receives datagrams, set by its process. Relays forward the heartbeat from their own addresses.
+    std::string address;
 };
 
 // The state of a rank as last read from its engine, and the passes for which its agent has declined to switch.
--- a/packages/decisions/groups/switch_coordinator_planning.cpp
+++ b/packages/decisions/groups/switch_coordinator_planning.cpp
@@ -13,13 +13,14 @@
 constexpr duration statusValidity = std::chrono::milliseconds(1200);
 // Time between two plans while no new map is worth its copies.
 constexpr duration planInterval = std::chrono::milliseconds(150);
-// Time between two sends of a proposal to ranks that have not reported it.
-constexpr duration proposalResendInterval = std::chrono::milliseconds(200);
+// Time between two sends of a proposal to ranks that have not reported it. Spreading it and collecting the reports takes
+// longer in a large group.
+constexpr duration proposalResendInterval = std::chrono::milliseconds(150);
+constexpr duration proposalResendIntervalPerRank = std::chrono::milliseconds(3);
 // After this many sends, ranks get the whole map instead of the changes, as they may not know the map that the changes are
 // based on.
 constexpr unsigned maxSendsOfChanges = 2;
-// If more ranks than this need a resend, the whole map is broadcast through relays: separate copies would saturate a narrow
-// link for seconds.
+// If more ranks than this need a resend, it is broadcast through relays, which takes the sender fewer bytes.
 constexpr std::size_t maxUnicastRanks = 4;
 // Number of own proposals that are remembered. Ranks remember the same number of maps.
 constexpr std::size_t maxRememberedProposals = 4;
@@ -146,7 +147,8 @@
         else if (known.status.proposedVersion != m_proposal.version)
             unaware.push_back(rank);
     }
-    if (now - m_sentAt >= proposalResendInterval) {
+    const auto ranks = static_cast<duration::rep>(m_statuses.size());
+    if (now - m_sentAt >= proposalResendInterval + proposalResendIntervalPerRank * ranks) {
         sendProposal(unaware, out);
         m_sentAt = now;
     }
@@ -167,24 +169,15 @@
 void switch_coordinator::sendProposal(std::span<const std::uint32_t> unaware, std::vector<outgoing_message>& out)
 {
     const unsigned sent = m_proposalSends++;
-    if (sent == 0) {
-        // If this coordinator proposed the map in force, the ranks received it. After a restart no rank may know it.
-        if (m_ranksKnowBase)
-            out.push_back({ std::nullopt, m_changes });
-        else
-            out.push_back({ std::nullopt, m_proposal });
+    // If this coordinator proposed the map in force, the ranks received it. After a restart no rank may know it.
+    const bool sendsChanges = sent < maxSendsOfChanges && (m_ranksKnowBase || sent > 0);
+    if (sent == 0 || unaware.size() > maxUnicastRanks) {
+        const bool ranksKnowBase = m_ranksKnowBase && sendsChanges;
+        out.push_back({ std::nullopt, ranksKnowBase ? group_message(m_changes) : group_message(m_proposal) });
         return;
     }
-    if (unaware.size() > maxUnicastRanks) {
-        out.push_back({ std::nullopt, m_proposal });
-        return;
-    }
-    for (const std::uint32_t rank : unaware) {
-        if (sent < maxSendsOfChanges)
-            out.push_back({ rank, m_changes });
-        else
-            out.push_back({ rank, m_proposal });
-    }
+    for (const std::uint32_t rank : unaware)
+        out.push_back({ rank, sendsChanges ? group_message(m_changes) : group_message(m_proposal) });
 }
 
 } // namespace appleramp
--- a/packages/directagent/direct_agent_process.cpp
+++ b/packages/directagent/direct_agent_process.cpp
@@ -2,7 +2,9 @@
 
 #include "datagrams/datagram_codec.h"
 #include "datagrams/datagram_socket.h"
+#include "datagrams/paced_sender.h"
 #include "decisions/groups/group_agent.h"
+#include "decisions/links/relay_tree.h"
 #include "directagent/engine_link.h"
 #include "membership/member_registration.h"
 #include "observe/line_log.h"
@@ -33,15 +35,22 @@
 // Interval of reads of the expert choice counts; for large groups it grows with the number of ranks.
 constexpr duration choicesInterval = std::chrono::milliseconds(100);
 constexpr duration choicesIntervalPerRank = std::chrono::milliseconds(3);
-// An entry that was silent for this long gets no more load messages.
-constexpr duration entrySilence = std::chrono::seconds(5);
-// Time between two load messages to one entry is this times the number of entries, which bounds the bytes that an agent
-// sends.
-constexpr duration loadIntervalPerEntry = std::chrono::milliseconds(12);
+// An entry that did not renew its subscription for this long gets no more load messages.
+constexpr duration subscriptionLifetime = std::chrono::seconds(5);
+// By then all entries that use the endpoint have subscribed, and their number is known.
+constexpr duration subscriptionDiscovery = std::chrono::seconds(3);
+// Time between two load messages to one entry is this times the number of subscribers, which bounds the bytes that an
+// agent sends.
+constexpr duration loadIntervalPerEntry = std::chrono::milliseconds(6);
 constexpr duration leastLoadInterval = std::chrono::milliseconds(100);
-// Messages of at least this many bytes are sent through relays, each of which serves `relayFanOut` agents, itself included.
-constexpr std::size_t relayedFrom = 500;
-constexpr std::size_t relayFanOut = 8;
+// A broadcast of more bytes than this in all leaves through relays, since the own link would take long for it.
+constexpr std::size_t maxDirectBroadcastBytes = 8UL * 1024;
+constexpr double bytesPerSecondPerMegabit = 125'000.0;
+// Control messages that may leave at once, as the time that the link takes for them.
+constexpr double linkBurstSeconds = 0.02;
+constexpr double leastLinkBurstBytes = 3000;
+// Queued control messages, as the time that they take to leave: older ones are of no use.
+constexpr double maxQueueSeconds = 2.0;
 // Entries of other zones, which prefer other engines, get only every n-th load message.
 constexpr unsigned otherZonesEvery = 2;
 constexpr std::chrono::milliseconds readTimeout { 500 };
@@ -53,6 +62,10 @@
 // Longer once the process has run for a while: entries announce their addresses to agents, and restarted agents keep
 // theirs.
 constexpr duration settledMembersGap = std::chrono::seconds(8);
+// Processes write their rows again at different times within this one after the store came back from an older copy.
+constexpr std::chrono::milliseconds renewalSpread { 1000 };
+// Ranks below this number keep the addresses of the other agents.
+constexpr std::uint32_t coordinatorCandidates = 4;
 constexpr duration layoutRetry = std::chrono::seconds(1);
 // Fraction of the mean load by which copying an expert must relieve the busiest rank, for each megabyte moved.
 constexpr double leastGainPerMegabyte = 4e-6;
@@ -71,13 +84,15 @@
         , m_engine(loop, settings.endpoint.address.str())
         , m_news(loop, settings.listen.links.host, settings.listen.links.port,
               [this](const datagram_message& message, const udp_endpoint& from) { onNews(message, from); })
+        , m_sender(
+              loop, m_news, [] { return now(); }, queueSettings(settings.link))
         , m_tick(loop)
         , m_registration(loop, store, settings.process.instance.str(),
               { false, settings.process.zone, settings.listen.links.str(), settings.endpoint.address.str() })
         , m_agent({}, settings.process.zone.str())
+        , m_seed(life ^ std::hash<std::string> {}(settings.process.instance.str()))
     {
         m_log.write(now(), "started", {}, { { "role", "direct_agent" }, { "engine", m_engine.address() } });
-        followMembers(life ^ std::hash<std::string> {}(settings.process.instance.str()));
         m_registration.start();
         next();
     }
@@ -90,13 +105,19 @@
     }
 
 private:
-    struct known_entry {
+    struct load_subscriber {
         availability_zone_id zone;
-        instant heardAt;
+        instant renewedAt;
     };
 
     static instant now() { return suspendAwareNow(); }
 
+    static send_queue_settings queueSettings(const link_section& link)
+    {
+        const double rate = link.rate * bytesPerSecondPerMegabit * link.controlShare;
+        return { rate, std::max(rate * linkBurstSeconds, leastLinkBurstBytes), static_cast<std::size_t>(rate * maxQueueSeconds) };
+    }
+
     // --- The engine: one exchange at a time.
 
     // Starts the due exchange of highest priority, or a timer for the next one.
@@ -134,6 +155,7 @@
 
     void onReport(const std::optional<http_response>& answer)
     {
+        noteLeaving(answer);
         auto report = answer && answer->head.status == 200 ? m_platform.readReport(answer->body) : std::nullopt;
         if (report.has_value() != m_report.has_value())
             m_log.write(now(), report ? "engine_regained" : "engine_lost", {}, { { "engine", m_engine.address() } });
@@ -144,11 +166,19 @@
         if (m_report->group.empty())
             return;
         noteGroupChange();
+        followMembersIfNeeded();
         handle(rank_state_read { now(), m_report->rank });
         handle(group_tick { now() });
         m_switching = m_agent.isSwitching();
     }
 
+    void noteLeaving(const std::optional<http_response>& answer)
+    {
+        const bool leaving = answer && m_platform.announcesLeaving(answer->head);
+        if (leaving != std::exchange(m_isLeaving, leaving) && leaving)
+            m_log.write(now(), "engine_leaving", {}, { { "engine", m_engine.address() } });
+    }
+
     void noteGroupChange()
     {
         const rank_state& rank = m_report->rank;
@@ -263,43 +293,48 @@
 
     void carryOut(const group_log_event& effect) { m_log.write(now(), effect.what, {}, { { "detail", effect.detail } }); }
 
-    void carryOut(const outgoing_message& effect)
+    void carryOut(outgoing_message& effect)
     {
+        if (auto* const beat = std::get_if<coordinator_heartbeat>(&effect.message))
+            beat->address = m_settings.listen.links.str();
         const group_datagram message { m_report ? m_report->group : std::string(), effect.message };
         if (effect.rank) {
             const auto found = m_rankAddresses.find(*effect.rank);
             if (found != m_rankAddresses.end())
-                m_news.send(message, found->second);
+                m_sender.send(message, found->second);
             return;
         }
-        tellAgents(encodeDatagram(message));
+        tellAgents(message);
     }
 
-    // Sends a message to all other agents. Large messages go through a few relays in each zone.
-    void tellAgents(const std::string& message)
+    // Sends a message to all other agents. Large broadcasts go through relays in each zone.
+    void tellAgents(const datagram_message& message)
     {
         std::map<availability_zone_id, std::vector<std::string>> agents;
+        std::size_t count = 0;
         for (const auto& [name, member] : m_members) {
-            if (!member.isEntry && name != m_settings.process.instance.str())
-                agents[member.zone].push_back(member.datagramAddress);
+            if (member.isEntry || name == m_settings.process.instance.str())
+                continue;
+            agents[member.zone].push_back(member.datagramAddress);
+            ++count;
         }
-        const std::size_t fanOut = message.size() < relayedFrom ? 1 : relayFanOut;
+        const std::string bytes = encodeDatagram(message);
+        const bool isSmall = count * (bytes.size() + send_queue::packetOverheadBytes) <= maxDirectBroadcastBytes;
+        const std::size_t branchSize = isSmall ? 1 : balancedBranchSize(count);
         ++m_relayRound;
-        for (auto& [zone, addresses] : agents) {
-            // Rotates the relays, so that a relay that is gone does not cut off the same agents every time.
-            std::rotate(addresses.begin(), addresses.begin() + static_cast<std::ptrdiff_t>(m_relayRound % addresses.size()), addresses.end());
-            for (std::size_t at = 0; at < addresses.size(); at += fanOut)
-                tellSlice(message, std::span(addresses).subspan(at, std::min(fanOut, addresses.size() - at)));
+        for (const auto& [zone, addresses] : agents) {
+            for (const relay_branch& branch : relayBranches(addresses, branchSize, m_relayRound))
+                tellBranch(bytes, classOf(message), branch);
         }
     }
 
-    void tellSlice(const std::string& message, std::span<const std::string> addresses)
+    void tellBranch(const std::string& bytes, const datagram_class& kind, const relay_branch& branch)
     {
-        const udp_endpoint first = udpEndpoint(addresses.front());
-        if (addresses.size() == 1)
-            m_news.sendEncoded(message, first);
+        const udp_endpoint relay = udpEndpoint(branch.relay);
+        if (branch.targets.empty())
+            m_sender.sendEncoded(bytes, kind, relay);
         else
-            m_news.send(relay_request { { addresses.begin() + 1, addresses.end() }, message }, first);
+            m_sender.sendEncoded(encodeDatagram(relay_request { branch.targets, bytes }), kind, relay);
     }
 
     static udp_endpoint udpEndpoint(const std::string& address)
@@ -312,24 +347,24 @@
 
     void onNews(const datagram_message& message, const udp_endpoint& from)
     {
-        if (const auto* const presence = std::get_if<entry_presence>(&message)) {
-            if (m_entries.insert_or_assign(from, known_entry { presence->zone, now() }).second)
-                m_log.write(now(), "entry_heard", {}, { { "address", presence->callerAddress } });
+        if (const auto* const subscription = std::get_if<load_subscription>(&message)) {
+            if (m_subscribers.insert_or_assign(from, load_subscriber { subscription->zone, now() }).second)
+                m_log.write(now(), "load_subscribed", {}, { { "entry", from.address().to_string() } });
+            noteStoreGeneration(subscription->storeGeneration);
         }
         if (const auto* const relayed = std::get_if<relay_request>(&message)) {
-            for (const std::string& target : relayed->targets)
-                m_news.sendEncoded(relayed->message, udpEndpoint(target));
             // Relayed messages are forwarded once only: a relayed message inside another is dropped.
             const auto inner = decodeDatagram(relayed->message);
-            if (inner && !std::holds_alternative<relay_request>(*inner))
-                onNews(*inner, {});
-            return;
+            if (!inner || std::holds_alternative<relay_request>(*inner))
+                return;
+            for (const std::string& target : relayed->targets)
+                m_sender.sendEncoded(relayed->message, classOf(*inner), udpEndpoint(target));
+            return onNews(*inner, {});
         }
         const auto* const group = std::get_if<group_datagram>(&message);
         if (group == nullptr || !m_report || group->group != m_report->group)
             return;
-        if (from.port() != 0)
-            noteSender(group->message, from);
+        noteSender(group->message, from);
         handle(group_message_received { now(), group->message });
         if (m_agent.isLeader())
             readLayoutIfUnknown();
@@ -338,31 +373,52 @@
     void noteSender(const group_message& message, const udp_endpoint& from)
     {
         if (const auto* const beat = std::get_if<coordinator_heartbeat>(&message))
-            m_rankAddresses[beat->rank] = from;
+            noteRankAddress(*beat);
         else if (const auto* const status = std::get_if<rank_status>(&message))
             m_rankAddresses[status->rank] = from;
     }
 
+    void noteRankAddress(const coordinator_heartbeat& beat)
+    {
+        const udp_endpoint address = udpEndpoint(beat.address);
+        if (address.port() != 0)
+            m_rankAddresses[beat.rank] = address;
+    }
+
     void tellLoad()
     {
         const instant moment = now();
-        std::erase_if(m_entries, [moment](const auto& entry) { return moment - entry.second.heardAt > entrySilence; });
-        const duration interval = std::max(leastLoadInterval, loadIntervalPerEntry * static_cast<duration::rep>(m_entries.size()));
+        std::erase_if(m_subscribers, [moment](const auto& entry) { return moment - entry.second.renewedAt > subscriptionLifetime; });
+        const duration interval = std::max(leastLoadInterval, loadIntervalPerEntry * static_cast<duration::rep>(m_subscribers.size()));
         if (moment - m_loadTold < interval)
             return;
         m_loadTold = moment;
         m_loadRound = (m_loadRound + 1) % otherZonesEvery;
         const bool isOpen = m_report->group.empty() || m_report->rank.groupOpen;
-        const endpoint_load load { m_engine.address(), m_report->running, m_report->waiting, m_report->pace, isOpen };
-        for (const auto& [entry, known] : m_entries) {
+        const endpoint_load load { m_engine.address(), m_report->running, m_report->waiting, m_report->pace, isOpen, subscriberCount(moment), m_isLeaving, m_report->startedAtMs };
+        for (const auto& [entry, known] : m_subscribers) {
             if (known.zone == m_settings.process.zone || m_loadRound == 0)
-                m_news.send(load, entry);
+                m_sender.send(load, entry);
         }
     }
 
+    // After a start, entries that subscribed to the previous process have not renewed their subscriptions yet.
+    std::uint32_t subscriberCount(instant moment) const
+    {
+        return moment - m_startedAt < subscriptionDiscovery ? 0 : static_cast<std::uint32_t>(m_subscribers.size());
+    }
+
     // --- The store.
 
-    void followMembers(incarnation seed)
+    // Only an agent that coordinates its group sends to the other agents. The next ranks follow the table as well, so that
+    // they can take over while the store is away.
+    void followMembersIfNeeded()
+    {
+        if (!m_membersFollower && (m_report->rank.rank < coordinatorCandidates || m_agent.isLeader()))
+            followMembers();
+    }
+
+    void followMembers()
     {
         follower_settings settings;
         settings.longPollTimeout = membersPoll;
@@ -372,15 +428,32 @@
             m_loop, m_store, std::string(membersTable), settings, [] { return now(); },
             follower_handlers { .onSnapshot =
                                     [this](auto rows, instant) {
-                                        m_members.clear();
+                                        if (!std::exchange(m_membersRestored, false))
+                                            m_members.clear();
                                         onMemberRows(rows);
                                     },
                 .onChanges = [this](auto rows, instant) { onMemberRows(rows); },
-                .onReachability = [this](bool reachable) { m_log.write(now(), reachable ? "store_regained" : "store_lost", {}, {}); } },
-            seed);
+                .onReachability = [this](bool reachable) { m_log.write(now(), reachable ? "store_regained" : "store_lost", {}, {}); },
+                .onRestored = [this] { onMembersRestored(); } },
+            m_seed);
         m_membersFollower->start();
     }
 
+    // Processes that started after the copy was made are missing in it until they write their rows again, so the known ones
+    // are kept.
+    void onMembersRestored()
+    {
+        m_membersRestored = true;
+        m_log.write(now(), "store_restored", {}, { { "members", std::to_string(m_members.size()) } });
+        noteStoreGeneration(m_membersFollower->generation());
+    }
+
+    void noteStoreGeneration(std::uint64_t generation)
+    {
+        const auto delay = m_seed % static_cast<incarnation>(renewalSpread.count());
+        m_registration.onStoreGeneration(generation, std::chrono::milliseconds(delay));
+    }
+
     void onMemberRows(const std::vector<store_row>& rows)
     {
         for (const store_row& row : rows) {
@@ -432,6 +505,7 @@
     line_log m_log;
     engine_link m_engine;
     datagram_socket m_news;
+    paced_sender m_sender;
     boost::asio::steady_timer m_tick;
     member_registration m_registration;
     std::shared_ptr<table_follower> m_membersFollower;
@@ -442,6 +516,7 @@
     bool m_readDue = true;
     bool m_listsDue = false;
     bool m_switching = false;
+    bool m_isLeaving = false;
     instant m_nextRead;
     instant m_nextChoices;
     std::tuple<group_epoch, bool, group_map_version> m_groupState;
@@ -449,10 +524,13 @@
     std::map<std::string, member_row> m_members;
     std::map<std::uint32_t, udp_endpoint> m_rankAddresses;
     std::map<std::uint32_t, std::unique_ptr<engine_link>> m_foreignEngines;
-    std::map<udp_endpoint, known_entry> m_entries;
+    std::map<udp_endpoint, load_subscriber> m_subscribers;
+    instant m_startedAt = now();
     instant m_loadTold;
     unsigned m_loadRound = 0;
     std::size_t m_relayRound = 0;
+    incarnation m_seed;
+    bool m_membersRestored = false;
     bool m_layoutKnown = false;
     instant m_layoutRetryAt;
 };
--- a/packages/directentry/caller_exchange.cpp
+++ b/packages/directentry/caller_exchange.cpp
@@ -156,6 +156,8 @@
     noteProgress();
     const response_classification reading = m_services.platform.classifyResponse(head, m_caller.sendId);
     m_retryAfter = reading.retryAfter;
+    if (reading.leaving)
+        m_services.post(endpoint_leaving_announced { m_services.now(), m_attempt.endpoint });
     switch (reading.kind) {
     case response_kind::Unmatched:
         m_endpoint->cancel();
@@ -209,7 +211,7 @@
         return endAttempt(m_discardedAs, m_retryAfter);
     case answer_mode::Buffered:
         if (m_answer.head.status >= firstFailureStatus)
-            return endAttempt(attempt_ending::FailureAnswer);
+            return endAttempt(attempt_ending::FailureAnswer, m_retryAfter);
         m_connection->respond(std::move(m_answer));
         return answered();
     case answer_mode::Streamed:
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -1,6 +1,7 @@
 #include "directentry/direct_entry_process.h"
 
 #include "datagrams/datagram_socket.h"
+#include "decisions/forwarding/endpoint_subset.h"
 #include "decisions/forwarding/forwarding_reducer.h"
 #include "directentry/caller_exchange.h"
 #include "directentry/entry_metrics.h"
@@ -11,9 +12,11 @@
 #include "observe/metrics_registry.h"
 #include "ports/platform_adapter.h"
 #include "runtime/process_clock.h"
+#include "storefeed/change_codec.h"
 #include "storefeed/freshness_relay.h"
 #include "storefeed/store_reachability.h"
 #include "storefeed/table_follower.h"
+#include "storefeed/zone_store.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -21,6 +24,7 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <random>
 #include <set>
 #include <utility>
 
@@ -34,8 +38,8 @@
 constexpr duration presenceInterval = std::chrono::milliseconds(700);
 // Interval of expiry checks: requests must stop going to an endpoint soon after its grace period.
 constexpr duration agingInterval = std::chrono::milliseconds(100);
-// Agents use presence only to learn the addresses of entries, so it is sent to them less often.
-constexpr duration agentPresenceInterval = std::chrono::milliseconds(1800);
+// Interval at which subscriptions to load reports are renewed; a restarted agent learns of them this soon.
+constexpr duration subscriptionInterval = std::chrono::milliseconds(1200);
 // How long callers may cache an answer of the directory.
 constexpr duration addressesValidFor = std::chrono::seconds(2);
 // Fraction of the grace period after SIGTERM in which callers that have the address cached are still served.
@@ -54,10 +58,19 @@
 // Batches configuration versions in quick succession. A fifth of the time within which a change must be in force.
 constexpr duration configurationGap = std::chrono::milliseconds(350);
 
+// Time for the operator to write again what the store lost when it came back from an older copy.
+constexpr duration restoredZoneHold = std::chrono::seconds(6);
+// Processes write their rows again at a random time within this one after the store came back from an older copy.
+constexpr std::chrono::milliseconds renewalSpread { 1000 };
+
 // Indexes of the followed tables in freshness answers.
 constexpr std::size_t configurationPlace = 0;
 constexpr std::size_t registryPlace = 1;
+constexpr std::size_t membersPlace = 2;
+// Tables whose reads show whether the store is reachable.
 constexpr std::size_t followedTables = 2;
+// Larger changes are read from the store, whose link is wider than that of an entry.
+constexpr std::size_t maxRelayedChangesBytes = 32UL * 1024;
 
 constexpr pool_settings endpointPool { .connectTimeout = std::chrono::milliseconds(700),
     .silenceLimit = std::chrono::milliseconds(2500),
@@ -72,7 +85,7 @@
         const platform_adapter& platform)
         : m_loop(loop)
         , m_settings(settings)
-        , m_store(store)
+        , m_store(loop, store, [this] { return zoneReaderAddress(); })
         , m_platform(platform)
         , m_log({ settings.process.instance, settings.process.zone, life }, {})
         , m_reducer(suspendAwareNow(), reducerSettings(settings, life))
@@ -92,11 +105,16 @@
               loop, settings.listen.operations.host, settings.listen.operations.port, [] { return server_limits {}; },
               [this](const auto& connection, const http_request& request) { onOperations(connection, request); })
         , m_tick(loop)
-        , m_registration(loop, store, settings.process.instance.str(),
-              { true, settings.process.zone, settings.listen.links.str(), {} })
+        , m_registration(loop, m_store, settings.process.instance.str(),
+              { true, settings.process.zone, socket_address { settings.listen.links.host, m_news.port() }.str(), {},
+                  socket_address { settings.listen.operations.host, m_operations.port() }.str() })
         , m_relay(settings.process.instance.str())
+        , m_random(static_cast<std::minstd_rand::result_type>(life))
     {
-        m_log.write(now(), "started", {}, { { "role", "direct_entry" }, { "zone", settings.process.zone.str() } });
+        m_log.write(now(), "started", {},
+            { { "role", "direct_entry" }, { "zone", settings.process.zone.str() }, { "callers", std::to_string(m_callers.port()) },
+                { "readiness", std::to_string(m_readiness.port()) }, { "directory", std::to_string(m_directory.port()) },
+                { "operations", std::to_string(m_operations.port()) }, { "links", std::to_string(m_news.port()) } });
         follow(life ^ std::hash<std::string> {}(settings.process.instance.str()));
         m_registration.start();
         scheduleTick();
@@ -259,6 +277,8 @@
     void onOperations(const std::shared_ptr<server_connection>& connection, const http_request& request)
     {
         http_response response;
+        if (const auto question = decodeChangesTarget(request.head.target))
+            return connection->respond(changesFor(*question));
         const bool asked = request.head.method == "GET" && request.head.path() == "/v1/metrics";
         response.head.status = asked ? 200 : 404;
         if (asked) {
@@ -269,6 +289,36 @@
         connection->respond(std::move(response));
     }
 
+    // What this entry read of a table after the version of another entry of its zone.
+    http_response changesFor(const changes_question& question) const
+    {
+        http_response response;
+        response.head.status = 404;
+        for (const auto& follower : { m_configurationFollower, m_registryFollower, m_membersFollower }) {
+            if (follower->table() != question.table || !follower->currentAsOf())
+                continue;
+            const change_log& log = follower->latestChanges();
+            const auto changes = log.since(question.generation, question.afterVersion);
+            if (!changes)
+                continue;
+            store_rows rows { .rows = *changes, .version = log.version(), .generation = log.generation() };
+            rows.age = now() - *follower->currentAsOf();
+            response.body = encodeChanges(rows);
+            response.head.status = response.body.size() <= maxRelayedChangesBytes ? 200 : 413;
+        }
+        if (response.head.status != 200)
+            response.body.clear();
+        return response;
+    }
+
+    std::optional<std::string> zoneReaderAddress() const
+    {
+        const auto reader = m_relay.designatedReader(now());
+        const auto member = reader ? m_members.find(*reader) : m_members.end();
+        const bool isKnown = member != m_members.end() && !member->second.readerAddress.empty();
+        return isKnown ? std::optional(member->second.readerAddress) : std::nullopt;
+    }
+
     void noteGauges()
     {
         const auto age = m_reducer.configurationAge(now());
@@ -296,12 +346,14 @@
             { .onSnapshot = [this](auto rows, instant sentAt) { onConfigurationRows(std::move(rows), sentAt, true); },
                 .onChanges = [this](auto rows, instant sentAt) { onConfigurationRows(std::move(rows), sentAt, false); },
                 .onReachability = [this](bool reachable) { onAccess(configurationPlace, reachable); },
+                .onRestored = [this] { m_zoneHoldUntil = now() + restoredZoneHold; },
                 .isDigestConfirmed = confirmed(configurationPlace) });
         settings.readInterval = registryGap;
         m_registryFollower = follower(m_platform.registryTable(), settings, life + 1,
             { .onSnapshot = [this](auto rows, instant) { onRegistryWhole(rows); },
                 .onChanges = [this](auto rows, instant) { onRegistryChanges(rows); },
                 .onReachability = [this](bool reachable) { onAccess(registryPlace, reachable); },
+                .onRestored = [this] { post(registry_restored { now() }); },
                 .isDigestConfirmed = confirmed(registryPlace) });
         settings.longPollTimeout = membersPoll;
         settings.readInterval = membersGap;
@@ -309,11 +361,14 @@
         m_membersFollower = follower(std::string(membersTable), settings, life + 2,
             { .onSnapshot =
                     [this](auto rows, instant) {
-                        m_members.clear();
+                        if (!std::exchange(m_membersRestored, false))
+                            m_members.clear();
                         onMemberRows(rows);
                     },
                 .onChanges = [this](auto rows, instant) { onMemberRows(rows); },
-                .onReachability = [](bool) {} });
+                .onReachability = [](bool) {},
+                .onRestored = [this] { onMembersRestored(); },
+                .isDigestConfirmed = confirmed(membersPlace) });
     }
 
     std::shared_ptr<table_follower> follower(std::string table, follower_settings settings, incarnation seed, follower_handlers handlers)
@@ -324,6 +379,20 @@
         return result;
     }
 
+    // Processes that started after the copy was made are missing in it until they write their rows again, so the known ones
+    // are kept.
+    void onMembersRestored()
+    {
+        m_membersRestored = true;
+        m_log.write(now(), "store_restored", {}, { { "members", std::to_string(m_members.size()) } });
+        m_registration.onStoreGeneration(m_membersFollower->generation(), randomRenewalDelay());
+    }
+
+    std::chrono::milliseconds randomRenewalDelay()
+    {
+        return std::chrono::milliseconds(std::uniform_int_distribution<int>(0, static_cast<int>(renewalSpread.count()))(m_random));
+    }
+
     void onAccess(std::size_t place, bool reachable)
     {
         if (const auto changed = m_access.update(place, reachable))
@@ -332,7 +401,7 @@
 
     void onConfigurationRows(const std::vector<store_row>& rows, instant sentAt, bool isWhole)
     {
-        std::set<availability_zone_id> zones = isWhole ? std::set<availability_zone_id> {} : m_zonesOut;
+        std::set<availability_zone_id> zones = isWhole ? std::set<availability_zone_id> {} : m_zonesListedOut;
         std::optional<routing_configuration> newest;
         bool isReadable = true;
         for (const store_row& row : rows) {
@@ -346,16 +415,27 @@
                 logUnreadable(row, std::get<unreadable_row>(decoded).reason);
             }
         }
-        if (zones != m_zonesOut) {
-            m_zonesOut = zones;
-            post(out_of_service_zones_changed { now(), std::move(zones) });
-        }
+        m_zonesListedOut = std::move(zones);
+        updateZonesOut();
         m_configurationReadable = isReadable;
         // An unreadable configuration may have revoked an API key, so the known configuration is not confirmed and keeps ageing.
         if (isReadable)
             post(configuration_read { now(), sentAt, std::move(newest) });
     }
 
+    // An older copy of the store may lack a zone that was taken out since. It stays out until the operator had the time to
+    // write it again.
+    void updateZonesOut()
+    {
+        std::set<availability_zone_id> zones = m_zonesListedOut;
+        if (now() < m_zoneHoldUntil)
+            zones.insert(m_zonesOut.begin(), m_zonesOut.end());
+        if (zones == m_zonesOut)
+            return;
+        m_zonesOut = zones;
+        post(out_of_service_zones_changed { now(), std::move(zones) });
+    }
+
     void logUnreadable(const store_row& row, const std::string& reason)
     {
         if (reason.empty() || row.removed)
@@ -411,14 +491,21 @@
                 logUnreadable(row, "no member of this version");
         }
         const auto entries = std::count_if(m_members.begin(), m_members.end(), [](const auto& entry) { return entry.second.isEntry; });
-        post(entry_count_read { now(), static_cast<std::size_t>(entries) });
+        const auto self = m_members.find(m_settings.process.instance.str());
+        const auto others = entries - (self != m_members.end() ? 1 : 0);
+        post(entry_count_read { now(), static_cast<std::size_t>(entries), static_cast<std::size_t>(others) });
+        // The others answer with the configuration that they know.
+        if (m_isUnannounced)
+            tellPresence();
+        updateSubset(static_cast<std::size_t>(entries));
     }
 
     // --- Datagrams between processes.
 
     entry_presence presence() const
     {
-        return { m_settings.process.instance, m_settings.process.zone, m_settings.listen.callers.str(), isServing() };
+        const socket_address callers { m_settings.listen.callers.host, m_callers.port() };
+        return { m_settings.process.instance, m_settings.process.zone, callers.str(), isServing(), m_reducer.configurationVersion() };
     }
 
     void sendNews(const datagram_message& message, const member_row& member)
@@ -430,16 +517,42 @@
     void tellPresence()
     {
         m_presenceTold = now();
-        const entry_presence self = presence();
-        const bool toAgents = m_presenceTold - m_presenceToldToAgents >= agentPresenceInterval;
-        if (toAgents)
-            m_presenceToldToAgents = m_presenceTold;
+        entry_presence self = presence();
+        self.starting = std::exchange(m_isUnannounced, false);
         for (const auto& [name, member] : m_members) {
-            if (name != m_settings.process.instance.str() && (member.isEntry || toAgents))
+            if (name != m_settings.process.instance.str() && member.isEntry)
                 sendNews(self, member);
         }
     }
 
+    void renewSubscriptions(instant moment)
+    {
+        m_subscribedAt = moment;
+        for (const auto& [name, member] : m_members) {
+            if (!member.isEntry && m_subset.contains(member.engineAddress))
+                sendNews(load_subscription { m_settings.process.zone, m_membersFollower->generation() }, member);
+        }
+    }
+
+    void updateSubset(std::size_t entryCount)
+    {
+        std::vector<reporting_endpoint> reporting;
+        for (const auto& [name, member] : m_members) {
+            if (!member.isEntry && !member.engineAddress.empty())
+                reporting.push_back({ member.engineAddress, member.zone });
+        }
+        auto subset = chooseSubset(m_settings.process.instance.str(), m_settings.process.zone, entryCount, reporting, {});
+        std::set<std::string> addresses;
+        for (reporting_endpoint& endpoint : reporting)
+            addresses.insert(std::move(endpoint.address));
+        if (subset == m_subset && addresses == m_reporting)
+            return;
+        m_subset = std::move(subset);
+        m_reporting = std::move(addresses);
+        post(load_subset_changed { now(), m_reporting, m_subset });
+        renewSubscriptions(now());
+    }
+
     void onNews(datagram_message message, const boost::asio::ip::udp::endpoint& from)
     {
         if (const auto* const question = std::get_if<freshness_question>(&message))
@@ -448,14 +561,17 @@
             noteSender(*presence, from);
         std::visit([this](auto& concrete) { onNews(std::move(concrete)); }, message);
     }
-    // Group messages concern agents only.
+    // Group messages and subscriptions concern agents only.
+    void onNews(const load_subscription&) { }
     void onNews(const group_datagram&) { }
     void onNews(const relay_request&) { }
-    // An entry whose row was not read yet is added to the members and gets this entry's presence at once.
+    // An entry whose row was not read yet is added to the members. It gets this entry's presence at once, as does one that
+    // has just started.
     void noteSender(const entry_presence& presence, const boost::asio::ip::udp::endpoint& from)
     {
         const member_row row { true, presence.zone, from.address().to_string() + ":" + std::to_string(from.port()), {} };
-        if (m_members.emplace(presence.instance.str(), row).second)
+        const bool isNew = m_members.emplace(presence.instance.str(), row).second;
+        if (isNew || presence.starting)
             sendNews(this->presence(), row);
     }
     void onNews(entry_presence presence)
@@ -476,7 +592,7 @@
     void answer(const freshness_question& question, const boost::asio::ip::udp::endpoint& from)
     {
         freshness_answer answer { question.askedAt, {} };
-        for (const auto& follower : { m_configurationFollower, m_registryFollower }) {
+        for (const auto& follower : { m_configurationFollower, m_registryFollower, m_membersFollower }) {
             if (!follower->currentAsOf())
                 return;
             answer.tables.push_back({ follower->digest(), now() - *follower->currentAsOf() });
@@ -515,11 +631,15 @@
             entry = held->isOver() ? m_exchanges.erase(entry) : std::next(entry);
         }
         if (moment - m_presenceTold >= presenceInterval) {
-            tellPresence();
+            if (!m_isUnannounced)
+                tellPresence();
             m_endpoints.sweep();
         }
+        if (moment - m_subscribedAt >= subscriptionInterval)
+            renewSubscriptions(moment);
         if (moment - m_agedAt >= agingInterval) {
             m_agedAt = moment;
+            updateZonesOut();
             post(timer_ticked { moment });
         }
         askReader(moment);
@@ -545,7 +665,7 @@
 
     boost::asio::io_context& m_loop;
     process_settings m_settings;
-    row_store& m_store;
+    zone_store m_store;
     const platform_adapter& m_platform;
     line_log m_log;
     metrics_registry m_metrics;
@@ -565,14 +685,24 @@
     std::shared_ptr<table_follower> m_membersFollower;
     std::map<request_number, std::shared_ptr<caller_exchange>> m_exchanges;
     std::map<std::string, member_row> m_members;
+    // Zones that are out for this entry, and those that the store lists.
     std::set<availability_zone_id> m_zonesOut;
+    std::set<availability_zone_id> m_zonesListedOut;
+    instant m_zoneHoldUntil;
+    bool m_membersRestored = false;
+    // No presence was sent since the start.
+    bool m_isUnannounced = true;
+    std::minstd_rand m_random;
     std::set<std::string> m_unreadable;
     std::map<service_id, instant> m_serviceProgress;
     request_number m_lastRequest = 0;
     store_reachability m_access { followedTables };
     instant m_presenceTold;
     instant m_agedAt;
-    instant m_presenceToldToAgents;
+    instant m_subscribedAt;
+    // Addresses of the endpoints that report their load, and of those to which this entry subscribes.
+    std::set<std::string> m_reporting;
+    std::set<std::string> m_subset;
     std::optional<instant> m_stopping;
 };
 
--- a/packages/membership/member_registration.cpp
+++ b/packages/membership/member_registration.cpp
@@ -25,13 +25,27 @@
 void member_registration::start()
 {
     m_store.write({}, { { std::string(membersTable), m_instance, encodeMember(m_row), false } }, [this](const store_result& result) {
-        if (std::holds_alternative<store_rows>(result) || m_unregistered)
-            return;
-        m_retryTimer.expires_after(retryDelay);
-        m_retryTimer.async_wait([this](const boost::system::error_code& cancelled) {
-            if (!cancelled)
-                start();
-        });
+        if (const auto* const written = std::get_if<store_rows>(&result))
+            m_writtenGeneration = written->generation;
+        else if (!m_unregistered)
+            startAfter(retryDelay);
+    });
+}
+
+void member_registration::onStoreGeneration(std::uint64_t generation, std::chrono::milliseconds delay)
+{
+    if (m_unregistered || !m_writtenGeneration || generation <= *m_writtenGeneration)
+        return;
+    m_writtenGeneration.reset();
+    startAfter(delay);
+}
+
+void member_registration::startAfter(std::chrono::milliseconds delay)
+{
+    m_retryTimer.expires_after(delay);
+    m_retryTimer.async_wait([this](const boost::system::error_code& cancelled) {
+        if (!cancelled)
+            start();
     });
 }
 
--- a/packages/membership/member_row.h
+++ b/packages/membership/member_row.h
@@ -17,6 +17,8 @@
     std::string datagramAddress;
     // Address of the agent's engine; empty for an entry.
     std::string engineAddress;
+    // Address at which an entry passes on what it read of the store; empty for an agent.
+    std::string readerAddress;
 };
 
 constexpr std::string_view membersTable = "appleramp-members";
--- a/packages/model/endpoint_news.h
+++ b/packages/model/endpoint_news.h
@@ -34,6 +34,19 @@
     double slowdownFactor = 1.0;
     // False while the engine's group cannot execute steps.
     bool groupOpen = true;
+    // Number of entries that subscribe to these reports; zero while it is not known.
+    std::uint32_t subscribers = 0;
+    // The engine announced that it leaves.
+    bool leaving = false;
+    // As endpoint_record::startedAtMs; tells incarnations at one address apart.
+    std::uint64_t startedAtMs = 0;
+};
+
+// Asks an agent to report the load of its endpoint to the sender for a while.
+struct load_subscription {
+    availability_zone_id zone;
+    // Generation of the store that the sender last read. Most agents do not read the store.
+    std::uint64_t storeGeneration = 0;
 };
 
 // An entry's announcement of itself to the other processes.
@@ -44,6 +57,10 @@
     std::string callerAddress;
     // True if the address may be given to callers.
     bool serving = false;
+    // The configuration in force at the entry; zero if it knows none.
+    std::uint64_t configuration = 0;
+    // The first message since the entry started; the others answer it at once.
+    bool starting = false;
 };
 
 } // namespace appleramp
--- a/packages/ports/platform_adapter.h
+++ b/packages/ports/platform_adapter.h
@@ -54,7 +54,10 @@
 
 struct response_classification {
     response_kind kind = response_kind::Executed;
+    // Set if the endpoint turned the request away and asks for a pause of this length.
     std::optional<duration> retryAfter;
+    // The endpoint that was addressed announces that it leaves.
+    bool leaving = false;
 };
 
 // A caller's request for addresses of entries.
@@ -67,6 +70,8 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     double pace = 1.0;
+    // As endpoint_record::startedAtMs.
+    std::uint64_t startedAtMs = 0;
     // Name of the group that the engine is a rank of; empty if it is in none.
     std::string group;
     rank_state rank;
@@ -114,6 +119,8 @@
     virtual bool isReadinessRequest(const http_request_head& request) const = 0;
 
     virtual http_request_head reportRequest(const std::string& address) const = 0;
+    // Whether an engine announces in its answer that it leaves.
+    virtual bool announcesLeaving(const http_response_head& answer) const = 0;
     virtual std::optional<engine_report> readReport(std::string_view body) const = 0;
     virtual http_request_head expertListsRequest(const std::string& address) const = 0;
     virtual std::optional<engine_expert_lists> readExpertLists(std::string_view body) const = 0;
--- a/packages/ports/row_store.h
+++ b/packages/ports/row_store.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -25,8 +26,13 @@
     bool hasMore = false;
     // The newest version of the store that the rows include.
     std::uint64_t version = 0;
+    // Rises each time the store comes back from an older copy. Versions of different generations can't be compared. Zero if
+    // the store does not say.
+    std::uint64_t generation = 0;
     // The store's steady clock when it composed the answer; zero if the answer carries no time.
     duration storeTime {};
+    // Set if another process passed the rows on: how long ago it knew them to be current.
+    std::optional<duration> age;
 };
 
 enum class store_failure {
--- a/packages/settings/process_settings.h
+++ b/packages/settings/process_settings.h
@@ -73,6 +73,14 @@
     double coldConstant = 0;
 };
 
+// The process's own network link. Direct agents only.
+struct link_section {
+    // Rate of the link in megabits per second.
+    double rate = 0;
+    // Fraction of the rate that datagrams to other processes may take.
+    double controlShare = 0;
+};
+
 enum class log_level {
     Info,
     Warning,
@@ -107,6 +115,7 @@
     platform_section platform;
     store_section store;
     bounds_section bounds;
+    link_section link;
     endpoint_section endpoint;
     observe_section observe;
     limits_section limits;
--- a/packages/settings/setting_descriptor.cpp
+++ b/packages/settings/setting_descriptor.cpp
@@ -225,6 +225,31 @@
     };
 }
 
+std::vector<setting_descriptor> linkDescriptors()
+{
+    return {
+        { .section = "link",
+            .key = "rate_mbit",
+            .type = setting_type::Fraction,
+            .unit = "Mbit/s",
+            .defaultValue = "20",
+            .minimum = 1000,
+            .maximum = 1'000'000'000,
+            .roles = directAgentRole,
+            .doc = "Rate of the instance's network link.",
+            .assign = [](settings& s, const value& v) { s.link.rate = fraction(v); } },
+        { .section = "link",
+            .key = "control_share",
+            .type = setting_type::Fraction,
+            .defaultValue = "0.5",
+            .minimum = 10,
+            .maximum = 1000,
+            .roles = directAgentRole,
+            .doc = "Fraction of the link's rate that messages to other processes may take.",
+            .assign = [](settings& s, const value& v) { s.link.controlShare = fraction(v); } },
+    };
+}
+
 std::vector<setting_descriptor> endpointDescriptors()
 {
     const roles agent { process_role::Agent };
@@ -382,7 +407,7 @@
 {
     std::vector<setting_descriptor> all;
     for (auto* const section : { processDescriptors, listenDescriptors, platformDescriptors, storeDescriptors,
-             boundsDescriptors, endpointDescriptors,
+             boundsDescriptors, linkDescriptors, endpointDescriptors,
              observeDescriptors, limitsDescriptors, entryDescriptors }) {
         const auto descriptors = section();
         all.insert(all.end(), descriptors.begin(), descriptors.end());
--- a/packages/storefeed/freshness_relay.h
+++ b/packages/storefeed/freshness_relay.h
@@ -35,10 +35,10 @@
     // Older confirmations do not replace a read. Well below the time within which changes must be in force.
     static constexpr duration confirmationLifetime = std::chrono::milliseconds(1900);
 
-private:
     // The entry that polls for the zone; none if it is this one.
     std::optional<std::string> designatedReader(instant now) const;
 
+private:
     std::string m_self;
     std::map<std::string, instant> m_peersHeardAt;
     instant m_queriedAt;
--- a/packages/storefeed/table_follower.cpp
+++ b/packages/storefeed/table_follower.cpp
@@ -50,6 +50,9 @@
     if (const auto* const failure = std::get_if<store_failure>(&result))
         return onFailure(*failure);
     auto& page = std::get<store_rows>(result);
+    // Pages of different generations do not make a table.
+    if (isOtherGeneration(page) && m_firstPageVersion != 0)
+        return readSnapshot();
     // Changes made between two pages are read again as changes, so those are followed from the first page's version.
     if (m_firstPageVersion == 0)
         m_firstPageVersion = page.version;
@@ -65,6 +68,7 @@
     estimateComposedAt(page.storeTime);
     m_digest.clear();
     m_digest.apply(m_snapshotRows);
+    m_log.reset(m_generation, m_version);
     m_currentAsOf = m_readSentAt;
     m_handlers.onSnapshot(std::move(m_snapshotRows), m_readSentAt);
     m_snapshotRows.clear();
@@ -92,11 +96,16 @@
         return onFailure(*failure);
     }
     auto& changed = std::get<store_rows>(result);
+    if (isOtherGeneration(changed)) {
+        markReachable();
+        return scheduleNext(randomDuration(m_settings.restoreSpread), &table_follower::readSnapshot);
+    }
     m_version = std::max(m_version, changed.version);
     markReachable();
     const bool isQuiet = changed.rows.empty();
     m_digest.apply(changed.rows);
-    m_currentAsOf = estimateComposedAt(changed.storeTime);
+    m_log.append(changed.rows, m_version);
+    m_currentAsOf = changed.age ? m_readSentAt - *changed.age : estimateComposedAt(changed.storeTime);
     m_handlers.onChanges(std::move(changed.rows), *m_currentAsOf);
     // An empty answer that came early must not cause a busy loop.
     const bool waited = m_now() - m_readSentAt >= m_settings.readInterval;
@@ -132,8 +141,21 @@
         m_handlers.onReachability(false);
     const duration pause = std::min(m_settings.initialBackoff * (1U << std::min(m_consecutiveFailures, maxBackoffDoublings)), m_settings.maxBackoff);
     ++m_consecutiveFailures;
-    const auto jitter = std::uniform_int_distribution<duration::rep>(0, pause.count())(m_random);
-    scheduleNext(pause / 2 + duration(jitter), m_version == 0 ? &table_follower::readSnapshot : &table_follower::readChanges);
+    scheduleNext(pause / 2 + randomDuration(pause), m_version == 0 ? &table_follower::readSnapshot : &table_follower::readChanges);
+}
+
+duration table_follower::randomDuration(duration longest)
+{
+    return duration(std::uniform_int_distribution<duration::rep>(0, longest.count())(m_random));
+}
+
+bool table_follower::isOtherGeneration(const store_rows& rows)
+{
+    const bool isOther = m_generation != 0 && rows.generation != m_generation;
+    m_generation = rows.generation;
+    if (isOther && m_handlers.onRestored)
+        m_handlers.onRestored();
+    return isOther;
 }
 
 void table_follower::markReachable()
--- a/packages/storefeed/table_follower.h
+++ b/packages/storefeed/table_follower.h
@@ -2,6 +2,7 @@
 
 #include "model/time.h"
 #include "ports/row_store.h"
+#include "storefeed/change_log.h"
 #include "storefeed/table_digest.h"
 
 #include <boost/asio/io_context.hpp>
@@ -26,6 +27,8 @@
     std::function<void(std::vector<store_row> rows, instant currentAsOf)> onChanges;
     // The store stopped answering or answers again.
     std::function<void(bool reachable)> onReachability;
+    // Optional: the store came back from an older copy. Called before onSnapshot delivers what that copy holds.
+    std::function<void()> onRestored;
     // Optional: whether another reader of the store confirms the contents with this digest, which makes a read unnecessary.
     std::function<bool(std::uint64_t digest)> isDigestConfirmed;
 };
@@ -43,6 +46,8 @@
     duration maxBackoff = std::chrono::milliseconds(800);
     // Interval at which `isDigestConfirmed` is asked while another reader confirms the contents.
     duration confirmationCheckInterval = std::chrono::milliseconds(100);
+    // Followers read the whole table at a random time within this one after the store came back from an older copy.
+    duration restoreSpread = std::chrono::milliseconds(300);
 };
 
 // Follows one table of the store: reads the whole table, then its changes, and the whole table again when the store no
@@ -57,8 +62,13 @@
     void start();
     void stop();
 
+    const std::string& table() const { return m_table; }
     // Digest of the known rows.
     std::uint64_t digest() const { return m_digest.value(); }
+    // Generation of the store in which the known rows were read; zero before the first answer.
+    std::uint64_t generation() const { return m_generation; }
+    // The latest changes, for processes that take them from this one.
+    const change_log& latestChanges() const { return m_log; }
     // A time at which the known rows were certainly current by this follower's own reads; none before the first.
     std::optional<instant> currentAsOf() const { return m_currentAsOf; }
 
@@ -69,8 +79,11 @@
     void onChanges(store_result result);
     void onFailure(store_failure failure);
     void markReachable();
+    // Notes the generation of an answer. Returns true if it is not the one of the known rows.
+    bool isOtherGeneration(const store_rows& rows);
     instant estimateComposedAt(duration storeTime);
     duration currentReadInterval() const;
+    duration randomDuration(duration longest);
     void scheduleNext(duration pause, void (table_follower::*next)());
 
     boost::asio::steady_timer m_timer;
@@ -83,9 +96,12 @@
 
     std::vector<store_row> m_snapshotRows;
     table_digest m_digest;
+    change_log m_log;
     std::optional<instant> m_currentAsOf;
     std::uint64_t m_version = 0;
     std::uint64_t m_firstPageVersion = 0;
+    // Generation of the store to which the known version belongs; zero before the first answer.
+    std::uint64_t m_generation = 0;
     instant m_readSentAt;
     // Lower bound of this process's clock minus the store's clock.
     std::optional<duration> m_minClockOffset;
--- a/tests/decisions/forwarding/entry_peers_test.cpp
+++ b/tests/decisions/forwarding/entry_peers_test.cpp
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <map>
+
 using namespace appleramp;
 using namespace std::chrono_literals;
 
@@ -61,3 +63,31 @@
     cr_assert_eq(peers.entryCount(instant(1s)), 36);
     cr_assert_eq(peers.entryCount(instant(25s)), 36);
 }
+
+// Pattern: 149 entries in five zones, of which callers read 64 addresses and take one at random. Without a shuffle every zone's
+// callers fill up with the same entries, whose load is four times that of the others.
+Test(entry_peers, callers_of_all_zones_spread_over_all_entries)
+{
+    constexpr std::size_t entries = 149;
+    constexpr std::size_t zones = 5;
+    const auto zoneOf = [](std::size_t index) { return availability_zone_id("zone-" + std::to_string(index % zones)); };
+    const auto addressOf = [](std::size_t index) { return "10." + std::to_string(index % zones) + ".0." + std::to_string(index) + ":80"; };
+    std::map<std::string, double> load;
+    for (std::size_t self = 0; self < entries; ++self) {
+        entry_peers peers(instant {}, {});
+        for (std::size_t other = 0; other < entries; ++other) {
+            if (other != self)
+                peers.recordPresence(instant(1s), entry(addressOf(other), zoneOf(other)));
+        }
+        for (std::size_t zone = 0; zone < zones; ++zone) {
+            const auto answer = peers.callerAddresses(instant(1s), entry(addressOf(self), zoneOf(self)), zoneOf(zone));
+            cr_assert_eq(answer.size(), 64);
+            for (const std::string& address : answer)
+                load[address] += 1.0 / static_cast<double>(zones * answer.size());
+        }
+    }
+    for (std::size_t index = 0; index < entries; ++index) {
+        cr_assert_lt(load[addressOf(index)], 1.3);
+        cr_assert_gt(load[addressOf(index)], 0.7);
+    }
+}
--- a/tests/decisions/forwarding/forwarding_reducer_test.cpp
+++ b/tests/decisions/forwarding/forwarding_reducer_test.cpp
@@ -48,6 +48,7 @@
     entry()
         : m_reducer(instant {}, {})
     {
+        handle(entry_count_read { now, 1 });
         handle(configuration_read { now, now, configurationOf(1) });
         handle(registry_read { now,
             { endpoint("d1", drafts), endpoint("d2", drafts), endpoint("l1", ledger), endpoint("l2", ledger) } });
@@ -97,6 +98,8 @@
         return admitted;
     }
 
+    void rejectWithPause(duration pause) { handle(attempt_ended { now, m_number, attempt_ending::Rejected, false, pause }); }
+
     void endAttempt(attempt_ending ending, bool begun = false) { handle(attempt_ended { now, m_number, ending, begun, {} }); }
 
     template <typename Effect>
@@ -403,3 +406,107 @@
         cr_assert_null(entry.effect<cancel_forwarded_request>());
     }
 }
+
+// Pattern: an engine leaves. Its answers say so before the registry does, or while the store is away.
+Test(forwarding_reducer, an_endpoint_that_announces_that_it_leaves_gets_nothing_more)
+{
+    entry entry;
+    entry.handle(endpoint_leaving_announced { entry.now, endpoint_id("l1") });
+    for (int request = 0; request < 20; ++request) {
+        entry.now += 200ms;
+        entry.handle(configuration_read { entry.now, entry.now, std::nullopt });
+        // The registry goes on listing it as ready.
+        entry.handle(endpoint_listed { entry.now, endpoint("l1", ledger) });
+        entry.request("/read/x");
+        cr_assert_eq(entry.effect<send_attempt>()->endpoint.str(), "l2");
+    }
+    // With the other one gone too, nothing can be served, and callers hear so at once.
+    entry.handle(endpoint_leaving_announced { entry.now, endpoint_id("l2") });
+    entry.request("/read/x");
+    cr_assert(entry.refusedWith(refusal_reason::NoCapacity));
+}
+
+Test(forwarding_reducer, an_agent_announces_the_leaving_of_its_own_engine_only)
+{
+    entry entry;
+    endpoint_load load { endpoint("d1", drafts).address, 1, 0, 1.0, true };
+    load.leaving = true;
+    load.startedAtMs = 77;
+    entry.handle(endpoint_load_received { entry.now, load });
+    // Another incarnation than the one that is listed.
+    bool usesFirst = false;
+    for (int request = 0; request < 20; ++request) {
+        entry.request("/draft/x");
+        usesFirst = usesFirst || entry.effect<send_attempt>()->endpoint.str() == "d1";
+    }
+    cr_assert(usesFirst);
+    load.startedAtMs = 0;
+    entry.handle(endpoint_load_received { entry.now, load });
+    for (int request = 0; request < 20; ++request) {
+        entry.request("/draft/x");
+        cr_assert_eq(entry.effect<send_attempt>()->endpoint.str(), "d2");
+    }
+}
+
+// Pattern: an engine answers 503 with Retry-After. Requests go elsewhere; none reaches it before the time is over.
+Test(forwarding_reducer, an_endpoint_that_asks_for_a_pause_gets_it)
+{
+    entry entry;
+    entry.request("/read/x");
+    const std::string paused = entry.effect<send_attempt>()->endpoint.str();
+    entry.rejectWithPause(2s);
+    const instant asked = entry.now;
+    while (entry.now < asked + 1900ms) {
+        entry.now += 100ms;
+        entry.handle(configuration_read { entry.now, entry.now, std::nullopt });
+        entry.request("/read/x");
+        cr_assert_neq(entry.effect<send_attempt>()->endpoint.str(), paused);
+        entry.handle(attempt_succeeded { entry.now, 1 });
+    }
+    bool resumed = false;
+    for (int request = 0; request < 20; ++request) {
+        entry.now = asked + 3s;
+        entry.request("/read/x");
+        resumed = resumed || entry.effect<send_attempt>()->endpoint.str() == paused;
+    }
+    cr_assert(resumed);
+}
+
+// With all endpoints paused a request is refused at once, with a time at which it can be served.
+Test(forwarding_reducer, callers_come_back_after_the_pause_of_all_endpoints)
+{
+    entry entry;
+    for (int request = 0; request < 2; ++request) {
+        entry.request("/post/x");
+        entry.rejectWithPause(3s);
+        entry.now += 10ms;
+    }
+    entry.request("/post/x");
+    cr_assert(entry.refusedWith(refusal_reason::NoCapacity));
+    cr_assert(*entry.effect<refuse_request>()->retryAfter >= duration(2900ms));
+    cr_assert(*entry.effect<refuse_request>()->retryAfter <= duration(5s));
+}
+
+// Pattern: the store comes back from an older copy. What it holds then takes nothing back.
+Test(forwarding_reducer, an_older_copy_of_the_store_revives_nothing)
+{
+    entry entry;
+    entry.handle(configuration_read { entry.now, entry.now, configurationOf(2) });
+    entry.handle(endpoint_unlisted { entry.now, endpoint_id("l1") });
+    entry.now += 1s;
+    entry.handle(registry_restored { entry.now });
+    entry.handle(endpoint_listed { entry.now, endpoint("l1", ledger) });
+    entry.handle(configuration_read { entry.now, entry.now, configurationOf(1) });
+    for (int request = 0; request < 20; ++request) {
+        entry.request("/read/x");
+        cr_assert_eq(entry.effect<send_attempt>()->endpoint.str(), "l2");
+    }
+    // Reads of the older copy confirm nothing, so keys are refused once the last confirmation is too old.
+    entry.now += 5s;
+    entry.handle(configuration_read { entry.now, entry.now, std::nullopt });
+    entry.request("/read/x");
+    cr_assert(entry.refusedWith(refusal_reason::NotReady));
+    entry.handle(configuration_read { entry.now, entry.now, configurationOf(2) });
+    entry.request("/read/x");
+    cr_assert_not_null(entry.effect<send_attempt>());
+}
--- a/tests/storefeed/table_follower_test.cpp
+++ b/tests/storefeed/table_follower_test.cpp
@@ -37,6 +37,7 @@
             follower_handlers { .onSnapshot = [this](auto rows, instant sentAt) { whole = rows.size(); confirmedAt = sentAt; },
                 .onChanges = [this](auto rows, instant sentAt) { changed += rows.size(); confirmedAt = sentAt; },
                 .onReachability = [this](bool reachable) { accessNews.push_back(reachable); },
+                .onRestored = [this] { ++restored; },
                 .isDigestConfirmed = [this](std::uint64_t digest) { return confirmedDigest == digest; } },
             1);
         follower->start();
@@ -62,6 +63,7 @@
     std::optional<std::uint64_t> confirmedDigest;
     std::optional<std::size_t> whole;
     std::size_t changed = 0;
+    int restored = 0;
     instant confirmedAt;
     std::vector<bool> accessNews;
     std::shared_ptr<table_follower> follower;
@@ -200,3 +202,43 @@
     cr_assert(!fixture.store.hasCall());
     fixture.untilCall();
 }
+
+// Pattern: the store comes back from a copy some seconds old and gives versions out again. Changes that it reports after the
+// known version leave out what differs before it, so the whole table must be read.
+Test(table_follower, a_store_that_went_back_is_read_again)
+{
+    fixture f;
+    store_rows first = rowsOf({ "a", "b" }, 20);
+    first.generation = 3;
+    f.store.answer(std::move(first));
+    cr_assert_eq(f.restored, 0);
+    // The version that the follower asks from was given out again for another row.
+    store_rows later = rowsOf({ "c" }, 22);
+    later.generation = 4;
+    f.store.answer(std::move(later));
+    cr_assert_eq(f.changed, 0);
+    cr_assert_eq(f.restored, 1);
+    f.untilCall();
+    cr_assert_eq(f.store.next().what, "read op");
+    store_rows whole = rowsOf({ "a", "c" }, 22);
+    whole.generation = 4;
+    f.store.answer(std::move(whole));
+    cr_assert_eq(*f.whole, 2);
+    cr_assert_eq(f.restored, 1);
+    cr_assert_eq(f.store.next().afterVersion, 22);
+}
+
+// Two pages of different generations are not one table.
+Test(table_follower, a_table_that_changes_its_generation_between_pages_is_read_from_the_start)
+{
+    fixture f;
+    store_rows first = rowsOf({ "a" }, 20, true);
+    first.generation = 3;
+    f.store.answer(std::move(first));
+    store_rows second = rowsOf({ "b" }, 12);
+    second.generation = 4;
+    f.store.answer(std::move(second));
+    cr_assert_not(f.whole.has_value());
+    cr_assert_eq(f.restored, 1);
+    cr_assert_eq(f.store.next().what, "read op");
+}
--- a/tests/users_platform/header_codec_test.cpp
+++ b/tests/users_platform/header_codec_test.cpp
@@ -86,3 +86,26 @@
     // A 503 without X-Not-Executed does not say that the request was not executed.
     cr_assert(decodeResponse(answerWith(503, { { "X-Attempt-Id", "9c41" } }), "9c41").kind == response_kind::Executed);
 }
+
+// Guards against texts of Retry-After that are no number of seconds: a date, a negative one, "nan", "inf", a huge one.
+Test(header_codec, a_pause_is_a_bounded_number_of_seconds)
+{
+    const auto pauseOf = [](unsigned status, const std::string& text) {
+        return decodeResponse(answerWith(status, { { "X-Attempt-Id", "9c41" }, { "X-Not-Executed", "1" }, { "Retry-After", text } }), "9c41").retryAfter;
+    };
+    cr_assert(pauseOf(503, "1.5") == duration(1500ms));
+    cr_assert(pauseOf(503, "1e30") == duration(600s));
+    for (const std::string text : { "-1", "nan", "inf", "1e999", "Fri, 04 Dec 2026 10:00:00 GMT", "", "2 s" })
+        cr_assert_not(pauseOf(503, text).has_value(), "%s", text.c_str());
+    // Only an engine that turns requests away asks for a pause.
+    cr_assert_not(pauseOf(429, "2").has_value());
+}
+
+Test(header_codec, an_engine_that_leaves_says_so_for_itself_only)
+{
+    cr_assert(decodeResponse(answerWith(200, { { "X-Attempt-Id", "9c41" }, { "Server-Leaving", "1" } }), "9c41").leaving);
+    cr_assert_not(decodeResponse(answerWith(200, { { "X-Attempt-Id", "9c41" }, { "Server-Leaving", "0" } }), "9c41").leaving);
+    // Another engine answers at the address, or the answer belongs to another request.
+    cr_assert_not(decodeResponse(answerWith(421, { { "X-Attempt-Id", "9c41" }, { "Server-Leaving", "1" } }), "9c41").leaving);
+    cr_assert_not(decodeResponse(answerWith(200, { { "X-Attempt-Id", "other" }, { "Server-Leaving", "1" } }), "9c41").leaving);
+}
--- a/tests/users_platform/store_client_test.cpp
+++ b/tests/users_platform/store_client_test.cpp
@@ -22,6 +22,8 @@
             [this, status, body](const auto& connection, http_request request) {
                 asked = std::move(request);
                 http_response response;
+                if (!generation.empty())
+                    response.head.headers.add("Store-Era", generation);
                 response.head.status = status;
                 response.body = body;
                 connection->respond(std::move(response));
@@ -46,6 +48,7 @@
 public:
     store_client client;
     http_request asked;
+    std::string generation;
 };
 
 store_failure failureOf(unsigned status)
@@ -91,3 +94,16 @@
     const auto result = store.result([&](store_handler done) { store.client.read("t", {}, std::move(done)); });
     cr_assert(std::get<store_failure>(result) == store_failure::Malformed);
 }
+
+// Guards against an answer from before the store went back that arrives late: it shows rows that the store has lost.
+Test(store_client, an_answer_of_an_older_generation_is_no_answer)
+{
+    fixture store(200, R"({"rows":[],"ver":530})");
+    const auto read = [&] { return store.result([&](store_handler done) { store.client.read("t", {}, std::move(done)); }); };
+    store.generation = "7";
+    cr_assert_eq(std::get<store_rows>(read()).generation, 7);
+    store.generation = "8";
+    cr_assert_eq(std::get<store_rows>(read()).generation, 8);
+    store.generation = "7";
+    cr_assert_eq(std::get<store_failure>(read()), store_failure::NoResponse);
+}
