Entry: a planned stop accepts nothing that it can't finish

Cause: from 0.45 of the grace period on the process ended as soon as nothing was unanswered; under load that never happened, it went on accepting until 0.93 and then cut off what was in flight. Change: from 0.45 on the listening socket is closed and requests on open connections are refused as not run with Retry-After 0.

--- a/packages/decisions/forwarding/forwarding_effects.h
+++ b/packages/decisions/forwarding/forwarding_effects.h
@@ -32,6 +32,8 @@
     duration answerStartTimeout {};
     duration eventGapTimeout {};
     std::uint32_t urgencyRank = 0;
+    // Age of the load report by which the endpoint was chosen; nothing without one.
+    std::optional<duration> loadReportAge;
 };
 
 enum class refusal_reason {
--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -272,6 +272,8 @@
         .requiresNewConnection = !matchedRoute.repeatable(),
         .isStream = isStream,
         .urgencyRank = request.urgencyRank };
+    if (chosen.reportAge >= duration::zero())
+        attempt.loadReportAge = chosen.reportAge;
     if (matchedRoute.repeatable() && request.attempts < matchedRoute.maxAttempts) {
         attempt.answerStartTimeout = scaled(matchedRoute.latencyTarget, isStream ? firstEventTimeoutFactor : plainAnswerTimeoutFactor);
         const duration pauseTarget = matchedRoute.pauseTarget > duration::zero() ? matchedRoute.pauseTarget : m_settings.defaultPauseTarget;
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -112,7 +112,7 @@
         , m_random(static_cast<std::minstd_rand::result_type>(life))
     {
         m_log.write(now(), "started", {},
-            { { "role", "direct_entry" }, { "zone", settings.process.zone.str() }, { "callers", std::to_string(m_callers.port()) },
+            { { "role", "direct_entry" }, { "zone", settings.process.zone.str() }, { "callers", std::to_string(m_callersPort) },
                 { "readiness", std::to_string(m_readiness.port()) }, { "directory", std::to_string(m_directory.port()) },
                 { "operations", std::to_string(m_operations.port()) }, { "links", std::to_string(m_news.port()) } });
         follow(life ^ std::hash<std::string> {}(settings.process.instance.str()));
@@ -172,8 +172,10 @@
 
     void onRequest(const std::shared_ptr<server_connection>& connection, const http_request& request)
     {
-        const request_number number = ++m_lastRequest;
         m_metrics.add(entry_metrics::requests);
+        if (m_acceptsNothing)
+            return connection->respond(stoppingResponse());
+        const request_number number = ++m_lastRequest;
         exchange_services services { m_platform, m_endpoints, [] { return now(); }, [this](const forwarding_event& event) { post(event); }, m_serviceProgress };
         auto exchange = std::make_shared<caller_exchange>(std::move(services), number, connection, request);
         m_exchanges.emplace(number, exchange);
@@ -181,6 +183,18 @@
         forgetIfOver(number);
     }
 
+    // Sent for a request on an open connection that arrives too late to be finished before the process ends.
+    static http_response stoppingResponse()
+    {
+        http_response response;
+        response.head.status = 503;
+        response.head.headers.add("Content-Type", "application/problem+json");
+        response.head.headers.add("Appleramp-Execution", "not_run");
+        response.head.headers.add("Retry-After", "0");
+        response.body = R"({"execution":"not_run","reason":"stopping"})";
+        return response;
+    }
+
     void post(const forwarding_event& event)
     {
         for (const forwarding_effect& effect : m_reducer.handle(event))
@@ -202,6 +216,8 @@
 
     void carryOut(const send_attempt& effect)
     {
+        if (effect.loadReportAge)
+            m_metrics.observe(entry_metrics::loadReportAge, *effect.loadReportAge);
         if (const auto target = exchange(effect.request))
             target->carryOut(effect);
     }
@@ -327,6 +343,9 @@
         m_metrics.set(entry_metrics::requestsInFlight, static_cast<double>(m_exchanges.size()));
         m_metrics.set(entry_metrics::endpoints, static_cast<double>(m_reducer.fleet().size()));
         m_metrics.set(entry_metrics::linesLeftOut, static_cast<double>(m_log.leftOut()));
+        m_metrics.set(entry_metrics::endpointsPaused, static_cast<double>(m_reducer.fleet().pausedCount(now())));
+        m_metrics.set(entry_metrics::storeCalls, static_cast<double>(m_store.storeCalls()));
+        m_metrics.set(entry_metrics::readerAnswers, static_cast<double>(m_store.readerAnswers()));
         m_metrics.set(entry_metrics::datagramsDropped, static_cast<double>(m_news.droppedCount()));
     }
 
@@ -504,7 +523,7 @@
 
     entry_presence presence() const
     {
-        const socket_address callers { m_settings.listen.callers.host, m_callers.port() };
+        const socket_address callers { m_settings.listen.callers.host, m_callersPort };
         return { m_settings.process.instance, m_settings.process.zone, callers.str(), isServing(), m_reducer.configurationVersion() };
     }
 
@@ -644,16 +663,30 @@
         }
         askReader(moment);
         m_log.flush();
+        if (m_stopping && !m_acceptsNothing && moment - *m_stopping >= gracePart(serveOnPart))
+            stopAccepting();
         if (m_stopping && isStopComplete(moment))
             return stopLoop();
         scheduleTick();
     }
 
+    // What arrives after this would be cut off when the process ends.
+    void stopAccepting()
+    {
+        m_acceptsNothing = true;
+        m_callers.close();
+        m_log.write(now(), "stopped_accepting", {}, { { "in_flight", std::to_string(m_exchanges.size()) } });
+    }
+
+    duration gracePart(double part) const
+    {
+        return duration(static_cast<duration::rep>(static_cast<double>(m_settings.bounds.grace.count()) * part));
+    }
+
     bool isStopComplete(instant moment) const
     {
         const duration since = moment - *m_stopping;
-        const auto part = [&](double share) { return duration(static_cast<duration::rep>(static_cast<double>(m_settings.bounds.grace.count()) * share)); };
-        return (since >= part(serveOnPart) && m_callers.unanswered() == 0) || since >= part(cutOffPart);
+        return (m_acceptsNothing && m_callers.unanswered() == 0) || since >= gracePart(cutOffPart);
     }
 
     void stopLoop()
@@ -673,6 +706,8 @@
     client_pool m_endpoints;
     datagram_socket m_news;
     http_acceptor m_callers;
+    // Kept, as a closed acceptor has no port.
+    std::uint16_t m_callersPort = m_callers.port();
     http_acceptor m_readiness;
     http_acceptor m_directory;
     http_acceptor m_operations;
@@ -704,6 +739,8 @@
     std::set<std::string> m_reporting;
     std::set<std::string> m_subset;
     std::optional<instant> m_stopping;
+    // Set in the second part of a stop: nothing more is accepted, and what is in flight is finished.
+    bool m_acceptsNothing = false;
 };
 
 direct_entry_process::direct_entry_process(boost::asio::io_context& loop, const process_settings& settings, incarnation life,
--- a/packages/directentry/entry_metrics.h
+++ b/packages/directentry/entry_metrics.h
@@ -15,5 +15,9 @@
 extern const metric_descriptor linesLeftOut;
 extern const metric_descriptor datagramsDropped;
 extern const metric_descriptor loopDelay;
+extern const metric_descriptor endpointsPaused;
+extern const metric_descriptor storeCalls;
+extern const metric_descriptor readerAnswers;
+extern const metric_descriptor loadReportAge;
 
 } // namespace appleramp::entry_metrics
--- a/tests/processes/platform_stand_in.py
+++ b/tests/processes/platform_stand_in.py
@@ -146,7 +146,10 @@
         self.name = name
         self.leaving = leaving
         self.pause_seconds = None
+        # Time for which it works on a request.
+        self.work_seconds = 0.0
         self.arrivals = []
+        self.ids = set()
         super().__init__()
 
     @property
@@ -155,6 +158,9 @@
 
     def answer(self, method, path, headers, body):
         self.arrivals.append(time.monotonic())
+        self.ids.add(headers.get("X-Attempt-Id"))
+        if self.work_seconds:
+            time.sleep(self.work_seconds)
         answer = {"X-Attempt-Id": headers.get("X-Attempt-Id", ""), "X-Response-Stamp": self.name}
         if self.leaving:
             answer["Server-Leaving"] = "1"
