Entries: the reader of a zone tells the other zones of its entries, and of the members' changes

After a start each of 149 entries read the members' changes itself, although the zone's reader would tell it. Change: above 64 entries presence goes to the own zone, and the zone's reader passes it on with its age, 16 entries a datagram; starts and stops go to all. After a whole read of the members an entry waits 3 s for the reader's word.

--- a/packages/datagrams/datagram_codec.cpp
+++ b/packages/datagrams/datagram_codec.cpp
@@ -22,6 +22,13 @@
         return { { "k", "e" }, { "i", presence.instance.str() }, { "z", presence.zone.str() }, { "a", presence.callerAddress },
             { "s", presence.serving }, { "c", presence.configuration }, { "n", presence.starting } };
     }
+    json operator()(const zone_presence& zone) const
+    {
+        json entries = json::array();
+        for (const auto& [presence, age] : zone.entries)
+            entries.push_back({ presence.instance.str(), presence.zone.str(), presence.callerAddress, presence.serving, presence.configuration, age.count() });
+        return { { "k", "z" }, { "e", std::move(entries) } };
+    }
     json operator()(const endpoint_load& load) const
     {
         return { { "k", "l" }, { "a", load.address }, { "r", load.running }, { "w", load.waiting },
@@ -57,6 +64,17 @@
         body.at("a").get<std::string>(), body.at("s").get<bool>(), body.value("c", std::uint64_t { 0 }), body.value("n", false) };
 }
 
+zone_presence zonePresenceFromJson(const json& body)
+{
+    zone_presence zone;
+    for (const json& entry : body.at("e")) {
+        const entry_presence presence { instance_id(entry.at(0).get<std::string>()), availability_zone_id(entry.at(1).get<std::string>()),
+            entry.at(2).get<std::string>(), entry.at(3).get<bool>(), entry.at(4).get<std::uint64_t>() };
+        zone.entries.push_back({ presence, duration(entry.at(5).get<std::uint32_t>()) });
+    }
+    return zone;
+}
+
 endpoint_load loadFromJson(const json& body)
 {
     return { body.at("a").get<std::string>(), body.at("r").get<std::uint32_t>(), body.at("w").get<std::uint32_t>(),
@@ -92,6 +110,8 @@
         const std::string kind = body.at("k").get<std::string>();
         if (kind == "e")
             return presenceFromJson(body);
+        if (kind == "z")
+            return zonePresenceFromJson(body);
         if (kind == "l")
             return loadFromJson(body);
         if (kind == "u")
--- a/packages/decisions/forwarding/entry_peers.cpp
+++ b/packages/decisions/forwarding/entry_peers.cpp
@@ -29,10 +29,22 @@
 {
     const auto [found, isNew] = m_peers.try_emplace(presence.callerAddress);
     const bool wasSilent = isNew || now - found->second.heardAt >= m_settings.silenceTimeout;
-    found->second = { presence, now };
+    // What another entry passes on may be older than what was heard since.
+    if (isNew || now >= found->second.heardAt)
+        found->second = { presence, now };
     return wasSilent;
 }
 
+std::vector<relayed_presence> entry_peers::heardIn(instant now, const availability_zone_id& zone) const
+{
+    std::vector<relayed_presence> heard;
+    for (const auto& [address, peer] : m_peers) {
+        if (peer.presence.zone == zone && now - peer.heardAt < m_settings.silenceTimeout)
+            heard.push_back({ peer.presence, now - peer.heardAt });
+    }
+    return heard;
+}
+
 std::vector<std::string> entry_peers::callerAddresses(
     instant now, const entry_presence& self, const availability_zone_id& zone) const
 {
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -1,5 +1,6 @@
 #include "directentry/direct_entry_process.h"
 
+#include "datagrams/datagram_codec.h"
 #include "datagrams/datagram_socket.h"
 #include "decisions/forwarding/endpoint_subset.h"
 #include "decisions/forwarding/forwarding_reducer.h"
@@ -26,6 +27,7 @@
 #include <map>
 #include <random>
 #include <set>
+#include <span>
 #include <utility>
 
 namespace appleramp {
@@ -38,6 +40,10 @@
 constexpr duration presenceInterval = std::chrono::milliseconds(700);
 // Interval of expiry checks: requests must stop going to an endpoint soon after its grace period.
 constexpr duration agingInterval = std::chrono::milliseconds(100);
+// In a larger fleet, entries tell their presence to their own zone only.
+constexpr std::size_t maxEntriesToldByEach = 64;
+// Entries of a zone that one datagram names, so that it fits into one packet.
+constexpr std::size_t entriesPerDatagram = 16;
 // Interval at which subscriptions to load reports are renewed; a restarted agent learns of them this soon.
 constexpr duration subscriptionInterval = std::chrono::milliseconds(1200);
 // How long callers may cache an answer of the directory.
@@ -55,6 +61,8 @@
 constexpr duration membersGap = std::chrono::milliseconds(1200);
 // Used once the process has run for a while: entries then learn of new entries from their presence messages.
 constexpr duration settledMembersGap = std::chrono::seconds(6);
+// Processes that start together would all read the rows that the others write; the zone's reader tells them instead.
+constexpr duration membersConfirmationWait = std::chrono::seconds(3);
 // Batches configuration versions in quick succession. A fifth of the time within which a change must be in force.
 constexpr duration configurationGap = std::chrono::milliseconds(350);
 
@@ -377,6 +385,7 @@
         settings.longPollTimeout = membersPoll;
         settings.readInterval = membersGap;
         settings.settledReadInterval = settledMembersGap;
+        settings.confirmationWait = membersConfirmationWait;
         m_membersFollower = follower(std::string(membersTable), settings, life + 2,
             { .onSnapshot =
                     [this](auto rows, instant) {
@@ -512,11 +521,12 @@
         const auto entries = std::count_if(m_members.begin(), m_members.end(), [](const auto& entry) { return entry.second.isEntry; });
         const auto self = m_members.find(m_settings.process.instance.str());
         const auto others = entries - (self != m_members.end() ? 1 : 0);
-        post(entry_count_read { now(), static_cast<std::size_t>(entries), static_cast<std::size_t>(others) });
+        m_entryCount = static_cast<std::size_t>(entries);
+        post(entry_count_read { now(), m_entryCount, static_cast<std::size_t>(others) });
         // The others answer with the configuration that they know.
         if (m_isUnannounced)
             tellPresence();
-        updateSubset(static_cast<std::size_t>(entries));
+        updateSubset(m_entryCount);
     }
 
     // --- Datagrams between processes.
@@ -527,21 +537,42 @@
         return { m_settings.process.instance, m_settings.process.zone, callers.str(), isServing(), m_reducer.configurationVersion() };
     }
 
-    void sendNews(const datagram_message& message, const member_row& member)
+    static boost::asio::ip::udp::endpoint datagramEndpoint(const member_row& member)
     {
         const auto target = endpointFromText(member.datagramAddress);
-        m_news.send(message, { target.address(), target.port() });
+        return { target.address(), target.port() };
     }
 
+    void sendNews(const datagram_message& message, const member_row& member) { m_news.send(message, datagramEndpoint(member)); }
+
     void tellPresence()
     {
         m_presenceTold = now();
         entry_presence self = presence();
         self.starting = std::exchange(m_isUnannounced, false);
+        // In a large fleet the other zones learn of this entry from the reader of its zone; a start and a stop go to all.
+        const bool toAll = m_entryCount <= maxEntriesToldByEach || self.starting || m_stopping;
         for (const auto& [name, member] : m_members) {
-            if (name != m_settings.process.instance.str() && member.isEntry)
+            if (name != m_settings.process.instance.str() && member.isEntry && (toAll || member.zone == m_settings.process.zone))
                 sendNews(self, member);
         }
+        if (!toAll && !m_relay.designatedReader(m_presenceTold))
+            tellZonePresence(self);
+    }
+
+    // Tells the other zones of the entries in this one.
+    void tellZonePresence(const entry_presence& self)
+    {
+        auto entries = m_reducer.peers().heardIn(m_presenceTold, m_settings.process.zone);
+        entries.push_back({ self, {} });
+        for (std::size_t begin = 0; begin < entries.size(); begin += entriesPerDatagram) {
+            const auto part = std::span(entries).subspan(begin, std::min(entriesPerDatagram, entries.size() - begin));
+            const std::string bytes = encodeDatagram(zone_presence { { part.begin(), part.end() } });
+            for (const auto& [name, member] : m_members) {
+                if (member.isEntry && member.zone != m_settings.process.zone)
+                    m_news.sendEncoded(bytes, datagramEndpoint(member));
+            }
+        }
     }
 
     void renewSubscriptions(instant moment)
@@ -599,6 +630,11 @@
             m_relay.onPeerHeard(now(), presence.instance.str());
         post(entry_presence_received { now(), std::move(presence) });
     }
+    void onNews(const zone_presence& zone)
+    {
+        for (const auto& [presence, age] : zone.entries)
+            post(entry_presence_received { now() - age, presence });
+    }
     void onNews(const freshness_question&) { }
     void onNews(const freshness_answer& answer)
     {
@@ -724,6 +760,7 @@
     std::set<availability_zone_id> m_zonesOut;
     std::set<availability_zone_id> m_zonesListedOut;
     instant m_zoneHoldUntil;
+    std::size_t m_entryCount = 0;
     bool m_membersRestored = false;
     // No presence was sent since the start.
     bool m_isUnannounced = true;
--- a/packages/model/endpoint_news.h
+++ b/packages/model/endpoint_news.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace appleramp {
 
@@ -63,4 +64,15 @@
     bool starting = false;
 };
 
+// The presence of an entry as another one passes it on, and how long ago that one heard it.
+struct relayed_presence {
+    entry_presence presence;
+    duration age {};
+};
+
+// The entries of one zone, as the entry that reads the store for it tells the other zones of a large fleet.
+struct zone_presence {
+    std::vector<relayed_presence> entries;
+};
+
 } // namespace appleramp
--- a/packages/storefeed/table_follower.cpp
+++ b/packages/storefeed/table_follower.cpp
@@ -70,6 +70,7 @@
     m_digest.apply(m_snapshotRows);
     m_log.reset(m_generation, m_version);
     m_currentAsOf = m_readSentAt;
+    m_confirmationAwaitedUntil = m_now() + m_settings.confirmationWait;
     m_handlers.onSnapshot(std::move(m_snapshotRows), m_readSentAt);
     m_snapshotRows.clear();
     readChanges();
@@ -81,6 +82,8 @@
         markReachable();
         return scheduleNext(m_settings.confirmationCheckInterval, &table_follower::readChanges);
     }
+    if (m_now() < m_confirmationAwaitedUntil)
+        return scheduleNext(m_settings.confirmationCheckInterval, &table_follower::readChanges);
     m_readSentAt = m_now();
     m_store.changes(m_table, m_version, m_settings.longPollTimeout,
         [self = shared_from_this()](store_result result) { self->onChanges(std::move(result)); });
--- a/packages/storefeed/table_follower.h
+++ b/packages/storefeed/table_follower.h
@@ -46,6 +46,9 @@
     duration maxBackoff = std::chrono::milliseconds(800);
     // Interval at which `isDigestConfirmed` is asked while another reader confirms the contents.
     duration confirmationCheckInterval = std::chrono::milliseconds(100);
+    // Time after a read of the whole table in which another reader is given the chance to confirm it before the follower reads
+    // changes itself.
+    duration confirmationWait {};
     // Followers read the whole table at a random time within this one after the store came back from an older copy.
     duration restoreSpread = std::chrono::milliseconds(300);
 };
@@ -106,6 +109,7 @@
     // Lower bound of this process's clock minus the store's clock.
     std::optional<duration> m_minClockOffset;
     instant m_startedAt;
+    instant m_confirmationAwaitedUntil;
     bool m_reachable = true;
     bool m_stopped = false;
     std::uint32_t m_consecutiveFailures = 0;
--- a/tests/decisions/forwarding/entry_peers_test.cpp
+++ b/tests/decisions/forwarding/entry_peers_test.cpp
@@ -91,3 +91,26 @@
         cr_assert_gt(load[addressOf(index)], 0.7);
     }
 }
+
+// Pattern: a large fleet, in which the reader of a zone tells the other zones of its entries. A dead entry must not live longer
+// there than where it was heard, and old news must not hide newer ones.
+Test(entry_peers, what_is_passed_on_keeps_its_age)
+{
+    entry_peers reader(instant {}, {});
+    reader.recordPresence(instant(10s), entry("10.0.0.2:1", zoneA));
+    reader.recordPresence(instant(10s), entry("10.0.0.3:1", zoneB));
+    const auto heard = reader.heardIn(instant(11500ms), zoneA);
+    cr_assert_eq(heard.size(), 1);
+    cr_assert(heard[0].age == duration(1500ms));
+    cr_assert(reader.heardIn(instant(13s), zoneA).empty());
+
+    entry_peers other(instant {}, {});
+    const auto self = entry("10.0.0.9:1", zoneB);
+    other.recordPresence(instant(11500ms) - heard[0].age, heard[0].presence);
+    cr_assert_eq(other.callerAddresses(instant(12s), self, zoneB).size(), 2);
+    cr_assert_eq(other.callerAddresses(instant(12300ms), self, zoneB).size(), 1);
+    // It said itself that it stops; the zone's reader has not heard that yet.
+    other.recordPresence(instant(12s), entry("10.0.0.2:1", zoneA, false));
+    other.recordPresence(instant(11900ms), entry("10.0.0.2:1", zoneA));
+    cr_assert_eq(other.callerAddresses(instant(12s), self, zoneB).size(), 1);
+}
--- a/tests/storefeed/table_follower_test.cpp
+++ b/tests/storefeed/table_follower_test.cpp
@@ -24,14 +24,15 @@
 // A follower whose clock the test sets; delays between calls are a few milliseconds of real time.
 class fixture {
 public:
-    fixture()
+    explicit fixture(duration confirmationWait = {})
     {
         follower_settings settings { .longPollTimeout = duration(1000),
             .readInterval = duration(1000),
             .settledReadInterval = std::chrono::milliseconds(200),
             .initialBackoff = duration(1000),
             .maxBackoff = duration(4000),
-            .confirmationCheckInterval = duration(500) };
+            .confirmationCheckInterval = duration(500),
+            .confirmationWait = confirmationWait };
         follower = std::make_shared<table_follower>(
             m_loop, store, "op", settings, [this] { return now; },
             follower_handlers { .onSnapshot = [this](auto rows, instant sentAt) { whole = rows.size(); confirmedAt = sentAt; },
@@ -242,3 +243,16 @@
     cr_assert_eq(f.restored, 1);
     cr_assert_eq(f.store.next().what, "read op");
 }
+
+// Pattern: 149 entries start together, and each writes a row that the others would read. They give the zone's reader the time to
+// confirm what they know; one that hears no reader reads the changes itself.
+Test(table_follower, after_a_whole_read_the_zones_reader_gets_its_chance)
+{
+    fixture f(std::chrono::seconds(3));
+    f.store.answer(rowsOf({ "a" }, 7));
+    f.runSome();
+    cr_assert_not(f.store.hasCall());
+    f.now += std::chrono::seconds(4);
+    f.untilCall();
+    cr_assert_eq(f.store.next().what, "changes op");
+}
