Groups: a shift of demand supersedes a map that is being prepared

Change: a shift gives up a map that is still being prepared, for which no rank is held or armed, and plans at once; while the distance is above 1.6 of its usual value only urgent maps are planned.

--- a/packages/decisions/groups/expert_popularity.cpp
+++ b/packages/decisions/groups/expert_popularity.cpp
@@ -19,6 +19,8 @@
 constexpr double minShiftDistance = 0.08;
 constexpr double minQuietShiftDistance = 0.02;
 constexpr double quietShiftDistanceFactor = 3.0;
+// A distance above the steady distance times this may be the beginning of a shift.
+constexpr double movingDistanceFactor = 1.6;
 // Smoothing factor of the steady distance.
 constexpr double steadyDistanceGain = 0.02;
 // The steady distance is their mean up to this number of distances, and only then known well enough for a lower threshold.
@@ -108,6 +110,11 @@
     m_steadyDistance += std::max(steadyDistanceGain, 1.0 / m_steadySamples) * (followed - m_steadyDistance);
 }
 
+bool expert_popularity::isMoving() const
+{
+    return m_steadySamples >= minSteadySamples && m_latestDistance > movingDistanceFactor * m_steadyDistance;
+}
+
 double expert_popularity::shiftThreshold() const
 {
     const bool isSettled = m_steadySamples >= minSteadySamples;
--- a/packages/decisions/groups/expert_popularity.h
+++ b/packages/decisions/groups/expert_popularity.h
@@ -34,6 +34,8 @@
     // Fraction of the choices by which the latest demand differs from the slow average, and its usual value.
     double latestDistance() const { return m_latestDistance; }
     double steadyDistance() const { return m_steadyDistance; }
+    // Whether the latest demand differs from the slow average by more than usual, though not yet enough for a shift.
+    bool isMoving() const;
     // Number of shifts of demand that were detected.
     std::uint64_t shifts() const { return m_shifts; }
     void clear();
--- a/packages/decisions/groups/switch_coordinator.cpp
+++ b/packages/decisions/groups/switch_coordinator.cpp
@@ -47,8 +47,16 @@
 {
     const std::uint64_t shifts = m_popularity.shifts();
     m_popularity.add(now, choices.counts);
-    if (m_popularity.shifts() != shifts)
-        logEvent("demand_shifted", "moved " + std::to_string(m_popularity.latestDistance()) + " usually " + std::to_string(m_popularity.steadyDistance()));
+    if (m_popularity.shifts() == shifts)
+        return;
+    // A map for the demand from before would only hold up the next one. No rank is held or armed for it yet.
+    if (m_phase == phase::Preparing) {
+        logEvent("map_superseded", "version " + std::to_string(m_proposal.version));
+        enterPhase(now, phase::Idle);
+    }
+    m_nextPlanAt = now;
+    logEvent("demand_shifted",
+        "moved " + std::to_string(m_popularity.latestDistance()) + " usually " + std::to_string(m_popularity.steadyDistance()));
 }
 
 bool switch_coordinator::isHandling(const switch_id& name) const
--- a/packages/decisions/groups/switch_coordinator_planning.cpp
+++ b/packages/decisions/groups/switch_coordinator_planning.cpp
@@ -91,6 +91,9 @@
     planning_limits limits = m_limits.planning;
     limits.slowdownFactors = slowdownFactors();
     const bool isUrgent = imbalance(current, m_popularity.loads(), limits.experts, limits.slowdownFactors) >= m_limits.urgentImbalance;
+    // Demand may be about to shift, and a map for the mixture would hold up the one for the new demand.
+    if (!isUrgent && m_popularity.isMoving())
+        return;
     const duration copyBudget = isUrgent ? m_limits.urgentCopyBudget : m_limits.normalCopyBudget;
     limits.maxCopiesPerRank = static_cast<std::size_t>(std::max<duration::rep>(copyBudget / std::max(m_limits.copyTime, duration(1)), 1));
     group_map_plan plan = planGroupMap(current, m_popularity.loads(), limits);
--- a/tests/decisions/groups/switch_coordinator_test.cpp
+++ b/tests/decisions/groups/switch_coordinator_test.cpp
@@ -3,6 +3,8 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <optional>
+#include <span>
 
 using namespace appleramp;
 using namespace std::chrono_literals;
@@ -113,6 +115,15 @@
         }
     }
 
+    // A report of one rank; every second one differs a little.
+    void report(instant now, std::size_t popularExpert, int round)
+    {
+        std::vector<std::uint32_t> chosen(experts, 1000);
+        chosen[popularExpert] = 20000;
+        chosen[experts - 1] += round % 2 == 0 ? 400U : 0U;
+        m_coordinator.recordChoices(now, { 0, std::move(chosen) });
+    }
+
     void shiftDemand(instant now)
     {
         std::vector<std::uint32_t> chosen(experts, 10);
@@ -260,3 +271,44 @@
     const auto passes = static_cast<std::int64_t>(next.pass - group.pass());
     cr_assert_geq(passes * 50, 300, "%ld passes ahead", static_cast<long>(passes));
 }
+
+namespace {
+
+// The version of the map that the messages propose, if any.
+std::optional<group_map_version> proposedVersion(std::span<const outgoing_message> messages)
+{
+    for (const outgoing_message& message : messages) {
+        if (const auto* const proposal = std::get_if<map_proposal>(&message.message))
+            return proposal->version;
+        if (const auto* const changes = std::get_if<map_changes>(&message.message))
+            return changes->version;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+// Pattern: demand shifts each 3 s in a group of 192 ranks (scale-1 of fshga-ramp-large). A map for the demand from before was being
+// prepared when the shift was seen, and the next one came 1.2 s later, while every pass was too long.
+Test(switch_coordinator, a_shift_supersedes_a_map_that_is_being_prepared)
+{
+    restarted_group group;
+    instant now(1s);
+    for (int round = 0; round < 200; ++round, now += 15ms)
+        group.report(now, 0, round);
+    const auto before = proposedVersion(group.advance(now));
+    cr_assert(before.has_value());
+    // No rank has prepared it yet.
+    std::optional<group_map_version> after;
+    const instant shiftAt = now;
+    for (int round = 0; !after && now < shiftAt + 1s; ++round) {
+        now += 15ms;
+        group.report(now, 7, round);
+        const auto version = proposedVersion(group.advance(now));
+        if (version != before)
+            after = version;
+    }
+    cr_assert(after.has_value());
+    cr_assert_gt(*after, *before);
+    cr_assert(now <= shiftAt + 150ms);
+}
