--- a/tests/processes/direct_entries.py
+++ b/tests/processes/direct_entries.py
@@ -9,13 +9,16 @@
 
 BIN = pathlib.Path(__file__).resolve().parents[2] / "build" / "bin"
 SERVICE = "ledger"
+STREAM_TIMEOUT_MS = 4000
 
 
 def configuration(version, keys):
     return {"version": version, "tenants": [{"name": "kitchen", "api_keys": keys}],
             "services": [{"name": SERVICE, "health_path": "/health", "max_conns": 100, "cold_start_s": 0.0, "cold_per_s": 0.0}],
             "routes": [{"name": "read", "host": "a.example", "prefix": "/read/", "kind": "safe", "timeout_ms": 3000,
-                        "target_latency_ms": 300, "service": SERVICE, "max_attempts": 2}],
+                        "target_latency_ms": 300, "service": SERVICE, "max_attempts": 2},
+                       {"name": "stream", "host": "a.example", "prefix": "/stream/", "kind": "streaming", "timeout_ms": STREAM_TIMEOUT_MS,
+                        "target_latency_ms": 600, "gap_target_ms": 200, "service": SERVICE, "max_attempts": 2, "resumable": True}],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
 
 
