--- a/packages/decisions/forwarding/entry_peers.h
+++ b/packages/decisions/forwarding/entry_peers.h
@@ -30,7 +30,7 @@
 
     // Returns true if the peer was unknown or had exceeded the silence timeout.
     bool recordPresence(instant now, const entry_presence& presence);
-    // Serving entries of the zone that were heard lately, with the time since.
+    // Entries of the zone that were heard lately, with the time since.
     std::vector<relayed_presence> heardIn(instant now, const availability_zone_id& zone) const;
     // Sets the number of entries that the store lists, whether or not their presence messages arrive.
     void setListedEntries(std::size_t entries) { m_listedEntries = entries; }
