Forwarding: log suspected, confirmed and reported breakdowns

Entries logged neither a broken attempt that becomes a suspicion, nor its confirmation, nor a report that they receive, so that the hypotheses on crashing requests (docs/incidents/crashing-request.md) could not be told apart from their lines.

--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -348,8 +348,11 @@
 
 void forwarding_reducer::recordEnding(instant now, const request_state& request, attempt_ending ending)
 {
-    if (ending == attempt_ending::NoAnswer || ending == attempt_ending::TruncatedAnswer)
+    if (ending == attempt_ending::NoAnswer || ending == attempt_ending::TruncatedAnswer) {
         m_suspects.recordBrokenAttempt({ request.caller.contentHash, request.currentEndpoint, request.caller.sendId, now });
+        m_effects.emplace_back(log_decision { "breakdown_suspected", request.caller.sendId,
+            { { "endpoint", request.currentEndpoint.str() }, { "content", std::to_string(request.caller.contentHash) } } });
+    }
     if (ending == attempt_ending::NotSent)
         announceBreakdowns(now, request.currentEndpoint);
     if (ending == attempt_ending::Rejected)
@@ -370,8 +373,12 @@
 
 void forwarding_reducer::announceBreakdowns(instant now, const endpoint_id& endpoint)
 {
-    for (const broken_attempt& breakdown : m_suspects.confirmBreakdowns(now, endpoint))
+    for (const broken_attempt& breakdown : m_suspects.confirmBreakdowns(now, endpoint)) {
         m_effects.emplace_back(announce_crash { breakdown.contentHash, breakdown.sendId });
+        m_effects.emplace_back(log_decision { "breakdown_confirmed", breakdown.sendId,
+            { { "endpoint", endpoint.str() }, { "content", std::to_string(breakdown.contentHash) },
+                { "age_ms", millisecondsText(now - breakdown.brokenAt) } } });
+    }
 }
 
 void forwarding_reducer::refuse(
--- a/packages/decisions/forwarding/forwarding_reducer_news.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_news.cpp
@@ -157,7 +157,11 @@
             { { "entry", event.presence.instance.str() }, { "address", event.presence.callerAddress } } });
 }
 
-void forwarding_reducer::on(const crash_report_received& event) { m_suspects.recordBreakdown(event.now, event.contentHash, event.sendId); }
+void forwarding_reducer::on(const crash_report_received& event)
+{
+    m_suspects.recordBreakdown(event.now, event.contentHash, event.sendId);
+    m_effects.emplace_back(log_decision { "breakdown_reported", event.sendId, { { "content", std::to_string(event.contentHash) } } });
+}
 
 void forwarding_reducer::on(const entry_count_read& event)
 {
