Tests: a request that crashes one engine after another (fails)

What callers see: a request that crashes the engine that begins it is sent to one engine after another; each death stalls the group of all of them, so that hardly anybody is served.

--- /dev/null
+++ b/tests/decisions/crashes/crash_world.cpp
@@ -0,0 +1,369 @@
+#include "decisions/crashes/crash_world.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace appleramp::tests {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr duration tickInterval = 100ms;
+constexpr duration presenceInterval = 700ms;
+constexpr duration callerTimeout = 8s;
+constexpr std::uint32_t slots = 12;
+const service_id model("model");
+const availability_zone_id zone("a");
+
+routing_configuration configuration()
+{
+    route route;
+    route.name = "draft";
+    route.host = "a.example";
+    route.prefix = "/draft/";
+    route.kind = route_kind::Stream;
+    route.resumable = true;
+    route.services = { { model, 1 } };
+    route.timeout = callerTimeout;
+    route.latencyTarget = 500ms;
+    route.maxAttempts = 2;
+    routing_configuration result;
+    result.version = 1;
+    result.routes = { route };
+    return result;
+}
+
+} // namespace
+
+struct crash_world::entry_state {
+    std::unique_ptr<forwarding_reducer> reducer;
+    std::uint64_t life = 0;
+    instant disturbedUntil;
+    instant cutUntil;
+    std::map<request_number, simulated_request> requests;
+    std::map<request_number, std::uint64_t> runs;
+    instant presenceToldAt;
+};
+
+struct crash_world::engine_state {
+    std::string address;
+    endpoint_id id;
+    std::uint64_t startedAtMs = 0;
+    bool up = true;
+    bool listed = true;
+};
+
+struct crash_world::run {
+    std::size_t entry = 0;
+    std::uint64_t life = 0;
+    request_number request = 0;
+    std::size_t engine = 0;
+    simulated_request content;
+    int events = 0;
+};
+
+crash_world::crash_world(crash_world_settings settings)
+    : m_settings(settings)
+    , m_random(settings.seed)
+    , m_now(1s)
+{
+    for (std::size_t engine = 0; engine < settings.engines; ++engine) {
+        auto state = std::make_unique<engine_state>();
+        state->address = "10.0.0." + std::to_string(engine + 1) + ":80";
+        state->id = endpoint_id("i-" + std::to_string(++m_lastEngineId));
+        state->startedAtMs = m_lastEngineId;
+        m_engines.push_back(std::move(state));
+    }
+    for (std::size_t entry = 0; entry < settings.entries; ++entry)
+        m_entries.push_back(std::make_unique<entry_state>());
+    for (std::size_t entry = 0; entry < settings.entries; ++entry)
+        startEntry(entry);
+}
+
+crash_world::~crash_world() = default;
+
+double crash_world::fraction() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
+
+void crash_world::schedule(duration delay, std::function<void()> action)
+{
+    m_schedule.push({ m_now + delay, ++m_order, std::move(action) });
+}
+
+void crash_world::at(duration time, std::function<void()> action) { m_schedule.push({ instant(time), ++m_order, std::move(action) }); }
+
+void crash_world::runUntil(duration time)
+{
+    while (!m_schedule.empty() && m_schedule.top().when <= instant(time)) {
+        const scheduled next = m_schedule.top();
+        m_schedule.pop();
+        m_now = std::max(m_now, next.when);
+        next.action();
+    }
+    m_now = instant(time);
+}
+
+void crash_world::sendEvery(duration interval, duration from, duration until, std::function<simulated_request()> make)
+{
+    for (duration time = from; time < until; time += interval)
+        at(time, [this, make] { send(std::uniform_int_distribution<std::size_t>(0, m_entries.size() - 1)(m_random), make()); });
+}
+
+void crash_world::send(std::size_t entry, const simulated_request& request)
+{
+    const request_number number = ++m_lastRequest;
+    m_entries[entry]->requests[number] = request;
+    if (!request.crashesEngines)
+        m_sound[number].sentAt = m_now;
+    caller_request caller;
+    caller.host = "a.example";
+    caller.path = "/draft/x";
+    caller.sendId = "s" + std::to_string(number);
+    caller.timeout = callerTimeout;
+    caller.contentHash = request.content;
+    post(entry, request_arrived { m_now, number, caller });
+}
+
+std::vector<endpoint_record> crash_world::registry() const
+{
+    std::vector<endpoint_record> records;
+    for (const auto& engine : m_engines) {
+        if (engine->listed)
+            records.push_back({ engine->id, model, engine->address, zone, slots, false, {}, engine->startedAtMs });
+    }
+    return records;
+}
+
+void crash_world::startEntry(std::size_t entry)
+{
+    entry_state& state = *m_entries[entry];
+    forwarding_settings settings;
+    settings.zone = zone;
+    settings.seed = m_random();
+    settings.retryBudget = { .requestFraction = 0.2, .baseRetries = 92, .window = 10s };
+    state.reducer = std::make_unique<forwarding_reducer>(m_now, settings);
+    ++state.life;
+    post(entry, entry_count_read { m_now, m_entries.size(), m_entries.size() - 1, entry });
+    post(entry, configuration_read { m_now, m_now, configuration() });
+    post(entry, registry_read { m_now, registry() });
+    tickEntry(entry, state.life);
+}
+
+void crash_world::restartEntry(std::size_t entry)
+{
+    entry_state& state = *m_entries[entry];
+    state.requests.clear();
+    state.runs.clear();
+    state.disturbedUntil = m_now + contactTime;
+    std::erase_if(m_runs, [entry](const auto& each) { return each.second.entry == entry; });
+    startEntry(entry);
+}
+
+void crash_world::cutEntry(std::size_t entry, duration length) { m_entries[entry]->cutUntil = m_now + length; }
+
+void crash_world::tickEntry(std::size_t entry, std::uint64_t life)
+{
+    entry_state& state = *m_entries[entry];
+    if (state.life != life)
+        return;
+    post(entry, configuration_read { m_now, m_now, std::nullopt });
+    post(entry, timer_ticked { m_now });
+    if (m_now - state.presenceToldAt >= presenceInterval) {
+        state.presenceToldAt = m_now;
+        const std::string name = "entry-" + std::to_string(entry);
+        tellOthers(entry, entry_presence_received { m_now, { instance_id(name), zone, name, true, 1 } });
+    }
+    schedule(tickInterval, [this, entry, life] { tickEntry(entry, life); });
+}
+
+bool crash_world::isInTouch(std::size_t entry) const
+{
+    return m_now >= m_entries[entry]->disturbedUntil;
+}
+
+bool crash_world::arePeersCut(std::size_t from, std::size_t to) const
+{
+    return m_now < m_entries[from]->cutUntil || m_now < m_entries[to]->cutUntil;
+}
+
+void crash_world::tellOthers(std::size_t entry, const forwarding_event& event)
+{
+    for (std::size_t other = 0; other < m_entries.size(); ++other) {
+        if (other == entry || arePeersCut(entry, other) || fraction() < m_settings.datagramLoss)
+            continue;
+        schedule(m_settings.datagramDelay, [this, other, event] {
+            forwarding_event arrived = event;
+            std::visit([this](auto& concrete) {
+                if constexpr (requires { concrete.now; })
+                    concrete.now = m_now;
+            },
+                arrived);
+            post(other, arrived);
+        });
+    }
+}
+
+void crash_world::post(std::size_t entry, const forwarding_event& event)
+{
+    for (const forwarding_effect& effect : m_entries[entry]->reducer->handle(event))
+        carryOut(entry, effect);
+}
+
+void crash_world::carryOut(std::size_t entry, const forwarding_effect& effect)
+{
+    entry_state& state = *m_entries[entry];
+    if (const auto* const attempt = std::get_if<send_attempt>(&effect))
+        reachEngine(entry, *attempt);
+    else if (const auto* const refusal = std::get_if<refuse_request>(&effect))
+        state.requests.erase(refusal->request);
+    else if (const auto* const wait = std::get_if<wait_for_service>(&effect))
+        schedule(wait->until - m_now, [this, entry, life = state.life, number = wait->request] {
+            if (m_entries[entry]->life == life)
+                post(entry, service_wait_ended { m_now, number });
+        });
+    else if (const auto* const cancelled = std::get_if<cancel_forwarded_request>(&effect)) {
+        m_runs.erase(state.runs[cancelled->request]);
+        state.runs.erase(cancelled->request);
+    } else if (const auto* const aborted = std::get_if<abort_answer>(&effect))
+        state.requests.erase(aborted->request);
+    else if (const auto* const crash = std::get_if<announce_crash>(&effect))
+        tellOthers(entry, crash_report_received { m_now, crash->contentHash, crash->sendId });
+}
+
+void crash_world::reachEngine(std::size_t entry, const send_attempt& attempt)
+{
+    const auto found = std::find_if(m_engines.begin(), m_engines.end(), [&](const auto& engine) { return engine->address == attempt.address; });
+    const std::uint64_t number = ++m_lastRun;
+    entry_state& state = *m_entries[entry];
+    const simulated_request content = state.requests.at(attempt.request);
+    m_runs[number] = { entry, state.life, attempt.request, static_cast<std::size_t>(found - m_engines.begin()), content };
+    state.runs[attempt.request] = number;
+    const engine_state& engine = **found;
+    if (!engine.up)
+        return schedule(1ms, [this, number] { endRun(number, attempt_ending::NotSent); });
+    if (engine.id != attempt.endpoint)
+        return schedule(1ms, [this, number] { endRun(number, attempt_ending::WrongEndpoint); });
+    if (content.crashesEngines)
+        m_crashingSends.push_back({ m_now, isInTouch(entry) });
+    if (!groupServes())
+        return schedule(1ms, [this, number] { endRun(number, attempt_ending::Rejected); });
+    schedule(duration(static_cast<duration::rep>(fraction() * static_cast<double>(m_settings.maxBeginDelay.count()))), [this, number] { beginRun(number); });
+}
+
+void crash_world::beginRun(std::uint64_t number)
+{
+    const auto found = m_runs.find(number);
+    if (found == m_runs.end() || !groupServes())
+        return;
+    if (found->second.content.crashesEngines)
+        return killEngine(found->second.engine);
+    writeEvent(number);
+}
+
+void crash_world::writeEvent(std::uint64_t number)
+{
+    const auto found = m_runs.find(number);
+    if (found == m_runs.end() || !groupServes())
+        return;
+    run& current = found->second;
+    const std::size_t entry = current.entry;
+    if (current.events == m_settings.events) {
+        const request_number request = current.request;
+        m_runs.erase(found);
+        m_entries[entry]->runs.erase(request);
+        return post(entry, attempt_succeeded { m_now, request });
+    }
+    if (const auto outcome = m_sound.find(current.request); outcome != m_sound.end() && current.events == 0)
+        outcome->second.begunAtFirstAttempt = true;
+    const auto pause = current.events++ == 0 ? std::nullopt : std::optional(m_settings.eventInterval);
+    post(entry, stream_advanced { m_now, current.request, pause });
+    schedule(m_settings.eventInterval, [this, number] { writeEvent(number); });
+}
+
+void crash_world::killEngine(std::size_t engine)
+{
+    m_deaths.push_back(m_now);
+    m_engines[engine]->up = false;
+    m_groupOpensAt = m_now + m_settings.groupOutage;
+    std::vector<std::uint64_t> running;
+    for (const auto& [number, run] : m_runs) {
+        if (run.engine == engine)
+            running.push_back(number);
+    }
+    for (const std::uint64_t number : running)
+        endRun(number, attempt_ending::TruncatedAnswer);
+    schedule(m_settings.stall, [this, engine] { stallGroup(engine); });
+    schedule(m_settings.engineRestart, [this, engine] { restartEngine(engine); });
+}
+
+void crash_world::stallGroup(std::size_t dead)
+{
+    std::vector<std::uint64_t> running;
+    for (const auto& [number, run] : m_runs) {
+        if (run.engine != dead)
+            running.push_back(number);
+    }
+    for (const std::uint64_t number : running) {
+        const auto found = m_runs.find(number);
+        if (found != m_runs.end())
+            endRun(number, found->second.events > 0 ? attempt_ending::TruncatedAnswer : attempt_ending::Rejected);
+    }
+}
+
+void crash_world::restartEngine(std::size_t engine)
+{
+    engine_state& state = *m_engines[engine];
+    const endpoint_id before = state.id;
+    state.id = endpoint_id("i-" + std::to_string(++m_lastEngineId));
+    state.startedAtMs = m_lastEngineId;
+    state.up = true;
+    const std::vector<endpoint_record> listed = registry();
+    const endpoint_record record = listed.at(engine);
+    schedule(m_settings.registryDelay, [this, record] {
+        for (std::size_t entry = 0; entry < m_entries.size(); ++entry)
+            post(entry, endpoint_listed { m_now, record });
+    });
+    schedule(m_settings.registryExpiry - m_settings.engineRestart, [this, before] {
+        for (std::size_t entry = 0; entry < m_entries.size(); ++entry)
+            post(entry, endpoint_unlisted { m_now, before });
+    });
+}
+
+void crash_world::endRun(std::uint64_t number, attempt_ending ending)
+{
+    const auto found = m_runs.find(number);
+    if (found == m_runs.end())
+        return;
+    const run ended = found->second;
+    m_runs.erase(found);
+    entry_state& state = *m_entries[ended.entry];
+    if (state.life != ended.life)
+        return;
+    state.runs.erase(ended.request);
+    post(ended.entry, attempt_ended { m_now, ended.request, ending, ended.events > 0, {} });
+}
+
+std::size_t crash_world::lateSends(std::size_t death) const
+{
+    if (m_deaths.size() < death)
+        return 0;
+    const instant bound = m_deaths[death - 1] + contactTime;
+    return static_cast<std::size_t>(std::count_if(m_crashingSends.begin(), m_crashingSends.end(),
+        [bound](const crashing_send& send) { return send.entryInTouch && send.when > bound; }));
+}
+
+double crash_world::soundBegun(duration from, duration until) const
+{
+    std::size_t sent = 0;
+    std::size_t begun = 0;
+    for (const auto& [number, outcome] : m_sound) {
+        if (outcome.sentAt < instant(from) || outcome.sentAt >= instant(until))
+            continue;
+        ++sent;
+        begun += outcome.begunAtFirstAttempt ? 1 : 0;
+    }
+    return sent == 0 ? 1 : static_cast<double>(begun) / static_cast<double>(sent);
+}
+
+} // namespace appleramp::tests
