Forwarding, agents: the death of an endpoint is recognized while its group stalls

What callers saw: a request that crashes engines went on to one engine after another.

Cause: a broken attempt counted only if its endpoint refused a connection or left the registry within 3 s. While the group stalls nobody connects to the dead rank, the registry drops a silent endpoint after 3.9 s, and the engine is back at its address after 3.2 s. So no death was confirmed.

Attempts that still run at a dead endpoint are suspected too, those that have begun to write are not. A connection that times out is no death any more.

--- a/packages/datagrams/datagram_codec.cpp
+++ b/packages/datagrams/datagram_codec.cpp
@@ -34,6 +34,7 @@
         return { { "k", "l" }, { "a", load.address }, { "r", load.running }, { "w", load.waiting },
             { "p", std::lround(load.slowdownFactor * paceScale) }, { "o", load.groupOpen }, { "n", load.subscribers }, { "x", load.leaving }, { "t", load.startedAtMs } };
     }
+    json operator()(const endpoint_death& death) const { return { { "k", "d" }, { "a", death.address }, { "t", death.startedAtMs } }; }
     json operator()(const load_subscription& subscription) const { return { { "k", "u" }, { "z", subscription.zone.str() }, { "g", subscription.storeGeneration } }; }
     json operator()(const crash_report& breakdown) const
     {
@@ -114,6 +115,8 @@
             return zonePresenceFromJson(body);
         if (kind == "l")
             return loadFromJson(body);
+        if (kind == "d")
+            return endpoint_death { body.at("a").get<std::string>(), body.at("t").get<std::uint64_t>() };
         if (kind == "u")
             return load_subscription { availability_zone_id(body.at("z").get<std::string>()), body.at("g").get<std::uint64_t>() };
         if (kind == "r") {
--- a/packages/datagrams/datagram_message.h
+++ b/packages/datagrams/datagram_message.h
@@ -33,7 +33,7 @@
 };
 
 // Messages that processes send each other as single datagrams.
-using datagram_message = std::variant<entry_presence, zone_presence, endpoint_load, load_subscription, crash_report, group_datagram, relay_request, freshness_question,
+using datagram_message = std::variant<entry_presence, zone_presence, endpoint_load, endpoint_death, load_subscription, crash_report, group_datagram, relay_request, freshness_question,
     freshness_answer>;
 
 } // namespace appleramp
--- a/packages/decisions/forwarding/endpoint_fleet.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet.cpp
@@ -172,6 +172,18 @@
     });
 }
 
+std::string endpoint_fleet::addressOf(const endpoint_id& endpoint) const
+{
+    const auto found = m_endpoints.find(endpoint);
+    return found == m_endpoints.end() ? std::string() : found->second.record.address;
+}
+
+std::uint64_t endpoint_fleet::startedAtMs(const endpoint_id& endpoint) const
+{
+    const auto found = m_endpoints.find(endpoint);
+    return found == m_endpoints.end() ? 0 : found->second.record.startedAtMs;
+}
+
 std::optional<endpoint_id> endpoint_fleet::atAddress(std::string_view address, std::uint64_t startedAtMs) const
 {
     const auto listed = m_byAddress.find(address);
--- a/packages/decisions/forwarding/endpoint_fleet.h
+++ b/packages/decisions/forwarding/endpoint_fleet.h
@@ -122,6 +122,10 @@
     std::size_t size() const { return m_endpoints.size(); }
     // The endpoint that was started last at the address.
     std::optional<endpoint_id> latestAtAddress(std::string_view address) const;
+    // Empty if the endpoint is not known.
+    std::string addressOf(const endpoint_id& endpoint) const;
+    // As in the endpoint's record; zero if it is not known.
+    std::uint64_t startedAtMs(const endpoint_id& endpoint) const;
     // The endpoint with that address and start time.
     std::optional<endpoint_id> atAddress(std::string_view address, std::uint64_t startedAtMs) const;
 
--- a/packages/decisions/forwarding/forwarding_effects.h
+++ b/packages/decisions/forwarding/forwarding_effects.h
@@ -91,6 +91,12 @@
     std::string sendId;
 };
 
+// Open a connection to the endpoint and close it at once, to see whether it still listens; post endpoint_probed.
+struct probe_endpoint {
+    endpoint_id endpoint;
+    std::string address;
+};
+
 // Write a log line with a decision or change of state and the inputs it is based on.
 struct log_decision {
     std::string_view what;
@@ -100,7 +106,7 @@
 };
 
 using forwarding_effect = std::variant<send_attempt, refuse_request, wait_for_service, forward_failure_answer, abort_answer, cancel_forwarded_request,
-    announce_crash, log_decision>;
+    announce_crash, probe_endpoint, log_decision>;
 using forwarding_effects = std::vector<forwarding_effect>;
 
 } // namespace appleramp
--- a/packages/decisions/forwarding/forwarding_events.h
+++ b/packages/decisions/forwarding/forwarding_events.h
@@ -46,6 +46,8 @@
     bool answerBegun = false;
     // Retry-After of the endpoint's answer, if it gave one.
     std::optional<duration> retryAfter;
+    // For NotSent: nothing listens at the endpoint's address.
+    bool connectionRefused = false;
 };
 
 // An answer of the endpoint announces that it leaves.
@@ -130,6 +132,20 @@
     endpoint_load load;
 };
 
+// The agent beside the endpoint that was started at that time at the address saw it end.
+struct endpoint_death_reported {
+    instant now;
+    std::string address;
+    std::uint64_t startedAtMs = 0;
+};
+
+// The connection that a probe_endpoint effect opened was refused, or was not.
+struct endpoint_probed {
+    instant now;
+    endpoint_id endpoint;
+    bool refused = false;
+};
+
 // Addresses of the endpoints whose agents report their load, and of those to which this entry subscribes.
 struct load_subset_changed {
     instant now;
@@ -167,6 +183,6 @@
 using forwarding_event = std::variant<request_arrived, attempt_ended, attempt_succeeded, stream_advanced, service_wait_ended,
     caller_disconnected, deadline_passed,
     configuration_read, out_of_service_zones_changed, endpoint_listed, endpoint_unlisted, registry_read,
-    registry_access_changed, registry_restored, endpoint_leaving_announced, endpoint_load_received, load_subset_changed, entry_presence_received, crash_report_received, entry_count_read, timer_ticked>;
+    registry_access_changed, registry_restored, endpoint_leaving_announced, endpoint_load_received, endpoint_death_reported, endpoint_probed, load_subset_changed, entry_presence_received, crash_report_received, entry_count_read, timer_ticked>;
 
 } // namespace appleramp
--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -257,6 +257,7 @@
 void forwarding_reducer::send(instant now, request_number number, request_state& request, const placement& chosen)
 {
     ++request.attempts;
+    request.answerPieces = 0;
     request.currentEndpoint = chosen.endpoint;
     request.sentAt = now;
     request.triedEndpoints.push_back(chosen.endpoint);
@@ -294,7 +295,7 @@
         return;
     request_state& request = found->second;
     m_fleet.recordEnding(event.now, request.currentEndpoint, event.ending);
-    recordEnding(event.now, request, event.ending);
+    recordEnding(event.now, request, event);
     if (event.retryAfter)
         pauseEndpoint(event.now, request, *event.retryAfter);
     if (executionStatusAfter(event.ending) != execution_status::NotRun)
@@ -346,18 +347,12 @@
     refuse(number, request, refusal_reason::NoCapacity, event.retryAfter ? event.retryAfter : shortRetryAfter());
 }
 
-void forwarding_reducer::recordEnding(instant now, const request_state& request, attempt_ending ending)
+void forwarding_reducer::recordEnding(instant now, const request_state& request, const attempt_ended& event)
 {
-    if (ending == attempt_ending::NoAnswer || ending == attempt_ending::TruncatedAnswer) {
-        m_suspects.recordBrokenAttempt({ request.caller.contentHash, request.currentEndpoint, request.caller.sendId, now });
-        m_effects.emplace_back(log_decision { "breakdown_suspected", request.caller.sendId,
-            { { "endpoint", request.currentEndpoint.str() }, { "content", std::to_string(request.caller.contentHash) } } });
-    }
-    if (ending == attempt_ending::NotSent)
-        announceBreakdowns(now, request.currentEndpoint);
-    if (ending == attempt_ending::Rejected)
+    recordSuspiciousEnding(now, request, event);
+    if (event.ending == attempt_ending::Rejected)
         m_outages[request.service].recordRejection(now);
-    else if (executionStatusAfter(ending) != execution_status::NotRun)
+    else if (executionStatusAfter(event.ending) != execution_status::NotRun)
         m_outages[request.service].recordProgress();
 }
 
@@ -371,16 +366,6 @@
         { { "endpoint", request.currentEndpoint.str() }, { "asked_ms", millisecondsText(time) }, { "for_ms", millisecondsText(pause) } } });
 }
 
-void forwarding_reducer::announceBreakdowns(instant now, const endpoint_id& endpoint)
-{
-    for (const broken_attempt& breakdown : m_suspects.confirmBreakdowns(now, endpoint)) {
-        m_effects.emplace_back(announce_crash { breakdown.contentHash, breakdown.sendId });
-        m_effects.emplace_back(log_decision { "breakdown_confirmed", breakdown.sendId,
-            { { "endpoint", endpoint.str() }, { "content", std::to_string(breakdown.contentHash) },
-                { "age_ms", millisecondsText(now - breakdown.brokenAt) } } });
-    }
-}
-
 void forwarding_reducer::refuse(
     request_number number, const request_state& request, refusal_reason reason, std::optional<duration> retryAfter)
 {
@@ -422,6 +407,7 @@
     const auto found = m_requests.find(event.request);
     if (found == m_requests.end())
         return;
+    ++found->second.answerPieces;
     m_outages[found->second.service].recordProgress();
     m_streamPaces[found->second.service].recordEvent(event.now, event.pause);
 }
@@ -431,6 +417,7 @@
     const auto found = m_requests.find(event.request);
     if (found == m_requests.end())
         return;
+    recordCancelledAttempt(event.now, found->second);
     m_fleet.recordCancellation(found->second.currentEndpoint);
     m_effects.emplace_back(cancel_forwarded_request { event.request });
     m_effects.emplace_back(log_decision { "caller_left", found->second.caller.sendId,
@@ -444,6 +431,7 @@
     const auto found = m_requests.find(event.request);
     if (found == m_requests.end())
         return;
+    recordCancelledAttempt(event.now, found->second);
     m_fleet.recordEnding(event.now, found->second.currentEndpoint, attempt_ending::TimedOut);
     m_effects.emplace_back(cancel_forwarded_request { event.request });
     if (event.answerBegun)
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -1,9 +1,10 @@
 #pragma once
 
+#include "decisions/crashes/crash_suspects.h"
+#include "decisions/crashes/death_detector.h"
 #include "decisions/forwarding/admission_gate.h"
 #include "decisions/forwarding/brief_outage.h"
 #include "decisions/forwarding/configuration_trust.h"
-#include "decisions/forwarding/crash_suspects.h"
 #include "decisions/forwarding/endpoint_fleet.h"
 #include "decisions/forwarding/entry_peers.h"
 #include "decisions/forwarding/forwarding_effects.h"
@@ -71,6 +72,8 @@
         instant outageWaitEnd;
         // An earlier attempt may have been executed.
         bool mayHaveRun = false;
+        // Pieces of an answer that the current attempt has brought.
+        std::uint32_t answerPieces = 0;
     };
 
     void on(const request_arrived& event);
@@ -89,6 +92,8 @@
     void on(const registry_restored& event);
     void on(const endpoint_leaving_announced& event);
     void on(const endpoint_load_received& event);
+    void on(const endpoint_death_reported& event);
+    void on(const endpoint_probed& event);
     void on(const load_subset_changed& event);
     void on(const entry_presence_received& event);
     void on(const crash_report_received& event);
@@ -109,11 +114,20 @@
     void finishFailedRequest(request_number number, const request_state& request, const attempt_ended& event);
     void refuse(request_number number, const request_state& request, refusal_reason reason, std::optional<duration> retryAfter);
     void moveStreamsFromSlowEndpoint(instant now, const endpoint_id& slow, double pace);
-    void recordEnding(instant now, const request_state& request, attempt_ending ending);
+    void recordEnding(instant now, const request_state& request, const attempt_ended& event);
     // The endpoint asked for no requests for that long.
     void pauseEndpoint(instant now, const request_state& request, duration time);
     void recordLeaving(instant now, const endpoint_id& endpoint, std::string_view source);
-    void announceBreakdowns(instant now, const endpoint_id& endpoint);
+    void recordSuspiciousEnding(instant now, const request_state& request, const attempt_ended& event);
+    void recordCancelledAttempt(instant now, const request_state& request);
+    // Keeps an attempt that ended without an answer as one that the death of its endpoint may explain, for that long.
+    void recordBrokenAttempt(instant now, const request_state& request, duration explainedFor);
+    // The endpoint has died: all attempts there that had not begun to answer are suspected, also those that still run.
+    void recordDeath(instant now, const endpoint_id& endpoint, std::string_view source);
+    // The endpoint is gone, by a crash or as planned: attempts that broke there before are suspected.
+    void recordGone(instant now, const endpoint_id& endpoint, std::string_view source);
+    void recordBreakdown(instant now, const broken_attempt& attempt, std::string_view source);
+    broken_attempt brokenAttemptOf(instant now, const request_state& request, duration explainedFor) const;
     // Confirms the configuration in force by the last read, if that read is to be trusted.
     void confirmConfiguration(instant now);
     double randomFraction();
@@ -128,6 +142,7 @@
     // When the last read that has confirmed nothing yet was sent.
     std::optional<instant> m_unconfirmedReadAt;
     shared_retry_budget m_retryBudget;
+    death_detector m_deaths;
     crash_suspects m_suspects;
     endpoint_fleet m_fleet;
     entry_peers m_peers;
--- a/packages/decisions/forwarding/forwarding_reducer_news.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_news.cpp
@@ -61,6 +61,13 @@
 void forwarding_reducer::on(const endpoint_listed& event)
 {
     const bool isNew = !m_fleet.contains(event.record.id);
+    if (const auto before = m_fleet.latestAtAddress(event.record.address); isNew && before)
+        recordGone(event.now, *before, "replaced");
+    // An endpoint may start again under its id.
+    if (!isNew && event.record.startedAtMs > m_fleet.startedAtMs(event.record.id)) {
+        recordGone(event.now, event.record.id, "restarted");
+        m_deaths.forget(event.record.id);
+    }
     m_fleet.addOrUpdate(event.now, event.record);
     if (isNew || event.record.leaving || event.record.coldFor > duration::zero())
         m_effects.emplace_back(log_decision { event.record.leaving ? "endpoint_leaving" : "endpoint_listed", {},
@@ -72,7 +79,7 @@
 void forwarding_reducer::on(const endpoint_unlisted& event)
 {
     m_fleet.remove(event.now, event.endpoint);
-    announceBreakdowns(event.now, event.endpoint);
+    recordGone(event.now, event.endpoint, "registry");
     m_effects.emplace_back(log_decision { "endpoint_unlisted", {},
         { { "endpoint", event.endpoint.str() }, { "kept_for_now", m_fleet.contains(event.endpoint) ? "true" : "false" } } });
 }
@@ -174,6 +181,7 @@
 void forwarding_reducer::on(const timer_ticked& event)
 {
     confirmConfiguration(event.now);
+    m_deaths.removeExpired(event.now);
     m_suspects.removeExpired(event.now);
     for (const endpoint_id& gone : m_fleet.removeLapsed(event.now))
         m_effects.emplace_back(log_decision { "endpoint_gone", {}, { { "endpoint", gone.str() } } });
--- a/packages/directagent/direct_agent_process.cpp
+++ b/packages/directagent/direct_agent_process.cpp
@@ -35,6 +35,8 @@
 constexpr duration switchingInterval = std::chrono::milliseconds(20);
 // Interval of reads of the expert choice counts at ranks that do not report them, and need only their number.
 constexpr duration idleChoicesInterval = std::chrono::seconds(2);
+// How often the end of the engine is reported, once for each read of its report, since datagrams are lost.
+constexpr unsigned deathReports = 5;
 // An entry that did not renew its subscription for this long gets no more load messages.
 constexpr duration subscriptionLifetime = std::chrono::seconds(5);
 // By then all entries that use the endpoint have subscribed, and their number is known.
@@ -161,6 +163,7 @@
         auto report = answer && answer->head.status == 200 ? m_platform.readReport(answer->body) : std::nullopt;
         if (report.has_value() != m_report.has_value())
             m_log.write(now(), report ? "engine_regained" : "engine_lost", {}, { { "engine", m_engine.address() } });
+        noteDeath(report);
         m_report = std::move(report);
         logDroppedDatagrams();
         if (!m_report)
@@ -203,6 +206,24 @@
             m_log.write(now(), "engine_leaving", {}, { { "engine", m_engine.address() } });
     }
 
+    // The engine has ended if nothing listens at its address any more, or if another one was started there.
+    void noteDeath(const std::optional<engine_report>& report)
+    {
+        const bool isReplaced = report && m_engineStartedAtMs && report->startedAtMs != *m_engineStartedAtMs;
+        if (m_engineStartedAtMs && (isReplaced || m_engine.wasRefused())) {
+            m_death = { m_engine.address(), *std::exchange(m_engineStartedAtMs, std::nullopt) };
+            m_deathReportsLeft = deathReports;
+            m_log.write(now(), "engine_died", {}, { { "engine", m_engine.address() }, { "replaced", isReplaced ? "true" : "false" } });
+        }
+        if (report)
+            m_engineStartedAtMs = report->startedAtMs;
+        if (m_deathReportsLeft == 0)
+            return;
+        --m_deathReportsLeft;
+        for (const auto& [entry, known] : m_subscribers)
+            m_sender.send(m_death, entry);
+    }
+
     void noteGroupChange()
     {
         const rank_state& rank = m_report->rank;
@@ -535,6 +556,10 @@
     group_agent m_agent;
 
     std::optional<engine_report> m_report;
+    // Start time of the engine that answered last; none once it is known to have ended.
+    std::optional<std::uint64_t> m_engineStartedAtMs;
+    endpoint_death m_death;
+    unsigned m_deathReportsLeft = 0;
     std::optional<rank_order> m_order;
     bool m_readDue = true;
     bool m_listsDue = false;
--- a/packages/directagent/engine_link.cpp
+++ b/packages/directagent/engine_link.cpp
@@ -24,6 +24,7 @@
 {
     m_done = std::move(done);
     m_answer = {};
+    m_wasRefused = false;
     m_connection = m_pool.acquire(m_address, false);
     m_timeout.expires_after(timeout);
     m_timeout.async_wait([this](const boost::system::error_code& cancelled) {
@@ -40,7 +41,11 @@
                     m_pool.release(m_connection);
                     finish(std::move(m_answer));
                 },
-            .failed = [this](exchange_failure) { finish(std::nullopt); } });
+            .failed =
+                [this](exchange_failure failure) {
+                    m_wasRefused = failure == exchange_failure::ConnectRefused;
+                    finish(std::nullopt);
+                } });
 }
 
 void engine_link::finish(std::optional<http_response> answer)
--- a/packages/directagent/engine_link.h
+++ b/packages/directagent/engine_link.h
@@ -25,6 +25,8 @@
     void exchange(const http_request& request, std::chrono::milliseconds timeout, handler done);
     bool isBusy() const { return m_done != nullptr; }
     const std::string& address() const { return m_address; }
+    // True if nothing listened at the engine's address in the last exchange.
+    bool wasRefused() const { return m_wasRefused; }
 
 private:
     void finish(std::optional<http_response> answer);
@@ -34,6 +36,7 @@
     std::string m_address;
     std::shared_ptr<client_connection> m_connection;
     http_response m_answer;
+    bool m_wasRefused = false;
     handler m_done;
 };
 
--- a/packages/directentry/caller_exchange.cpp
+++ b/packages/directentry/caller_exchange.cpp
@@ -46,6 +46,7 @@
     switch (failure) {
     case exchange_failure::ConnectRefused:
     case exchange_failure::ConnectTimedOut:
+    case exchange_failure::ConnectFailed:
     case exchange_failure::ClosedBeforeSend:
         return attempt_ending::NotSent;
     case exchange_failure::ClosedInAnswer:
@@ -235,14 +236,14 @@
     // The head alone decides that an attempt was rejected, even if the body is cut off.
     if (m_mode == answer_mode::Discarded)
         return endAttempt(m_discardedAs, m_retryAfter);
-    endAttempt(endingOf(failure));
+    endAttempt(endingOf(failure), {}, failure == exchange_failure::ConnectRefused);
 }
 
-void caller_exchange::endAttempt(attempt_ending ending, std::optional<duration> retryAfter)
+void caller_exchange::endAttempt(attempt_ending ending, std::optional<duration> retryAfter, bool connectionRefused)
 {
     ++m_attemptNumber;
     m_deadline = instant::max();
-    m_services.post(attempt_ended { m_services.now(), m_number, ending, m_begun, retryAfter });
+    m_services.post(attempt_ended { m_services.now(), m_number, ending, m_begun, retryAfter, connectionRefused });
 }
 
 void caller_exchange::answered()
--- a/packages/directentry/caller_exchange.h
+++ b/packages/directentry/caller_exchange.h
@@ -67,7 +67,7 @@
     void onCompleted();
     void onFailed(exchange_failure failure);
     void streamBytes(const std::string& bytes);
-    void endAttempt(attempt_ending ending, std::optional<duration> retryAfter = {});
+    void endAttempt(attempt_ending ending, std::optional<duration> retryAfter = {}, bool connectionRefused = false);
     void answered();
     void finish();
     void noteProgress();
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -7,6 +7,7 @@
 #include "directentry/caller_exchange.h"
 #include "directentry/entry_metrics.h"
 #include "http/client_pool.h"
+#include "http/connection_probe.h"
 #include "http/http_acceptor.h"
 #include "membership/member_registration.h"
 #include "observe/line_log.h"
@@ -38,6 +39,8 @@
 constexpr std::chrono::milliseconds tick { 25 };
 // Interval at which presence is announced to the other entries.
 constexpr duration presenceInterval = std::chrono::milliseconds(700);
+// A probe of an endpoint that does not answer by then shows nothing.
+constexpr std::chrono::milliseconds probeTimeout { 700 };
 // Interval of expiry checks: requests must stop going to an endpoint soon after its grace period.
 constexpr duration agingInterval = std::chrono::milliseconds(100);
 // In a larger fleet, entries tell their presence to their own zone only.
@@ -269,6 +272,12 @@
         }
     }
 
+    void carryOut(const probe_endpoint& effect)
+    {
+        probeConnection(m_loop, endpointFromText(effect.address), probeTimeout,
+            [this, endpoint = effect.endpoint](bool refused) { post(endpoint_probed { now(), endpoint, refused }); });
+    }
+
     void carryOut(const log_decision& effect) { m_log.write(now(), effect.what, effect.sendId, effect.inputs); }
 
     // --- The other ports.
@@ -664,6 +673,7 @@
             sendNews(freshness_question { moment }, member->second);
     }
     void onNews(endpoint_load load) { post(endpoint_load_received { now(), std::move(load) }); }
+    void onNews(endpoint_death death) { post(endpoint_death_reported { now(), std::move(death.address), death.startedAtMs }); }
     void onNews(crash_report breakdown) { post(crash_report_received { now(), breakdown.contentHash, std::move(breakdown.sendId) }); }
 
     // --- Time.
--- a/packages/http/client_connection.cpp
+++ b/packages/http/client_connection.cpp
@@ -68,7 +68,7 @@
         return;
     m_timer.cancel();
     if (failure)
-        return fail(exchange_failure::ConnectRefused);
+        return fail(failure == boost::asio::error::connection_refused ? exchange_failure::ConnectRefused : exchange_failure::ConnectFailed);
     configureSocket(m_socket, m_peerTimeout);
     m_state = state::Exchanging;
     write();
--- a/packages/http/client_connection.h
+++ b/packages/http/client_connection.h
@@ -17,8 +17,11 @@
 namespace appleramp {
 
 enum class exchange_failure {
+    // Nothing listens at the server's address.
     ConnectRefused,
     ConnectTimedOut,
+    // The connection was not established for another reason.
+    ConnectFailed,
     // The connection closed before any byte of the request was sent.
     ClosedBeforeSend,
     // The connection was reset or closed before the head of the response was complete.
--- a/packages/model/endpoint_news.h
+++ b/packages/model/endpoint_news.h
@@ -43,6 +43,13 @@
     std::uint64_t startedAtMs = 0;
 };
 
+// An agent's report that its endpoint, started at that time, has ended.
+struct endpoint_death {
+    std::string address;
+    // As endpoint_record::startedAtMs.
+    std::uint64_t startedAtMs = 0;
+};
+
 // Asks an agent to report the load of its endpoint to the sender for a while.
 struct load_subscription {
     availability_zone_id zone;
--- a/tests/datagrams/datagram_codec_test.cpp
+++ b/tests/datagrams/datagram_codec_test.cpp
@@ -30,7 +30,8 @@
     return { entry_presence { instance_id("i"), availability_zone_id("z"), "10.0.0.1:80", true },
         endpoint_load { "10.0.0.1:81", 3, 4, 1.5, true }, crash_report { 7, "s" }, group_datagram { "g", status },
         group_datagram { "g", map_proposal { 2, 9, group_map::roundRobin(2, 8, 4) } },
-        relay_request { { "10.0.0.1:1" }, "x" }, group_datagram { "g", switch_outcome { { 1, 2, 3 }, true } } };
+        relay_request { { "10.0.0.1:1" }, "x" }, group_datagram { "g", switch_outcome { { 1, 2, 3 }, true } },
+        endpoint_death { "10.0.0.1:81", 5 } };
 }
 
 } // namespace
@@ -46,6 +47,13 @@
     cr_assert_float_eq(load.slowdownFactor, 1.5, 1e-9);
 }
 
+Test(datagram_codec, deaths_pass)
+{
+    const auto death = std::get<endpoint_death>(*decodeDatagram(encodeDatagram(endpoint_death { "10.0.0.1:81", 1'700'000'000'000 })));
+    cr_assert_eq(death.address, "10.0.0.1:81");
+    cr_assert_eq(death.startedAtMs, 1'700'000'000'000);
+}
+
 Test(datagram_codec, group_messages_pass)
 {
     rank_status status;
--- a/tests/decisions/crashes/crash_world.cpp
+++ b/tests/decisions/crashes/crash_world.cpp
@@ -13,6 +13,9 @@
 constexpr duration tickInterval = 100ms;
 constexpr duration presenceInterval = 700ms;
 constexpr duration callerTimeout = 8s;
+// Agents report the end of their engine this often.
+constexpr int deathReports = 5;
+constexpr duration reportInterval = 80ms;
 constexpr std::uint32_t slots = 12;
 const service_id model("model");
 const availability_zone_id zone("a");
@@ -229,6 +232,11 @@
         state.requests.erase(aborted->request);
     else if (const auto* const crash = std::get_if<announce_crash>(&effect))
         tellOthers(entry, crash_report_received { m_now, crash->contentHash, crash->sendId });
+    else if (const auto* const probe = std::get_if<probe_endpoint>(&effect))
+        schedule(1ms, [this, entry, probe = *probe] {
+            const auto found = std::find_if(m_engines.begin(), m_engines.end(), [&](const auto& engine) { return engine->address == probe.address; });
+            post(entry, endpoint_probed { m_now, probe.endpoint, found != m_engines.end() && !(*found)->up });
+        });
 }
 
 void crash_world::reachEngine(std::size_t entry, const send_attempt& attempt)
@@ -293,10 +301,20 @@
     }
     for (const std::uint64_t number : running)
         endRun(number, attempt_ending::TruncatedAnswer);
+    for (int report = 1; report <= deathReports; ++report)
+        schedule(report * reportInterval, [this, address = m_engines[engine]->address, started = m_engines[engine]->startedAtMs] { reportDeath(address, started); });
     schedule(m_settings.stall, [this, engine] { stallGroup(engine); });
     schedule(m_settings.engineRestart, [this, engine] { restartEngine(engine); });
 }
 
+void crash_world::reportDeath(const std::string& address, std::uint64_t startedAtMs)
+{
+    for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
+        if (fraction() >= m_settings.datagramLoss)
+            schedule(m_settings.datagramDelay, [this, entry, address, startedAtMs] { post(entry, endpoint_death_reported { m_now, address, startedAtMs }); });
+    }
+}
+
 void crash_world::stallGroup(std::size_t dead)
 {
     std::vector<std::uint64_t> running;
--- a/tests/decisions/crashes/crash_world.h
+++ b/tests/decisions/crashes/crash_world.h
@@ -101,6 +101,7 @@
     void stallGroup(std::size_t dead);
     void restartEngine(std::size_t engine);
     void endRun(std::uint64_t number, attempt_ending ending);
+    void reportDeath(const std::string& address, std::uint64_t startedAtMs);
     void tellOthers(std::size_t entry, const forwarding_event& event);
     bool isInTouch(std::size_t entry) const;
     bool arePeersCut(std::size_t from, std::size_t to) const;
