--- /dev/null
+++ b/packages/datagrams/crash_codec.cpp
@@ -0,0 +1,103 @@
+#include "datagrams/crash_codec.h"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <utility>
+
+namespace appleramp {
+
+namespace {
+
+using nlohmann::json;
+
+// Codes of the kinds of suspects, which keep their meaning in later versions.
+constexpr char requestCode = 'r';
+constexpr std::size_t maxDeathsRead = 16;
+
+char codeOf(suspect_kind kind)
+{
+    switch (kind) {
+    case suspect_kind::Request:
+        break;
+    }
+    return requestCode;
+}
+
+std::optional<suspect_kind> kindOf(char code)
+{
+    if (code == requestCode)
+        return suspect_kind::Request;
+    return std::nullopt;
+}
+
+void addAge(json& body, const char* member, const std::optional<duration>& age)
+{
+    if (age)
+        body[member] = age->count();
+}
+
+std::optional<duration> ageFrom(const json& body, const char* member)
+{
+    return body.contains(member) ? std::optional(duration(body.at(member).get<std::uint64_t>())) : std::nullopt;
+}
+
+} // namespace
+
+json crashRecordToJson(const crash_record& record)
+{
+    json deaths = json::array();
+    for (const suspected_death& death : record.deaths)
+        deaths.push_back({ death.endpoint, death.age.count() });
+    json body = { { "k", std::string(1, codeOf(record.key.kind)) }, { "i", record.key.id }, { "d", std::move(deaths) }, { "a", record.seenAge.count() } };
+    addAge(body, "s", record.soundAge);
+    addAge(body, "c", record.convictedAge);
+    addAge(body, "t", record.trialAge);
+    return body;
+}
+
+std::optional<crash_record> crashRecordFromJson(const json& record)
+{
+    const std::string code = record.at("k").get<std::string>();
+    const auto kind = code.size() == 1 ? kindOf(code.front()) : std::nullopt;
+    if (!kind)
+        return std::nullopt;
+    crash_record result { .key = { *kind, record.at("i").get<std::uint64_t>() },
+        .soundAge = ageFrom(record, "s"),
+        .convictedAge = ageFrom(record, "c"),
+        .trialAge = ageFrom(record, "t"),
+        .seenAge = duration(record.at("a").get<std::uint64_t>()) };
+    for (const json& death : record.at("d")) {
+        if (result.deaths.size() < maxDeathsRead)
+            result.deaths.push_back({ death.at(0).get<std::uint64_t>(), duration(death.at(1).get<std::uint64_t>()) });
+    }
+    return result;
+}
+
+std::string crashRowKey(const suspect_key& key) { return std::string(1, codeOf(key.kind)) + std::to_string(key.id); }
+
+std::optional<suspect_key> suspectOfRowKey(std::string_view rowKey)
+{
+    suspect_key key;
+    const auto kind = rowKey.empty() ? std::nullopt : kindOf(rowKey.front());
+    const char* const end = rowKey.data() + rowKey.size();
+    if (!kind || std::from_chars(rowKey.data() + 1, end, key.id).ptr != end)
+        return std::nullopt;
+    key.kind = *kind;
+    return key;
+}
+
+std::string encodeCrashRow(const crash_record& record) { return crashRecordToJson(record).dump(); }
+
+std::optional<crash_record> decodeCrashRow(std::string_view value)
+{
+    try {
+        const json body = json::parse(value, nullptr, false);
+        return body.is_object() ? crashRecordFromJson(body) : std::nullopt;
+    } catch (const json::exception&) {
+        // A member is missing or has another type: the row is from another version.
+        return std::nullopt;
+    }
+}
+
+} // namespace appleramp
--- a/packages/datagrams/datagram_codec.cpp
+++ b/packages/datagrams/datagram_codec.cpp
@@ -1,5 +1,6 @@
 #include "datagrams/datagram_codec.h"
 
+#include "datagrams/crash_codec.h"
 #include "datagrams/group_codec.h"
 
 #include <nlohmann/json.hpp>
@@ -36,9 +37,12 @@
     }
     json operator()(const endpoint_death& death) const { return { { "k", "d" }, { "a", death.address }, { "t", death.startedAtMs } }; }
     json operator()(const load_subscription& subscription) const { return { { "k", "u" }, { "z", subscription.zone.str() }, { "g", subscription.storeGeneration } }; }
-    json operator()(const crash_report& breakdown) const
+    json operator()(const crash_records& told) const
     {
-        return { { "k", "b" }, { "c", breakdown.contentHash }, { "n", breakdown.sendId } };
+        json records = json::array();
+        for (const crash_record& record : told.records)
+            records.push_back(crashRecordToJson(record));
+        return { { "k", "c" }, { "r", std::move(records) } };
     }
     json operator()(const relay_request& relayed) const
     {
@@ -92,6 +96,16 @@
     return answer;
 }
 
+crash_records crashRecordsFromJson(const json& records)
+{
+    crash_records told;
+    for (const json& record : records) {
+        if (auto known = crashRecordFromJson(record))
+            told.records.push_back(std::move(*known));
+    }
+    return told;
+}
+
 } // namespace
 
 std::string encodeDatagram(const datagram_message& message)
@@ -132,8 +146,8 @@
             return freshness_question { askedAtFromJson(body) };
         if (kind == "a")
             return freshnessAnswerFromJson(body);
-        if (kind == "b")
-            return crash_report { body.at("c").get<std::uint64_t>(), body.at("n").get<std::string>() };
+        if (kind == "c")
+            return crashRecordsFromJson(body.at("r"));
     } catch (const json::exception&) {
         // A member is missing or has another type: the datagram is from another version or not from this system.
         return std::nullopt;
--- a/packages/datagrams/datagram_message.h
+++ b/packages/datagrams/datagram_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decisions/groups/group_messages.h"
+#include "model/crash_news.h"
 #include "model/endpoint_news.h"
 #include "model/freshness_news.h"
 
@@ -11,10 +12,9 @@
 
 namespace appleramp {
 
-// Reports that an endpoint crashed while it ran a request with this content hash.
-struct crash_report {
-    std::uint64_t contentHash = 0;
-    std::string sendId;
+// What the sender knows of suspects under which endpoints died.
+struct crash_records {
+    std::vector<crash_record> records;
 };
 
 // Carries a message between the agents of one group of model engines.
@@ -33,7 +33,7 @@
 };
 
 // Messages that processes send each other as single datagrams.
-using datagram_message = std::variant<entry_presence, zone_presence, endpoint_load, endpoint_death, load_subscription, crash_report, group_datagram, relay_request, freshness_question,
+using datagram_message = std::variant<entry_presence, zone_presence, endpoint_load, endpoint_death, load_subscription, crash_records, group_datagram, relay_request, freshness_question,
     freshness_answer>;
 
 } // namespace appleramp
--- /dev/null
+++ b/packages/decisions/crashes/crash_ledger.cpp
@@ -0,0 +1,246 @@
+#include "decisions/crashes/crash_ledger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace appleramp {
+
+namespace {
+
+constexpr std::size_t soundKeysKept = 4096;
+// Deaths that convict a request.
+constexpr std::size_t deathsToConvictRequest = 2;
+// From as many deaths on a request is not tried again.
+constexpr std::size_t finalDeathsOfRequest = 3;
+
+// The earlier one, if both are known.
+std::optional<instant> earlier(std::optional<instant> left, std::optional<instant> right)
+{
+    return left && right ? std::min(left, right) : std::max(left, right);
+}
+
+std::optional<duration> ageOf(instant now, std::optional<instant> when) { return when ? std::optional(now - *when) : std::nullopt; }
+
+std::optional<instant> timeOf(instant now, std::optional<duration> age) { return age ? std::optional(now - *age) : std::nullopt; }
+
+} // namespace
+
+crash_ledger::crash_ledger()
+    : m_sound(soundKeysKept)
+{
+}
+
+crash_ledger::suspect& crash_ledger::find(instant now, const suspect_key& key)
+{
+    const auto found = m_suspects.find(key);
+    if (found != m_suspects.end())
+        return found->second;
+    evictIfFull();
+    suspect& added = m_suspects[key];
+    added.seenAt = now;
+    const auto soundAt = m_sound.lastRecordedAt(key);
+    added.soundAt = soundAt;
+    added.wasSoundBefore = soundAt && now - *soundAt < soundMemory;
+    return added;
+}
+
+void crash_ledger::accuse(instant now, const suspect_key& key, std::uint64_t endpoint, instant diedAt)
+{
+    suspect& accused = find(now, key);
+    if (!addDeath(accused, { endpoint, diedAt }))
+        return;
+    accused.seenAt = std::max(accused.seenAt, diedAt);
+    m_changed.insert(key);
+    clearEarlierDeaths(accused);
+    convictIfProved(now, key, accused, true);
+}
+
+bool crash_ledger::addDeath(suspect& suspect, const death& added)
+{
+    const auto isSame = [&](const death& known) { return known.endpoint == added.endpoint; };
+    if (std::any_of(suspect.deaths.begin(), suspect.deaths.end(), isSame) || suspect.deaths.size() == maxDeathsKept)
+        return false;
+    const auto isLater = [&](const death& known) { return known.diedAt > added.diedAt; };
+    suspect.deaths.insert(std::find_if(suspect.deaths.begin(), suspect.deaths.end(), isLater), added);
+    return true;
+}
+
+void crash_ledger::clearEarlierDeaths(suspect& suspect)
+{
+    if (suspect.soundAt)
+        std::erase_if(suspect.deaths, [&](const death& known) { return known.diedAt < *suspect.soundAt; });
+    if (suspect.deaths.empty())
+        suspect.convictedAt.reset();
+}
+
+std::size_t crash_ledger::countedDeaths(const suspect& suspect)
+{
+    std::size_t counted = 0;
+    std::size_t ofBurst = 0;
+    instant burstBegan;
+    for (const death& known : suspect.deaths) {
+        if (ofBurst == 0 || known.diedAt - burstBegan >= burstWindow) {
+            burstBegan = known.diedAt;
+            ofBurst = 0;
+        }
+        counted += ++ofBurst <= maxDeathsOfBurst ? 1 : 0;
+    }
+    return counted;
+}
+
+std::size_t crash_ledger::deathsToConvict(const suspect_key&, const suspect& suspect)
+{
+    return deathsToConvictRequest + (suspect.wasSoundBefore ? 1 : 0);
+}
+
+void crash_ledger::convictIfProved(instant now, const suspect_key& key, suspect& suspect, bool isOwn)
+{
+    if (suspect.convictedAt || countedDeaths(suspect) < deathsToConvict(key, suspect))
+        return;
+    suspect.convictedAt = now;
+    m_newConvictions.push_back({ key, isOwn });
+}
+
+bool crash_ledger::recordSound(instant now, const suspect_key& key)
+{
+    m_sound.record(now, key);
+    const auto found = m_suspects.find(key);
+    if (found == m_suspects.end())
+        return false;
+    const bool wasConvicted = found->second.convictedAt.has_value();
+    found->second.soundAt = now;
+    clearEarlierDeaths(found->second);
+    if (wasConvicted)
+        m_changed.insert(key);
+    return wasConvicted;
+}
+
+void crash_ledger::recordRefusal(instant now, const suspect_key& key)
+{
+    const auto found = m_suspects.find(key);
+    if (found != m_suspects.end())
+        found->second.seenAt = now;
+}
+
+suspect_verdict crash_ledger::verdict(instant now, const suspect_key& key) const
+{
+    const auto found = m_suspects.find(key);
+    if (found == m_suspects.end() || now >= expiryOf(found->second))
+        return suspect_verdict::Unsuspected;
+    if (found->second.convictedAt)
+        return suspect_verdict::Convicted;
+    const bool isNearlyProved = countedDeaths(found->second) + 1 >= deathsToConvict(key, found->second);
+    return isNearlyProved ? suspect_verdict::Suspected : suspect_verdict::Unsuspected;
+}
+
+bool crash_ledger::startTrial(instant now, const suspect_key& key)
+{
+    const auto found = m_suspects.find(key);
+    if (found == m_suspects.end() || !found->second.convictedAt || found->second.deaths.size() >= finalDeathsOfRequest)
+        return false;
+    if (now - std::max(*found->second.convictedAt, found->second.triedAt.value_or(instant {})) < trialInterval)
+        return false;
+    found->second.triedAt = now;
+    m_changed.insert(key);
+    return true;
+}
+
+void crash_ledger::merge(instant now, std::span<const crash_record> records)
+{
+    for (const crash_record& received : records) {
+        suspect& known = find(now, received.key);
+        const bool wasConvicted = known.convictedAt.has_value();
+        for (const suspected_death& death : received.deaths)
+            addDeath(known, { death.endpoint, now - death.age });
+        known.soundAt = std::max(known.soundAt, timeOf(now, received.soundAge));
+        known.triedAt = std::max(known.triedAt, timeOf(now, received.trialAge));
+        known.convictedAt = earlier(known.convictedAt, timeOf(now, received.convictedAge));
+        known.seenAt = std::max(known.seenAt, now - received.seenAge);
+        clearEarlierDeaths(known);
+        if (!wasConvicted && known.convictedAt)
+            m_newConvictions.push_back({ received.key, false });
+        convictIfProved(now, received.key, known, false);
+    }
+}
+
+std::vector<crash_record> crash_ledger::takeChanged(instant now)
+{
+    std::vector<crash_record> changed;
+    for (const suspect_key& key : std::exchange(m_changed, {})) {
+        if (auto found = record(now, key))
+            changed.push_back(std::move(*found));
+    }
+    return changed;
+}
+
+std::vector<suspect_conviction> crash_ledger::takeNewConvictions() { return std::exchange(m_newConvictions, {}); }
+
+crash_record crash_ledger::recordOf(instant now, const suspect_key& key, const suspect& suspect)
+{
+    crash_record result { .key = key,
+        .soundAge = ageOf(now, suspect.soundAt),
+        .convictedAge = ageOf(now, suspect.convictedAt),
+        .trialAge = ageOf(now, suspect.triedAt),
+        .seenAge = now - suspect.seenAt };
+    for (const death& known : suspect.deaths)
+        result.deaths.push_back({ known.endpoint, now - known.diedAt });
+    return result;
+}
+
+std::optional<crash_record> crash_ledger::record(instant now, const suspect_key& key) const
+{
+    const auto found = m_suspects.find(key);
+    return found == m_suspects.end() ? std::nullopt : std::optional(recordOf(now, key, found->second));
+}
+
+std::vector<crash_record> crash_ledger::records(instant now) const
+{
+    std::vector<crash_record> result;
+    result.reserve(m_suspects.size());
+    for (const auto& [key, suspect] : m_suspects)
+        result.push_back(recordOf(now, key, suspect));
+    std::stable_sort(result.begin(), result.end(), [](const crash_record& left, const crash_record& right) {
+        return std::pair(!left.convictedAge, left.seenAge) < std::pair(!right.convictedAge, right.seenAge);
+    });
+    return result;
+}
+
+std::vector<suspect_key> crash_ledger::convicted() const
+{
+    std::vector<suspect_key> result;
+    for (const auto& [key, suspect] : m_suspects) {
+        if (suspect.convictedAt)
+            result.push_back(key);
+    }
+    return result;
+}
+
+instant crash_ledger::expiryOf(const suspect& suspect)
+{
+    return suspect.seenAt + (suspect.convictedAt ? convictionRetention : suspicionRetention);
+}
+
+std::vector<suspect_key> crash_ledger::removeExpired(instant now)
+{
+    std::vector<suspect_key> expired;
+    std::erase_if(m_suspects, [&](const auto& entry) {
+        const bool isExpired = now >= expiryOf(entry.second);
+        if (isExpired && entry.second.convictedAt)
+            expired.push_back(entry.first);
+        return isExpired;
+    });
+    return expired;
+}
+
+// Convictions go last: a caller that makes many suspects must not make the entries forget a proved one.
+void crash_ledger::evictIfFull()
+{
+    if (m_suspects.size() < maxSuspects)
+        return;
+    const auto oldest = std::min_element(m_suspects.begin(), m_suspects.end(), [](const auto& left, const auto& right) {
+        return std::pair(left.second.convictedAt.has_value(), left.second.seenAt) < std::pair(right.second.convictedAt.has_value(), right.second.seenAt);
+    });
+    m_suspects.erase(oldest);
+}
+
+} // namespace appleramp
--- /dev/null
+++ b/packages/decisions/crashes/crash_ledger.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "decisions/crashes/recent_keys.h"
+#include "model/crash_news.h"
+#include "model/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <vector>
+
+namespace appleramp {
+
+enum class suspect_verdict {
+    // Nothing speaks against it, or not enough.
+    Unsuspected,
+    // One more death would convict it: requests with it run one at a time.
+    Suspected,
+    // Requests with it are refused.
+    Convicted,
+};
+
+struct suspect_conviction {
+    suspect_key key;
+    // By deaths that this entry saw, not by what another one told.
+    bool isOwn = false;
+};
+
+// Evidence for and against what endpoints may have died of, and what follows from it.
+//
+// A suspect crashes every endpoint that begins to answer to it. So a death accuses whatever the endpoint had begun and not yet
+// answered, and an answer clears a suspect of all deaths before it. Entries merge each other's records, whatever their order
+// and however often, so that all come to the same verdict.
+class crash_ledger {
+public:
+    crash_ledger();
+
+    // The endpoint, identified with its start, died before it had answered.
+    void accuse(instant now, const suspect_key& key, std::uint64_t endpoint, instant diedAt);
+    // An endpoint answers to the suspect without harm. Returns true if that clears it of a conviction.
+    bool recordSound(instant now, const suspect_key& key);
+    // A request with the suspect arrived and was refused.
+    void recordRefusal(instant now, const suspect_key& key);
+    suspect_verdict verdict(instant now, const suspect_key& key) const;
+    // True if a convicted suspect may be tried once more; the caller sends that request. Suspects under which enough endpoints
+    // died are never tried.
+    bool startTrial(instant now, const suspect_key& key);
+
+    void merge(instant now, std::span<const crash_record> records);
+    // Records that this entry's own evidence has changed since the last call.
+    std::vector<crash_record> takeChanged(instant now);
+    // The convictions since the last call.
+    std::vector<suspect_conviction> takeNewConvictions();
+    // Records that other entries need, convictions first.
+    std::vector<crash_record> records(instant now) const;
+    std::optional<crash_record> record(instant now, const suspect_key& key) const;
+    std::vector<suspect_key> convicted() const;
+    // Removes expired records and returns the convictions among them.
+    std::vector<suspect_key> removeExpired(instant now);
+    std::size_t size() const { return m_suspects.size(); }
+
+    // Suspects are remembered for that long after the last death, convicted ones after the last request with them.
+    static constexpr duration suspicionRetention = std::chrono::seconds(60);
+    static constexpr duration convictionRetention = std::chrono::minutes(10);
+    // Time between a conviction, or a trial, and the next trial.
+    static constexpr duration trialInterval = std::chrono::seconds(60);
+    // Deaths within this time may have one cause of their own, such as a loss of power, and count for two at most.
+    static constexpr duration burstWindow = std::chrono::seconds(1);
+    static constexpr std::size_t maxDeathsOfBurst = 2;
+    // A suspect that was sound within this time before needs one more death.
+    static constexpr duration soundMemory = std::chrono::seconds(60);
+    static constexpr std::size_t maxSuspects = 1024;
+    static constexpr std::size_t maxDeathsKept = 8;
+
+private:
+    struct death {
+        std::uint64_t endpoint = 0;
+        instant diedAt;
+    };
+    struct suspect {
+        // Ordered by time.
+        std::vector<death> deaths;
+        std::optional<instant> soundAt;
+        std::optional<instant> convictedAt;
+        std::optional<instant> triedAt;
+        instant seenAt;
+        bool wasSoundBefore = false;
+    };
+
+    suspect& find(instant now, const suspect_key& key);
+    bool addDeath(suspect& suspect, const death& added);
+    // Removes the deaths before the suspect was last sound, and the conviction if none remains.
+    static void clearEarlierDeaths(suspect& suspect);
+    void convictIfProved(instant now, const suspect_key& key, suspect& suspect, bool isOwn);
+    static std::size_t countedDeaths(const suspect& suspect);
+    static std::size_t deathsToConvict(const suspect_key& key, const suspect& suspect);
+    static instant expiryOf(const suspect& suspect);
+    static crash_record recordOf(instant now, const suspect_key& key, const suspect& suspect);
+    void evictIfFull();
+
+    std::map<suspect_key, suspect> m_suspects;
+    recent_keys m_sound;
+    std::set<suspect_key> m_changed;
+    std::vector<suspect_conviction> m_newConvictions;
+};
+
+} // namespace appleramp
--- a/packages/decisions/crashes/death_detector.h
+++ b/packages/decisions/crashes/death_detector.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "model/crash_news.h"
 #include "model/identifiers.h"
 #include "model/time.h"
 
-#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -12,7 +12,8 @@
 
 // An attempt whose end may be due to the death of its endpoint.
 struct broken_attempt {
-    std::uint64_t contentHash = 0;
+    // What the endpoint may have died of.
+    std::vector<suspect_key> suspects;
     endpoint_id endpoint;
     // The caller's send.
     std::string sendId;
--- a/packages/decisions/forwarding/forwarding_effects.h
+++ b/packages/decisions/forwarding/forwarding_effects.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "model/crash_news.h"
 #include "model/identifiers.h"
 #include "model/time.h"
 
@@ -45,6 +46,8 @@
     NoCapacity,
     // Endpoints broke down while they ran this request before.
     BreaksEndpoints,
+    // An endpoint may break down under this request, and another one like it is being tried.
+    SuspectRunning,
     // The deadline passed and the request was not executed.
     ExpiredBeforeRun,
     // The request may have been executed, and no answer came.
@@ -84,11 +87,25 @@
     request_number request = 0;
 };
 
-// Announce to the other entries that an endpoint broke down while it ran a request with that content hash.
-struct announce_crash {
-    std::uint64_t contentHash = 0;
-    // The send whose attempt broke.
-    std::string sendId;
+enum class record_recipients {
+    AllEntries,
+    // A few, chosen at random each time.
+    SomeEntries,
+};
+
+// Tell other entries what this one knows of suspects.
+struct share_crash_records {
+    std::vector<crash_record> records;
+    record_recipients recipients = record_recipients::AllEntries;
+};
+
+// Write the record of a convicted suspect to the store, for entries that start or can't be told. Retry until it is written.
+struct store_crash_record {
+    crash_record record;
+};
+
+struct remove_stored_crash_record {
+    suspect_key key;
 };
 
 // Open a connection to the endpoint and close it at once, to see whether it still listens; post endpoint_probed.
@@ -106,7 +123,7 @@
 };
 
 using forwarding_effect = std::variant<send_attempt, refuse_request, wait_for_service, forward_failure_answer, abort_answer, cancel_forwarded_request,
-    announce_crash, probe_endpoint, log_decision>;
+    share_crash_records, store_crash_record, remove_stored_crash_record, probe_endpoint, log_decision>;
 using forwarding_effects = std::vector<forwarding_effect>;
 
 } // namespace appleramp
--- a/packages/decisions/forwarding/forwarding_events.h
+++ b/packages/decisions/forwarding/forwarding_events.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decisions/forwarding/attempt_ending.h"
+#include "model/crash_news.h"
 #include "model/endpoint_news.h"
 #include "model/identifiers.h"
 #include "model/routing.h"
@@ -158,12 +159,19 @@
     entry_presence presence;
 };
 
-// Another entry announced that an endpoint broke down while it ran a request with that content hash.
-struct crash_report_received {
+// Another entry told what it knows of suspects.
+struct crash_records_received {
     instant now;
-    std::uint64_t contentHash = 0;
-    // The send whose attempt broke.
-    std::string sendId;
+    std::vector<crash_record> records;
+};
+
+// The store's table of convicted suspects was read, or changes of it.
+struct crash_table_read {
+    instant now;
+    // The whole table was read.
+    bool isWhole = false;
+    std::vector<crash_record> records;
+    std::vector<suspect_key> removed;
 };
 
 // The store lists this many entries, and this many besides this one.
@@ -183,6 +191,6 @@
 using forwarding_event = std::variant<request_arrived, attempt_ended, attempt_succeeded, stream_advanced, service_wait_ended,
     caller_disconnected, deadline_passed,
     configuration_read, out_of_service_zones_changed, endpoint_listed, endpoint_unlisted, registry_read,
-    registry_access_changed, registry_restored, endpoint_leaving_announced, endpoint_load_received, endpoint_death_reported, endpoint_probed, load_subset_changed, entry_presence_received, crash_report_received, entry_count_read, timer_ticked>;
+    registry_access_changed, registry_restored, endpoint_leaving_announced, endpoint_load_received, endpoint_death_reported, endpoint_probed, load_subset_changed, entry_presence_received, crash_records_received, crash_table_read, entry_count_read, timer_ticked>;
 
 } // namespace appleramp
--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -67,6 +67,8 @@
         return "no_capacity";
     case refusal_reason::BreaksEndpoints:
         return "breaks_endpoints";
+    case refusal_reason::SuspectRunning:
+        return "suspect_running";
     case refusal_reason::ExpiredBeforeRun:
         return "expired_unrun";
     case refusal_reason::OutcomeUnknown:
@@ -86,6 +88,7 @@
     : m_settings(std::move(settings))
     , m_freshness(m_settings.freshness)
     , m_retryBudget(m_settings.retryBudget)
+    , m_startedAt(startedAt)
     , m_fleet(m_settings.fleet)
     , m_peers(startedAt, m_settings.peers)
     , m_random(m_settings.seed)
@@ -106,7 +109,7 @@
 
 bool forwarding_reducer::isReady(instant now) const
 {
-    return m_routes && m_freshness.allowsKeyUse(now) && m_fleet.size() > 0;
+    return m_routes && m_freshness.allowsKeyUse(now) && m_fleet.size() > 0 && areConvictionsKnown(now);
 }
 
 double forwarding_reducer::randomFraction()
@@ -141,7 +144,7 @@
         refuse(number, request, reason, retryAfter);
         return false;
     };
-    if (!request.routes)
+    if (!request.routes || !areConvictionsKnown(now))
         return refuseWith(refusal_reason::NotReady, shortRetryAfter());
     request.matchedRoute = request.routes->find(request.caller.host, request.caller.path);
     const bool allowsDefiniteRefusal = m_freshness.allowsDefiniteRefusal(now);
@@ -157,8 +160,7 @@
         request.team = callerTeam->id;
         request.urgencyRank = callerTeam->urgencyRank.value_or(request.urgencyRank);
     }
-    if (m_suspects.isBlocked(now, request.caller.contentHash))
-        return refuseWith(refusal_reason::BreaksEndpoints, {});
+    request.suspects = { { suspect_kind::Request, request.caller.contentHash } };
     request.service = pickServiceByWeight(*request.matchedRoute, randomFraction());
     const duration callerTimeout = request.caller.timeout.value_or(defaultTimeout);
     const duration routeTimeout = request.matchedRoute->timeout > duration::zero() ? request.matchedRoute->timeout : defaultTimeout;
@@ -173,6 +175,12 @@
         m_requests.erase(number);
         return;
     }
+    if (const auto suspicion = suspicionAgainst(now, number, request)) {
+        const bool isFinal = suspicion == refusal_reason::BreaksEndpoints;
+        refuse(number, request, request.mayHaveRun ? refusal_reason::OutcomeUnknown : *suspicion, isFinal ? std::nullopt : std::optional(longRetryAfter()));
+        m_requests.erase(number);
+        return;
+    }
     if (deferDuringOutage(now, number, request))
         return;
     if (const auto retryAfter = request.attempts == 0 ? overloadRetryAfter(now, request) : std::nullopt) {
@@ -394,6 +402,8 @@
     if (found == m_requests.end())
         return;
     const request_state& request = found->second;
+    for (const suspect_key& key : request.suspects)
+        m_crashes.recordSound(event.now, key);
     m_outages[request.service].recordProgress();
     m_fleet.recordAnswer(event.now, request.currentEndpoint, event.now - request.sentAt);
     m_effects.emplace_back(log_decision { "answered", request.caller.sendId,
@@ -407,7 +417,7 @@
     const auto found = m_requests.find(event.request);
     if (found == m_requests.end())
         return;
-    ++found->second.answerPieces;
+    recordAnswerPiece(event.now, found->second);
     m_outages[found->second.service].recordProgress();
     m_streamPaces[found->second.service].recordEvent(event.now, event.pause);
 }
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decisions/crashes/crash_suspects.h"
+#include "decisions/crashes/crash_ledger.h"
 #include "decisions/crashes/death_detector.h"
 #include "decisions/forwarding/admission_gate.h"
 #include "decisions/forwarding/brief_outage.h"
@@ -17,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,7 +45,8 @@
 
     forwarding_effects handle(const forwarding_event& event);
 
-    // True if the configuration is fresh enough to accept API keys and at least one endpoint is known.
+    // True if the configuration is fresh enough to accept API keys, at least one endpoint is known, and the convicted suspects
+    // were read.
     bool isReady(instant now) const;
     configuration_version configurationVersion() const { return m_routes ? m_routes->version() : 0; }
     std::optional<duration> configurationAge(instant now) const { return m_freshness.age(now); }
@@ -52,6 +54,7 @@
     const entry_peers& peers() const { return m_peers; }
     const endpoint_fleet& fleet() const { return m_fleet; }
     std::size_t requestsInFlight() const { return m_requests.size(); }
+    const crash_ledger& crashes() const { return m_crashes; }
 
 private:
     struct request_state {
@@ -72,6 +75,8 @@
         instant outageWaitEnd;
         // An earlier attempt may have been executed.
         bool mayHaveRun = false;
+        // What endpoints may die of when they begin to answer.
+        std::vector<suspect_key> suspects;
         // Pieces of an answer that the current attempt has brought.
         std::uint32_t answerPieces = 0;
     };
@@ -96,7 +101,8 @@
     void on(const endpoint_probed& event);
     void on(const load_subset_changed& event);
     void on(const entry_presence_received& event);
-    void on(const crash_report_received& event);
+    void on(const crash_records_received& event);
+    void on(const crash_table_read& event);
     void on(const entry_count_read& event);
     void on(const timer_ticked& event);
 
@@ -122,12 +128,23 @@
     void recordCancelledAttempt(instant now, const request_state& request);
     // Keeps an attempt that ended without an answer as one that the death of its endpoint may explain, for that long.
     void recordBrokenAttempt(instant now, const request_state& request, duration explainedFor);
-    // The endpoint has died: all attempts there that had not begun to answer are suspected, also those that still run.
+    // The endpoint has died: attempts there that end without an answer, before or after this, are suspected.
     void recordDeath(instant now, const endpoint_id& endpoint, std::string_view source);
     // The endpoint is gone, by a crash or as planned: attempts that broke there before are suspected.
     void recordGone(instant now, const endpoint_id& endpoint, std::string_view source);
     void recordBreakdown(instant now, const broken_attempt& attempt, std::string_view source);
-    broken_attempt brokenAttemptOf(instant now, const request_state& request, duration explainedFor) const;
+    // Counts a piece of the answer, or its end; the second one shows that the request does not crash its endpoint.
+    void recordAnswerPiece(instant now, request_state& request);
+    // Why the request must not be sent now, by what is known of its suspects.
+    std::optional<refusal_reason> suspicionAgainst(instant now, request_number number, const request_state& request);
+    bool isAlone(request_number number, const suspect_key& key) const;
+    // Requests with the suspect whose endpoints have not begun to answer.
+    std::vector<request_number> requestsAwaitingAnswer(const suspect_key& key) const;
+    // Ends the requests in flight that hold a suspect convicted meanwhile, before their endpoints begin to answer.
+    void refuseNewlyConvicted(instant now);
+    void shareCrashRecords(instant now);
+    void storeConvictions(instant now);
+    bool areConvictionsKnown(instant now) const;
     // Confirms the configuration in force by the last read, if that read is to be trusted.
     void confirmConfiguration(instant now);
     double randomFraction();
@@ -143,7 +160,14 @@
     std::optional<instant> m_unconfirmedReadAt;
     shared_retry_budget m_retryBudget;
     death_detector m_deaths;
-    crash_suspects m_suspects;
+    crash_ledger m_crashes;
+    instant m_startedAt;
+    bool m_crashTableRead = false;
+    instant m_crashRecordsSharedAt;
+    // Suspects that the store's table holds.
+    std::set<suspect_key> m_storedSuspects;
+    // Convicted suspects that the table lacks, and when this entry writes them.
+    std::map<suspect_key, instant> m_unstoredSuspects;
     endpoint_fleet m_fleet;
     entry_peers m_peers;
     std::map<service_id, stream_pace> m_streamPaces;
--- a/packages/decisions/forwarding/forwarding_reducer_crashes.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_crashes.cpp
@@ -1,5 +1,9 @@
 #include "decisions/forwarding/forwarding_reducer.h"
 
+#include "decisions/membership/rendezvous.h"
+
+#include <algorithm>
+#include <span>
 #include <utility>
 
 // What the reducer learns from attempts that break and from endpoints that die.
@@ -14,6 +18,15 @@
 constexpr duration failureExplainedFor = std::chrono::seconds(1);
 // A cancelled attempt may have run for a moment longer.
 constexpr duration cancellationExplainedFor = std::chrono::milliseconds(500);
+// Interval at which a few other entries are told of the suspects, so that entries which missed a message learn of them.
+constexpr duration sharingInterval = std::chrono::milliseconds(700);
+// Most records that are shared at a time.
+constexpr std::size_t maxSharedRecords = 96;
+// An entry that starts waits that long for the table of convicted suspects, which the store or its peers may not give.
+constexpr duration convictionsAwaitedFor = std::chrono::seconds(3);
+// An entry that learns of a conviction writes it to the store only if it is still missing there after this time, at random.
+constexpr duration minStoreDelay = std::chrono::seconds(1);
+constexpr duration storeDelayJitter = std::chrono::seconds(2);
 // An attempt with as many pieces of its answer has begun without harm to its endpoint.
 constexpr std::uint32_t soundAnswerPieces = 2;
 
@@ -22,6 +35,26 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
 }
 
+duration scaledBy(duration time, double factor)
+{
+    return duration(static_cast<duration::rep>(static_cast<double>(time.count()) * factor));
+}
+
+std::string suspectText(const suspect_key& key) { return "request:" + std::to_string(key.id); }
+
+std::string suspectsText(std::span<const suspect_key> keys)
+{
+    std::string text;
+    for (const suspect_key& key : keys)
+        text.append(text.empty() ? "" : " ").append(suspectText(key));
+    return text;
+}
+
+std::uint64_t hashOf(const endpoint_id& endpoint, std::uint64_t startedAtMs)
+{
+    return rendezvousScore(endpoint.str(), std::to_string(startedAtMs));
+}
+
 } // namespace
 
 void forwarding_reducer::recordSuspiciousEnding(instant now, const request_state& request, const attempt_ended& event)
@@ -39,7 +72,9 @@
     case attempt_ending::TimedOut:
         return recordBrokenAttempt(now, request, cancellationExplainedFor);
     case attempt_ending::NotSent:
-        return event.connectionRefused ? recordDeath(now, request.currentEndpoint, "connection") : recordGone(now, request.currentEndpoint, "connection");
+        if (event.connectionRefused)
+            recordDeath(now, request.currentEndpoint, "connection");
+        return;
     case attempt_ending::WrongEndpoint:
         return recordGone(now, request.currentEndpoint, "replaced");
     case attempt_ending::Rejected:
@@ -53,18 +88,13 @@
         recordBrokenAttempt(now, request, cancellationExplainedFor);
 }
 
-broken_attempt forwarding_reducer::brokenAttemptOf(instant now, const request_state& request, duration explainedFor) const
-{
-    return { request.caller.contentHash, request.currentEndpoint, request.caller.sendId, now, now + explainedFor };
-}
-
 void forwarding_reducer::recordBrokenAttempt(instant now, const request_state& request, duration explainedFor)
 {
     if (request.answerPieces >= soundAnswerPieces)
         return;
-    broken_attempt attempt = brokenAttemptOf(now, request, explainedFor);
+    const broken_attempt attempt { request.suspects, request.currentEndpoint, request.caller.sendId, now, now + explainedFor };
     m_effects.emplace_back(log_decision { "breakdown_suspected", request.caller.sendId,
-        { { "endpoint", request.currentEndpoint.str() }, { "content", std::to_string(request.caller.contentHash) } } });
+        { { "endpoint", request.currentEndpoint.str() }, { "suspects", suspectsText(request.suspects) } } });
     if (m_deaths.recordBrokenAttempt(attempt))
         recordBreakdown(now, attempt, "known_death");
 }
@@ -75,10 +105,6 @@
         m_effects.emplace_back(log_decision { "endpoint_died", {}, { { "endpoint", endpoint.str() }, { "source", std::string(source) } } });
     for (const broken_attempt& attempt : m_deaths.recordDeath(now, endpoint))
         recordBreakdown(now, attempt, source);
-    for (const auto& [number, request] : m_requests) {
-        if (request.currentEndpoint == endpoint && request.answerPieces < soundAnswerPieces)
-            recordBreakdown(now, brokenAttemptOf(now, request, {}), source);
-    }
 }
 
 void forwarding_reducer::recordGone(instant now, const endpoint_id& endpoint, std::string_view source)
@@ -89,13 +115,127 @@
 
 void forwarding_reducer::recordBreakdown(instant now, const broken_attempt& attempt, std::string_view source)
 {
-    m_suspects.recordBreakdown(now, attempt.contentHash, attempt.sendId);
-    m_effects.emplace_back(announce_crash { attempt.contentHash, attempt.sendId });
+    const std::uint64_t endpoint = hashOf(attempt.endpoint, m_fleet.startedAtMs(attempt.endpoint));
+    for (const suspect_key& key : attempt.suspects)
+        m_crashes.accuse(now, key, endpoint, attempt.brokenAt);
     m_effects.emplace_back(log_decision { "breakdown_confirmed", attempt.sendId,
-        { { "endpoint", attempt.endpoint.str() }, { "content", std::to_string(attempt.contentHash) },
+        { { "endpoint", attempt.endpoint.str() }, { "suspects", suspectsText(attempt.suspects) },
             { "source", std::string(source) }, { "age_ms", millisecondsText(now - attempt.brokenAt) } } });
 }
 
+void forwarding_reducer::recordAnswerPiece(instant now, request_state& request)
+{
+    if (++request.answerPieces != soundAnswerPieces)
+        return;
+    for (const suspect_key& key : request.suspects) {
+        if (m_crashes.recordSound(now, key))
+            m_effects.emplace_back(log_decision { "suspect_cleared", request.caller.sendId, { { "suspect", suspectText(key) } } });
+    }
+}
+
+std::optional<refusal_reason> forwarding_reducer::suspicionAgainst(instant now, request_number number, const request_state& request)
+{
+    for (const suspect_key& key : request.suspects) {
+        const suspect_verdict verdict = m_crashes.verdict(now, key);
+        if (verdict == suspect_verdict::Unsuspected)
+            continue;
+        if (verdict == suspect_verdict::Suspected && isAlone(number, key))
+            continue;
+        if (verdict == suspect_verdict::Convicted && m_crashes.startTrial(now, key)) {
+            m_effects.emplace_back(log_decision { "suspect_tried", request.caller.sendId, { { "suspect", suspectText(key) } } });
+            continue;
+        }
+        m_crashes.recordRefusal(now, key);
+        return verdict == suspect_verdict::Convicted ? refusal_reason::BreaksEndpoints : refusal_reason::SuspectRunning;
+    }
+    return std::nullopt;
+}
+
+bool forwarding_reducer::isAlone(request_number number, const suspect_key& key) const
+{
+    const std::vector<request_number> others = requestsAwaitingAnswer(key);
+    return std::all_of(others.begin(), others.end(), [number](request_number other) { return other == number; });
+}
+
+std::vector<request_number> forwarding_reducer::requestsAwaitingAnswer(const suspect_key& key) const
+{
+    std::vector<request_number> found;
+    for (const auto& [number, request] : m_requests) {
+        const bool holdsKey = std::find(request.suspects.begin(), request.suspects.end(), key) != request.suspects.end();
+        if (holdsKey && request.answerPieces < soundAnswerPieces && !request.currentEndpoint.empty())
+            found.push_back(number);
+    }
+    return found;
+}
+
+void forwarding_reducer::refuseNewlyConvicted(instant now)
+{
+    for (const auto& [key, isOwn] : m_crashes.takeNewConvictions()) {
+        m_effects.emplace_back(log_decision { "suspect_convicted", {}, { { "suspect", suspectText(key) } } });
+        m_unstoredSuspects.try_emplace(key, isOwn ? now : now + minStoreDelay + scaledBy(storeDelayJitter, randomFraction()));
+        for (const request_number number : requestsAwaitingAnswer(key)) {
+            m_fleet.recordCancellation(m_requests.at(number).currentEndpoint);
+            m_effects.emplace_back(cancel_forwarded_request { number });
+            refuse(number, m_requests.at(number), refusal_reason::OutcomeUnknown, {});
+            m_requests.erase(number);
+        }
+    }
+}
+
+void forwarding_reducer::shareCrashRecords(instant now)
+{
+    if (std::vector<crash_record> changed = m_crashes.takeChanged(now); !changed.empty())
+        m_effects.emplace_back(share_crash_records { std::move(changed), record_recipients::AllEntries });
+    if (now - m_crashRecordsSharedAt < sharingInterval || m_crashes.size() == 0)
+        return;
+    m_crashRecordsSharedAt = now;
+    std::vector<crash_record> records = m_crashes.records(now);
+    records.resize(std::min(records.size(), maxSharedRecords));
+    m_effects.emplace_back(share_crash_records { std::move(records), record_recipients::SomeEntries });
+}
+
+void forwarding_reducer::storeConvictions(instant now)
+{
+    for (const suspect_key& key : m_crashes.removeExpired(now)) {
+        if (m_storedSuspects.contains(key))
+            m_effects.emplace_back(remove_stored_crash_record { key });
+    }
+    std::erase_if(m_unstoredSuspects, [&](const auto& entry) {
+        if (now < entry.second)
+            return false;
+        if (const auto record = m_crashes.record(now, entry.first); record && record->convictedAge && !m_storedSuspects.contains(entry.first))
+            m_effects.emplace_back(store_crash_record { *record });
+        return true;
+    });
+}
+
+bool forwarding_reducer::areConvictionsKnown(instant now) const { return m_crashTableRead || now - m_startedAt >= convictionsAwaitedFor; }
+
+void forwarding_reducer::on(const crash_records_received& event)
+{
+    m_crashes.merge(event.now, event.records);
+    refuseNewlyConvicted(event.now);
+}
+
+void forwarding_reducer::on(const crash_table_read& event)
+{
+    if (event.isWhole) {
+        m_crashTableRead = true;
+        m_storedSuspects.clear();
+    }
+    for (const suspect_key& key : event.removed)
+        m_storedSuspects.erase(key);
+    for (const crash_record& record : event.records)
+        m_storedSuspects.insert(record.key);
+    m_crashes.merge(event.now, event.records);
+    // The store may have come back from an older copy.
+    for (const suspect_key& key : m_crashes.convicted()) {
+        if (!m_storedSuspects.contains(key))
+            m_unstoredSuspects.try_emplace(key, event.now + minStoreDelay + scaledBy(storeDelayJitter, randomFraction()));
+    }
+    refuseNewlyConvicted(event.now);
+}
+
 void forwarding_reducer::on(const endpoint_death_reported& event)
 {
     if (const auto endpoint = m_fleet.atAddress(event.address, event.startedAtMs))
--- a/packages/decisions/forwarding/forwarding_reducer_news.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_news.cpp
@@ -164,12 +164,6 @@
             { { "entry", event.presence.instance.str() }, { "address", event.presence.callerAddress } } });
 }
 
-void forwarding_reducer::on(const crash_report_received& event)
-{
-    m_suspects.recordBreakdown(event.now, event.contentHash, event.sendId);
-    m_effects.emplace_back(log_decision { "breakdown_reported", event.sendId, { { "content", std::to_string(event.contentHash) } } });
-}
-
 void forwarding_reducer::on(const entry_count_read& event)
 {
     m_peers.setListedEntries(event.entries);
@@ -182,7 +176,9 @@
 {
     confirmConfiguration(event.now);
     m_deaths.removeExpired(event.now);
-    m_suspects.removeExpired(event.now);
+    refuseNewlyConvicted(event.now);
+    shareCrashRecords(event.now);
+    storeConvictions(event.now);
     for (const endpoint_id& gone : m_fleet.removeLapsed(event.now))
         m_effects.emplace_back(log_decision { "endpoint_gone", {}, { { "endpoint", gone.str() } } });
 }
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -1,10 +1,12 @@
 #include "directentry/direct_entry_process.h"
 
+#include "datagrams/crash_codec.h"
 #include "datagrams/datagram_codec.h"
 #include "datagrams/datagram_socket.h"
 #include "decisions/forwarding/endpoint_subset.h"
 #include "decisions/forwarding/forwarding_reducer.h"
 #include "directentry/caller_exchange.h"
+#include "directentry/crash_record_writer.h"
 #include "directentry/entry_metrics.h"
 #include "http/client_pool.h"
 #include "http/connection_probe.h"
@@ -66,6 +68,12 @@
 constexpr duration settledMembersGap = std::chrono::seconds(6);
 // Processes that start together would all read the rows that the others write; the zone's reader tells them instead.
 constexpr duration membersConfirmationWait = std::chrono::seconds(3);
+// As membersConfirmationWait.
+constexpr duration crashesConfirmationWait = std::chrono::milliseconds(1500);
+// Crash records of one datagram, so that it fits into one packet.
+constexpr std::size_t crashRecordsPerDatagram = 8;
+// Entries that are told all records each time, so that all hear of them within a few rounds.
+constexpr std::size_t crashRecordRecipients = 3;
 // Batches configuration versions in quick succession. A fifth of the time within which a change must be in force.
 constexpr duration configurationGap = std::chrono::milliseconds(350);
 
@@ -78,6 +86,7 @@
 constexpr std::size_t configurationPlace = 0;
 constexpr std::size_t registryPlace = 1;
 constexpr std::size_t membersPlace = 2;
+constexpr std::size_t crashesPlace = 3;
 // Tables whose reads show whether the store is reachable.
 constexpr std::size_t followedTables = 2;
 // Larger changes are read from the store, whose link is wider than that of an entry.
@@ -119,6 +128,7 @@
         , m_registration(loop, m_store, settings.process.instance.str(),
               { true, settings.process.zone, socket_address { settings.listen.links.host, m_news.port() }.str(), {},
                   socket_address { settings.listen.operations.host, m_operations.port() }.str() })
+        , m_crashWriter(loop, m_store, static_cast<std::minstd_rand::result_type>(life))
         , m_relay(settings.process.instance.str())
         , m_random(static_cast<std::minstd_rand::result_type>(life))
     {
@@ -264,14 +274,32 @@
             target->cancelAttempt();
     }
 
-    void carryOut(const announce_crash& effect)
+    void carryOut(const share_crash_records& effect)
     {
+        std::vector<const member_row*> recipients;
         for (const auto& [name, member] : m_members) {
-            if (member.isEntry)
-                sendNews(crash_report { effect.contentHash, effect.sendId }, member);
+            if (member.isEntry && name != m_settings.process.instance.str())
+                recipients.push_back(&member);
         }
+        if (effect.recipients == record_recipients::SomeEntries) {
+            std::shuffle(recipients.begin(), recipients.end(), m_random);
+            recipients.resize(std::min(recipients.size(), crashRecordRecipients));
+        }
+        for (const member_row* recipient : recipients)
+            sendCrashRecords(effect.records, *recipient);
     }
 
+    void sendCrashRecords(std::span<const crash_record> records, const member_row& member)
+    {
+        for (std::size_t begin = 0; begin < records.size(); begin += crashRecordsPerDatagram) {
+            const auto part = records.subspan(begin, std::min(crashRecordsPerDatagram, records.size() - begin));
+            sendNews(crash_records { { part.begin(), part.end() } }, member);
+        }
+    }
+
+    void carryOut(const store_crash_record& effect) { m_crashWriter.put(effect.record); }
+    void carryOut(const remove_stored_crash_record& effect) { m_crashWriter.remove(effect.key); }
+
     void carryOut(const probe_endpoint& effect)
     {
         probeConnection(m_loop, endpointFromText(effect.address), probeTimeout,
@@ -327,7 +355,7 @@
     {
         http_response response;
         response.head.status = 404;
-        for (const auto& follower : { m_configurationFollower, m_registryFollower, m_membersFollower }) {
+        for (const auto& follower : { m_configurationFollower, m_registryFollower, m_membersFollower, m_crashesFollower }) {
             if (follower->table() != question.table || !follower->currentAsOf())
                 continue;
             const change_log& log = follower->latestChanges();
@@ -392,6 +420,13 @@
                 .onRestored = [this] { post(registry_restored { now() }); },
                 .isDigestConfirmed = confirmed(registryPlace) });
         settings.longPollTimeout = membersPoll;
+        settings.confirmationWait = crashesConfirmationWait;
+        m_crashesFollower = follower(std::string(crashTable), settings, life + 3,
+            { .onSnapshot = [this](auto rows, instant) { onCrashRows(rows, true); },
+                .onChanges = [this](auto rows, instant) { onCrashRows(rows, false); },
+                .onReachability = [](bool) {},
+                .onRestored = [] {},
+                .isDigestConfirmed = confirmed(crashesPlace) });
         settings.readInterval = membersGap;
         settings.settledReadInterval = settledMembersGap;
         settings.confirmationWait = membersConfirmationWait;
@@ -516,6 +551,23 @@
         }
     }
 
+    void onCrashRows(const std::vector<store_row>& rows, bool isWhole)
+    {
+        crash_table_read read { now(), isWhole, {}, {} };
+        for (const store_row& row : rows) {
+            const auto key = suspectOfRowKey(row.key);
+            auto record = row.removed ? std::nullopt : decodeCrashRow(row.value);
+            if (row.removed && key)
+                read.removed.push_back(*key);
+            else if (record)
+                read.records.push_back(std::move(*record));
+            else
+                logUnreadable(row, "no crash record of this version");
+        }
+        if (isWhole || !rows.empty())
+            post(read);
+    }
+
     void onMemberRows(const std::vector<store_row>& rows)
     {
         for (const store_row& row : rows) {
@@ -632,8 +684,10 @@
     {
         const member_row row { true, presence.zone, from.address().to_string() + ":" + std::to_string(from.port()), {} };
         const bool isNew = m_members.emplace(presence.instance.str(), row).second;
-        if (isNew || presence.starting)
+        if (isNew || presence.starting) {
             sendNews(this->presence(), row);
+            sendCrashRecords(m_reducer.crashes().records(now()), row);
+        }
     }
     void onNews(entry_presence presence)
     {
@@ -658,7 +712,7 @@
     void answer(const freshness_question& question, const boost::asio::ip::udp::endpoint& from)
     {
         freshness_answer answer { question.askedAt, {} };
-        for (const auto& follower : { m_configurationFollower, m_registryFollower, m_membersFollower }) {
+        for (const auto& follower : { m_configurationFollower, m_registryFollower, m_membersFollower, m_crashesFollower }) {
             if (!follower->currentAsOf())
                 return;
             answer.tables.push_back({ follower->digest(), now() - *follower->currentAsOf() });
@@ -674,7 +728,7 @@
     }
     void onNews(endpoint_load load) { post(endpoint_load_received { now(), std::move(load) }); }
     void onNews(endpoint_death death) { post(endpoint_death_reported { now(), std::move(death.address), death.startedAtMs }); }
-    void onNews(crash_report breakdown) { post(crash_report_received { now(), breakdown.contentHash, std::move(breakdown.sendId) }); }
+    void onNews(crash_records told) { post(crash_records_received { now(), std::move(told.records) }); }
 
     // --- Time.
 
@@ -761,11 +815,13 @@
     http_acceptor m_operations;
     boost::asio::steady_timer m_tick;
     member_registration m_registration;
+    crash_record_writer m_crashWriter;
     freshness_relay m_relay;
     bool m_configurationReadable = true;
     std::shared_ptr<table_follower> m_configurationFollower;
     std::shared_ptr<table_follower> m_registryFollower;
     std::shared_ptr<table_follower> m_membersFollower;
+    std::shared_ptr<table_follower> m_crashesFollower;
     std::map<request_number, std::shared_ptr<caller_exchange>> m_exchanges;
     std::map<std::string, member_row> m_members;
     // Zones that are out for this entry, and those that the store lists.
--- a/tests/datagrams/datagram_codec_test.cpp
+++ b/tests/datagrams/datagram_codec_test.cpp
@@ -1,5 +1,7 @@
 #include "datagrams/datagram_codec.h"
 
+#include "datagrams/crash_codec.h"
+
 #include <criterion/criterion.h>
 #include <nlohmann/json.hpp>
 
@@ -8,6 +10,7 @@
 #include <vector>
 
 using namespace appleramp;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -28,7 +31,7 @@
     status.experts = { { 1, 2 }, { 3 } };
     status.preparedVersion = 9;
     return { entry_presence { instance_id("i"), availability_zone_id("z"), "10.0.0.1:80", true },
-        endpoint_load { "10.0.0.1:81", 3, 4, 1.5, true }, crash_report { 7, "s" }, group_datagram { "g", status },
+        endpoint_load { "10.0.0.1:81", 3, 4, 1.5, true }, crash_records { { crash_record { { suspect_kind::Request, 7 }, { { 1, 2s } }, {}, 3s, {}, 4s } } }, group_datagram { "g", status },
         group_datagram { "g", map_proposal { 2, 9, group_map::roundRobin(2, 8, 4) } },
         relay_request { { "10.0.0.1:1" }, "x" }, group_datagram { "g", switch_outcome { { 1, 2, 3 }, true } },
         endpoint_death { "10.0.0.1:81", 5 } };
@@ -47,6 +50,25 @@
     cr_assert_float_eq(load.slowdownFactor, 1.5, 1e-9);
 }
 
+Test(datagram_codec, crash_records_pass_as_datagrams_and_as_rows)
+{
+    const crash_record sent { .key = { suspect_kind::Request, ~0ULL }, .deaths = { { 5, 2s }, { 6, 1s } }, .soundAge = 3s, .convictedAge = 1ms, .seenAge = 4s };
+    const auto told = std::get<crash_records>(*decodeDatagram(encodeDatagram(crash_records { { sent } })));
+    cr_assert_eq(told.records.size(), 1);
+    const auto row = decodeCrashRow(encodeCrashRow(sent));
+    cr_assert(row.has_value());
+    for (const crash_record& received : { told.records.front(), *row }) {
+        cr_assert(received.key == sent.key);
+        cr_assert_eq(received.deaths.size(), 2);
+        cr_assert_eq(received.deaths[0].endpoint, 5);
+        cr_assert(received.deaths[1].age == 1s && received.soundAge == 3s && received.convictedAge == 1ms && received.seenAge == 4s);
+        cr_assert_not(received.trialAge.has_value());
+    }
+    cr_assert(suspectOfRowKey(crashRowKey(sent.key)) == sent.key);
+    cr_assert_not(decodeCrashRow("{\"k\":\"r\"}").has_value());
+    cr_assert_not(suspectOfRowKey("r12x").has_value());
+}
+
 Test(datagram_codec, deaths_pass)
 {
     const auto death = std::get<endpoint_death>(*decodeDatagram(encodeDatagram(endpoint_death { "10.0.0.1:81", 1'700'000'000'000 })));
--- /dev/null
+++ b/tests/decisions/crashes/crash_ledger_test.cpp
@@ -0,0 +1,112 @@
+#include "decisions/crashes/crash_ledger.h"
+
+#include <criterion/criterion.h>
+
+using namespace appleramp;
+using namespace std::chrono_literals;
+
+namespace {
+
+const suspect_key request { suspect_kind::Request, 7 };
+
+} // namespace
+
+Test(crash_ledger, two_endpoints_convict_a_request)
+{
+    crash_ledger ledger;
+    ledger.accuse(instant(10s), request, 1, instant(10s));
+    cr_assert(ledger.verdict(instant(10s), request) == suspect_verdict::Suspected);
+    ledger.accuse(instant(15s), request, 2, instant(15s));
+    cr_assert(ledger.verdict(instant(15s), request) == suspect_verdict::Convicted);
+}
+
+// Guards against one death that several entries see, or see twice, and that counts more than once.
+Test(crash_ledger, a_death_counts_once)
+{
+    crash_ledger ledger;
+    crash_ledger other;
+    ledger.accuse(instant(10s), request, 1, instant(10s));
+    ledger.accuse(instant(11s), request, 1, instant(11s));
+    other.accuse(instant(10s), request, 1, instant(10s));
+    for (int round = 0; round < 3; ++round)
+        ledger.merge(instant(12s), other.records(instant(12s)));
+    cr_assert(ledger.verdict(instant(12s), request) == suspect_verdict::Suspected);
+}
+
+// Guards against convicting what many endpoints ran when they lost power together.
+Test(crash_ledger, deaths_together_count_for_two)
+{
+    crash_ledger ledger;
+    ledger.recordSound(instant(9s), request);
+    for (std::uint64_t endpoint = 1; endpoint <= 5; ++endpoint)
+        ledger.accuse(instant(10s), request, endpoint, instant(10s + endpoint * 10ms));
+    cr_assert(ledger.verdict(instant(10s), request) == suspect_verdict::Suspected);
+    ledger.accuse(instant(14s), request, 6, instant(14s));
+    cr_assert(ledger.verdict(instant(14s), request) == suspect_verdict::Convicted);
+}
+
+Test(crash_ledger, an_answer_clears_of_the_deaths_before)
+{
+    crash_ledger ledger;
+    ledger.accuse(instant(10s), request, 1, instant(10s));
+    ledger.recordSound(instant(11s), request);
+    ledger.accuse(instant(12s), request, 2, instant(12s));
+    cr_assert_neq(ledger.verdict(instant(12s), request), suspect_verdict::Convicted);
+}
+
+// Guards against a late report of deaths that an answer has refuted meanwhile, and against entries that disagree for good.
+Test(crash_ledger, records_merge_to_the_same_verdict_in_any_order)
+{
+    crash_ledger accuser;
+    accuser.accuse(instant(10s), request, 1, instant(10s));
+    accuser.accuse(instant(12s), request, 2, instant(12s));
+    crash_ledger witness;
+    witness.recordSound(instant(13s), request);
+    witness.merge(instant(14s), accuser.records(instant(14s)));
+    cr_assert_neq(witness.verdict(instant(14s), request), suspect_verdict::Convicted);
+    accuser.merge(instant(14s), witness.records(instant(14s)));
+    cr_assert_neq(accuser.verdict(instant(14s), request), suspect_verdict::Convicted);
+    witness.merge(instant(15s), accuser.records(instant(15s)));
+    cr_assert_neq(witness.verdict(instant(15s), request), suspect_verdict::Convicted);
+}
+
+Test(crash_ledger, a_conviction_lasts_while_requests_with_it_come)
+{
+    crash_ledger ledger;
+    for (std::uint64_t endpoint = 1; endpoint <= 3; ++endpoint)
+        ledger.accuse(instant(10s), request, endpoint, instant(endpoint * 4s));
+    instant now(20s);
+    for (int minutes = 0; minutes < 30; ++minutes, now += 1min) {
+        cr_assert(ledger.verdict(now, request) == suspect_verdict::Convicted);
+        ledger.recordRefusal(now, request);
+        ledger.removeExpired(now);
+    }
+    now += crash_ledger::convictionRetention;
+    cr_assert_eq(ledger.removeExpired(now).size(), 1);
+    cr_assert(ledger.verdict(now, request) == suspect_verdict::Unsuspected);
+}
+
+// Guards against a wrong conviction that never ends, and against trials of what is proved.
+Test(crash_ledger, a_conviction_by_few_deaths_is_tried_again)
+{
+    crash_ledger ledger;
+    ledger.accuse(instant(10s), request, 1, instant(10s));
+    ledger.accuse(instant(14s), request, 2, instant(14s));
+    cr_assert_not(ledger.startTrial(instant(20s), request));
+    cr_assert(ledger.startTrial(instant(80s), request));
+    cr_assert_not(ledger.startTrial(instant(81s), request));
+    ledger.accuse(instant(82s), request, 3, instant(82s));
+    cr_assert_not(ledger.startTrial(instant(200s), request));
+}
+
+// Guards against a caller that makes entries forget a proved suspect by many new ones.
+Test(crash_ledger, convictions_outlast_a_flood_of_suspects)
+{
+    crash_ledger ledger;
+    ledger.accuse(instant(10s), request, 1, instant(10s));
+    ledger.accuse(instant(14s), request, 2, instant(14s));
+    for (std::uint64_t id = 100; id < 100 + 2 * crash_ledger::maxSuspects; ++id)
+        ledger.accuse(instant(20s), { suspect_kind::Request, id }, 3, instant(20s));
+    cr_assert_leq(ledger.size(), crash_ledger::maxSuspects);
+    cr_assert(ledger.verdict(instant(20s), request) == suspect_verdict::Convicted);
+}
--- a/tests/decisions/crashes/crash_world.cpp
+++ b/tests/decisions/crashes/crash_world.cpp
@@ -13,6 +13,9 @@
 constexpr duration tickInterval = 100ms;
 constexpr duration presenceInterval = 700ms;
 constexpr duration callerTimeout = 8s;
+constexpr duration storeRetry = 800ms;
+// Entries that are told the records of suspects in each round.
+constexpr std::size_t recordRecipients = 3;
 // Agents report the end of their engine this often.
 constexpr int deathReports = 5;
 constexpr duration reportInterval = 80ms;
@@ -107,7 +110,7 @@
     m_now = instant(time);
 }
 
-void crash_world::sendEvery(duration interval, duration from, duration until, std::function<simulated_request()> make)
+void crash_world::sendEvery(duration interval, duration from, duration until, const std::function<simulated_request()>& make)
 {
     for (duration time = from; time < until; time += interval)
         at(time, [this, make] { send(std::uniform_int_distribution<std::size_t>(0, m_entries.size() - 1)(m_random), make()); });
@@ -150,6 +153,11 @@
     post(entry, entry_count_read { m_now, m_entries.size(), m_entries.size() - 1, entry });
     post(entry, configuration_read { m_now, m_now, configuration() });
     post(entry, registry_read { m_now, registry() });
+    readRecords(entry);
+    for (std::size_t other = 0; other < m_entries.size(); ++other) {
+        if (other != entry && m_entries[other]->reducer)
+            tell(other, entry, crash_records_received { m_now, m_entries[other]->reducer->crashes().records(m_now) });
+    }
     tickEntry(entry, state.life);
 }
 
@@ -190,21 +198,67 @@
     return m_now < m_entries[from]->cutUntil || m_now < m_entries[to]->cutUntil;
 }
 
+void crash_world::tell(std::size_t entry, std::size_t other, const forwarding_event& event)
+{
+    if (arePeersCut(entry, other) || fraction() < m_settings.datagramLoss)
+        return;
+    schedule(m_settings.datagramDelay, [this, other, event] {
+        forwarding_event arrived = event;
+        std::visit([this](auto& concrete) {
+            if constexpr (requires { concrete.now; })
+                concrete.now = m_now;
+        },
+            arrived);
+        post(other, arrived);
+    });
+}
+
 void crash_world::tellOthers(std::size_t entry, const forwarding_event& event)
 {
     for (std::size_t other = 0; other < m_entries.size(); ++other) {
-        if (other == entry || arePeersCut(entry, other) || fraction() < m_settings.datagramLoss)
-            continue;
-        schedule(m_settings.datagramDelay, [this, other, event] {
-            forwarding_event arrived = event;
-            std::visit([this](auto& concrete) {
-                if constexpr (requires { concrete.now; })
-                    concrete.now = m_now;
-            },
-                arrived);
-            post(other, arrived);
-        });
+        if (other != entry)
+            tell(entry, other, event);
+    }
+}
+
+void crash_world::shareRecords(std::size_t entry, const share_crash_records& effect)
+{
+    const crash_records_received event { m_now, effect.records };
+    if (effect.recipients == record_recipients::AllEntries)
+        return tellOthers(entry, event);
+    std::vector<std::size_t> others;
+    for (std::size_t other = 0; other < m_entries.size(); ++other) {
+        if (other != entry)
+            others.push_back(other);
     }
+    std::shuffle(others.begin(), others.end(), m_random);
+    for (std::size_t number = 0; number < std::min(recordRecipients, others.size()); ++number)
+        tell(entry, others[number], event);
+}
+
+void crash_world::writeRecord(std::size_t entry, const crash_record& record)
+{
+    if (m_now < m_storeBackAt)
+        return schedule(storeRetry, [this, entry, record] { writeRecord(entry, record); });
+    m_stored[record.key] = record;
+    schedule(m_settings.feedDelay, [this, record] {
+        for (std::size_t other = 0; other < m_entries.size(); ++other)
+            post(other, crash_table_read { m_now, false, { record }, {} });
+    });
+}
+
+void crash_world::readRecords(std::size_t entry)
+{
+    schedule(m_settings.storeDelay, [this, entry, life = m_entries[entry]->life] {
+        if (m_entries[entry]->life != life)
+            return;
+        if (m_now < m_storeBackAt)
+            return schedule(storeRetry, [this, entry] { readRecords(entry); });
+        crash_table_read read { m_now, true, {}, {} };
+        for (const auto& [key, record] : m_stored)
+            read.records.push_back(record);
+        post(entry, read);
+    });
 }
 
 void crash_world::post(std::size_t entry, const forwarding_event& event)
@@ -230,8 +284,10 @@
         state.runs.erase(cancelled->request);
     } else if (const auto* const aborted = std::get_if<abort_answer>(&effect))
         state.requests.erase(aborted->request);
-    else if (const auto* const crash = std::get_if<announce_crash>(&effect))
-        tellOthers(entry, crash_report_received { m_now, crash->contentHash, crash->sendId });
+    else if (const auto* const share = std::get_if<share_crash_records>(&effect))
+        shareRecords(entry, *share);
+    else if (const auto* const store = std::get_if<store_crash_record>(&effect))
+        writeRecord(entry, store->record);
     else if (const auto* const probe = std::get_if<probe_endpoint>(&effect))
         schedule(1ms, [this, entry, probe = *probe] {
             const auto found = std::find_if(m_engines.begin(), m_engines.end(), [&](const auto& engine) { return engine->address == probe.address; });
@@ -301,7 +357,7 @@
     }
     for (const std::uint64_t number : running)
         endRun(number, attempt_ending::TruncatedAnswer);
-    for (int report = 1; report <= deathReports; ++report)
+    for (int report = 1; m_settings.agentsReportDeaths && report <= deathReports; ++report)
         schedule(report * reportInterval, [this, address = m_engines[engine]->address, started = m_engines[engine]->startedAtMs] { reportDeath(address, started); });
     schedule(m_settings.stall, [this, engine] { stallGroup(engine); });
     schedule(m_settings.engineRestart, [this, engine] { restartEngine(engine); });
@@ -337,7 +393,7 @@
     state.startedAtMs = m_lastEngineId;
     state.up = true;
     const std::vector<endpoint_record> listed = registry();
-    const endpoint_record record = listed.at(engine);
+    const endpoint_record& record = listed.at(engine);
     schedule(m_settings.registryDelay, [this, record] {
         for (std::size_t entry = 0; entry < m_entries.size(); ++entry)
             post(entry, endpoint_listed { m_now, record });
--- a/tests/decisions/crashes/crash_world.h
+++ b/tests/decisions/crashes/crash_world.h
@@ -33,8 +33,12 @@
     duration registryDelay = std::chrono::milliseconds(400);
     duration registryExpiry = std::chrono::milliseconds(3900);
     duration datagramDelay = std::chrono::milliseconds(2);
-    // Fraction of the datagrams between entries that are lost.
+    // Fraction of the datagrams to entries that are lost.
     double datagramLoss = 0;
+    bool agentsReportDeaths = true;
+    // Time of a write to the store, and of its way to the followers of the table.
+    duration storeDelay = std::chrono::milliseconds(5);
+    duration feedDelay = std::chrono::milliseconds(450);
 };
 
 // What a request holds that makes engines crash, or not.
@@ -55,12 +59,14 @@
     void runUntil(duration time);
     void at(duration time, std::function<void()> action);
     // Sends requests at random entries, evenly spaced; `make` gives the content of each.
-    void sendEvery(duration interval, duration from, duration until, std::function<simulated_request()> make);
+    void sendEvery(duration interval, duration from, duration until, const std::function<simulated_request()>& make);
     void send(std::size_t entry, const simulated_request& request);
 
     // Entries that lose their memory, or their datagrams to and from the other entries, for a while.
     void restartEntry(std::size_t entry);
     void cutEntry(std::size_t entry, duration length);
+    // No entry reaches the store until then.
+    void stopStore(duration length) { m_storeBackAt = m_now + length; }
 
     std::size_t engineDeaths() const { return m_deaths.size(); }
     // Crashing requests that entries in touch sent to engines later than the contact time after the given death (1 is the first).
@@ -102,6 +108,10 @@
     void restartEngine(std::size_t engine);
     void endRun(std::uint64_t number, attempt_ending ending);
     void reportDeath(const std::string& address, std::uint64_t startedAtMs);
+    void shareRecords(std::size_t entry, const share_crash_records& effect);
+    void writeRecord(std::size_t entry, const crash_record& record);
+    void readRecords(std::size_t entry);
+    void tell(std::size_t entry, std::size_t other, const forwarding_event& event);
     void tellOthers(std::size_t entry, const forwarding_event& event);
     bool isInTouch(std::size_t entry) const;
     bool arePeersCut(std::size_t from, std::size_t to) const;
@@ -121,6 +131,8 @@
     std::uint64_t m_lastEngineId = 0;
     request_number m_lastRequest = 0;
     instant m_groupOpensAt;
+    instant m_storeBackAt;
+    std::map<suspect_key, crash_record> m_stored;
     std::vector<instant> m_deaths;
     std::vector<crashing_send> m_crashingSends;
     std::map<request_number, sound_outcome> m_sound;
--- a/tests/decisions/crashes/crashing_request_test.cpp
+++ b/tests/decisions/crashes/crashing_request_test.cpp
@@ -29,43 +29,69 @@
     world.runUntil(until);
 }
 
+// Plays it with each seed, and `disturb` with it, and checks the users' bound.
+void expectFewLateSends(crash_world_settings settings, const std::function<void(crash_world&)>& disturb)
+{
+    for (settings.seed = 1; settings.seed <= seeds; ++settings.seed) {
+        crash_world world(settings);
+        disturb(world);
+        play(world, 60s);
+        cr_assert_leq(world.lateSends(deathsUntilBound), maxLateSends, "seed %lu: %zu late sends, %zu engines died", settings.seed,
+            world.lateSends(deathsUntilBound), world.engineDeaths());
+    }
+}
+
 } // namespace
 
 // Guards against a request that crashes one engine after another: the engines are back at their addresses under new ids before
 // the registry drops the old ones, and nobody connects to them while their group stalls.
 Test(crashing_request, is_refused_everywhere_after_few_engines_died)
 {
-    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-        crash_world world({ .seed = seed });
-        play(world, 60s);
-        cr_assert_leq(world.lateSends(deathsUntilBound), maxLateSends, "seed %lu: %zu late sends, %zu engines died", seed,
-            world.lateSends(deathsUntilBound), world.engineDeaths());
-    }
+    expectFewLateSends({}, [](crash_world&) {});
+}
+
+// Guards against deaths that only agents see: they may be frozen or killed.
+Test(crashing_request, is_refused_everywhere_though_agents_report_nothing)
+{
+    expectFewLateSends({ .agentsReportDeaths = false }, [](crash_world&) {});
 }
 
 // Guards against reports of crashes that are lost on the way.
 Test(crashing_request, is_refused_everywhere_though_datagrams_are_lost)
 {
-    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-        crash_world world({ .seed = seed, .datagramLoss = 0.4 });
-        play(world, 60s);
-        cr_assert_leq(world.lateSends(deathsUntilBound), maxLateSends, "seed %lu: %zu late sends, %zu engines died", seed,
-            world.lateSends(deathsUntilBound), world.engineDeaths());
-    }
+    expectFewLateSends({ .datagramLoss = 0.4 }, [](crash_world&) {});
 }
 
 // Guards against entries that forget the request when they start again, or never hear of it since they were cut off.
 Test(crashing_request, is_remembered_by_entries_that_restart_or_were_cut_off)
 {
-    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-        crash_world world({ .seed = seed });
+    expectFewLateSends({}, [](crash_world& world) {
         for (std::size_t entry = 0; entry < 8; ++entry)
             world.at(20s + entry * 1500ms, [&world, entry] { world.restartEntry(entry); });
         world.at(9s, [&world] { world.cutEntry(2, 25s); });
-        play(world, 60s);
-        cr_assert_leq(world.lateSends(deathsUntilBound), maxLateSends, "seed %lu: %zu late sends, %zu engines died", seed,
-            world.lateSends(deathsUntilBound), world.engineDeaths());
-    }
+    });
+}
+
+// Guards against a fleet that forgets the request when all its entries are killed at once.
+Test(crashing_request, is_remembered_though_all_entries_restart_together)
+{
+    expectFewLateSends({}, [](crash_world& world) {
+        for (const duration when : { 21s, 33s, 45s })
+            world.at(when, [&world] {
+                for (std::size_t entry = 0; entry < 8; ++entry)
+                    world.restartEntry(entry);
+            });
+    });
+}
+
+// Guards against knowledge that depends on the store.
+Test(crashing_request, is_refused_everywhere_while_the_store_is_away)
+{
+    expectFewLateSends({ .datagramLoss = 0.1 }, [](crash_world& world) {
+        world.at(5s, [&world] { world.stopStore(60s); });
+        for (std::size_t entry = 0; entry < 8; ++entry)
+            world.at(20s + entry * 1500ms, [&world, entry] { world.restartEntry(entry); });
+    });
 }
 
 // Guards against convictions of sound requests: those that run beside a crashing one are served as before.
--- a/tests/decisions/forwarding/forwarding_reducer_test.cpp
+++ b/tests/decisions/forwarding/forwarding_reducer_test.cpp
@@ -245,13 +245,14 @@
 }
 
 // Guards against a request that crashes each endpoint that runs it, and that its caller sends again.
-Test(forwarding_reducer, a_request_that_breaks_endpoints_is_refused_after_the_second)
+Test(forwarding_reducer, a_request_under_which_two_endpoints_died_is_refused)
 {
     entry entry;
-    entry.handle(crash_report_received { entry.now, 77, "s8" });
+    const suspect_key key { suspect_kind::Request, 77 };
+    entry.handle(crash_records_received { entry.now, { { .key = key, .deaths = { { 1, 1s } } } } });
     entry.request("/read/x");
     cr_assert_not_null(entry.effect<send_attempt>());
-    entry.handle(crash_report_received { entry.now, 77, "s9" });
+    entry.handle(crash_records_received { entry.now, { { .key = key, .deaths = { { 2, 0s } } } } });
     entry.request("/read/x");
     cr_assert(entry.refusedWith(refusal_reason::BreaksEndpoints));
 }
@@ -263,9 +264,56 @@
     entry.request("/read/x");
     const auto broken = entry.effect<send_attempt>()->endpoint;
     entry.endAttempt(attempt_ending::NoAnswer);
-    cr_assert_null(entry.effect<announce_crash>());
+    entry.handle(timer_ticked { entry.now });
+    cr_assert_null(entry.effect<share_crash_records>());
     entry.handle(endpoint_unlisted { entry.now, broken });
-    cr_assert_not_null(entry.effect<announce_crash>());
+    entry.handle(timer_ticked { entry.now });
+    cr_assert_not_null(entry.effect<share_crash_records>());
+}
+
+// Guards against accusing streams that their endpoint had begun to answer when it died of another request.
+Test(forwarding_reducer, a_stream_that_was_being_answered_is_not_suspected)
+{
+    entry entry;
+    entry.request("/draft/x");
+    const auto broken = entry.effect<send_attempt>()->endpoint;
+    entry.streamEvents(50ms, 2);
+    entry.handle(endpoint_probed { entry.now, broken, true });
+    entry.endAttempt(attempt_ending::TruncatedAnswer, true);
+    entry.handle(timer_ticked { entry.now });
+    cr_assert_null(entry.effect<share_crash_records>());
+}
+
+// Guards against suspecting requests that find their endpoint dead.
+Test(forwarding_reducer, a_request_that_a_dead_endpoint_refused_is_not_suspected)
+{
+    entry entry;
+    entry.request("/read/x");
+    entry.handle(attempt_ended { entry.now, 1, attempt_ending::NotSent, false, {}, true });
+    entry.handle(timer_ticked { entry.now });
+    cr_assert_null(entry.effect<share_crash_records>());
+}
+
+// Guards against a wave of repeats that takes an endpoint each before the first death is known to convict.
+Test(forwarding_reducer, a_suspected_request_runs_alone)
+{
+    entry entry;
+    entry.handle(crash_records_received { entry.now, { { .key = { suspect_kind::Request, 77 }, .deaths = { { 1, 1s } } } } });
+    entry.request("/read/x");
+    cr_assert_not_null(entry.effect<send_attempt>());
+    entry.request("/read/x");
+    cr_assert(entry.refusedWith(refusal_reason::SuspectRunning));
+    cr_assert(entry.effect<refuse_request>()->retryAfter.has_value());
+}
+
+// Guards against requests that were sent before the conviction and crash their endpoints after it.
+Test(forwarding_reducer, requests_in_flight_end_when_they_are_convicted)
+{
+    entry entry;
+    entry.request("/read/x");
+    entry.handle(crash_records_received { entry.now, { { .key = { suspect_kind::Request, 77 }, .deaths = { { 1, 3s }, { 2, 0s } } } } });
+    cr_assert_not_null(entry.effect<cancel_forwarded_request>());
+    cr_assert(entry.refusedWith(refusal_reason::OutcomeUnknown));
 }
 
 Test(forwarding_reducer, a_request_whose_caller_left_is_cancelled)
