Platform adapter, forwarding: the shared parts of a prompt are decoded and logged

Entries passed the list of a prompt's parts on unread, so that their lines could not show which parts a request had whose endpoint died, nor whether it had begun to write.

--- a/packages/decisions/forwarding/forwarding_events.h
+++ b/packages/decisions/forwarding/forwarding_events.h
@@ -28,6 +28,8 @@
     std::optional<duration> timeout;
     // Hash of path, caller and body; equal for every send of the same request.
     std::uint64_t contentHash = 0;
+    // Identifies the parts of the prompt that other requests may share, in their order.
+    std::vector<std::uint64_t> sharedPromptParts;
     std::uint32_t promptTokens = 0;
     std::uint32_t answerTokens = 0;
 };
--- a/packages/decisions/forwarding/forwarding_reducer_crashes.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_crashes.cpp
@@ -50,6 +50,14 @@
     return text;
 }
 
+std::string partsText(std::span<const std::uint64_t> parts)
+{
+    std::string text;
+    for (const std::uint64_t part : parts)
+        text.append(text.empty() ? "" : " ").append(std::to_string(part));
+    return text;
+}
+
 std::uint64_t hashOf(const endpoint_id& endpoint, std::uint64_t startedAtMs)
 {
     return rendezvousScore(endpoint.str(), std::to_string(startedAtMs));
@@ -94,7 +102,8 @@
         return;
     const broken_attempt attempt { request.suspects, request.currentEndpoint, request.caller.sendId, now, now + explainedFor };
     m_effects.emplace_back(log_decision { "breakdown_suspected", request.caller.sendId,
-        { { "endpoint", request.currentEndpoint.str() }, { "suspects", suspectsText(request.suspects) } } });
+        { { "endpoint", request.currentEndpoint.str() }, { "suspects", suspectsText(request.suspects) },
+            { "parts", partsText(request.caller.sharedPromptParts) }, { "pieces", std::to_string(request.answerPieces) } } });
     if (m_deaths.recordBrokenAttempt(attempt))
         recordBreakdown(now, attempt, "known_death");
 }
--- a/tests/users_platform/header_codec_test.cpp
+++ b/tests/users_platform/header_codec_test.cpp
@@ -56,6 +56,24 @@
     cr_assert_neq(decodeCallerRequest(again).contentHash, decodeCallerRequest(callersRequest()).contentHash);
 }
 
+// Guards against suspecting what belongs to one request alone, which is the last part of its prompt.
+Test(header_codec, the_parts_that_prompts_share_are_told)
+{
+    http_request request = callersRequest();
+    request.head.headers.set("X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+    const auto first = decodeCallerRequest(request).sharedPromptParts;
+    request.head.headers.set("X-Prompt-Prefix", "5c1e07a2:700,aa:1");
+    const auto second = decodeCallerRequest(request).sharedPromptParts;
+    cr_assert_eq(first.size(), 2);
+    cr_assert_eq(second.size(), 1);
+    cr_assert_eq(first[0], second[0]);
+    cr_assert_neq(first[0], first[1]);
+    for (const char* odd : { "", "5c1e07a2", "5c1e07a2:800", ",", ",,,,", ":,:" }) {
+        request.head.headers.set("X-Prompt-Prefix", odd);
+        cr_assert_leq(decodeCallerRequest(request).sharedPromptParts.size(), 4);
+    }
+}
+
 Test(header_codec, an_endpoint_never_sees_the_key_nor_a_forged_team)
 {
     const auto head = encodeEndpointHead(callersRequest().head, { endpoint_id("i-7"), team_id("hule"), 7500ms, 2, {} });
