Tests: a part of prompts that crashes one engine after another (fails)

What callers see: requests that share one part of their prompts, no two alike, crash the engines that begin them; each death stalls the group of all.

--- a/tests/decisions/crashes/crash_world.cpp
+++ b/tests/decisions/crashes/crash_world.cpp
@@ -128,6 +128,7 @@
     caller.sendId = "s" + std::to_string(number);
     caller.timeout = callerTimeout;
     caller.contentHash = request.content;
+    caller.sharedPromptParts = request.parts;
     post(entry, request_arrived { m_now, number, caller });
 }
 
@@ -272,9 +273,11 @@
     entry_state& state = *m_entries[entry];
     if (const auto* const attempt = std::get_if<send_attempt>(&effect))
         reachEngine(entry, *attempt);
-    else if (const auto* const refusal = std::get_if<refuse_request>(&effect))
+    else if (const auto* const refusal = std::get_if<refuse_request>(&effect)) {
+        const bool isConvicted = refusal->reason == refusal_reason::BreaksEndpoints;
+        m_soundConvicted += isConvicted && m_sound.contains(refusal->request) ? 1 : 0;
         state.requests.erase(refusal->request);
-    else if (const auto* const wait = std::get_if<wait_for_service>(&effect))
+    } else if (const auto* const wait = std::get_if<wait_for_service>(&effect))
         schedule(wait->until - m_now, [this, entry, life = state.life, number = wait->request] {
             if (m_entries[entry]->life == life)
                 post(entry, service_wait_ended { m_now, number });
@@ -363,6 +366,14 @@
     schedule(m_settings.engineRestart, [this, engine] { restartEngine(engine); });
 }
 
+void crash_world::killEngines(std::size_t count)
+{
+    for (std::size_t engine = 0; engine < count; ++engine) {
+        if (m_engines[engine]->up)
+            killEngine(engine);
+    }
+}
+
 void crash_world::reportDeath(const std::string& address, std::uint64_t startedAtMs)
 {
     for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
--- a/tests/decisions/crashes/crash_world.h
+++ b/tests/decisions/crashes/crash_world.h
@@ -41,9 +41,10 @@
     duration feedDelay = std::chrono::milliseconds(450);
 };
 
-// What a request holds that makes engines crash, or not.
 struct simulated_request {
     std::uint64_t content = 0;
+    // Parts of its prompt that other requests may share.
+    std::vector<std::uint64_t> parts;
     bool crashesEngines = false;
 };
 
@@ -65,6 +66,8 @@
     // Entries that lose their memory, or their datagrams to and from the other entries, for a while.
     void restartEntry(std::size_t entry);
     void cutEntry(std::size_t entry, duration length);
+    // Engines that die together of another cause, such as a loss of power.
+    void killEngines(std::size_t count);
     // No entry reaches the store until then.
     void stopStore(duration length) { m_storeBackAt = m_now + length; }
 
@@ -73,6 +76,8 @@
     std::size_t lateSends(std::size_t death) const;
     // Fractions of the sound requests sent in a span of time whose answers began at their first attempt.
     double soundBegun(duration from, duration until) const;
+    // Requests that were refused since their suspects were convicted, though they crash nothing.
+    std::size_t soundConvicted() const { return m_soundConvicted; }
 
     static constexpr duration contactTime = std::chrono::seconds(3);
 
@@ -132,6 +137,7 @@
     request_number m_lastRequest = 0;
     instant m_groupOpensAt;
     instant m_storeBackAt;
+    std::size_t m_soundConvicted = 0;
     std::map<suspect_key, crash_record> m_stored;
     std::vector<instant> m_deaths;
     std::vector<crashing_send> m_crashingSends;
--- a/tests/decisions/crashes/crashing_request_test.cpp
+++ b/tests/decisions/crashes/crashing_request_test.cpp
@@ -14,11 +14,11 @@
 constexpr std::size_t maxLateSends = 3;
 constexpr std::size_t deathsUntilBound = 3;
 
-simulated_request crashingRequest() { return { crashingContent, true }; }
+simulated_request crashingRequest() { return { crashingContent, {}, true }; }
 
 std::function<simulated_request()> soundRequests()
 {
-    return [next = std::make_shared<std::uint64_t>(1000)] { return simulated_request { ++*next, false }; };
+    return [next = std::make_shared<std::uint64_t>(1000)] { return simulated_request { ++*next, {}, false }; };
 }
 
 // Sound requests all the time, and one that crashes engines, sent again at random entries until the end.
