Tests: direct_answers waits until the late copies were read before it opens a stream

Its connection was the one on which the second copy of that read's answer was still to come; the entry rightly took it for no answer of the stream, and there is no other endpoint. The reads allow that failure, the stream did not. The test now waits until the entry has closed that connection, which it must do for each second copy; all assertions stay.

--- a/tests/processes/direct_answers.py
+++ b/tests/processes/direct_answers.py
@@ -34,6 +34,8 @@
 
     def __init__(self, name):
         self.name = name
+        self.open = 0
+        self.lock = threading.Lock()
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
         threading.Thread(target=self.accept, daemon=True).start()
@@ -41,6 +43,8 @@
     def accept(self):
         while True:
             connection, _ = self.listener.accept()
+            with self.lock:
+                self.open += 1
             threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
 
     def serve(self, connection):
@@ -61,6 +65,8 @@
             return
         finally:
             connection.close()
+            with self.lock:
+                self.open -= 1
 
     def answer(self, connection, path, name):
         common = f"X-Attempt-Id: {name}\r\nX-Response-Stamp: {self.name}\r\n"
@@ -118,6 +124,8 @@
             assert (status, text) == (200, f"own-{number}") or status == 502, (number, status, text)
             served += status == 200
         assert served >= REQUESTS // 3, served
+        # The second copy of the last answer makes the entry close its connection; a stream sent before would meet that copy.
+        wait_until("second copies read", lambda: endpoint.open == 0)
 
         whole = b"".join(event(number) for number in range(1, EVENTS + 1))
         text, is_whole, _ = stream(ports, "/stream/slow")
