Forwarding: a part of prompts that crashes endpoints is convicted and refused

What callers saw: requests that share one part of their prompts, no two alike, crashed one engine after another, each with the whole group.

Cause: entries knew requests only by the hash of their content, which never repeats here.

Change: the shared parts of a prompt (all but the last) are suspects like the request itself. Three deaths of endpoints that had not begun to answer convict a part, five one that was sound within the last minute. Deaths of a convicted part are explained and speak against no other, and of two parts with the same deaths the later one is convicted: the part in front of it is shared by sound requests. When a sound part was last seen goes with its record, so that entries which saw few answers know it too.

--- a/packages/datagrams/crash_codec.cpp
+++ b/packages/datagrams/crash_codec.cpp
@@ -13,21 +13,20 @@
 
 // Codes of the kinds of suspects, which keep their meaning in later versions.
 constexpr char requestCode = 'r';
+constexpr char promptPartCode = 'p';
 constexpr std::size_t maxDeathsRead = 16;
 
 char codeOf(suspect_kind kind)
 {
-    switch (kind) {
-    case suspect_kind::Request:
-        break;
-    }
-    return requestCode;
+    return kind == suspect_kind::Request ? requestCode : promptPartCode;
 }
 
 std::optional<suspect_kind> kindOf(char code)
 {
     if (code == requestCode)
         return suspect_kind::Request;
+    if (code == promptPartCode)
+        return suspect_kind::PromptPart;
     return std::nullopt;
 }
 
@@ -49,7 +48,7 @@
     json deaths = json::array();
     for (const suspected_death& death : record.deaths)
         deaths.push_back({ death.endpoint, death.age.count() });
-    json body = { { "k", std::string(1, codeOf(record.key.kind)) }, { "i", record.key.id }, { "d", std::move(deaths) }, { "a", record.seenAge.count() } };
+    json body = { { "k", std::string(1, codeOf(record.key.kind)) }, { "i", record.key.id }, { "d", std::move(deaths) }, { "a", record.seenAge.count() }, { "p", record.position } };
     addAge(body, "s", record.soundAge);
     addAge(body, "c", record.convictedAge);
     addAge(body, "t", record.trialAge);
@@ -66,7 +65,8 @@
         .soundAge = ageFrom(record, "s"),
         .convictedAge = ageFrom(record, "c"),
         .trialAge = ageFrom(record, "t"),
-        .seenAge = duration(record.at("a").get<std::uint64_t>()) };
+        .seenAge = duration(record.at("a").get<std::uint64_t>()),
+        .position = record.value("p", 0U) };
     for (const json& death : record.at("d")) {
         if (result.deaths.size() < maxDeathsRead)
             result.deaths.push_back({ death.at(0).get<std::uint64_t>(), duration(death.at(1).get<std::uint64_t>()) });
--- a/packages/decisions/crashes/crash_ledger.cpp
+++ b/packages/decisions/crashes/crash_ledger.cpp
@@ -1,6 +1,7 @@
 #include "decisions/crashes/crash_ledger.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace appleramp {
@@ -8,10 +9,16 @@
 namespace {
 
 constexpr std::size_t soundKeysKept = 4096;
-// Deaths that convict a request.
+// Deaths that convict a suspect.
 constexpr std::size_t deathsToConvictRequest = 2;
-// From as many deaths on a request is not tried again.
+// A part is shared by many requests, so that its wrong conviction does more harm.
+constexpr std::size_t deathsToConvictPart = 3;
+// Further deaths that convict what was sound just before.
+constexpr std::size_t deathsMoreForSoundRequest = 1;
+constexpr std::size_t deathsMoreForSoundPart = 2;
+// From as many deaths on a suspect is not tried again.
 constexpr std::size_t finalDeathsOfRequest = 3;
+constexpr std::size_t finalDeathsOfPart = 5;
 
 // The earlier one, if both are known.
 std::optional<instant> earlier(std::optional<instant> left, std::optional<instant> right)
@@ -38,21 +45,20 @@
     evictIfFull();
     suspect& added = m_suspects[key];
     added.seenAt = now;
-    const auto soundAt = m_sound.lastRecordedAt(key);
-    added.soundAt = soundAt;
-    added.wasSoundBefore = soundAt && now - *soundAt < soundMemory;
+    added.soundAt = m_sound.lastRecordedAt(key);
     return added;
 }
 
-void crash_ledger::accuse(instant now, const suspect_key& key, std::uint64_t endpoint, instant diedAt)
+void crash_ledger::accuse(instant now, const suspect_key& key, std::uint64_t endpoint, instant diedAt, std::uint32_t position)
 {
     suspect& accused = find(now, key);
+    accused.position = std::max(accused.position, position);
     if (!addDeath(accused, { endpoint, diedAt }))
         return;
     accused.seenAt = std::max(accused.seenAt, diedAt);
     m_changed.insert(key);
     clearEarlierDeaths(accused);
-    convictIfProved(now, key, accused, true);
+    convictProved(now, { &key, 1 }, true);
 }
 
 bool crash_ledger::addDeath(suspect& suspect, const death& added)
@@ -73,12 +79,26 @@
         suspect.convictedAt.reset();
 }
 
-std::size_t crash_ledger::countedDeaths(const suspect& suspect)
+bool crash_ledger::isExplained(const suspect_key& key, std::uint64_t endpoint) const
+{
+    if (key.kind != suspect_kind::PromptPart)
+        return false;
+    return std::any_of(m_suspects.begin(), m_suspects.end(), [&](const auto& entry) {
+        const auto& [otherKey, other] = entry;
+        const auto isSame = [&](const death& known) { return known.endpoint == endpoint; };
+        return otherKey.kind == suspect_kind::PromptPart && otherKey != key && other.convictedAt
+            && std::any_of(other.deaths.begin(), other.deaths.end(), isSame);
+    });
+}
+
+std::size_t crash_ledger::countedDeaths(const suspect_key& key, const suspect& suspect) const
 {
     std::size_t counted = 0;
     std::size_t ofBurst = 0;
     instant burstBegan;
     for (const death& known : suspect.deaths) {
+        if (isExplained(key, known.endpoint))
+            continue;
         if (ofBurst == 0 || known.diedAt - burstBegan >= burstWindow) {
             burstBegan = known.diedAt;
             ofBurst = 0;
@@ -88,17 +108,32 @@
     return counted;
 }
 
-std::size_t crash_ledger::deathsToConvict(const suspect_key&, const suspect& suspect)
+std::size_t crash_ledger::deathsToConvict(const suspect_key& key, const suspect& suspect)
 {
-    return deathsToConvictRequest + (suspect.wasSoundBefore ? 1 : 0);
+    const bool wasSound = suspect.soundAt && !suspect.deaths.empty() && suspect.deaths.front().diedAt - *suspect.soundAt < soundMemory;
+    if (key.kind == suspect_kind::Request)
+        return deathsToConvictRequest + (wasSound ? deathsMoreForSoundRequest : 0);
+    return deathsToConvictPart + (wasSound ? deathsMoreForSoundPart : 0);
 }
 
-void crash_ledger::convictIfProved(instant now, const suspect_key& key, suspect& suspect, bool isOwn)
+bool crash_ledger::isProved(const suspect_key& key, const suspect& suspect) const
 {
-    if (suspect.convictedAt || countedDeaths(suspect) < deathsToConvict(key, suspect))
-        return;
-    suspect.convictedAt = now;
-    m_newConvictions.push_back({ key, isOwn });
+    return countedDeaths(key, suspect) >= deathsToConvict(key, suspect);
+}
+
+void crash_ledger::convictProved(instant now, std::span<const suspect_key> keys, bool isOwn)
+{
+    std::vector<std::pair<std::uint32_t, suspect_key>> byPosition;
+    for (const suspect_key& key : keys)
+        byPosition.emplace_back(m_suspects[key].position, key);
+    std::sort(byPosition.begin(), byPosition.end(), std::greater<>());
+    for (const auto& [position, key] : byPosition) {
+        suspect& candidate = m_suspects[key];
+        if (candidate.convictedAt || !isProved(key, candidate))
+            continue;
+        candidate.convictedAt = now;
+        m_newConvictions.push_back({ key, isOwn });
+    }
 }
 
 bool crash_ledger::recordSound(instant now, const suspect_key& key)
@@ -129,14 +164,15 @@
         return suspect_verdict::Unsuspected;
     if (found->second.convictedAt)
         return suspect_verdict::Convicted;
-    const bool isNearlyProved = countedDeaths(found->second) + 1 >= deathsToConvict(key, found->second);
+    const bool isNearlyProved = countedDeaths(key, found->second) + 1 >= deathsToConvict(key, found->second);
     return isNearlyProved ? suspect_verdict::Suspected : suspect_verdict::Unsuspected;
 }
 
 bool crash_ledger::startTrial(instant now, const suspect_key& key)
 {
+    const std::size_t finalDeaths = key.kind == suspect_kind::Request ? finalDeathsOfRequest : finalDeathsOfPart;
     const auto found = m_suspects.find(key);
-    if (found == m_suspects.end() || !found->second.convictedAt || found->second.deaths.size() >= finalDeathsOfRequest)
+    if (found == m_suspects.end() || !found->second.convictedAt || found->second.deaths.size() >= finalDeaths)
         return false;
     if (now - std::max(*found->second.convictedAt, found->second.triedAt.value_or(instant {})) < trialInterval)
         return false;
@@ -147,20 +183,30 @@
 
 void crash_ledger::merge(instant now, std::span<const crash_record> records)
 {
+    std::vector<suspect_key> merged;
     for (const crash_record& received : records) {
-        suspect& known = find(now, received.key);
-        const bool wasConvicted = known.convictedAt.has_value();
-        for (const suspected_death& death : received.deaths)
-            addDeath(known, { death.endpoint, now - death.age });
-        known.soundAt = std::max(known.soundAt, timeOf(now, received.soundAge));
-        known.triedAt = std::max(known.triedAt, timeOf(now, received.trialAge));
-        known.convictedAt = earlier(known.convictedAt, timeOf(now, received.convictedAge));
-        known.seenAt = std::max(known.seenAt, now - received.seenAge);
-        clearEarlierDeaths(known);
-        if (!wasConvicted && known.convictedAt)
-            m_newConvictions.push_back({ received.key, false });
-        convictIfProved(now, received.key, known, false);
+        mergeRecord(now, received);
+        merged.push_back(received.key);
     }
+    // A record that made room for a later one is gone.
+    std::erase_if(merged, [this](const suspect_key& key) { return !m_suspects.contains(key); });
+    convictProved(now, merged, false);
+}
+
+void crash_ledger::mergeRecord(instant now, const crash_record& received)
+{
+    suspect& known = find(now, received.key);
+    const bool wasConvicted = known.convictedAt.has_value();
+    for (const suspected_death& death : received.deaths)
+        addDeath(known, { death.endpoint, now - death.age });
+    known.soundAt = std::max(known.soundAt, timeOf(now, received.soundAge));
+    known.triedAt = std::max(known.triedAt, timeOf(now, received.trialAge));
+    known.convictedAt = earlier(known.convictedAt, timeOf(now, received.convictedAge));
+    known.seenAt = std::max(known.seenAt, now - received.seenAge);
+    known.position = std::max(known.position, received.position);
+    clearEarlierDeaths(known);
+    if (!wasConvicted && known.convictedAt)
+        m_newConvictions.push_back({ received.key, false });
 }
 
 std::vector<crash_record> crash_ledger::takeChanged(instant now)
@@ -181,7 +227,8 @@
         .soundAge = ageOf(now, suspect.soundAt),
         .convictedAge = ageOf(now, suspect.convictedAt),
         .trialAge = ageOf(now, suspect.triedAt),
-        .seenAge = now - suspect.seenAt };
+        .seenAge = now - suspect.seenAt,
+        .position = suspect.position };
     for (const death& known : suspect.deaths)
         result.deaths.push_back({ known.endpoint, now - known.diedAt });
     return result;
--- a/packages/decisions/crashes/crash_ledger.h
+++ b/packages/decisions/crashes/crash_ledger.h
@@ -32,14 +32,16 @@
 // Evidence for and against what endpoints may have died of, and what follows from it.
 //
 // A suspect crashes every endpoint that begins to answer to it. So a death accuses whatever the endpoint had begun and not yet
-// answered, and an answer clears a suspect of all deaths before it. Entries merge each other's records, whatever their order
-// and however often, so that all come to the same verdict.
+// answered, and an answer clears a suspect of all deaths before it. The deaths of a convicted part of prompts are explained, and
+// speak against no other part any more; of two parts with the same deaths the later one in the prompt is convicted, since
+// more requests share the earlier one. Entries merge each other's records, whatever their order and however often, so that all
+// come to the same verdict.
 class crash_ledger {
 public:
     crash_ledger();
 
     // The endpoint, identified with its start, died before it had answered.
-    void accuse(instant now, const suspect_key& key, std::uint64_t endpoint, instant diedAt);
+    void accuse(instant now, const suspect_key& key, std::uint64_t endpoint, instant diedAt, std::uint32_t position = 0);
     // An endpoint answers to the suspect without harm. Returns true if that clears it of a conviction.
     bool recordSound(instant now, const suspect_key& key);
     // A request with the suspect arrived and was refused.
@@ -70,7 +72,7 @@
     // Deaths within this time may have one cause of their own, such as a loss of power, and count for two at most.
     static constexpr duration burstWindow = std::chrono::seconds(1);
     static constexpr std::size_t maxDeathsOfBurst = 2;
-    // A suspect that was sound within this time before needs one more death.
+    // A suspect that was sound within this time before its first death needs more of them.
     static constexpr duration soundMemory = std::chrono::seconds(60);
     static constexpr std::size_t maxSuspects = 1024;
     static constexpr std::size_t maxDeathsKept = 8;
@@ -87,15 +89,20 @@
         std::optional<instant> convictedAt;
         std::optional<instant> triedAt;
         instant seenAt;
-        bool wasSoundBefore = false;
+        std::uint32_t position = 0;
     };
 
     suspect& find(instant now, const suspect_key& key);
+    void mergeRecord(instant now, const crash_record& received);
     bool addDeath(suspect& suspect, const death& added);
     // Removes the deaths before the suspect was last sound, and the conviction if none remains.
     static void clearEarlierDeaths(suspect& suspect);
-    void convictIfProved(instant now, const suspect_key& key, suspect& suspect, bool isOwn);
-    static std::size_t countedDeaths(const suspect& suspect);
+    // Convicts all that are proved, the latest parts of prompts first.
+    void convictProved(instant now, std::span<const suspect_key> keys, bool isOwn);
+    bool isProved(const suspect_key& key, const suspect& suspect) const;
+    std::size_t countedDeaths(const suspect_key& key, const suspect& suspect) const;
+    // True if the endpoint died of another part, which is convicted.
+    bool isExplained(const suspect_key& key, std::uint64_t endpoint) const;
     static std::size_t deathsToConvict(const suspect_key& key, const suspect& suspect);
     static instant expiryOf(const suspect& suspect);
     static crash_record recordOf(instant now, const suspect_key& key, const suspect& suspect);
--- a/packages/decisions/crashes/recent_keys.h
+++ b/packages/decisions/crashes/recent_keys.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <utility>
 
 namespace appleramp {
 
@@ -21,8 +22,8 @@
 private:
     std::size_t m_capacity;
     std::map<suspect_key, instant> m_times;
-    // In the order in which the keys became known.
-    std::deque<suspect_key> m_order;
+    // The keys with times at which they were recorded, in the order of these.
+    std::deque<std::pair<suspect_key, instant>> m_order;
 };
 
 } // namespace appleramp
--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -161,6 +161,8 @@
         request.urgencyRank = callerTeam->urgencyRank.value_or(request.urgencyRank);
     }
     request.suspects = { { suspect_kind::Request, request.caller.contentHash } };
+    for (const std::uint64_t part : request.caller.sharedPromptParts)
+        request.suspects.push_back({ suspect_kind::PromptPart, part });
     request.service = pickServiceByWeight(*request.matchedRoute, randomFraction());
     const duration callerTimeout = request.caller.timeout.value_or(defaultTimeout);
     const duration routeTimeout = request.matchedRoute->timeout > duration::zero() ? request.matchedRoute->timeout : defaultTimeout;
--- a/packages/decisions/forwarding/forwarding_reducer_crashes.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_crashes.cpp
@@ -40,7 +40,10 @@
     return duration(static_cast<duration::rep>(static_cast<double>(time.count()) * factor));
 }
 
-std::string suspectText(const suspect_key& key) { return "request:" + std::to_string(key.id); }
+std::string suspectText(const suspect_key& key)
+{
+    return (key.kind == suspect_kind::Request ? "request:" : "part:") + std::to_string(key.id);
+}
 
 std::string suspectsText(std::span<const suspect_key> keys)
 {
@@ -50,14 +53,6 @@
     return text;
 }
 
-std::string partsText(std::span<const std::uint64_t> parts)
-{
-    std::string text;
-    for (const std::uint64_t part : parts)
-        text.append(text.empty() ? "" : " ").append(std::to_string(part));
-    return text;
-}
-
 std::uint64_t hashOf(const endpoint_id& endpoint, std::uint64_t startedAtMs)
 {
     return rendezvousScore(endpoint.str(), std::to_string(startedAtMs));
@@ -102,8 +97,7 @@
         return;
     const broken_attempt attempt { request.suspects, request.currentEndpoint, request.caller.sendId, now, now + explainedFor };
     m_effects.emplace_back(log_decision { "breakdown_suspected", request.caller.sendId,
-        { { "endpoint", request.currentEndpoint.str() }, { "suspects", suspectsText(request.suspects) },
-            { "parts", partsText(request.caller.sharedPromptParts) }, { "pieces", std::to_string(request.answerPieces) } } });
+        { { "endpoint", request.currentEndpoint.str() }, { "suspects", suspectsText(request.suspects) }, { "pieces", std::to_string(request.answerPieces) } } });
     if (m_deaths.recordBrokenAttempt(attempt))
         recordBreakdown(now, attempt, "known_death");
 }
@@ -125,8 +119,9 @@
 void forwarding_reducer::recordBreakdown(instant now, const broken_attempt& attempt, std::string_view source)
 {
     const std::uint64_t endpoint = hashOf(attempt.endpoint, m_fleet.startedAtMs(attempt.endpoint));
-    for (const suspect_key& key : attempt.suspects)
-        m_crashes.accuse(now, key, endpoint, attempt.brokenAt);
+    // The request itself, then the parts of its prompt; later parts first, since they explain the death better.
+    for (std::size_t index = attempt.suspects.size(); index-- > 0;)
+        m_crashes.accuse(now, attempt.suspects[index], endpoint, attempt.brokenAt, static_cast<std::uint32_t>(index));
     m_effects.emplace_back(log_decision { "breakdown_confirmed", attempt.sendId,
         { { "endpoint", attempt.endpoint.str() }, { "suspects", suspectsText(attempt.suspects) },
             { "source", std::string(source) }, { "age_ms", millisecondsText(now - attempt.brokenAt) } } });
--- a/packages/model/crash_news.h
+++ b/packages/model/crash_news.h
@@ -13,6 +13,8 @@
 enum class suspect_kind {
     // A request, identified by the hash of path, caller and body.
     Request,
+    // A part of prompts that requests share.
+    PromptPart,
 };
 
 struct suspect_key {
@@ -43,6 +45,8 @@
     std::optional<duration> trialAge;
     // Time since a request with it was last seen.
     duration seenAge {};
+    // For a part: its largest position in a prompt, counted from zero.
+    std::uint32_t position = 0;
 };
 
 } // namespace appleramp
--- a/tests/decisions/crashes/crash_ledger_test.cpp
+++ b/tests/decisions/crashes/crash_ledger_test.cpp
@@ -2,12 +2,26 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 using namespace appleramp;
 using namespace std::chrono_literals;
 
 namespace {
 
 const suspect_key request { suspect_kind::Request, 7 };
+const suspect_key firstPart { suspect_kind::PromptPart, 1 };
+const suspect_key laterPart { suspect_kind::PromptPart, 2 };
+
+// Endpoints die one by one under requests with both parts.
+void killUnderBothParts(crash_ledger& ledger, std::uint64_t firstEndpoint, std::uint64_t count)
+{
+    for (std::uint64_t endpoint = firstEndpoint; endpoint < firstEndpoint + count; ++endpoint) {
+        const instant when(10s + endpoint * 4s);
+        ledger.accuse(when, laterPart, endpoint, when, 1);
+        ledger.accuse(when, firstPart, endpoint, when, 0);
+    }
+}
 
 } // namespace
 
@@ -20,6 +34,53 @@
     cr_assert(ledger.verdict(instant(15s), request) == suspect_verdict::Convicted);
 }
 
+Test(crash_ledger, three_endpoints_convict_a_part)
+{
+    crash_ledger ledger;
+    for (std::uint64_t endpoint = 1; endpoint <= 3; ++endpoint) {
+        cr_assert_neq(ledger.verdict(instant(40s), laterPart), suspect_verdict::Convicted);
+        ledger.accuse(instant(endpoint * 4s), laterPart, endpoint, instant(endpoint * 4s));
+    }
+    cr_assert(ledger.verdict(instant(40s), laterPart) == suspect_verdict::Convicted);
+}
+
+// Guards against convicting the part in front of the crashing one, which many sound requests share.
+Test(crash_ledger, deaths_of_a_convicted_part_speak_against_no_other)
+{
+    crash_ledger ledger;
+    killUnderBothParts(ledger, 1, 4);
+    cr_assert(ledger.verdict(instant(40s), laterPart) == suspect_verdict::Convicted);
+    cr_assert(ledger.verdict(instant(40s), firstPart) == suspect_verdict::Unsuspected);
+}
+
+// Guards against entries that learn of the deaths from each other and convict the other part.
+Test(crash_ledger, merged_records_convict_the_later_part_only)
+{
+    crash_ledger first;
+    killUnderBothParts(first, 1, 2);
+    crash_ledger second;
+    killUnderBothParts(second, 3, 1);
+    std::vector<crash_record> records = first.records(instant(30s));
+    std::reverse(records.begin(), records.end());
+    second.merge(instant(30s), records);
+    first.merge(instant(30s), second.records(instant(30s)));
+    for (const crash_ledger& ledger : { first, second }) {
+        cr_assert(ledger.verdict(instant(30s), laterPart) == suspect_verdict::Convicted);
+        cr_assert(ledger.verdict(instant(30s), firstPart) == suspect_verdict::Unsuspected);
+    }
+}
+
+Test(crash_ledger, a_part_that_was_sound_just_before_needs_more_deaths)
+{
+    crash_ledger ledger;
+    ledger.recordSound(instant(9s), firstPart);
+    for (std::uint64_t endpoint = 1; endpoint <= 5; ++endpoint) {
+        cr_assert_neq(ledger.verdict(instant(40s), firstPart), suspect_verdict::Convicted);
+        ledger.accuse(instant(9s + endpoint * 4s), firstPart, endpoint, instant(9s + endpoint * 4s));
+    }
+    cr_assert(ledger.verdict(instant(40s), firstPart) == suspect_verdict::Convicted);
+}
+
 // Guards against one death that several entries see, or see twice, and that counts more than once.
 Test(crash_ledger, a_death_counts_once)
 {
