Crash ledger: deaths one after another count each, however close; entries are told at once

Cause: deaths within a second counted for two at most, since many endpoints may lose power together.

Change: deaths are one burst only if their requests were sent before the first of them. Changed records go to all entries at once after a death, at most every 0.1 s.

--- a/packages/datagrams/crash_codec.cpp
+++ b/packages/datagrams/crash_codec.cpp
@@ -47,7 +47,7 @@
 {
     json deaths = json::array();
     for (const suspected_death& death : record.deaths)
-        deaths.push_back({ death.endpoint, death.age.count() });
+        deaths.push_back({ death.endpoint, death.age.count(), death.ranFor.count() });
     json body = { { "k", std::string(1, codeOf(record.key.kind)) }, { "i", record.key.id }, { "d", std::move(deaths) }, { "a", record.seenAge.count() }, { "p", record.position } };
     addAge(body, "s", record.soundAge);
     addAge(body, "c", record.convictedAge);
@@ -69,7 +69,7 @@
         .position = record.value("p", 0U) };
     for (const json& death : record.at("d")) {
         if (result.deaths.size() < maxDeathsRead)
-            result.deaths.push_back({ death.at(0).get<std::uint64_t>(), duration(death.at(1).get<std::uint64_t>()) });
+            result.deaths.push_back({ death.at(0).get<std::uint64_t>(), duration(death.at(1).get<std::uint64_t>()), duration(death.at(2).get<std::uint64_t>()) });
     }
     return result;
 }
--- a/packages/decisions/crashes/crash_ledger.cpp
+++ b/packages/decisions/crashes/crash_ledger.cpp
@@ -49,13 +49,13 @@
     return added;
 }
 
-void crash_ledger::accuse(instant now, const suspect_key& key, std::uint64_t endpoint, instant diedAt, std::uint32_t position)
+void crash_ledger::accuse(instant now, const suspect_key& key, const accusation& accusation)
 {
     suspect& accused = find(now, key);
-    accused.position = std::max(accused.position, position);
-    if (!addDeath(accused, { endpoint, diedAt }))
+    accused.position = std::max(accused.position, accusation.position);
+    if (!addDeath(accused, { accusation.endpoint, accusation.sentAt, accusation.diedAt }))
         return;
-    accused.seenAt = std::max(accused.seenAt, diedAt);
+    accused.seenAt = std::max(accused.seenAt, accusation.diedAt);
     m_changed.insert(key);
     clearEarlierDeaths(accused);
     convictProved(now, { &key, 1 }, true);
@@ -99,7 +99,7 @@
     for (const death& known : suspect.deaths) {
         if (isExplained(key, known.endpoint))
             continue;
-        if (ofBurst == 0 || known.diedAt - burstBegan >= burstWindow) {
+        if (ofBurst == 0 || known.sentAt > burstBegan) {
             burstBegan = known.diedAt;
             ofBurst = 0;
         }
@@ -198,7 +198,7 @@
     suspect& known = find(now, received.key);
     const bool wasConvicted = known.convictedAt.has_value();
     for (const suspected_death& death : received.deaths)
-        addDeath(known, { death.endpoint, now - death.age });
+        addDeath(known, { death.endpoint, now - death.age - death.ranFor, now - death.age });
     known.soundAt = std::max(known.soundAt, timeOf(now, received.soundAge));
     known.triedAt = std::max(known.triedAt, timeOf(now, received.trialAge));
     known.convictedAt = earlier(known.convictedAt, timeOf(now, received.convictedAge));
@@ -230,7 +230,7 @@
         .seenAge = now - suspect.seenAt,
         .position = suspect.position };
     for (const death& known : suspect.deaths)
-        result.deaths.push_back({ known.endpoint, now - known.diedAt });
+        result.deaths.push_back({ known.endpoint, now - known.diedAt, known.diedAt - known.sentAt });
     return result;
 }
 
--- a/packages/decisions/crashes/crash_ledger.h
+++ b/packages/decisions/crashes/crash_ledger.h
@@ -40,8 +40,15 @@
 public:
     crash_ledger();
 
-    // The endpoint, identified with its start, died before it had answered.
-    void accuse(instant now, const suspect_key& key, std::uint64_t endpoint, instant diedAt, std::uint32_t position = 0);
+    // The endpoint, identified with its start, died before it had answered to a request that was sent at that time.
+    struct accusation {
+        std::uint64_t endpoint = 0;
+        instant sentAt;
+        instant diedAt;
+        // Of the part in the prompt, if the suspect is one.
+        std::uint32_t position = 0;
+    };
+    void accuse(instant now, const suspect_key& key, const accusation& accusation);
     // An endpoint answers to the suspect without harm. Returns true if that clears it of a conviction.
     bool recordSound(instant now, const suspect_key& key);
     // A request with the suspect arrived and was refused.
@@ -69,8 +76,8 @@
     static constexpr duration convictionRetention = std::chrono::minutes(10);
     // Time between a conviction, or a trial, and the next trial.
     static constexpr duration trialInterval = std::chrono::seconds(60);
-    // Deaths within this time may have one cause of their own, such as a loss of power, and count for two at most.
-    static constexpr duration burstWindow = std::chrono::seconds(1);
+    // Deaths under requests that were sent before the first of them may have one cause of their own, such as a loss of power. So
+    // many of them count at most.
     static constexpr std::size_t maxDeathsOfBurst = 2;
     // A suspect that was sound within this time before its first death needs more of them.
     static constexpr duration soundMemory = std::chrono::seconds(60);
@@ -80,6 +87,7 @@
 private:
     struct death {
         std::uint64_t endpoint = 0;
+        instant sentAt;
         instant diedAt;
     };
     struct suspect {
--- a/packages/decisions/crashes/death_detector.h
+++ b/packages/decisions/crashes/death_detector.h
@@ -17,6 +17,7 @@
     endpoint_id endpoint;
     // The caller's send.
     std::string sendId;
+    instant sentAt;
     instant brokenAt;
     // Until when the death of the endpoint still explains this end.
     instant explainedUntil;
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -143,6 +143,7 @@
     // Ends the requests in flight that hold a suspect convicted meanwhile, before their endpoints begin to answer.
     void refuseNewlyConvicted(instant now);
     void shareCrashRecords(instant now);
+    void shareChangedRecords(instant now);
     void storeConvictions(instant now);
     bool areConvictionsKnown(instant now) const;
     // Confirms the configuration in force by the last read, if that read is to be trusted.
@@ -164,6 +165,7 @@
     instant m_startedAt;
     bool m_crashTableRead = false;
     instant m_crashRecordsSharedAt;
+    instant m_changedRecordsSharedAt;
     // Suspects that the store's table holds.
     std::set<suspect_key> m_storedSuspects;
     // Convicted suspects that the table lacks, and when this entry writes them.
--- a/packages/decisions/forwarding/forwarding_reducer_crashes.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_crashes.cpp
@@ -18,6 +18,8 @@
 constexpr duration failureExplainedFor = std::chrono::seconds(1);
 // A cancelled attempt may have run for a moment longer.
 constexpr duration cancellationExplainedFor = std::chrono::milliseconds(500);
+// Least time between two messages to all entries.
+constexpr duration changedSharingInterval = std::chrono::milliseconds(100);
 // Interval at which a few other entries are told of the suspects, so that entries which missed a message learn of them.
 constexpr duration sharingInterval = std::chrono::milliseconds(700);
 // Most records that are shared at a time.
@@ -95,7 +97,7 @@
 {
     if (request.answerPieces >= soundAnswerPieces)
         return;
-    const broken_attempt attempt { request.suspects, request.currentEndpoint, request.caller.sendId, now, now + explainedFor };
+    const broken_attempt attempt { request.suspects, request.currentEndpoint, request.caller.sendId, request.sentAt, now, now + explainedFor };
     m_effects.emplace_back(log_decision { "breakdown_suspected", request.caller.sendId,
         { { "endpoint", request.currentEndpoint.str() }, { "suspects", suspectsText(request.suspects) }, { "pieces", std::to_string(request.answerPieces) } } });
     if (m_deaths.recordBrokenAttempt(attempt))
@@ -121,10 +123,11 @@
     const std::uint64_t endpoint = hashOf(attempt.endpoint, m_fleet.startedAtMs(attempt.endpoint));
     // The request itself, then the parts of its prompt; later parts first, since they explain the death better.
     for (std::size_t index = attempt.suspects.size(); index-- > 0;)
-        m_crashes.accuse(now, attempt.suspects[index], endpoint, attempt.brokenAt, static_cast<std::uint32_t>(index));
+        m_crashes.accuse(now, attempt.suspects[index], { endpoint, attempt.sentAt, attempt.brokenAt, static_cast<std::uint32_t>(index) });
     m_effects.emplace_back(log_decision { "breakdown_confirmed", attempt.sendId,
         { { "endpoint", attempt.endpoint.str() }, { "suspects", suspectsText(attempt.suspects) },
             { "source", std::string(source) }, { "age_ms", millisecondsText(now - attempt.brokenAt) } } });
+    shareChangedRecords(now);
 }
 
 void forwarding_reducer::recordAnswerPiece(instant now, request_state& request)
@@ -186,10 +189,21 @@
     }
 }
 
+// At once after a death, but for the further deaths where many endpoints die together.
+void forwarding_reducer::shareChangedRecords(instant now)
+{
+    if (now - m_changedRecordsSharedAt < changedSharingInterval)
+        return;
+    std::vector<crash_record> changed = m_crashes.takeChanged(now);
+    if (changed.empty())
+        return;
+    m_changedRecordsSharedAt = now;
+    m_effects.emplace_back(share_crash_records { std::move(changed), record_recipients::AllEntries });
+}
+
 void forwarding_reducer::shareCrashRecords(instant now)
 {
-    if (std::vector<crash_record> changed = m_crashes.takeChanged(now); !changed.empty())
-        m_effects.emplace_back(share_crash_records { std::move(changed), record_recipients::AllEntries });
+    shareChangedRecords(now);
     if (now - m_crashRecordsSharedAt < sharingInterval || m_crashes.size() == 0)
         return;
     m_crashRecordsSharedAt = now;
--- a/packages/model/crash_news.h
+++ b/packages/model/crash_news.h
@@ -29,6 +29,8 @@
     std::uint64_t endpoint = 0;
     // Time since the endpoint died.
     duration age {};
+    // Time from the send of the request that it had begun to its death.
+    duration ranFor {};
 };
 
 // What an entry knows of a suspect, as it tells other entries and writes it to the store. Times are given as ages, since clocks
--- a/tests/decisions/crashes/crash_ledger_test.cpp
+++ b/tests/decisions/crashes/crash_ledger_test.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+// From the send of a request to the death of its endpoint.
+constexpr duration runTime = 100ms;
 const suspect_key request { suspect_kind::Request, 7 };
 const suspect_key firstPart { suspect_kind::PromptPart, 1 };
 const suspect_key laterPart { suspect_kind::PromptPart, 2 };
@@ -18,8 +20,8 @@
 {
     for (std::uint64_t endpoint = firstEndpoint; endpoint < firstEndpoint + count; ++endpoint) {
         const instant when(10s + endpoint * 4s);
-        ledger.accuse(when, laterPart, endpoint, when, 1);
-        ledger.accuse(when, firstPart, endpoint, when, 0);
+        ledger.accuse(when, laterPart, { endpoint, when - runTime, when, 1 });
+        ledger.accuse(when, firstPart, { endpoint, when - runTime, when, 0 });
     }
 }
 
@@ -28,9 +30,9 @@
 Test(crash_ledger, two_endpoints_convict_a_request)
 {
     crash_ledger ledger;
-    ledger.accuse(instant(10s), request, 1, instant(10s));
+    ledger.accuse(instant(10s), request, { 1, instant(10s) - runTime, instant(10s) });
     cr_assert(ledger.verdict(instant(10s), request) == suspect_verdict::Suspected);
-    ledger.accuse(instant(15s), request, 2, instant(15s));
+    ledger.accuse(instant(15s), request, { 2, instant(15s) - runTime, instant(15s) });
     cr_assert(ledger.verdict(instant(15s), request) == suspect_verdict::Convicted);
 }
 
@@ -39,7 +41,7 @@
     crash_ledger ledger;
     for (std::uint64_t endpoint = 1; endpoint <= 3; ++endpoint) {
         cr_assert_neq(ledger.verdict(instant(40s), laterPart), suspect_verdict::Convicted);
-        ledger.accuse(instant(endpoint * 4s), laterPart, endpoint, instant(endpoint * 4s));
+        ledger.accuse(instant(endpoint * 4s), laterPart, { endpoint, instant(endpoint * 4s) - runTime, instant(endpoint * 4s) });
     }
     cr_assert(ledger.verdict(instant(40s), laterPart) == suspect_verdict::Convicted);
 }
@@ -76,7 +78,7 @@
     ledger.recordSound(instant(9s), firstPart);
     for (std::uint64_t endpoint = 1; endpoint <= 5; ++endpoint) {
         cr_assert_neq(ledger.verdict(instant(40s), firstPart), suspect_verdict::Convicted);
-        ledger.accuse(instant(9s + endpoint * 4s), firstPart, endpoint, instant(9s + endpoint * 4s));
+        ledger.accuse(instant(9s + endpoint * 4s), firstPart, { endpoint, instant(9s + endpoint * 4s) - runTime, instant(9s + endpoint * 4s) });
     }
     cr_assert(ledger.verdict(instant(40s), firstPart) == suspect_verdict::Convicted);
 }
@@ -86,32 +88,43 @@
 {
     crash_ledger ledger;
     crash_ledger other;
-    ledger.accuse(instant(10s), request, 1, instant(10s));
-    ledger.accuse(instant(11s), request, 1, instant(11s));
-    other.accuse(instant(10s), request, 1, instant(10s));
+    ledger.accuse(instant(10s), request, { 1, instant(10s) - runTime, instant(10s) });
+    ledger.accuse(instant(11s), request, { 1, instant(11s) - runTime, instant(11s) });
+    other.accuse(instant(10s), request, { 1, instant(10s) - runTime, instant(10s) });
     for (int round = 0; round < 3; ++round)
         ledger.merge(instant(12s), other.records(instant(12s)));
     cr_assert(ledger.verdict(instant(12s), request) == suspect_verdict::Suspected);
 }
 
+// Guards against a wave of requests that takes an endpoint each: a request that was sent after a death adds to the evidence.
+Test(crash_ledger, deaths_one_after_another_count_each)
+{
+    crash_ledger ledger;
+    for (std::uint64_t endpoint = 1; endpoint <= 3; ++endpoint) {
+        const instant diedAt(10s + endpoint * 20ms);
+        ledger.accuse(diedAt, laterPart, { endpoint, diedAt - 10ms, diedAt });
+    }
+    cr_assert(ledger.verdict(instant(11s), laterPart) == suspect_verdict::Convicted);
+}
+
 // Guards against convicting what many endpoints ran when they lost power together.
 Test(crash_ledger, deaths_together_count_for_two)
 {
     crash_ledger ledger;
     ledger.recordSound(instant(9s), request);
     for (std::uint64_t endpoint = 1; endpoint <= 5; ++endpoint)
-        ledger.accuse(instant(10s), request, endpoint, instant(10s + endpoint * 10ms));
+        ledger.accuse(instant(10s), request, { endpoint, instant(10s + endpoint * 10ms) - runTime, instant(10s + endpoint * 10ms) });
     cr_assert(ledger.verdict(instant(10s), request) == suspect_verdict::Suspected);
-    ledger.accuse(instant(14s), request, 6, instant(14s));
+    ledger.accuse(instant(14s), request, { 6, instant(14s) - runTime, instant(14s) });
     cr_assert(ledger.verdict(instant(14s), request) == suspect_verdict::Convicted);
 }
 
 Test(crash_ledger, an_answer_clears_of_the_deaths_before)
 {
     crash_ledger ledger;
-    ledger.accuse(instant(10s), request, 1, instant(10s));
+    ledger.accuse(instant(10s), request, { 1, instant(10s) - runTime, instant(10s) });
     ledger.recordSound(instant(11s), request);
-    ledger.accuse(instant(12s), request, 2, instant(12s));
+    ledger.accuse(instant(12s), request, { 2, instant(12s) - runTime, instant(12s) });
     cr_assert_neq(ledger.verdict(instant(12s), request), suspect_verdict::Convicted);
 }
 
@@ -119,8 +132,8 @@
 Test(crash_ledger, records_merge_to_the_same_verdict_in_any_order)
 {
     crash_ledger accuser;
-    accuser.accuse(instant(10s), request, 1, instant(10s));
-    accuser.accuse(instant(12s), request, 2, instant(12s));
+    accuser.accuse(instant(10s), request, { 1, instant(10s) - runTime, instant(10s) });
+    accuser.accuse(instant(12s), request, { 2, instant(12s) - runTime, instant(12s) });
     crash_ledger witness;
     witness.recordSound(instant(13s), request);
     witness.merge(instant(14s), accuser.records(instant(14s)));
@@ -135,7 +148,7 @@
 {
     crash_ledger ledger;
     for (std::uint64_t endpoint = 1; endpoint <= 3; ++endpoint)
-        ledger.accuse(instant(10s), request, endpoint, instant(endpoint * 4s));
+        ledger.accuse(instant(10s), request, { endpoint, instant(endpoint * 4s) - runTime, instant(endpoint * 4s) });
     instant now(20s);
     for (int minutes = 0; minutes < 30; ++minutes, now += 1min) {
         cr_assert(ledger.verdict(now, request) == suspect_verdict::Convicted);
@@ -151,12 +164,12 @@
 Test(crash_ledger, a_conviction_by_few_deaths_is_tried_again)
 {
     crash_ledger ledger;
-    ledger.accuse(instant(10s), request, 1, instant(10s));
-    ledger.accuse(instant(14s), request, 2, instant(14s));
+    ledger.accuse(instant(10s), request, { 1, instant(10s) - runTime, instant(10s) });
+    ledger.accuse(instant(14s), request, { 2, instant(14s) - runTime, instant(14s) });
     cr_assert_not(ledger.startTrial(instant(20s), request));
     cr_assert(ledger.startTrial(instant(80s), request));
     cr_assert_not(ledger.startTrial(instant(81s), request));
-    ledger.accuse(instant(82s), request, 3, instant(82s));
+    ledger.accuse(instant(82s), request, { 3, instant(82s) - runTime, instant(82s) });
     cr_assert_not(ledger.startTrial(instant(200s), request));
 }
 
@@ -164,10 +177,10 @@
 Test(crash_ledger, convictions_outlast_a_flood_of_suspects)
 {
     crash_ledger ledger;
-    ledger.accuse(instant(10s), request, 1, instant(10s));
-    ledger.accuse(instant(14s), request, 2, instant(14s));
+    ledger.accuse(instant(10s), request, { 1, instant(10s) - runTime, instant(10s) });
+    ledger.accuse(instant(14s), request, { 2, instant(14s) - runTime, instant(14s) });
     for (std::uint64_t id = 100; id < 100 + 2 * crash_ledger::maxSuspects; ++id)
-        ledger.accuse(instant(20s), { suspect_kind::Request, id }, 3, instant(20s));
+        ledger.accuse(instant(20s), { suspect_kind::Request, id }, { 3, instant(20s) - runTime, instant(20s) });
     cr_assert_leq(ledger.size(), crash_ledger::maxSuspects);
     cr_assert(ledger.verdict(instant(20s), request) == suspect_verdict::Convicted);
 }
--- a/tests/decisions/crashes/death_detector_test.cpp
+++ b/tests/decisions/crashes/death_detector_test.cpp
@@ -10,7 +10,7 @@
 const endpoint_id first("i-1");
 const endpoint_id second("i-2");
 
-broken_attempt brokenAt(const endpoint_id& endpoint, instant when) { return { { { suspect_kind::Request, 7 } }, endpoint, "s", when, when + 6s }; }
+broken_attempt brokenAt(const endpoint_id& endpoint, instant when) { return { { { suspect_kind::Request, 7 } }, endpoint, "s", when - 100ms, when, when + 6s }; }
 
 } // namespace
 
