Entries: an answer without a length is whole only if its endpoint still listens

What callers saw: the answer of an endpoint that ended while it sent it, without a length or chunks, reached them as complete: status 200 and one byte of a plain answer, or two of four events (direct_unframed, which fails before this change).

Cause: such an answer ends with its connection, and the end of a process closes its connections in the same way.

Change: after such an answer the entry probes the endpoint; if nothing listens there any more, the answer counts as broken off. So does a stream without a single event. The answer of an endpoint that announces that it leaves is taken as it is.

--- a/packages/directentry/caller_exchange.cpp
+++ b/packages/directentry/caller_exchange.cpp
@@ -157,6 +157,8 @@
     noteProgress();
     const response_classification reading = m_services.platform.classifyResponse(head, m_caller.sendId);
     m_retryAfter = reading.retryAfter;
+    m_endsAtClose = head.bodyEndsAtClose;
+    m_isEndpointLeaving = reading.leaving;
     if (reading.leaving)
         m_services.post(endpoint_leaving_announced { m_services.now(), m_attempt.endpoint });
     switch (reading.kind) {
@@ -207,6 +209,27 @@
 void caller_exchange::onCompleted()
 {
     m_services.endpoints.release(std::exchange(m_endpoint, nullptr));
+    // An endpoint that leaves may end as planned after its last answer.
+    if (m_endsAtClose && !m_isEndpointLeaving && m_mode != answer_mode::Discarded)
+        return verifyEnd();
+    concludeAnswer();
+}
+
+void caller_exchange::verifyEnd()
+{
+    m_services.probe(m_attempt.address, [self = shared_from_this(), number = m_attemptNumber](bool refused) {
+        if (self->m_attemptNumber != number || self->m_over)
+            return;
+        const bool isEmptyStream = self->m_mode == answer_mode::Streamed && !self->m_attemptHasAnswer;
+        if (refused || isEmptyStream)
+            self->endAttempt(attempt_ending::TruncatedAnswer);
+        else
+            self->concludeAnswer();
+    });
+}
+
+void caller_exchange::concludeAnswer()
+{
     switch (m_mode) {
     case answer_mode::Discarded:
         return endAttempt(m_discardedAs, m_retryAfter);
--- a/packages/directentry/caller_exchange.h
+++ b/packages/directentry/caller_exchange.h
@@ -25,6 +25,8 @@
     client_pool& endpoints;
     std::function<instant()> now;
     std::function<void(const forwarding_event&)> post;
+    // Tells whether nothing listens at an endpoint's address any more.
+    std::function<void(const std::string& address, std::function<void(bool refused)> done)> probe;
     // When an endpoint of each service last sent part of a response to this process.
     std::map<service_id, instant>& serviceProgress;
 };
@@ -65,6 +67,10 @@
     void onHead(http_response_head head);
     void onBody(const std::string& bytes);
     void onCompleted();
+    // An answer without a length ends with its connection, as does the answer of an endpoint that dies: it is whole only if its
+    // endpoint still listens.
+    void verifyEnd();
+    void concludeAnswer();
     void onFailed(exchange_failure failure);
     void streamBytes(const std::string& bytes);
     void endAttempt(attempt_ending ending, std::optional<duration> retryAfter = {}, bool connectionRefused = false);
@@ -90,6 +96,9 @@
     bool m_attemptHasAnswer = false;
     answer_mode m_mode = answer_mode::Undecided;
     attempt_ending m_discardedAs = attempt_ending::Rejected;
+    // The answer has no length.
+    bool m_endsAtClose = false;
+    bool m_isEndpointLeaving = false;
     std::optional<duration> m_retryAfter;
     http_response m_answer;
     event_splitter m_events;
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -197,7 +197,7 @@
         if (m_acceptsNothing)
             return connection->respond(stoppingResponse());
         const request_number number = ++m_lastRequest;
-        exchange_services services { m_platform, m_endpoints, [] { return now(); }, [this](const forwarding_event& event) { post(event); }, m_serviceProgress };
+        exchange_services services { m_platform, m_endpoints, [] { return now(); }, [this](const forwarding_event& event) { post(event); }, [this](const std::string& address, auto done) { probeConnection(m_loop, endpointFromText(address), probeTimeout, std::move(done)); }, m_serviceProgress };
         auto exchange = std::make_shared<caller_exchange>(std::move(services), number, connection, request);
         m_exchanges.emplace(number, exchange);
         exchange->start();
