Entries, agents: bytes without end are bounded in size and time

What callers saw: a request that its endpoint rejected, with bytes that never end behind the rejection, got 502 (outcome unknown) instead of 503; the entry read up to 64 MiB of each answer into memory, and an event of a stream without any bound (direct_unframed, whose cases of endless bytes failed).

Cause: a rejection was believed only once its body was complete, and the timeout of an answer's start came first. Bodies were bounded by the parser only, events and reports of engines by nothing.

Change: a rejection's body is read for at most 16 KiB and 250 ms. Answers that are held back until they are complete may have 7 MiB, all of an entry together 48 MiB, an event 1 MiB, a report of an engine 4 MiB; beyond that the connection is closed. A handler that cancels its own exchange outlives its call.

--- a/packages/decisions/forwarding/event_splitter.h
+++ b/packages/decisions/forwarding/event_splitter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -14,6 +15,7 @@
     // Discards the beginning of an event that will not be completed.
     void dropPartial() { m_partial.clear(); }
     bool hasPartial() const { return !m_partial.empty(); }
+    std::size_t partialBytes() const { return m_partial.size(); }
     // The last id that a whole event carried, as written in the stream.
     const std::optional<std::string>& lastEventId() const { return m_lastEventId; }
 
--- a/packages/directagent/engine_link.cpp
+++ b/packages/directagent/engine_link.cpp
@@ -11,6 +11,9 @@
     .reuseWithin = std::chrono::milliseconds(3000),
     .maxIdlePerServer = 2 };
 
+// An engine in trouble may send bytes without end.
+constexpr std::size_t maxAnswerBytes = 4UL * 1024 * 1024;
+
 } // namespace
 
 engine_link::engine_link(boost::asio::io_context& loop, std::string address)
@@ -35,7 +38,14 @@
     });
     m_connection->exchange(serializeRequest(request.head, request.body),
         { .head = [this](http_response_head head) { m_answer.head = std::move(head); },
-            .body = [this](const std::string& bytes) { m_answer.body += bytes; },
+            .body =
+                [this](const std::string& bytes) {
+                    m_answer.body += bytes;
+                    if (m_answer.body.size() <= maxAnswerBytes)
+                        return;
+                    m_connection->cancel();
+                    finish(std::nullopt);
+                },
             .completed =
                 [this] {
                     m_pool.release(m_connection);
--- a/packages/directentry/caller_exchange.cpp
+++ b/packages/directentry/caller_exchange.cpp
@@ -15,6 +15,14 @@
 constexpr unsigned firstFailureStatus = 500;
 // A service whose endpoints have all sent nothing for this long counts as stalled as a whole.
 constexpr duration serviceSilence = std::chrono::milliseconds(300);
+// Bodies behind a rejection are read, so that their connection can be used again, up to this size and for this long.
+constexpr std::size_t maxDiscardedBytes = 16UL * 1024;
+constexpr duration maxDiscardTime = std::chrono::milliseconds(250);
+// Largest answer that is held back until it is complete, and the bytes of all such answers together.
+constexpr std::size_t maxHeldAnswerBytes = 7UL * 1024 * 1024;
+constexpr std::size_t maxHeldBytes = 48UL * 1024 * 1024;
+// Largest event of a stream.
+constexpr std::size_t maxEventBytes = 1024UL * 1024;
 constexpr double secondsPerMicrosecond = 1e-6;
 
 unsigned statusOf(refusal_reason reason)
@@ -84,6 +92,14 @@
 {
 }
 
+caller_exchange::~caller_exchange() { dropAnswer(); }
+
+void caller_exchange::dropAnswer()
+{
+    m_services.heldBytes -= m_answer.body.size();
+    m_answer = {};
+}
+
 void caller_exchange::start()
 {
     m_connection->onPeerGone([self = shared_from_this()] {
@@ -105,7 +121,8 @@
     m_attemptHasAnswer = false;
     m_mode = answer_mode::Undecided;
     m_retryAfter.reset();
-    m_answer = {};
+    m_discardedBytes = 0;
+    dropAnswer();
     m_events.dropPartial();
     const endpoint_request order { effect.endpoint, effect.team, effect.timeLeft, effect.urgencyRank,
         m_begun ? m_events.lastEventId() : std::nullopt };
@@ -185,15 +202,48 @@
 
 void caller_exchange::onBody(const std::string& bytes)
 {
-    if (m_mode == answer_mode::Streamed)
-        streamBytes(bytes);
-    else if (m_mode == answer_mode::Buffered)
-        m_answer.body += bytes;
+    switch (m_mode) {
+    case answer_mode::Streamed:
+        return streamBytes(bytes);
+    case answer_mode::Buffered:
+        return holdBytes(bytes);
+    case answer_mode::Discarded:
+        m_discardedBytes += bytes.size();
+        if (m_discardedBytes > maxDiscardedBytes)
+            endDiscarded();
+        return;
+    case answer_mode::Undecided:
+        return;
+    }
+}
+
+void caller_exchange::holdBytes(const std::string& bytes)
+{
+    if (m_answer.body.size() + bytes.size() > maxHeldAnswerBytes || m_services.heldBytes + bytes.size() > maxHeldBytes)
+        return rejectOversized();
+    m_services.heldBytes += bytes.size();
+    m_answer.body += bytes;
+}
+
+void caller_exchange::rejectOversized()
+{
+    dropAnswer();
+    m_events.dropPartial();
+    std::exchange(m_endpoint, nullptr)->cancel();
+    endAttempt(attempt_ending::InvalidAnswer);
+}
+
+void caller_exchange::endDiscarded()
+{
+    std::exchange(m_endpoint, nullptr)->cancel();
+    endAttempt(m_discardedAs, m_retryAfter);
 }
 
 void caller_exchange::streamBytes(const std::string& bytes)
 {
     const std::string events = m_events.appendAndExtract(bytes);
+    if (m_events.partialBytes() > maxEventBytes)
+        return rejectOversized();
     if (events.empty())
         return;
     const instant now = m_services.now();
@@ -236,13 +286,13 @@
     case answer_mode::Buffered:
         if (m_answer.head.status >= firstFailureStatus)
             return endAttempt(attempt_ending::FailureAnswer, m_retryAfter);
-        m_connection->respond(std::move(m_answer));
+        respondWithAnswer();
         return answered();
     case answer_mode::Streamed:
         if (m_events.hasPartial())
             return endAttempt(attempt_ending::TruncatedAnswer);
         if (!m_begun) {
-            m_connection->respond(std::move(m_answer));
+            respondWithAnswer();
             return answered();
         }
         m_connection->finishStream();
@@ -284,9 +334,15 @@
     finish();
 }
 
+void caller_exchange::respondWithAnswer()
+{
+    m_services.heldBytes -= m_answer.body.size();
+    m_connection->respond(std::exchange(m_answer, {}));
+}
+
 void caller_exchange::passFailureAnswer()
 {
-    m_connection->respond(std::move(m_answer));
+    respondWithAnswer();
     finish();
 }
 
@@ -317,6 +373,11 @@
         m_services.post(deadline_passed { now, m_number, m_begun });
         return;
     }
+    if (m_mode == answer_mode::Discarded) {
+        if (now - m_lastProgress >= maxDiscardTime)
+            endDiscarded();
+        return;
+    }
     const duration limit = m_attemptHasAnswer ? m_attempt.eventGapTimeout : m_attempt.answerStartTimeout;
     if (limit == duration::zero() || now - m_lastProgress < limit)
         return;
--- a/packages/directentry/caller_exchange.h
+++ b/packages/directentry/caller_exchange.h
@@ -27,6 +27,8 @@
     std::function<void(const forwarding_event&)> post;
     // Tells whether nothing listens at an endpoint's address any more.
     std::function<void(const std::string& address, std::function<void(bool refused)> done)> probe;
+    // Bytes of answers that all exchanges hold back.
+    std::size_t& heldBytes;
     // When an endpoint of each service last sent part of a response to this process.
     std::map<service_id, instant>& serviceProgress;
 };
@@ -38,6 +40,9 @@
 class caller_exchange : public std::enable_shared_from_this<caller_exchange> {
 public:
     caller_exchange(exchange_services services, request_number number, std::shared_ptr<server_connection> caller, http_request request);
+    ~caller_exchange();
+    caller_exchange(const caller_exchange&) = delete;
+    caller_exchange& operator=(const caller_exchange&) = delete;
 
     // Posts request_arrived and begins to watch for the caller's disconnection.
     void start();
@@ -72,7 +77,14 @@
     void verifyEnd();
     void concludeAnswer();
     void onFailed(exchange_failure failure);
+    void holdBytes(const std::string& bytes);
     void streamBytes(const std::string& bytes);
+    void respondWithAnswer();
+    // Drops what is held of the answer.
+    void dropAnswer();
+    // The endpoint sends more than an answer may have, or more than the process can hold.
+    void rejectOversized();
+    void endDiscarded();
     void endAttempt(attempt_ending ending, std::optional<duration> retryAfter = {}, bool connectionRefused = false);
     void answered();
     void finish();
@@ -96,6 +108,7 @@
     bool m_attemptHasAnswer = false;
     answer_mode m_mode = answer_mode::Undecided;
     attempt_ending m_discardedAs = attempt_ending::Rejected;
+    std::size_t m_discardedBytes = 0;
     // The answer has no length.
     bool m_endsAtClose = false;
     bool m_isEndpointLeaving = false;
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -197,7 +197,7 @@
         if (m_acceptsNothing)
             return connection->respond(stoppingResponse());
         const request_number number = ++m_lastRequest;
-        exchange_services services { m_platform, m_endpoints, [] { return now(); }, [this](const forwarding_event& event) { post(event); }, [this](const std::string& address, auto done) { probeConnection(m_loop, endpointFromText(address), probeTimeout, std::move(done)); }, m_serviceProgress };
+        exchange_services services { m_platform, m_endpoints, [] { return now(); }, [this](const forwarding_event& event) { post(event); }, [this](const std::string& address, auto done) { probeConnection(m_loop, endpointFromText(address), probeTimeout, std::move(done)); }, m_heldBytes, m_serviceProgress };
         auto exchange = std::make_shared<caller_exchange>(std::move(services), number, connection, request);
         m_exchanges.emplace(number, exchange);
         exchange->start();
@@ -822,6 +822,7 @@
     std::shared_ptr<table_follower> m_registryFollower;
     std::shared_ptr<table_follower> m_membersFollower;
     std::shared_ptr<table_follower> m_crashesFollower;
+    std::size_t m_heldBytes = 0;
     std::map<request_number, std::shared_ptr<caller_exchange>> m_exchanges;
     std::map<std::string, member_row> m_members;
     // Zones that are out for this entry, and those that the store lists.
--- a/packages/http/client_connection.cpp
+++ b/packages/http/client_connection.cpp
@@ -47,7 +47,8 @@
 
 void client_connection::cancel()
 {
-    m_handlers = {};
+    // A handler that cancels its own exchange must outlive its call.
+    boost::asio::post(m_socket.get_executor(), [handlers = std::exchange(m_handlers, {})] {});
     close();
 }
 
--- a/tests/processes/direct_unframed.py
+++ b/tests/processes/direct_unframed.py
@@ -20,6 +20,7 @@
 MAX_MEMORY_KB = 160 * 1024
 # A rejection is known by its head; a caller must not wait for the end of what follows it.
 MAX_REJECTION_SECONDS = 1.0
+DRIP_SECONDS = 0.02
 # A caller may wait this long beyond the timeout of its route.
 SLACK_SECONDS = 1.0
 
@@ -83,6 +84,11 @@
             self.send_endlessly(connection, whole_head + b"\r\n")
         elif kind == "rejected":
             self.send_endlessly(connection, b"HTTP/1.1 503 Unavailable\r\nX-Not-Executed: 1\r\n" + common + b"\r\n")
+        elif kind == "dripping":
+            connection.sendall(b"HTTP/1.1 503 Unavailable\r\nX-Not-Executed: 1\r\n" + common + b"\r\n")
+            while True:
+                connection.sendall(b"x")
+                time.sleep(DRIP_SECONDS)
         elif kind == "event":
             self.send_endlessly(connection, whole_head + b"\r\n" + event(1) + b"id: 2\ndata: ")
 
@@ -175,6 +181,8 @@
 
         for status, text, took in case.ask("/read/rejected", ENDLESS_REQUESTS) + case.ask("/stream/rejected", ENDLESS_REQUESTS):
             assert status == 503 and b"not_run" in text and took <= MAX_REJECTION_SECONDS, (status, text[:100], took)
+        for status, text, took in case.ask("/read/dripping", ENDLESS_REQUESTS) + case.ask("/stream/dripping", ENDLESS_REQUESTS):
+            assert status == 503 and b"not_run" in text and took <= MAX_REJECTION_SECONDS, (status, text[:100], took)
         for path in ("/read/head", "/read/body", "/stream/head", "/stream/event"):
             for status, text, took in case.ask(path, ENDLESS_REQUESTS):
                 assert status != 200 and took <= STREAM_TIMEOUT_MS / 1000 + SLACK_SECONDS, (path, status, text[:100], took)
