Forwarding: suspects are told for 10 s only, and a refuted conviction leaves the store

Cause, found in review: after each death every entry told three others of all suspects for a minute, most of them contents that never come again; and a conviction that a trial refuted stayed in the store, where starting entries would have read it.

--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -404,8 +404,7 @@
     if (found == m_requests.end())
         return;
     const request_state& request = found->second;
-    for (const suspect_key& key : request.suspects)
-        m_crashes.recordSound(event.now, key);
+    recordSound(event.now, request);
     m_outages[request.service].recordProgress();
     m_fleet.recordAnswer(event.now, request.currentEndpoint, event.now - request.sentAt);
     m_effects.emplace_back(log_decision { "answered", request.caller.sendId,
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -54,7 +54,8 @@
     const entry_peers& peers() const { return m_peers; }
     const endpoint_fleet& fleet() const { return m_fleet; }
     std::size_t requestsInFlight() const { return m_requests.size(); }
-    const crash_ledger& crashes() const { return m_crashes; }
+    // What an entry that has just started is told of suspects.
+    std::vector<crash_record> recordsForStartingEntry(instant now) const;
 
 private:
     struct request_state {
@@ -133,8 +134,9 @@
     // The endpoint is gone, by a crash or as planned: attempts that broke there before are suspected.
     void recordGone(instant now, const endpoint_id& endpoint, std::string_view source);
     void recordBreakdown(instant now, const broken_attempt& attempt, std::string_view source);
-    // Counts a piece of the answer, or its end; the second one shows that the request does not crash its endpoint.
+    // Counts a piece of the answer; the second one shows that the request does not crash its endpoint.
     void recordAnswerPiece(instant now, request_state& request);
+    void recordSound(instant now, const request_state& request);
     // Why the request must not be sent now, by what is known of its suspects.
     std::optional<refusal_reason> suspicionAgainst(instant now, request_number number, const request_state& request);
     bool isAlone(request_number number, const suspect_key& key) const;
--- a/packages/decisions/forwarding/forwarding_reducer_crashes.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_crashes.cpp
@@ -22,6 +22,8 @@
 constexpr duration changedSharingInterval = std::chrono::milliseconds(100);
 // Interval at which a few other entries are told of the suspects, so that entries which missed a message learn of them.
 constexpr duration sharingInterval = std::chrono::milliseconds(700);
+// Suspects that are not convicted are told for that long after they were last seen; by then all entries have heard of them.
+constexpr duration suspectsSharedFor = std::chrono::seconds(10);
 // Most records that are shared at a time.
 constexpr std::size_t maxSharedRecords = 96;
 // An entry that starts waits that long for the table of convicted suspects, which the store or its peers may not give.
@@ -132,11 +134,18 @@
 
 void forwarding_reducer::recordAnswerPiece(instant now, request_state& request)
 {
-    if (++request.answerPieces != soundAnswerPieces)
-        return;
+    if (++request.answerPieces == soundAnswerPieces)
+        recordSound(now, request);
+}
+
+void forwarding_reducer::recordSound(instant now, const request_state& request)
+{
     for (const suspect_key& key : request.suspects) {
-        if (m_crashes.recordSound(now, key))
-            m_effects.emplace_back(log_decision { "suspect_cleared", request.caller.sendId, { { "suspect", suspectText(key) } } });
+        if (!m_crashes.recordSound(now, key))
+            continue;
+        m_effects.emplace_back(log_decision { "suspect_cleared", request.caller.sendId, { { "suspect", suspectText(key) } } });
+        if (m_storedSuspects.contains(key))
+            m_effects.emplace_back(remove_stored_crash_record { key });
     }
 }
 
@@ -207,9 +216,18 @@
     if (now - m_crashRecordsSharedAt < sharingInterval || m_crashes.size() == 0)
         return;
     m_crashRecordsSharedAt = now;
+    std::vector<crash_record> records = m_crashes.records(now);
+    std::erase_if(records, [](const crash_record& record) { return !record.convictedAge && record.seenAge > suspectsSharedFor; });
+    records.resize(std::min(records.size(), maxSharedRecords));
+    if (!records.empty())
+        m_effects.emplace_back(share_crash_records { std::move(records), record_recipients::SomeEntries });
+}
+
+std::vector<crash_record> forwarding_reducer::recordsForStartingEntry(instant now) const
+{
     std::vector<crash_record> records = m_crashes.records(now);
     records.resize(std::min(records.size(), maxSharedRecords));
-    m_effects.emplace_back(share_crash_records { std::move(records), record_recipients::SomeEntries });
+    return records;
 }
 
 void forwarding_reducer::storeConvictions(instant now)
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -686,7 +686,7 @@
         const bool isNew = m_members.emplace(presence.instance.str(), row).second;
         if (isNew || presence.starting) {
             sendNews(this->presence(), row);
-            sendCrashRecords(m_reducer.crashes().records(now()), row);
+            sendCrashRecords(m_reducer.recordsForStartingEntry(now()), row);
         }
     }
     void onNews(entry_presence presence)
--- a/tests/decisions/crashes/crash_world.cpp
+++ b/tests/decisions/crashes/crash_world.cpp
@@ -157,7 +157,7 @@
     readRecords(entry);
     for (std::size_t other = 0; other < m_entries.size(); ++other) {
         if (other != entry && m_entries[other]->reducer)
-            tell(other, entry, crash_records_received { m_now, m_entries[other]->reducer->crashes().records(m_now) });
+            tell(other, entry, crash_records_received { m_now, m_entries[other]->reducer->recordsForStartingEntry(m_now) });
     }
     tickEntry(entry, state.life);
 }
--- a/tests/decisions/forwarding/forwarding_reducer_test.cpp
+++ b/tests/decisions/forwarding/forwarding_reducer_test.cpp
@@ -306,6 +306,36 @@
     cr_assert(entry.effect<refuse_request>()->retryAfter.has_value());
 }
 
+// Guards against a wrong conviction that stays in the store after a trial has refuted it.
+Test(forwarding_reducer, a_refuted_conviction_leaves_the_store)
+{
+    entry entry;
+    const suspect_key key { suspect_kind::Request, 77 };
+    entry.handle(crash_table_read { entry.now, true, { { .key = key, .deaths = { { 1, 4s }, { 2, 1s } }, .convictedAge = 1s } }, {} });
+    entry.request("/read/x");
+    cr_assert(entry.refusedWith(refusal_reason::BreaksEndpoints));
+    entry.now += crash_ledger::trialInterval;
+    entry.handle(configuration_read { entry.now, entry.now, std::nullopt });
+    entry.request("/read/x");
+    cr_assert_not_null(entry.effect<send_attempt>());
+    entry.handle(attempt_succeeded { entry.now, 2 });
+    cr_assert_not_null(entry.effect<remove_stored_crash_record>());
+    entry.request("/read/x");
+    cr_assert_not_null(entry.effect<send_attempt>());
+}
+
+// Guards against an entry that serves before it has read what was convicted earlier.
+Test(forwarding_reducer, an_entry_that_starts_waits_for_the_convictions)
+{
+    forwarding_reducer reducer(instant(10s), {});
+    reducer.handle(entry_count_read { instant(10s), 1 });
+    reducer.handle(configuration_read { instant(10s), instant(10s), configurationOf(1) });
+    reducer.handle(registry_read { instant(10s), { endpoint("d1", drafts) } });
+    cr_assert_not(reducer.isReady(instant(11s)));
+    reducer.handle(crash_table_read { instant(11s), true, {}, {} });
+    cr_assert(reducer.isReady(instant(11s)));
+}
+
 // Guards against requests that were sent before the conviction and crash their endpoints after it.
 Test(forwarding_reducer, requests_in_flight_end_when_they_are_convicted)
 {
