--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -54,6 +54,7 @@
     const entry_peers& peers() const { return m_peers; }
     const endpoint_fleet& fleet() const { return m_fleet; }
     std::size_t requestsInFlight() const { return m_requests.size(); }
+    const crash_ledger& crashes() const { return m_crashes; }
     // What an entry that has just started is told of suspects.
     std::vector<crash_record> recordsForStartingEntry(instant now) const;
 
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -391,6 +391,8 @@
         m_metrics.set(entry_metrics::endpointsPaused, static_cast<double>(m_reducer.fleet().pausedCount(now())));
         m_metrics.set(entry_metrics::storeCalls, static_cast<double>(m_store.storeCalls()));
         m_metrics.set(entry_metrics::readerAnswers, static_cast<double>(m_store.readerAnswers()));
+        m_metrics.set(entry_metrics::suspects, static_cast<double>(m_reducer.crashes().size()));
+        m_metrics.set(entry_metrics::convictedSuspects, static_cast<double>(m_reducer.crashes().convicted().size()));
         m_metrics.set(entry_metrics::datagramsDropped, static_cast<double>(m_news.droppedCount()));
     }
 
--- a/packages/directentry/entry_metrics.cpp
+++ b/packages/directentry/entry_metrics.cpp
@@ -17,5 +17,7 @@
 const metric_descriptor storeCalls { "appleramp_store_calls", metric_kind::Gauge, "Calls to the store since the start." };
 const metric_descriptor readerAnswers { "appleramp_reader_answers", metric_kind::Gauge, "Reads that the zone's reader answered in place of the store." };
 const metric_descriptor loadReportAge { "appleramp_load_report_age_seconds", metric_kind::Summary, "Age of the load report of the chosen endpoint." };
+const metric_descriptor suspects { "appleramp_suspects", metric_kind::Gauge, "Requests and parts of prompts that endpoints may have died of." };
+const metric_descriptor convictedSuspects { "appleramp_suspects_convicted", metric_kind::Gauge, "Suspects whose requests are refused." };
 
 } // namespace appleramp::entry_metrics
--- a/packages/directentry/entry_metrics.h
+++ b/packages/directentry/entry_metrics.h
@@ -19,5 +19,7 @@
 extern const metric_descriptor storeCalls;
 extern const metric_descriptor readerAnswers;
 extern const metric_descriptor loadReportAge;
+extern const metric_descriptor suspects;
+extern const metric_descriptor convictedSuspects;
 
 } // namespace appleramp::entry_metrics
