HTTP client: a handler that cancels its own exchange outlives its call

Cause, found by engine_link::a_report_without_end_is_given_up, which crashed: a handler without captures of its own on the heap was moved while it ran, so that what it did after the cancellation read freed or foreign memory.

Change: handlers are shared, and the connection holds them while one runs.

--- a/packages/http/client_connection.cpp
+++ b/packages/http/client_connection.cpp
@@ -3,7 +3,6 @@
 #include "http/socket_options.h"
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
 #include <charconv>
@@ -32,7 +31,7 @@
 void client_connection::exchange(std::string request, exchange_handlers handlers)
 {
     m_request = std::move(request);
-    m_handlers = std::move(handlers);
+    m_handlers = std::make_shared<const exchange_handlers>(std::move(handlers));
     m_parser = std::make_unique<http_parser>(http_parser::message_kind::Response, responseLimits);
     m_headReported = false;
     m_requestWritten = false;
@@ -47,8 +46,7 @@
 
 void client_connection::cancel()
 {
-    // A handler that cancels its own exchange must outlive its call.
-    boost::asio::post(m_socket.get_executor(), [handlers = std::exchange(m_handlers, {})] {});
+    m_handlers.reset();
     close();
 }
 
@@ -136,18 +134,19 @@
         const bool truncated = m_parser->failure() == parse_failure::Truncated;
         return fail(truncated ? exchange_failure::ClosedInAnswer : exchange_failure::Malformed);
     }
+    const std::shared_ptr<const exchange_handlers> handlers = m_handlers;
     if (m_parser->hasHead() && !m_headReported) {
         m_headReported = true;
         http_response_head head = m_parser->takeResponseHead();
         parseKeepAlive(head);
-        if (m_handlers.head)
-            m_handlers.head(std::move(head));
+        if (handlers && handlers->head)
+            handlers->head(std::move(head));
     }
     if (m_state != state::Exchanging)
         return;
     std::string body = m_parser->takeBody();
-    if (!body.empty() && m_handlers.body)
-        m_handlers.body(std::move(body));
+    if (!body.empty() && handlers && handlers->body)
+        handlers->body(std::move(body));
     if (m_state == state::Exchanging && m_parser->isComplete())
         complete();
 }
@@ -167,7 +166,7 @@
 {
     // Not reusable if the response completed before the whole request was written, or if further bytes follow it.
     const bool reusable = m_peerKeepsAlive && m_requestWritten && m_input.empty();
-    exchange_handlers handlers = std::exchange(m_handlers, {});
+    const std::shared_ptr<const exchange_handlers> handlers = std::exchange(m_handlers, nullptr);
     m_idleSince = std::chrono::steady_clock::now();
     m_parser.reset();
     if (reusable) {
@@ -176,16 +175,16 @@
     } else {
         close();
     }
-    if (handlers.completed)
-        handlers.completed();
+    if (handlers && handlers->completed)
+        handlers->completed();
 }
 
 void client_connection::fail(exchange_failure failure)
 {
-    exchange_handlers handlers = std::exchange(m_handlers, {});
+    const std::shared_ptr<const exchange_handlers> handlers = std::exchange(m_handlers, nullptr);
     close();
-    if (handlers.failed)
-        handlers.failed(failure);
+    if (handlers && handlers->failed)
+        handlers->failed(failure);
 }
 
 void client_connection::close()
--- a/packages/http/client_connection.h
+++ b/packages/http/client_connection.h
@@ -94,7 +94,8 @@
     bool m_requestWritten = false;
     bool m_sentAny = false;
     bool m_used = false;
-    exchange_handlers m_handlers;
+    // Shared, since a handler that cancels its own exchange must outlive its call.
+    std::shared_ptr<const exchange_handlers> m_handlers;
     std::array<char, 8192> m_readBuffer {};
     std::string m_input;
     std::unique_ptr<http_parser> m_parser;
