--- a/tests/decisions/forwarding/forwarding_reducer_test.cpp
+++ b/tests/decisions/forwarding/forwarding_reducer_test.cpp
@@ -294,6 +294,35 @@
     cr_assert_null(entry.effect<share_crash_records>());
 }
 
+// Guards against deaths that nobody sees: the endpoint has no agent, or its agent is frozen.
+Test(forwarding_reducer, an_endpoint_whose_attempt_broke_is_probed)
+{
+    entry entry;
+    entry.request("/read/x");
+    const auto broken = entry.effect<send_attempt>()->endpoint;
+    entry.endAttempt(attempt_ending::NoAnswer);
+    const auto* const probe = entry.effect<probe_endpoint>();
+    cr_assert_not_null(probe);
+    cr_assert(probe->endpoint == broken);
+    cr_assert_eq(probe->address, endpoint(broken.str(), ledger).address);
+    entry.handle(endpoint_probed { entry.now, broken, false });
+    cr_assert_null(entry.effect<share_crash_records>());
+    entry.handle(endpoint_probed { entry.now, broken, true });
+    cr_assert_not_null(entry.effect<share_crash_records>());
+}
+
+// Guards against the retry of a request that the end of its attempt convicts.
+Test(forwarding_reducer, a_convicted_request_is_not_sent_again)
+{
+    entry entry;
+    entry.handle(crash_records_received { entry.now, { { .key = { suspect_kind::Request, 77 }, .deaths = { { 1, 3s } } } } });
+    entry.request("/read/x");
+    entry.handle(endpoint_probed { entry.now, entry.effect<send_attempt>()->endpoint, true });
+    entry.endAttempt(attempt_ending::NoAnswer);
+    cr_assert_null(entry.effect<send_attempt>());
+    cr_assert(entry.refusedWith(refusal_reason::OutcomeUnknown));
+}
+
 // Guards against a wave of repeats that takes an endpoint each before the first death is known to convict.
 Test(forwarding_reducer, a_suspected_request_runs_alone)
 {
