--- a/packages/datagrams/crash_codec.cpp
+++ b/packages/datagrams/crash_codec.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -15,6 +16,8 @@
 constexpr char requestCode = 'r';
 constexpr char promptPartCode = 'p';
 constexpr std::size_t maxDeathsRead = 16;
+// Longer than any record is kept. Larger ages, as of a damaged datagram, are cut.
+constexpr std::uint64_t maxAge = std::chrono::duration_cast<duration>(std::chrono::hours(24)).count();
 
 char codeOf(suspect_kind kind)
 {
@@ -36,9 +39,11 @@
         body[member] = age->count();
 }
 
-std::optional<duration> ageFrom(const json& body, const char* member)
+duration ageFrom(const json& value) { return duration(static_cast<duration::rep>(std::min(value.get<std::uint64_t>(), maxAge))); }
+
+std::optional<duration> optionalAgeFrom(const json& body, const char* member)
 {
-    return body.contains(member) ? std::optional(duration(body.at(member).get<std::uint64_t>())) : std::nullopt;
+    return body.contains(member) ? std::optional(ageFrom(body.at(member))) : std::nullopt;
 }
 
 } // namespace
@@ -62,14 +67,14 @@
     if (!kind)
         return std::nullopt;
     crash_record result { .key = { *kind, record.at("i").get<std::uint64_t>() },
-        .soundAge = ageFrom(record, "s"),
-        .convictedAge = ageFrom(record, "c"),
-        .trialAge = ageFrom(record, "t"),
-        .seenAge = duration(record.at("a").get<std::uint64_t>()),
+        .soundAge = optionalAgeFrom(record, "s"),
+        .convictedAge = optionalAgeFrom(record, "c"),
+        .trialAge = optionalAgeFrom(record, "t"),
+        .seenAge = ageFrom(record.at("a")),
         .position = record.value("p", 0U) };
     for (const json& death : record.at("d")) {
         if (result.deaths.size() < maxDeathsRead)
-            result.deaths.push_back({ death.at(0).get<std::uint64_t>(), duration(death.at(1).get<std::uint64_t>()), duration(death.at(2).get<std::uint64_t>()) });
+            result.deaths.push_back({ death.at(0).get<std::uint64_t>(), ageFrom(death.at(1)), ageFrom(death.at(2)) });
     }
     return result;
 }
--- a/packages/decisions/crashes/death_detector.cpp
+++ b/packages/decisions/crashes/death_detector.cpp
@@ -9,6 +9,8 @@
     if (hasDied(attempt.endpoint))
         return true;
     m_broken.push_back(std::move(attempt));
+    if (m_broken.size() > maxBrokenAttempts)
+        m_broken.pop_front();
     return false;
 }
 
--- a/packages/decisions/crashes/death_detector.h
+++ b/packages/decisions/crashes/death_detector.h
@@ -4,6 +4,8 @@
 #include "model/identifiers.h"
 #include "model/time.h"
 
+#include <cstddef>
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -43,11 +45,13 @@
 
     // How long a death is remembered, for attempts whose end is seen later.
     static constexpr duration deathRetention = std::chrono::seconds(10);
+    // Attempts that are kept at most; the oldest are forgotten.
+    static constexpr std::size_t maxBrokenAttempts = 4096;
     // Shortest time between two probes of one endpoint.
     static constexpr duration probeInterval = std::chrono::seconds(1);
 
 private:
-    std::vector<broken_attempt> m_broken;
+    std::deque<broken_attempt> m_broken;
     std::map<endpoint_id, instant> m_deaths;
     std::map<endpoint_id, instant> m_probes;
 };
--- a/packages/decisions/forwarding/forwarding_reducer_crashes.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_crashes.cpp
@@ -123,7 +123,7 @@
 void forwarding_reducer::recordBreakdown(instant now, const broken_attempt& attempt, std::string_view source)
 {
     const std::uint64_t endpoint = hashOf(attempt.endpoint, m_fleet.startedAtMs(attempt.endpoint));
-    // The request itself, then the parts of its prompt; later parts first, since they explain the death better.
+    // Later parts of the prompt first, since they explain the death better, and the request itself last.
     for (std::size_t index = attempt.suspects.size(); index-- > 0;)
         m_crashes.accuse(now, attempt.suspects[index], { endpoint, attempt.sentAt, attempt.brokenAt, static_cast<std::uint32_t>(index) });
     for (const suspect_key& key : attempt.suspects) {
--- a/tests/datagrams/datagram_codec_test.cpp
+++ b/tests/datagrams/datagram_codec_test.cpp
@@ -69,6 +69,16 @@
     cr_assert_not(suspectOfRowKey("r12x").has_value());
 }
 
+// Guards against a damaged record that lasts for ever since it seems to come from the future.
+Test(datagram_codec, ages_of_crash_records_are_bounded)
+{
+    const auto row = decodeCrashRow(R"({"k":"r","i":7,"d":[[1,18446744073709551615,9223372036854775808]],"a":18446744073709551615,"c":9223372036854775807})");
+    cr_assert(row.has_value());
+    cr_assert(row->seenAge == 24h && row->convictedAge == duration(24h));
+    cr_assert(row->deaths[0].age == 24h && row->deaths[0].ranFor == 24h);
+    cr_assert_not(decodeCrashRow(R"({"k":"r","i":7,"d":[[1,-5]],"a":1})").has_value());
+}
+
 Test(datagram_codec, deaths_pass)
 {
     const auto death = std::get<endpoint_death>(*decodeDatagram(encodeDatagram(endpoint_death { "10.0.0.1:81", 1'700'000'000'000 })));
