--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -1,5 +1,7 @@
 #include "decisions/forwarding/forwarding_reducer.h"
 
+#include "decisions/forwarding/durations.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -42,16 +44,6 @@
 // For callers and routes that set no timeout.
 constexpr duration defaultTimeout = std::chrono::seconds(60);
 
-duration scaled(duration time, double factor)
-{
-    return duration(static_cast<duration::rep>(static_cast<double>(time.count()) * factor));
-}
-
-std::string millisecondsText(duration time)
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
-}
-
 } // namespace
 
 std::string_view nameOf(refusal_reason reason)
--- a/packages/decisions/forwarding/forwarding_reducer_crashes.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_crashes.cpp
@@ -1,5 +1,6 @@
 #include "decisions/forwarding/forwarding_reducer.h"
 
+#include "decisions/forwarding/durations.h"
 #include "decisions/membership/rendezvous.h"
 
 #include <algorithm>
@@ -34,16 +35,6 @@
 // An attempt with as many pieces of its answer has begun without harm to its endpoint.
 constexpr std::uint32_t soundAnswerPieces = 2;
 
-std::string millisecondsText(duration time)
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
-}
-
-duration scaledBy(duration time, double factor)
-{
-    return duration(static_cast<duration::rep>(static_cast<double>(time.count()) * factor));
-}
-
 std::string suspectText(const suspect_key& key)
 {
     return (key.kind == suspect_kind::Request ? "request:" : "part:") + std::to_string(key.id);
@@ -192,7 +183,7 @@
 {
     for (const auto& [key, isOwn] : m_crashes.takeNewConvictions()) {
         m_effects.emplace_back(log_decision { "suspect_convicted", {}, { { "suspect", suspectText(key) } } });
-        m_unstoredSuspects.try_emplace(key, isOwn ? now : now + minStoreDelay + scaledBy(storeDelayJitter, randomFraction()));
+        m_unstoredSuspects.try_emplace(key, isOwn ? now : now + minStoreDelay + scaled(storeDelayJitter, randomFraction()));
         for (const request_number number : requestsAwaitingAnswer(key)) {
             m_fleet.recordCancellation(m_requests.at(number).currentEndpoint);
             m_effects.emplace_back(cancel_forwarded_request { number });
@@ -250,7 +241,7 @@
 {
     for (const suspect_key& key : m_crashes.removeExpired(now)) {
         if (m_storedSuspects.contains(key))
-            m_expiredRows.try_emplace(key, now + scaledBy(storeDelayJitter, randomFraction()));
+            m_expiredRows.try_emplace(key, now + scaled(storeDelayJitter, randomFraction()));
     }
     std::erase_if(m_expiredRows, [&](const auto& entry) {
         if (now < entry.second)
@@ -291,7 +282,7 @@
     for (const suspect_key& key : m_crashes.convicted()) {
         const auto stored = m_storedSuspects.find(key);
         if (stored == m_storedSuspects.end() || !stored->second.isConvicted)
-            m_unstoredSuspects.try_emplace(key, event.now + minStoreDelay + scaledBy(storeDelayJitter, randomFraction()));
+            m_unstoredSuspects.try_emplace(key, event.now + minStoreDelay + scaled(storeDelayJitter, randomFraction()));
     }
     refuseNewlyConvicted(event.now);
 }
--- a/packages/decisions/forwarding/forwarding_reducer_news.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_news.cpp
@@ -1,5 +1,7 @@
 #include "decisions/forwarding/forwarding_reducer.h"
 
+#include "decisions/forwarding/durations.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -13,11 +15,6 @@
 // processing and one of the request's few attempts.
 constexpr double moveStreamsPaceThreshold = 2.0;
 
-std::string millisecondsText(duration time)
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
-}
-
 } // namespace
 
 void forwarding_reducer::on(const configuration_read& event)
