Crash record writer: one function queues writes and removals

Cause, found on a second reading: put and remove were copies of each other, and two comments still spoke of convicted suspects only. Change: both call enqueue; the comments say what the rows hold. No behaviour changes.

--- a/packages/datagrams/crash_codec.h
+++ b/packages/datagrams/crash_codec.h
@@ -15,7 +15,7 @@
 // missing or has another type.
 std::optional<crash_record> crashRecordFromJson(const nlohmann::json& record);
 
-// Table of the store that holds a row for each convicted suspect.
+// Table of the store with a row for each suspect that entries remember though all of them restart.
 constexpr std::string_view crashTable = "appleramp-crashes";
 std::string crashRowKey(const suspect_key& key);
 // None if the row was not written by this version.
--- a/packages/directentry/crash_record_writer.cpp
+++ b/packages/directentry/crash_record_writer.cpp
@@ -28,17 +28,14 @@
 {
 }
 
-void crash_record_writer::put(const crash_record& record)
-{
-    if (m_pending.size() < maxPendingRows)
-        m_pending.insert_or_assign(crashRowKey(record.key), encodeCrashRow(record));
-    write();
-}
+void crash_record_writer::put(const crash_record& record) { enqueue(record.key, encodeCrashRow(record)); }
+
+void crash_record_writer::remove(const suspect_key& key) { enqueue(key, {}); }
 
-void crash_record_writer::remove(const suspect_key& key)
+void crash_record_writer::enqueue(const suspect_key& key, std::string value)
 {
     if (m_pending.size() < maxPendingRows)
-        m_pending.insert_or_assign(crashRowKey(key), std::string());
+        m_pending.insert_or_assign(crashRowKey(key), std::move(value));
     write();
 }
 
--- a/packages/directentry/crash_record_writer.h
+++ b/packages/directentry/crash_record_writer.h
@@ -13,7 +13,7 @@
 
 class row_store;
 
-// Writes the records of convicted suspects to the store's table, and retries until the store confirms them.
+// Writes the records of suspects that must be remembered to the store's table, and retries until the store confirms them.
 class crash_record_writer {
 public:
     crash_record_writer(boost::asio::io_context& loop, row_store& store, std::minstd_rand::result_type seed);
@@ -22,6 +22,8 @@
     void remove(const suspect_key& key);
 
 private:
+    // An empty value deletes the row.
+    void enqueue(const suspect_key& key, std::string value);
     void write();
     void retryLater();
 
