Entries, agents: log the limits that endpoints name

Cause: nothing in the logs told whether an entry had been told a limit. No decision depends on it yet.

--- a/packages/decisions/forwarding/forwarding_events.h
+++ b/packages/decisions/forwarding/forwarding_events.h
@@ -2,6 +2,7 @@
 
 #include "decisions/forwarding/attempt_ending.h"
 #include "model/crash_news.h"
+#include "model/endpoint_limit.h"
 #include "model/endpoint_news.h"
 #include "model/identifiers.h"
 #include "model/routing.h"
@@ -59,6 +60,13 @@
     endpoint_id endpoint;
 };
 
+// The head of an answer has come, and says this of the requests that its endpoint takes.
+struct endpoint_limit_stated {
+    instant now;
+    request_number request = 0;
+    limit_statement statement;
+};
+
 // The endpoint's whole answer has been sent to the caller.
 struct attempt_succeeded {
     instant now;
@@ -193,6 +201,6 @@
 using forwarding_event = std::variant<request_arrived, attempt_ended, attempt_succeeded, stream_advanced, service_wait_ended,
     caller_disconnected, deadline_passed,
     configuration_read, out_of_service_zones_changed, endpoint_listed, endpoint_unlisted, registry_read,
-    registry_access_changed, registry_restored, endpoint_leaving_announced, endpoint_load_received, endpoint_death_reported, endpoint_probed, load_subset_changed, entry_presence_received, crash_records_received, crash_table_read, entry_count_read, timer_ticked>;
+    registry_access_changed, registry_restored, endpoint_leaving_announced, endpoint_limit_stated, endpoint_load_received, endpoint_death_reported, endpoint_probed, load_subset_changed, entry_presence_received, crash_records_received, crash_table_read, entry_count_read, timer_ticked>;
 
 } // namespace appleramp
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -98,6 +98,7 @@
     void on(const registry_access_changed& event);
     void on(const registry_restored& event);
     void on(const endpoint_leaving_announced& event);
+    void on(const endpoint_limit_stated& event);
     void on(const endpoint_load_received& event);
     void on(const endpoint_death_reported& event);
     void on(const endpoint_probed& event);
@@ -183,6 +184,8 @@
     std::map<suspect_key, instant> m_expiredRows;
     endpoint_fleet m_fleet;
     entry_peers m_peers;
+    // Limits that endpoints named last.
+    std::map<endpoint_id, limit_statement> m_namedLimits;
     std::map<service_id, stream_pace> m_streamPaces;
     std::map<service_id, brief_outage> m_outages;
     std::map<request_number, request_state> m_requests;
--- a/packages/decisions/forwarding/forwarding_reducer_news.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_news.cpp
@@ -15,6 +15,13 @@
 // processing and one of the request's few attempts.
 constexpr double moveStreamsPaceThreshold = 2.0;
 
+struct limit_text {
+    std::string operator()(const limit_not_stated&) const { return "not_stated"; }
+    std::string operator()(const no_limit&) const { return "none"; }
+    std::string operator()(const request_limit& limit) const { return std::to_string(limit.requestsPerSecond); }
+    std::string operator()(const unreadable_limit& limit) const { return "unreadable: " + limit.value; }
+};
+
 } // namespace
 
 void forwarding_reducer::on(const configuration_read& event)
@@ -105,6 +112,21 @@
 
 void forwarding_reducer::on(const endpoint_leaving_announced& event) { recordLeaving(event.now, event.endpoint, "answer"); }
 
+void forwarding_reducer::on(const endpoint_limit_stated& event)
+{
+    const auto found = m_requests.find(event.request);
+    if (found == m_requests.end() || std::holds_alternative<limit_not_stated>(event.statement))
+        return;
+    const endpoint_id& endpoint = found->second.currentEndpoint;
+    const std::string limit = std::visit(limit_text {}, event.statement);
+    const auto [known, isFirst] = m_namedLimits.try_emplace(endpoint, no_limit {});
+    if (std::visit(limit_text {}, std::exchange(known->second, event.statement)) != limit)
+        m_effects.emplace_back(log_decision { "endpoint_limit_stated", found->second.caller.sendId,
+            { { "endpoint", endpoint.str() }, { "limit", limit }, { "answer_age_ms", millisecondsText(event.now - found->second.sentAt) } } });
+    if (std::holds_alternative<no_limit>(known->second))
+        m_namedLimits.erase(known);
+}
+
 void forwarding_reducer::recordLeaving(instant now, const endpoint_id& endpoint, std::string_view source)
 {
     if (m_fleet.recordLeaving(now, endpoint))
--- a/packages/directagent/direct_agent_process.cpp
+++ b/packages/directagent/direct_agent_process.cpp
@@ -160,6 +160,7 @@
     void onReport(const std::optional<http_response>& answer)
     {
         noteLeaving(answer);
+        noteLimit(answer);
         auto report = answer && answer->head.status == 200 ? m_platform.readReport(answer->body) : std::nullopt;
         if (report.has_value() != m_report.has_value())
             m_log.write(now(), report ? "engine_regained" : "engine_lost", {}, { { "engine", m_engine.address() } });
@@ -206,6 +207,15 @@
             m_log.write(now(), "engine_leaving", {}, { { "engine", m_engine.address() } });
     }
 
+    void noteLimit(const std::optional<http_response>& answer)
+    {
+        const limit_statement limit = answer ? m_platform.namedLimit(answer->head) : limit_not_stated {};
+        const auto* const named = std::get_if<request_limit>(&limit);
+        const auto rate = named ? std::optional(named->requestsPerSecond) : std::nullopt;
+        if (rate != std::exchange(m_namedLimit, rate))
+            m_log.write(now(), "engine_limit", {}, { { "engine", m_engine.address() }, { "limit", rate ? std::to_string(*rate) : "none" } });
+    }
+
     // The engine has ended if nothing listens at its address any more, or if another one was started there.
     void noteDeath(const std::optional<engine_report>& report)
     {
@@ -564,6 +574,8 @@
     bool m_readDue = true;
     bool m_listsDue = false;
     bool m_switching = false;
+    // Requests per second that the engine named in its last report.
+    std::optional<double> m_namedLimit;
     bool m_isLeaving = false;
     std::uint64_t m_datagramsDropped = 0;
     instant m_dropsLoggedAt;
--- a/packages/directentry/caller_exchange.cpp
+++ b/packages/directentry/caller_exchange.cpp
@@ -178,6 +178,8 @@
     m_isEndpointLeaving = reading.leaving;
     if (reading.leaving)
         m_services.post(endpoint_leaving_announced { m_services.now(), m_attempt.endpoint });
+    if (!std::holds_alternative<limit_not_stated>(reading.limit))
+        m_services.post(endpoint_limit_stated { m_services.now(), m_number, reading.limit });
     switch (reading.kind) {
     case response_kind::Unmatched:
         m_endpoint->cancel();
--- a/packages/ports/platform_adapter.h
+++ b/packages/ports/platform_adapter.h
@@ -3,6 +3,7 @@
 #include "decisions/forwarding/forwarding_events.h"
 #include "decisions/groups/rank_state.h"
 #include "http/http_message.h"
+#include "model/endpoint_limit.h"
 #include "model/endpoint_news.h"
 #include "model/routing.h"
 #include "ports/row_store.h"
@@ -58,6 +59,8 @@
     std::optional<duration> retryAfter;
     // The endpoint that was addressed announces that it leaves.
     bool leaving = false;
+    // What the endpoint that was addressed says of the requests that it takes.
+    limit_statement limit;
 };
 
 // A caller's request for addresses of entries.
@@ -121,6 +124,8 @@
     virtual http_request_head reportRequest(const std::string& address) const = 0;
     // Whether an engine announces in its answer that it leaves.
     virtual bool announcesLeaving(const http_response_head& answer) const = 0;
+    // The limit that an engine names in its answer.
+    virtual limit_statement namedLimit(const http_response_head& answer) const = 0;
     virtual std::optional<engine_report> readReport(std::string_view body) const = 0;
     virtual http_request_head expertListsRequest(const std::string& address) const = 0;
     virtual std::optional<engine_expert_lists> readExpertLists(std::string_view body) const = 0;
