--- /dev/null
+++ b/tests/decisions/limits/limit_world.cpp
@@ -0,0 +1,252 @@
+#include "decisions/limits/limit_world.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace appleramp::tests {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr duration tickInterval = 100ms;
+constexpr duration presenceInterval = 700ms;
+constexpr std::uint32_t slots = 12;
+const service_id service("service");
+const availability_zone_id zone("a");
+
+routing_configuration configuration()
+{
+    route route;
+    route.name = "read";
+    route.host = "a.example";
+    route.prefix = "/read/";
+    route.kind = route_kind::Idempotent;
+    route.services = { { service, 1 } };
+    route.timeout = 8s;
+    route.latencyTarget = 500ms;
+    route.maxAttempts = 2;
+    routing_configuration result;
+    result.version = 1;
+    result.routes = { route };
+    return result;
+}
+
+std::string nameOfEntry(std::size_t entry) { return "entry-" + std::to_string(entry); }
+endpoint_id idOf(std::size_t endpoint) { return endpoint_id("i-" + std::to_string(endpoint)); }
+std::string addressOf(std::size_t endpoint) { return "10.0.0." + std::to_string(endpoint) + ":80"; }
+
+} // namespace
+
+struct limit_world::entry_state {
+    std::unique_ptr<forwarding_reducer> reducer;
+    std::uint64_t life = 0;
+    instant cutUntil;
+    instant presenceToldAt;
+    // When this life of the entry first passed on an answer with a limit, by endpoint.
+    std::map<std::size_t, instant> toldAt;
+};
+
+limit_world::limit_world(limit_world_settings settings)
+    : m_settings(settings)
+    , m_random(settings.seed)
+    , m_now(1s)
+{
+    for (std::size_t entry = 0; entry < settings.entries; ++entry)
+        m_entries.push_back(std::make_unique<entry_state>());
+    for (std::size_t entry = 0; entry < settings.entries; ++entry)
+        startEntry(entry);
+    schedule(1s, [this] { sendNext(); });
+}
+
+limit_world::~limit_world() = default;
+
+double limit_world::fraction() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
+
+void limit_world::schedule(duration delay, std::function<void()> action)
+{
+    m_schedule.push({ m_now + delay, ++m_order, std::move(action) });
+}
+
+void limit_world::at(duration time, std::function<void()> action) { m_schedule.push({ instant(time), ++m_order, std::move(action) }); }
+
+void limit_world::runUntil(duration time)
+{
+    while (!m_schedule.empty() && m_schedule.top().when <= instant(time)) {
+        const scheduled next = m_schedule.top();
+        m_schedule.pop();
+        m_now = std::max(m_now, next.when);
+        next.action();
+    }
+    m_now = instant(time);
+}
+
+std::vector<endpoint_record> limit_world::registry() const
+{
+    std::vector<endpoint_record> records;
+    for (std::size_t endpoint = 0; endpoint < m_settings.endpoints; ++endpoint)
+        records.push_back({ idOf(endpoint), service, addressOf(endpoint), zone, slots, false, {}, endpoint + 1 });
+    return records;
+}
+
+void limit_world::startEntry(std::size_t entry)
+{
+    entry_state& state = *m_entries[entry];
+    forwarding_settings settings;
+    settings.zone = zone;
+    settings.seed = m_random();
+    settings.retryBudget = { .requestFraction = 0.2, .baseRetries = 92, .window = 10s };
+    state.reducer = std::make_unique<forwarding_reducer>(m_now, settings);
+    state.toldAt.clear();
+    ++state.life;
+    post(entry, entry_count_read { m_now, m_entries.size(), m_entries.size() - 1, entry });
+    post(entry, configuration_read { m_now, m_now, configuration() });
+    post(entry, registry_read { m_now, registry() });
+    post(entry, crash_table_read { m_now, true, {}, {} });
+    tickEntry(entry, state.life);
+}
+
+void limit_world::restartEntry(std::size_t entry) { startEntry(entry); }
+
+void limit_world::cutEntry(std::size_t entry, duration length) { m_entries[entry]->cutUntil = m_now + length; }
+
+void limit_world::changeLimit(double limit) { m_settings.limit = limit; }
+
+void limit_world::tickEntry(std::size_t entry, std::uint64_t life)
+{
+    entry_state& state = *m_entries[entry];
+    if (state.life != life)
+        return;
+    post(entry, configuration_read { m_now, m_now, std::nullopt });
+    post(entry, timer_ticked { m_now });
+    if (m_now - state.presenceToldAt >= presenceInterval) {
+        state.presenceToldAt = m_now;
+        const std::string name = nameOfEntry(entry);
+        tellOthers(entry, entry_presence_received { m_now, { instance_id(name), zone, name, true, 1 } });
+    }
+    schedule(tickInterval, [this, entry, life] { tickEntry(entry, life); });
+}
+
+void limit_world::tell(std::size_t entry, std::size_t other, const forwarding_event& event)
+{
+    const bool isCut = m_now < m_entries[entry]->cutUntil || m_now < m_entries[other]->cutUntil;
+    if (isCut || fraction() < m_settings.datagramLoss)
+        return;
+    schedule(m_settings.datagramDelay, [this, other, event] {
+        forwarding_event arrived = event;
+        std::visit([this](auto& concrete) {
+            if constexpr (requires { concrete.now; })
+                concrete.now = m_now;
+        },
+            arrived);
+        post(other, arrived);
+    });
+}
+
+void limit_world::tellOthers(std::size_t entry, const forwarding_event& event)
+{
+    for (std::size_t other = 0; other < m_entries.size(); ++other) {
+        if (other != entry)
+            tell(entry, other, event);
+    }
+}
+
+void limit_world::sendNext()
+{
+    const request_number number = ++m_lastRequest;
+    m_outcomes[number].when = m_now;
+    caller_request caller;
+    caller.host = "a.example";
+    caller.path = "/read/x";
+    caller.sendId = "s" + std::to_string(number);
+    caller.timeout = m_settings.callerTimeout;
+    caller.contentHash = number;
+    post(std::uniform_int_distribution<std::size_t>(0, m_entries.size() - 1)(m_random), request_arrived { m_now, number, caller });
+    schedule(duration(static_cast<duration::rep>(2 * fraction() * static_cast<double>(m_settings.requestInterval.count()))), [this] { sendNext(); });
+}
+
+void limit_world::post(std::size_t entry, const forwarding_event& event)
+{
+    for (const forwarding_effect& effect : m_entries[entry]->reducer->handle(event))
+        carryOut(entry, effect);
+}
+
+void limit_world::carryOut(std::size_t entry, const forwarding_effect& effect)
+{
+    const std::uint64_t life = m_entries[entry]->life;
+    if (const auto* const attempt = std::get_if<send_attempt>(&effect))
+        reachEndpoint(entry, *attempt);
+    else if (const auto* const refusal = std::get_if<refuse_request>(&effect))
+        m_outcomes[refusal->request].isRefused = true;
+    else if (const auto* const wait = std::get_if<wait_for_service>(&effect))
+        schedule(wait->until - m_now, [this, entry, life, number = wait->request] {
+            if (m_entries[entry]->life == life)
+                post(entry, service_wait_ended { m_now, number });
+        });
+}
+
+bool limit_world::isNaming(std::size_t endpoint) const
+{
+    return endpoint < m_settings.limited && m_now >= instant(m_settings.namedFrom) && m_now < instant(m_settings.namedUntil);
+}
+
+void limit_world::reachEndpoint(std::size_t entry, const send_attempt& attempt)
+{
+    const auto endpoint = static_cast<std::size_t>(std::stoul(attempt.endpoint.str().substr(2)));
+    const auto& toldAt = m_entries[entry]->toldAt;
+    const auto told = toldAt.find(endpoint);
+    m_arrivals.push_back({ m_now, endpoint, m_settings.limit, told != toldAt.end() && m_now - told->second >= toldBefore });
+    schedule(m_settings.answerTime, [this, entry, endpoint, life = m_entries[entry]->life, number = attempt.request] {
+        entry_state& state = *m_entries[entry];
+        if (state.life != life)
+            return;
+        limit_statement statement = no_limit {};
+        if (isNaming(endpoint)) {
+            statement = request_limit { m_settings.limit };
+            state.toldAt.try_emplace(endpoint, m_now);
+        }
+        post(entry, endpoint_limit_stated { m_now, number, statement });
+        post(entry, attempt_succeeded { m_now, number });
+    });
+}
+
+double limit_world::worstWindow() const
+{
+    const instant from = instant(m_settings.namedFrom) + contactTime;
+    double worst = 0;
+    for (auto last = m_arrivals.begin(); last != m_arrivals.end(); ++last) {
+        if (last->when < from || last->when >= instant(m_settings.namedUntil) || last->endpoint >= m_settings.limited)
+            continue;
+        std::size_t counted = 0;
+        double limit = last->limit;
+        for (auto each = std::make_reverse_iterator(std::next(last)); each != m_arrivals.rend() && last->when - each->when < window; ++each) {
+            limit = std::max(limit, each->limit);
+            counted += each->endpoint == last->endpoint && each->isCounted ? 1 : 0;
+        }
+        const double seconds = std::chrono::duration<double>(window).count();
+        worst = std::max(worst, static_cast<double>(counted) / (allowedFactor * limit * seconds + allowedMore));
+    }
+    return worst;
+}
+
+std::size_t limit_world::arrivals(std::size_t endpoint, duration from, duration until) const
+{
+    return static_cast<std::size_t>(std::count_if(m_arrivals.begin(), m_arrivals.end(), [&](const arrival& each) {
+        return each.endpoint == endpoint && each.when >= instant(from) && each.when < instant(until);
+    }));
+}
+
+std::size_t limit_world::refused(duration from, duration until) const
+{
+    return static_cast<std::size_t>(std::count_if(m_outcomes.begin(), m_outcomes.end(), [&](const auto& each) {
+        return each.second.isRefused && each.second.when >= instant(from) && each.second.when < instant(until);
+    }));
+}
+
+std::size_t limit_world::sent(duration from, duration until) const
+{
+    return static_cast<std::size_t>(std::count_if(m_outcomes.begin(), m_outcomes.end(),
+        [&](const auto& each) { return each.second.when >= instant(from) && each.second.when < instant(until); }));
+}
+
+} // namespace appleramp::tests
