--- a/packages/datagrams/datagram_codec.cpp
+++ b/packages/datagrams/datagram_codec.cpp
@@ -2,6 +2,7 @@
 
 #include "datagrams/crash_codec.h"
 #include "datagrams/group_codec.h"
+#include "datagrams/limit_codec.h"
 
 #include <nlohmann/json.hpp>
 
@@ -33,7 +34,7 @@
     json operator()(const endpoint_load& load) const
     {
         return { { "k", "l" }, { "a", load.address }, { "r", load.running }, { "w", load.waiting },
-            { "p", std::lround(load.slowdownFactor * paceScale) }, { "o", load.groupOpen }, { "n", load.subscribers }, { "x", load.leaving }, { "t", load.startedAtMs } };
+            { "p", std::lround(load.slowdownFactor * paceScale) }, { "o", load.groupOpen }, { "n", load.subscribers }, { "x", load.leaving }, { "t", load.startedAtMs }, { "q", limitStatementToJson(load.limit) } };
     }
     json operator()(const endpoint_death& death) const { return { { "k", "d" }, { "a", death.address }, { "t", death.startedAtMs } }; }
     json operator()(const load_subscription& subscription) const { return { { "k", "u" }, { "z", subscription.zone.str() }, { "g", subscription.storeGeneration } }; }
@@ -44,6 +45,7 @@
             records.push_back(crashRecordToJson(record));
         return { { "k", "c" }, { "r", std::move(records) } };
     }
+    json operator()(const endpoint_limit_records& told) const { return { { "k", "m" }, { "r", limitRecordsToJson(told.records) } }; }
     json operator()(const relay_request& relayed) const
     {
         return { { "k", "r" }, { "t", relayed.targets },
@@ -83,7 +85,7 @@
 endpoint_load loadFromJson(const json& body)
 {
     return { body.at("a").get<std::string>(), body.at("r").get<std::uint32_t>(), body.at("w").get<std::uint32_t>(),
-        body.at("p").get<double>() / paceScale, body.at("o").get<bool>(), body.value("n", 0U), body.value("x", false), body.value("t", std::uint64_t { 0 }) };
+        body.at("p").get<double>() / paceScale, body.at("o").get<bool>(), body.value("n", 0U), body.value("x", false), body.value("t", std::uint64_t { 0 }), limitStatementFromJson(body.value("q", json())) };
 }
 
 instant askedAtFromJson(const json& body) { return instant(duration(body.at("t").get<duration::rep>())); }
@@ -146,6 +148,8 @@
             return freshness_question { askedAtFromJson(body) };
         if (kind == "a")
             return freshnessAnswerFromJson(body);
+        if (kind == "m")
+            return endpoint_limit_records { limitRecordsFromJson(body.at("r")) };
         if (kind == "c")
             return crashRecordsFromJson(body.at("r"));
     } catch (const json::exception&) {
--- a/packages/datagrams/datagram_message.h
+++ b/packages/datagrams/datagram_message.h
@@ -2,6 +2,7 @@
 
 #include "decisions/groups/group_messages.h"
 #include "model/crash_news.h"
+#include "model/endpoint_limit.h"
 #include "model/endpoint_news.h"
 #include "model/freshness_news.h"
 
@@ -17,6 +18,11 @@
     std::vector<crash_record> records;
 };
 
+// What the sender knows of the limits that endpoints name.
+struct endpoint_limit_records {
+    std::vector<endpoint_limit_record> records;
+};
+
 // Carries a message between the agents of one group of model engines.
 struct group_datagram {
     std::string group;
@@ -33,7 +39,7 @@
 };
 
 // Messages that processes send each other as single datagrams.
-using datagram_message = std::variant<entry_presence, zone_presence, endpoint_load, endpoint_death, load_subscription, crash_records, group_datagram, relay_request, freshness_question,
+using datagram_message = std::variant<entry_presence, zone_presence, endpoint_load, endpoint_death, load_subscription, crash_records, endpoint_limit_records, group_datagram, relay_request, freshness_question,
     freshness_answer>;
 
 } // namespace appleramp
--- a/packages/decisions/forwarding/endpoint_fleet.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet.cpp
@@ -28,6 +28,7 @@
     if (isNew) {
         state.pausedUntil = {};
         state.availableSince = now;
+        m_limits.forget(record.id);
     }
     if (record.leaving)
         m_departed.recordUnlisted(now, record);
@@ -47,6 +48,7 @@
         if (atAddress->second.empty())
             m_byAddress.erase(atAddress);
     }
+    m_limits.forget(endpoint);
     m_endpoints.erase(found);
 }
 
@@ -110,6 +112,20 @@
     return state != nullptr && m_departed.recordLeaving(now, state->record);
 }
 
+bool endpoint_fleet::recordLimit(instant now, const endpoint_id& endpoint, instant sentAt, const limit_statement& statement)
+{
+    const endpoint_state* const state = find(endpoint);
+    return state != nullptr && m_limits.recordStatement(now, endpoint, state->record.startedAtMs, sentAt, statement);
+}
+
+endpoint_limits::told_outcome endpoint_fleet::recordToldLimit(instant now, const endpoint_limit_record& record)
+{
+    const endpoint_state* const state = find(record.endpoint);
+    if (state == nullptr || state->record.startedAtMs != record.startedAtMs)
+        return endpoint_limits::told_outcome::Known;
+    return m_limits.recordTold(now, record);
+}
+
 void endpoint_fleet::pause(const endpoint_id& endpoint, instant until)
 {
     if (endpoint_state* const state = find(endpoint))
--- a/packages/decisions/forwarding/endpoint_fleet.h
+++ b/packages/decisions/forwarding/endpoint_fleet.h
@@ -3,6 +3,7 @@
 #include "decisions/forwarding/attempt_ending.h"
 #include "decisions/forwarding/departed_endpoints.h"
 #include "decisions/forwarding/sliding_window_counter.h"
+#include "decisions/limits/endpoint_limits.h"
 #include "model/endpoint_news.h"
 #include "model/routing.h"
 #include "model/time.h"
@@ -41,6 +42,8 @@
     std::span<const endpoint_id> excludedEndpoints;
     // The rate that a cold endpoint of this service bears; zero if it is not limited.
     double coldRequestsPerSecond = 0;
+    // False if other requests go first to endpoints that name a limit.
+    bool allowsLimited = true;
     // In [0, 1): selects the random sample of endpoints, and so breaks ties.
     double randomFraction = 0;
 };
@@ -92,6 +95,19 @@
     std::optional<instant> allPausedUntil(instant now, const service_id& service) const;
     std::size_t pausedCount(instant now) const;
 
+    // The names of all entries, which share the limits of endpoints.
+    void setEntries(std::string_view self, std::span<const std::string> names) { m_limits.setEntries(self, names); }
+    // An answer to a request that was sent at that time states something of the endpoint's limit. Returns true if the other
+    // entries should be told.
+    bool recordLimit(instant now, const endpoint_id& endpoint, instant sentAt, const limit_statement& statement);
+    // Another entry tells of a limit. It is ignored if that incarnation of the endpoint is not known.
+    endpoint_limits::told_outcome recordToldLimit(instant now, const endpoint_limit_record& record);
+    const endpoint_limits& limits() const { return m_limits; }
+    // If all endpoints that the query may choose name limits: when they allow a request of this entry after so many others,
+    // at the latest at that time.
+    std::optional<instant> limitOpensAt(const placement_query& query, std::size_t requestsAhead, instant until);
+    bool areAllLimited(const placement_query& query) const;
+
     // Stores a load report for the endpoint that was started last at its address.
     void recordLoad(instant now, const endpoint_load& load);
 
@@ -172,7 +188,12 @@
     bool isReplaced(const endpoint_state& state) const;
     // Listed as ready, not known to leave, and in a zone that is in service.
     bool isInService(const endpoint_state& state, instant now) const;
-    bool isUsable(const endpoint_state& state, const placement_query& query) const;
+    // The query may choose the endpoint, now or later.
+    bool isEligible(const endpoint_state& state, const placement_query& query) const;
+    // The endpoint takes a request of this entry now: it is not in backoff, asked for no pause, and neither the limit of cold
+    // endpoints nor one that it names is reached.
+    bool takesRequestNow(endpoint_state& state, const placement_query& query);
+    bool isWithinNamedLimit(const endpoint_state& state, const placement_query& query);
     bool isWithinColdRate(endpoint_state& state, const placement_query& query) const;
     load_source loadSourceOf(const std::string& address) const;
     // Fraction in [0, 1), evenly spread over the entries for one endpoint.
@@ -198,6 +219,7 @@
     std::set<std::string> m_reporting;
     std::set<std::string> m_subscribed;
     departed_endpoints m_departed;
+    endpoint_limits m_limits;
     double m_entryPosition = 0;
     bool m_registryLost = false;
     std::optional<instant> m_registryRegainedAt;
--- a/packages/decisions/forwarding/endpoint_fleet_placement.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet_placement.cpp
@@ -111,15 +111,61 @@
     return !state.record.leaving && !m_zonesOutOfService.contains(state.record.zone) && !m_departed.excludes(now, state.record);
 }
 
-bool endpoint_fleet::isUsable(const endpoint_state& state, const placement_query& query) const
+bool endpoint_fleet::isEligible(const endpoint_state& state, const placement_query& query) const
 {
-    if (state.record.service != query.service || !isInService(state, query.now))
-        return false;
-    if (query.now < std::max(state.avoidUntil, state.pausedUntil) || isReplaced(state))
+    if (state.record.service != query.service || !isInService(state, query.now) || isReplaced(state))
         return false;
     return std::find(query.excludedEndpoints.begin(), query.excludedEndpoints.end(), state.record.id) == query.excludedEndpoints.end();
 }
 
+bool endpoint_fleet::takesRequestNow(endpoint_state& state, const placement_query& query)
+{
+    return query.now >= std::max(state.avoidUntil, state.pausedUntil) && isWithinColdRate(state, query) && isWithinNamedLimit(state, query);
+}
+
+bool endpoint_fleet::isWithinNamedLimit(const endpoint_state& state, const placement_query& query)
+{
+    const auto rate = m_limits.currentRate(query.now, state.record.id);
+    if (!rate)
+        return true;
+    // The reports of its agent show when such a limit ends, so no request has to find out.
+    if (*rate <= endpoint_limits::leastRate && hasFreshReport(state, query.now))
+        return false;
+    return query.allowsLimited && m_limits.allowsSend(query.now, state.record.id);
+}
+
+std::optional<instant> endpoint_fleet::limitOpensAt(const placement_query& query, std::size_t requestsAhead, instant until)
+{
+    std::vector<instant> times;
+    for (const auto& [id, state] : m_endpoints) {
+        if (!isEligible(state, query))
+            continue;
+        if (!m_limits.isLimited(query.now, id))
+            return std::nullopt;
+        const auto own = m_limits.sendTimes(query.now, id, until);
+        std::transform(own.begin(), own.end(), std::back_inserter(times),
+            [&state = state](instant time) { return std::max({ time, state.avoidUntil, state.pausedUntil }); });
+    }
+    if (times.size() <= requestsAhead)
+        return std::nullopt;
+    std::nth_element(times.begin(), times.begin() + static_cast<std::ptrdiff_t>(requestsAhead), times.end());
+    const instant opensAt = times[requestsAhead];
+    return opensAt < until ? std::optional(opensAt) : std::nullopt;
+}
+
+bool endpoint_fleet::areAllLimited(const placement_query& query) const
+{
+    bool hasEligible = false;
+    for (const auto& [id, state] : m_endpoints) {
+        if (!isEligible(state, query))
+            continue;
+        if (!m_limits.isLimited(query.now, id))
+            return false;
+        hasEligible = true;
+    }
+    return hasEligible;
+}
+
 // Any endpoint may have turned cold unnoticed, so a limit derived from the cold rate applies to all endpoints.
 bool endpoint_fleet::isWithinColdRate(endpoint_state& state, const placement_query& query) const
 {
@@ -160,7 +206,7 @@
     for (auto& [id, state] : m_endpoints) {
         if (onlySubset && state.source == load_source::None)
             continue;
-        if (isUsable(state, query) && isWithinColdRate(state, query))
+        if (isEligible(state, query) && takesRequestNow(state, query))
             found.push_back(&state);
     }
     return found;
@@ -211,6 +257,7 @@
     ++state->inFlight;
     ++state->sentSinceReport;
     state->recentSends.record(now);
+    m_limits.recordSend(now, endpoint);
     state->lastSend = now;
 }
 
@@ -269,7 +316,7 @@
 {
     return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& entry) {
         const endpoint_state& state = entry.second;
-        return state.record.service == service && isInService(state, now) && entry.first != endpoint && hasFreshReport(state, now) && state.report->slowdownFactor < slowRankPaceThreshold
+        return state.record.service == service && isInService(state, now) && entry.first != endpoint && !m_limits.isLimited(now, entry.first) && hasFreshReport(state, now) && state.report->slowdownFactor < slowRankPaceThreshold
             && now >= std::max(state.avoidUntil, state.pausedUntil);
     });
 }
@@ -279,7 +326,8 @@
     double requests = 0;
     double slots = 0;
     for (const auto& [id, state] : m_endpoints) {
-        if (state.record.service != service || !hasFreshReport(state, now))
+        // The slots of an endpoint that names a limit stay empty whatever the load.
+        if (state.record.service != service || !hasFreshReport(state, now) || m_limits.isLimited(now, id))
             continue;
         requests += state.report->running + state.report->waiting;
         slots += state.record.slots;
--- a/packages/decisions/forwarding/forwarding_effects.h
+++ b/packages/decisions/forwarding/forwarding_effects.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "model/crash_news.h"
+#include "model/endpoint_limit.h"
 #include "model/identifiers.h"
 #include "model/time.h"
 
@@ -99,6 +100,12 @@
     record_recipients recipients = record_recipients::AllEntries;
 };
 
+// Tell other entries of the limits that endpoints name.
+struct share_endpoint_limits {
+    std::vector<endpoint_limit_record> records;
+    record_recipients recipients = record_recipients::AllEntries;
+};
+
 // Write the record of a suspect to the store, for entries that start or can't be told. Retry until it is written.
 struct store_crash_record {
     crash_record record;
@@ -123,7 +130,7 @@
 };
 
 using forwarding_effect = std::variant<send_attempt, refuse_request, wait_for_service, forward_failure_answer, abort_answer, cancel_forwarded_request,
-    share_crash_records, store_crash_record, remove_stored_crash_record, probe_endpoint, log_decision>;
+    share_crash_records, share_endpoint_limits, store_crash_record, remove_stored_crash_record, probe_endpoint, log_decision>;
 using forwarding_effects = std::vector<forwarding_effect>;
 
 } // namespace appleramp
--- a/packages/decisions/forwarding/forwarding_events.h
+++ b/packages/decisions/forwarding/forwarding_events.h
@@ -169,6 +169,12 @@
     entry_presence presence;
 };
 
+// Another entry told what it knows of endpoints' limits.
+struct endpoint_limits_told {
+    instant now;
+    std::vector<endpoint_limit_record> records;
+};
+
 // Another entry told what it knows of suspects.
 struct crash_records_received {
     instant now;
@@ -191,6 +197,8 @@
     std::size_t others = 0;
     // Number of entries whose names are before this one's.
     std::size_t position = 0;
+    // The names of all of them.
+    std::vector<std::string> names;
 };
 
 // Periodic tick for state that expires with time.
@@ -201,6 +209,6 @@
 using forwarding_event = std::variant<request_arrived, attempt_ended, attempt_succeeded, stream_advanced, service_wait_ended,
     caller_disconnected, deadline_passed,
     configuration_read, out_of_service_zones_changed, endpoint_listed, endpoint_unlisted, registry_read,
-    registry_access_changed, registry_restored, endpoint_leaving_announced, endpoint_limit_stated, endpoint_load_received, endpoint_death_reported, endpoint_probed, load_subset_changed, entry_presence_received, crash_records_received, crash_table_read, entry_count_read, timer_ticked>;
+    registry_access_changed, registry_restored, endpoint_leaving_announced, endpoint_limit_stated, endpoint_limits_told, endpoint_load_received, endpoint_death_reported, endpoint_probed, load_subset_changed, entry_presence_received, crash_records_received, crash_table_read, entry_count_read, timer_ticked>;
 
 } // namespace appleramp
--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -166,30 +166,35 @@
 {
     if (request.deadline - now < minTimeLeft) {
         refuse(number, request, request.mayHaveRun ? refusal_reason::TimedOut : refusal_reason::ExpiredBeforeRun, {});
-        m_requests.erase(number);
+        forget(number);
         return;
     }
     if (const auto suspicion = suspicionAgainst(now, number, request)) {
         const bool isFinal = suspicion == refusal_reason::BreaksEndpoints;
         refuse(number, request, request.mayHaveRun ? refusal_reason::OutcomeUnknown : *suspicion, isFinal ? std::nullopt : std::optional(longRetryAfter()));
-        m_requests.erase(number);
+        forget(number);
         return;
     }
     if (deferDuringOutage(now, number, request))
         return;
     if (const auto retryAfter = request.attempts == 0 ? overloadRetryAfter(now, request) : std::nullopt) {
         refuse(number, request, refusal_reason::NoCapacity, retryAfter);
-        m_requests.erase(number);
+        forget(number);
         return;
     }
     const service_description* const service = request.routes->service(request.service);
-    const auto found = m_fleet.choose({ .now = now,
+    const placement_query query { .now = now,
         .service = request.service,
         .zone = m_settings.zone,
         .entryCount = m_peers.entryCount(now),
         .excludedEndpoints = request.triedEndpoints,
         .coldRequestsPerSecond = service == nullptr ? 0 : service->coldRequestsPerSecond,
-        .randomFraction = randomFraction() });
+        .allowsLimited = requestsAhead(number, request) == 0,
+        .randomFraction = randomFraction() };
+    const auto found = m_fleet.choose(query);
+    if (!found && waitForPermit(now, number, request, query))
+        return;
+    leavePermitQueue(number, request);
     if (!found) {
         // Endpoints that are only at their cold rate limit or in backoff accept requests again within a second.
         const bool isTemporary = m_fleet.failureReason(now, request.service) == placement_failure::TemporarilyUnavailable;
@@ -198,9 +203,11 @@
             if (deferDuringOutage(now, number, request))
                 return;
         }
-        const duration retryAfter = isTemporary ? retryAfterPause(now, request.service) : longRetryAfter();
+        duration retryAfter = isTemporary ? retryAfterPause(now, request.service) : longRetryAfter();
+        if (m_fleet.areAllLimited(query))
+            retryAfter = std::max(retryAfter, longRetryAfter());
         refuse(number, request, request.mayHaveRun ? refusal_reason::OutcomeUnknown : refusal_reason::NoCapacity, retryAfter);
-        m_requests.erase(number);
+        forget(number);
         return;
     }
     const auto admission = admission_gate::decide({ .load = found->load,
@@ -212,7 +219,7 @@
         randomFraction());
     if (!admission.admitted && !request.mayHaveRun) {
         refuse(number, request, refusal_reason::NoCapacity, admission.retryAfter);
-        m_requests.erase(number);
+        forget(number);
         return;
     }
     send(now, number, request, *found);
@@ -312,7 +319,7 @@
         return;
     }
     finishFailedRequest(event.request, request, event);
-    m_requests.erase(event.request);
+    forget(event.request);
 }
 
 bool forwarding_reducer::tryTakeRetry(instant now, request_state& request, const attempt_ended& event)
@@ -381,6 +388,7 @@
     if (!request.service.empty()) {
         line.inputs.emplace_back("service", request.service.str());
         line.inputs.emplace_back("sends", std::to_string(request.attempts));
+        line.inputs.emplace_back("limited", std::to_string(m_fleet.limits().limitedCount(m_now)));
         line.inputs.emplace_back("fill", std::to_string(m_fleet.slotUtilization(m_now, request.service)));
         if (const auto pace = m_streamPaces.find(request.service); pace != m_streamPaces.end())
             line.inputs.emplace_back("pause_ms", millisecondsText(pace->second.meanPause()));
@@ -402,7 +410,7 @@
     m_effects.emplace_back(log_decision { "answered", request.caller.sendId,
         { { "endpoint", request.currentEndpoint.str() }, { "took_ms", millisecondsText(event.now - request.arrivedAt) },
             { "sends", std::to_string(request.attempts) } } });
-    m_requests.erase(found);
+    forget(event.request);
 }
 
 void forwarding_reducer::on(const stream_advanced& event)
@@ -426,7 +434,7 @@
     m_effects.emplace_back(log_decision { "caller_left", found->second.caller.sendId,
         { { "endpoint", found->second.currentEndpoint.str() },
             { "after_ms", millisecondsText(event.now - found->second.arrivedAt) } } });
-    m_requests.erase(found);
+    forget(event.request);
 }
 
 void forwarding_reducer::on(const deadline_passed& event)
@@ -441,7 +449,7 @@
         m_effects.emplace_back(abort_answer { event.request });
     else
         refuse(event.request, found->second, refusal_reason::TimedOut, {});
-    m_requests.erase(found);
+    forget(event.request);
 }
 
 } // namespace appleramp
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -13,6 +13,7 @@
 #include "decisions/forwarding/route_table.h"
 #include "decisions/forwarding/shared_retry_budget.h"
 #include "decisions/forwarding/stream_pace.h"
+#include "decisions/limits/permit_queue.h"
 
 #include <map>
 #include <memory>
@@ -29,6 +30,8 @@
     fleet_settings fleet;
     peer_settings peers;
     availability_zone_id zone;
+    // This entry, as the store lists it.
+    std::string instance;
     // Longest pause between two events of a stream that is still on time, for routes that set no pause target.
     duration defaultPauseTarget = std::chrono::milliseconds(200);
     std::uint64_t seed = 1;
@@ -57,6 +60,9 @@
     const crash_ledger& crashes() const { return m_crashes; }
     // What an entry that has just started is told of suspects.
     std::vector<crash_record> recordsForStartingEntry(instant now) const;
+    // What it is told of endpoints' limits.
+    std::vector<endpoint_limit_record> limitsForStartingEntry(instant now) const;
+    std::size_t requestsAwaitingPermit() const { return m_permitQueue.size(); }
 
 private:
     struct request_state {
@@ -75,6 +81,9 @@
         instant sentAt;
         // Until when the request may wait for its service to recover; not set before it first waits.
         instant outageWaitEnd;
+        // As outageWaitEnd, while all endpoints of the service are at their limits.
+        instant permitWaitEnd;
+        bool waitsForPermit = false;
         // An earlier attempt may have been executed.
         bool mayHaveRun = false;
         // What endpoints may die of when they begin to answer.
@@ -99,6 +108,7 @@
     void on(const registry_restored& event);
     void on(const endpoint_leaving_announced& event);
     void on(const endpoint_limit_stated& event);
+    void on(const endpoint_limits_told& event);
     void on(const endpoint_load_received& event);
     void on(const endpoint_death_reported& event);
     void on(const endpoint_probed& event);
@@ -115,6 +125,13 @@
     void place(instant now, request_number number, request_state& request);
     // If the service rejects every request but may recover soon, schedules another placement and returns true.
     bool deferDuringOutage(instant now, request_number number, request_state& request);
+    // If the limits of the service's endpoints allow the request soon, schedules another placement and returns true.
+    bool waitForPermit(instant now, request_number number, request_state& request, const placement_query& query);
+    void leavePermitQueue(request_number number, request_state& request);
+    // Requests of the service that wait for its limits and are served before this one.
+    std::size_t requestsAhead(request_number number, const request_state& request) const;
+    // The request is over.
+    void forget(request_number number);
     // Retry-After for a new stream that is refused because its service's streams are stalled or already too slow.
     std::optional<duration> overloadRetryAfter(instant now, const request_state& request);
     void send(instant now, request_number number, request_state& request, const placement& chosen);
@@ -127,6 +144,13 @@
     // The endpoint asked for no requests for that long.
     void pauseEndpoint(instant now, const request_state& request, duration time);
     void recordLeaving(instant now, const endpoint_id& endpoint, std::string_view source);
+    // An answer to a request that was sent at that time, or the report of an agent, states the endpoint's limit. Returns true if
+    // that is a change.
+    bool recordLimit(instant now, const endpoint_id& endpoint, instant sentAt, const limit_statement& statement, const std::string& sendId);
+    void recordReportedLimit(instant now, const endpoint_load& load);
+    void logLimit(instant now, const endpoint_id& endpoint, std::string_view source, const std::string& sendId);
+    void shareLimits(instant now);
+    void shareChangedLimits(instant now);
     void recordSuspiciousEnding(instant now, const request_state& request, const attempt_ended& event);
     void recordCancelledAttempt(instant now, const request_state& request);
     // Keeps an attempt that ended without an answer as one that the death of its endpoint may explain, for that long.
@@ -184,8 +208,15 @@
     std::map<suspect_key, instant> m_expiredRows;
     endpoint_fleet m_fleet;
     entry_peers m_peers;
-    // Limits that endpoints named last.
-    std::map<endpoint_id, limit_statement> m_namedLimits;
+    // When to tell the other entries of an endpoint's limit, and how often still.
+    struct limit_telling {
+        instant due;
+        unsigned left = 0;
+    };
+    std::map<endpoint_id, limit_telling> m_limitTellings;
+    instant m_limitsSharedAt;
+    std::set<endpoint_id> m_unreadableLimits;
+    permit_queue m_permitQueue;
     std::map<service_id, stream_pace> m_streamPaces;
     std::map<service_id, brief_outage> m_outages;
     std::map<request_number, request_state> m_requests;
--- a/packages/decisions/forwarding/forwarding_reducer_crashes.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_crashes.cpp
@@ -188,7 +188,7 @@
             m_fleet.recordCancellation(m_requests.at(number).currentEndpoint);
             m_effects.emplace_back(cancel_forwarded_request { number });
             refuse(number, m_requests.at(number), refusal_reason::OutcomeUnknown, {});
-            m_requests.erase(number);
+            forget(number);
         }
     }
 }
--- a/packages/decisions/forwarding/forwarding_reducer_news.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_news.cpp
@@ -15,13 +15,6 @@
 // processing and one of the request's few attempts.
 constexpr double moveStreamsPaceThreshold = 2.0;
 
-struct limit_text {
-    std::string operator()(const limit_not_stated&) const { return "not_stated"; }
-    std::string operator()(const no_limit&) const { return "none"; }
-    std::string operator()(const request_limit& limit) const { return std::to_string(limit.requestsPerSecond); }
-    std::string operator()(const unreadable_limit& limit) const { return "unreadable: " + limit.value; }
-};
-
 } // namespace
 
 void forwarding_reducer::on(const configuration_read& event)
@@ -83,6 +76,7 @@
 void forwarding_reducer::on(const endpoint_unlisted& event)
 {
     m_fleet.remove(event.now, event.endpoint);
+    m_unreadableLimits.erase(event.endpoint);
     recordGone(event.now, event.endpoint, "registry");
     m_effects.emplace_back(log_decision { "endpoint_unlisted", {},
         { { "endpoint", event.endpoint.str() }, { "kept_for_now", m_fleet.contains(event.endpoint) ? "true" : "false" } } });
@@ -112,21 +106,6 @@
 
 void forwarding_reducer::on(const endpoint_leaving_announced& event) { recordLeaving(event.now, event.endpoint, "answer"); }
 
-void forwarding_reducer::on(const endpoint_limit_stated& event)
-{
-    const auto found = m_requests.find(event.request);
-    if (found == m_requests.end() || std::holds_alternative<limit_not_stated>(event.statement))
-        return;
-    const endpoint_id& endpoint = found->second.currentEndpoint;
-    const std::string limit = std::visit(limit_text {}, event.statement);
-    const auto [known, isFirst] = m_namedLimits.try_emplace(endpoint, no_limit {});
-    if (std::visit(limit_text {}, std::exchange(known->second, event.statement)) != limit)
-        m_effects.emplace_back(log_decision { "endpoint_limit_stated", found->second.caller.sendId,
-            { { "endpoint", endpoint.str() }, { "limit", limit }, { "answer_age_ms", millisecondsText(event.now - found->second.sentAt) } } });
-    if (std::holds_alternative<no_limit>(known->second))
-        m_namedLimits.erase(known);
-}
-
 void forwarding_reducer::recordLeaving(instant now, const endpoint_id& endpoint, std::string_view source)
 {
     if (m_fleet.recordLeaving(now, endpoint))
@@ -138,6 +117,7 @@
     m_fleet.recordLoad(event.now, event.load);
     if (const auto endpoint = event.load.leaving ? m_fleet.atAddress(event.load.address, event.load.startedAtMs) : std::nullopt)
         recordLeaving(event.now, *endpoint, "agent");
+    recordReportedLimit(event.now, event.load);
     if (event.load.slowdownFactor < moveStreamsPaceThreshold)
         return;
     if (const auto slow = m_fleet.latestAtAddress(event.load.address))
@@ -187,6 +167,7 @@
 {
     m_peers.setListedEntries(event.entries);
     m_fleet.setEntryPosition(static_cast<double>(event.position) / static_cast<double>(std::max<std::size_t>(event.others + 1, 1)));
+    m_fleet.setEntries(m_settings.instance, event.names);
     m_trust.onMembersKnown(event.now, event.others > 0);
     confirmConfiguration(event.now);
 }
@@ -198,6 +179,7 @@
     refuseNewlyConvicted(event.now);
     shareCrashRecords(event.now);
     storeSuspects(event.now);
+    shareLimits(event.now);
     for (const endpoint_id& gone : m_fleet.removeLapsed(event.now))
         m_effects.emplace_back(log_decision { "endpoint_gone", {}, { { "endpoint", gone.str() } } });
 }
--- /dev/null
+++ b/packages/decisions/limits/endpoint_limits.cpp
@@ -0,0 +1,202 @@
+#include "decisions/limits/endpoint_limits.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace appleramp {
+
+namespace {
+
+// Turns for which the requests of this entry are kept.
+constexpr std::size_t maxPlannedTurns = 256;
+// Bits of a turn's number below that of its recovery step.
+constexpr unsigned stepShift = 48;
+
+double rateOf(double named, bool isOver, std::uint64_t step)
+{
+    return isOver ? std::max(named, endpoint_limits::leastRecoveryRate) * std::exp2(step) : std::max(named, endpoint_limits::leastRate);
+}
+
+} // namespace
+
+std::optional<endpoint_limits::current_turns> endpoint_limits::turnsAt(const known_limit& limit, instant now)
+{
+    if (!limit.isOver)
+        return current_turns { { rateOf(limit.requestsPerSecond, false, 0), limit.turnsFrom } };
+    const std::uint64_t step = now <= limit.turnsFrom ? 1 : static_cast<std::uint64_t>((now - limit.turnsFrom) / recoveryStep) + 1;
+    if (step > recoverySteps)
+        return std::nullopt;
+    const instant from = limit.turnsFrom + recoveryStep * static_cast<duration::rep>(step - 1);
+    return current_turns { { rateOf(limit.requestsPerSecond, true, step), from }, step, from + recoveryStep };
+}
+
+std::uint64_t endpoint_limits::turnNumber(const current_turns& current, std::uint64_t turn) { return (current.step << stepShift) + turn; }
+
+void endpoint_limits::adopt(instant now, known_limit& limit, double requestsPerSecond, bool isOver, instant statedAt, instant turnsFrom)
+{
+    if (limit.knownSince == instant {} || limit.isOver)
+        limit.knownSince = now;
+    limit.requestsPerSecond = requestsPerSecond;
+    limit.isOver = isOver;
+    limit.statedAt = statedAt;
+    limit.turnsFrom = turnsFrom;
+    limit.lastTurn = 0;
+    limit.sentInTurn = 0;
+    limit.plan.clear();
+}
+
+bool endpoint_limits::recordStatement(
+    instant now, const endpoint_id& endpoint, std::uint64_t startedAtMs, instant sentAt, const limit_statement& statement)
+{
+    const auto found = m_limits.find(endpoint);
+    const bool isKnown = found != m_limits.end() && found->second.startedAtMs == startedAtMs;
+    if (std::holds_alternative<no_limit>(statement)) {
+        // An answer to a request that was sent before the limit was last named may have begun before it.
+        if (!isKnown || found->second.isOver || sentAt <= found->second.statedAt)
+            return false;
+        adopt(now, found->second, found->second.requestsPerSecond, true, sentAt, now);
+        return true;
+    }
+    const auto* const named = std::get_if<request_limit>(&statement);
+    if (named == nullptr)
+        return false;
+    if (isKnown && !found->second.isOver && found->second.requestsPerSecond == named->requestsPerSecond) {
+        found->second.statedAt = std::max(found->second.statedAt, now);
+        return false;
+    }
+    known_limit& limit = m_limits[endpoint];
+    if (!isKnown)
+        limit = {};
+    limit.startedAtMs = startedAtMs;
+    // The first turn begins only after its length, so that a limit that changes with each answer gives no more turns.
+    const request_turns turns(rateOf(named->requestsPerSecond, false, 0), now);
+    adopt(now, limit, named->requestsPerSecond, false, now, now + turns.length());
+    return true;
+}
+
+endpoint_limits::told_outcome endpoint_limits::recordTold(instant now, const endpoint_limit_record& told)
+{
+    const instant statedAt = now - told.age;
+    const instant turnsFrom = now - told.turnsAge;
+    const auto found = m_limits.find(told.endpoint);
+    if (found == m_limits.end() || found->second.startedAtMs != told.startedAtMs) {
+        known_limit& limit = m_limits[told.endpoint] = {};
+        limit.startedAtMs = told.startedAtMs;
+        adopt(now, limit, told.requestsPerSecond, told.isOver, statedAt, turnsFrom);
+        return told_outcome::News;
+    }
+    known_limit& limit = found->second;
+    if (limit.isOver == told.isOver && limit.requestsPerSecond == told.requestsPerSecond) {
+        limit.statedAt = std::max(limit.statedAt, statedAt);
+        // Messages take time, so the earliest beginning is the one that the first entry set.
+        if (turnsFrom < limit.turnsFrom) {
+            limit.turnsFrom = turnsFrom;
+            limit.plan.clear();
+        }
+        return told_outcome::Known;
+    }
+    const bool isUnordered = std::chrono::abs(statedAt - limit.statedAt) < orderUncertainty;
+    const bool isStricter = limit.isOver ? !told.isOver : !told.isOver && told.requestsPerSecond < limit.requestsPerSecond;
+    if (isUnordered ? !isStricter : statedAt < limit.statedAt)
+        return told_outcome::Outdated;
+    adopt(now, limit, told.requestsPerSecond, told.isOver, statedAt, turnsFrom);
+    return told_outcome::News;
+}
+
+bool endpoint_limits::isLimited(instant now, const endpoint_id& endpoint) const { return currentRate(now, endpoint).has_value(); }
+
+std::optional<double> endpoint_limits::currentRate(instant now, const endpoint_id& endpoint) const
+{
+    const auto found = m_limits.find(endpoint);
+    const auto current = found == m_limits.end() ? std::nullopt : turnsAt(found->second, now);
+    return current ? std::optional(rateOf(found->second.requestsPerSecond, found->second.isOver, current->step)) : std::nullopt;
+}
+
+std::uint64_t endpoint_limits::ownRequests(known_limit& limit, const endpoint_id& endpoint, const current_turns& current, std::uint64_t turn)
+{
+    const std::uint64_t number = turnNumber(current, turn);
+    if (limit.planGeneration != m_owners.generation() || number < limit.plannedFrom || number - limit.plannedFrom >= maxPlannedTurns || limit.plan.empty()) {
+        limit.planGeneration = m_owners.generation();
+        limit.plannedFrom = number;
+        limit.plan.clear();
+    }
+    while (limit.plan.size() <= number - limit.plannedFrom)
+        limit.plan.push_back(m_owners.ownRequests(endpoint.str(), limit.plannedFrom + limit.plan.size(), current.turns.requestsPerTurn()));
+    return limit.plan[number - limit.plannedFrom];
+}
+
+bool endpoint_limits::allowsSend(instant now, const endpoint_id& endpoint)
+{
+    const auto found = m_limits.find(endpoint);
+    const auto current = found == m_limits.end() ? std::nullopt : turnsAt(found->second, now);
+    if (!current)
+        return true;
+    const std::uint64_t turn = current->turns.turnAt(now);
+    return current->turns.hasBegun(now) && sentIn(found->second, turnNumber(*current, turn)) < ownRequests(found->second, endpoint, *current, turn);
+}
+
+void endpoint_limits::recordSend(instant now, const endpoint_id& endpoint)
+{
+    const auto found = m_limits.find(endpoint);
+    const auto current = found == m_limits.end() ? std::nullopt : turnsAt(found->second, now);
+    if (!current)
+        return;
+    known_limit& limit = found->second;
+    const std::uint64_t number = turnNumber(*current, current->turns.turnAt(now));
+    limit.sentInTurn = sentIn(limit, number) + 1;
+    limit.lastTurn = number;
+    ++limit.sends;
+}
+
+std::vector<instant> endpoint_limits::sendTimes(instant now, const endpoint_id& endpoint, instant until)
+{
+    std::vector<instant> times;
+    const auto found = m_limits.find(endpoint);
+    const auto current = found == m_limits.end() ? std::nullopt : turnsAt(found->second, now);
+    if (!current)
+        return times;
+    const instant end = std::min(until, current->end);
+    const std::uint64_t first = current->turns.turnAt(now);
+    for (std::uint64_t turn = first; turn - first < maxPlannedTurns && current->turns.startOf(turn) < end; ++turn) {
+        const std::uint64_t own = ownRequests(found->second, endpoint, *current, turn);
+        const std::uint64_t used = sentIn(found->second, turnNumber(*current, turn));
+        for (std::uint64_t request = used; request < own && times.size() < maxPlannedTurns; ++request)
+            times.push_back(std::max(now, current->turns.startOf(turn)));
+    }
+    return times;
+}
+
+std::optional<endpoint_limit_record> endpoint_limits::record(instant now, const endpoint_id& endpoint) const
+{
+    const auto found = m_limits.find(endpoint);
+    if (found == m_limits.end())
+        return std::nullopt;
+    const known_limit& limit = found->second;
+    return endpoint_limit_record { endpoint, limit.startedAtMs, limit.requestsPerSecond, limit.isOver, now - limit.statedAt, now - limit.turnsFrom };
+}
+
+std::vector<endpoint_limit_record> endpoint_limits::records(instant now) const
+{
+    std::vector<endpoint_limit_record> result;
+    for (const auto& [endpoint, limit] : m_limits) {
+        if (!limit.isOver || now - limit.turnsFrom < endToldFor)
+            result.push_back(*record(now, endpoint));
+    }
+    return result;
+}
+
+std::vector<endpoint_limits::limit_view> endpoint_limits::views(instant now) const
+{
+    std::vector<limit_view> result;
+    for (const auto& [endpoint, limit] : m_limits)
+        result.push_back({ *record(now, endpoint), now - limit.knownSince, limit.sends });
+    return result;
+}
+
+std::size_t endpoint_limits::limitedCount(instant now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_limits.begin(), m_limits.end(), [&](const auto& each) { return turnsAt(each.second, now).has_value(); }));
+}
+
+} // namespace appleramp
--- a/packages/directagent/direct_agent_process.cpp
+++ b/packages/directagent/direct_agent_process.cpp
@@ -214,6 +214,7 @@
         const auto rate = named ? std::optional(named->requestsPerSecond) : std::nullopt;
         if (rate != std::exchange(m_namedLimit, rate))
             m_log.write(now(), "engine_limit", {}, { { "engine", m_engine.address() }, { "limit", rate ? std::to_string(*rate) : "none" } });
+        m_hasNamedLimit = m_hasNamedLimit || rate;
     }
 
     // The engine has ended if nothing listens at its address any more, or if another one was started there.
@@ -221,6 +222,7 @@
     {
         const bool isReplaced = report && m_engineStartedAtMs && report->startedAtMs != *m_engineStartedAtMs;
         if (m_engineStartedAtMs && (isReplaced || m_engine.wasRefused())) {
+            m_hasNamedLimit = false;
             m_death = { m_engine.address(), *std::exchange(m_engineStartedAtMs, std::nullopt) };
             m_deathReportsLeft = deathReports;
             m_log.write(now(), "engine_died", {}, { { "engine", m_engine.address() }, { "replaced", isReplaced ? "true" : "false" } });
@@ -449,13 +451,20 @@
         m_loadTold = moment;
         m_loadRound = (m_loadRound + 1) % otherZonesEvery;
         const bool isOpen = m_report->group.empty() || m_report->rank.groupOpen;
-        const endpoint_load load { m_engine.address(), m_report->running, m_report->waiting, m_report->pace, isOpen, subscriberCount(moment), m_isLeaving, m_report->startedAtMs };
+        const endpoint_load load { m_engine.address(), m_report->running, m_report->waiting, m_report->pace, isOpen, subscriberCount(moment), m_isLeaving, m_report->startedAtMs, limitStatement() };
         for (const auto& [entry, known] : m_subscribers) {
             if (known.zone == m_settings.process.zone || m_loadRound == 0)
                 m_sender.send(load, entry);
         }
     }
 
+    limit_statement limitStatement() const
+    {
+        if (m_namedLimit)
+            return request_limit { *m_namedLimit };
+        return m_hasNamedLimit ? limit_statement(no_limit {}) : limit_not_stated {};
+    }
+
     // After a start, entries that subscribed to the previous process have not renewed their subscriptions yet.
     std::uint32_t subscriberCount(instant moment) const
     {
@@ -576,6 +585,8 @@
     bool m_switching = false;
     // Requests per second that the engine named in its last report.
     std::optional<double> m_namedLimit;
+    // Since its start. A report without a limit says something only of an engine that names it in reports.
+    bool m_hasNamedLimit = false;
     bool m_isLeaving = false;
     std::uint64_t m_datagramsDropped = 0;
     instant m_dropsLoggedAt;
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -72,8 +72,10 @@
 constexpr duration crashesConfirmationWait = std::chrono::milliseconds(1500);
 // Crash records of one datagram, so that it fits into one packet.
 constexpr std::size_t crashRecordsPerDatagram = 8;
+// Limits of endpoints in one datagram, as crashRecordsPerDatagram.
+constexpr std::size_t limitsPerDatagram = 16;
 // Entries that are told all records each time, so that all hear of them within a few rounds.
-constexpr std::size_t crashRecordRecipients = 3;
+constexpr std::size_t recordRecipients = 3;
 // Batches configuration versions in quick succession. A fifth of the time within which a change must be in force.
 constexpr duration configurationGap = std::chrono::milliseconds(350);
 
@@ -170,6 +172,7 @@
         result.fleet.coldRateFactor = settings.bounds.coldFactor;
         result.fleet.coldRateAllowance = settings.bounds.coldConstant;
         result.zone = settings.process.zone;
+        result.instance = settings.process.instance.str();
         result.defaultPauseTarget = settings.bounds.pause;
         // Processes that start at the same moment must not draw the same random numbers.
         result.seed = life ^ std::hash<std::string> {}(settings.process.instance.str());
@@ -275,18 +278,37 @@
     }
 
     void carryOut(const share_crash_records& effect)
+    {
+        for (const member_row* recipient : recipientsOf(effect.recipients))
+            sendCrashRecords(effect.records, *recipient);
+    }
+
+    void carryOut(const share_endpoint_limits& effect)
+    {
+        for (const member_row* recipient : recipientsOf(effect.recipients))
+            sendLimits(effect.records, *recipient);
+    }
+
+    std::vector<const member_row*> recipientsOf(record_recipients which)
     {
         std::vector<const member_row*> recipients;
         for (const auto& [name, member] : m_members) {
             if (member.isEntry && name != m_settings.process.instance.str())
                 recipients.push_back(&member);
         }
-        if (effect.recipients == record_recipients::SomeEntries) {
+        if (which == record_recipients::SomeEntries) {
             std::shuffle(recipients.begin(), recipients.end(), m_random);
-            recipients.resize(std::min(recipients.size(), crashRecordRecipients));
+            recipients.resize(std::min(recipients.size(), recordRecipients));
+        }
+        return recipients;
+    }
+
+    void sendLimits(std::span<const endpoint_limit_record> records, const member_row& member)
+    {
+        for (std::size_t begin = 0; begin < records.size(); begin += limitsPerDatagram) {
+            const auto part = records.subspan(begin, std::min(limitsPerDatagram, records.size() - begin));
+            sendNews(endpoint_limit_records { { part.begin(), part.end() } }, member);
         }
-        for (const member_row* recipient : recipients)
-            sendCrashRecords(effect.records, *recipient);
     }
 
     void sendCrashRecords(std::span<const crash_record> records, const member_row& member)
@@ -389,6 +411,8 @@
         m_metrics.set(entry_metrics::endpoints, static_cast<double>(m_reducer.fleet().size()));
         m_metrics.set(entry_metrics::linesLeftOut, static_cast<double>(m_log.leftOut()));
         m_metrics.set(entry_metrics::endpointsPaused, static_cast<double>(m_reducer.fleet().pausedCount(now())));
+        m_metrics.set(entry_metrics::endpointsLimited, static_cast<double>(m_reducer.fleet().limits().limitedCount(now())));
+        m_metrics.set(entry_metrics::requestsAwaitingPermit, static_cast<double>(m_reducer.requestsAwaitingPermit()));
         m_metrics.set(entry_metrics::storeCalls, static_cast<double>(m_store.storeCalls()));
         m_metrics.set(entry_metrics::readerAnswers, static_cast<double>(m_store.readerAnswers()));
         m_metrics.set(entry_metrics::suspects, static_cast<double>(m_reducer.crashes().size()));
@@ -587,7 +611,12 @@
         const auto self = m_members.find(m_settings.process.instance.str());
         const auto others = entries - (self != m_members.end() ? 1 : 0);
         m_entryCount = static_cast<std::size_t>(entries);
-        post(entry_count_read { now(), m_entryCount, static_cast<std::size_t>(others), static_cast<std::size_t>(before) });
+        std::vector<std::string> names;
+        for (const auto& [name, member] : m_members) {
+            if (member.isEntry)
+                names.push_back(name);
+        }
+        post(entry_count_read { now(), m_entryCount, static_cast<std::size_t>(others), static_cast<std::size_t>(before), std::move(names) });
         // The others answer with the configuration that they know.
         if (m_isUnannounced)
             tellPresence();
@@ -689,6 +718,7 @@
         if (isNew || presence.starting) {
             sendNews(this->presence(), row);
             sendCrashRecords(m_reducer.recordsForStartingEntry(now()), row);
+            sendLimits(m_reducer.limitsForStartingEntry(now()), row);
         }
     }
     void onNews(entry_presence presence)
@@ -730,6 +760,7 @@
     }
     void onNews(endpoint_load load) { post(endpoint_load_received { now(), std::move(load) }); }
     void onNews(endpoint_death death) { post(endpoint_death_reported { now(), std::move(death.address), death.startedAtMs }); }
+    void onNews(endpoint_limit_records told) { post(endpoint_limits_told { now(), std::move(told.records) }); }
     void onNews(crash_records told) { post(crash_records_received { now(), std::move(told.records) }); }
 
     // --- Time.
--- a/packages/directentry/entry_metrics.cpp
+++ b/packages/directentry/entry_metrics.cpp
@@ -14,6 +14,8 @@
 const metric_descriptor datagramsDropped { "appleramp_datagrams_dropped", metric_kind::Gauge, "Datagrams that could not be read or sent." };
 const metric_descriptor loopDelay { "appleramp_loop_delay_seconds", metric_kind::Summary, "How late the loop's timer fired." };
 const metric_descriptor endpointsPaused { "appleramp_endpoints_paused", metric_kind::Gauge, "Endpoints that asked for a pause." };
+const metric_descriptor endpointsLimited { "appleramp_endpoints_limited", metric_kind::Gauge, "Endpoints whose requests are limited." };
+const metric_descriptor requestsAwaitingPermit { "appleramp_requests_awaiting_limit", metric_kind::Gauge, "Requests that wait for the limits of endpoints." };
 const metric_descriptor storeCalls { "appleramp_store_calls", metric_kind::Gauge, "Calls to the store since the start." };
 const metric_descriptor readerAnswers { "appleramp_reader_answers", metric_kind::Gauge, "Reads that the zone's reader answered in place of the store." };
 const metric_descriptor loadReportAge { "appleramp_load_report_age_seconds", metric_kind::Summary, "Age of the load report of the chosen endpoint." };
--- a/packages/directentry/entry_metrics.h
+++ b/packages/directentry/entry_metrics.h
@@ -16,6 +16,8 @@
 extern const metric_descriptor datagramsDropped;
 extern const metric_descriptor loopDelay;
 extern const metric_descriptor endpointsPaused;
+extern const metric_descriptor endpointsLimited;
+extern const metric_descriptor requestsAwaitingPermit;
 extern const metric_descriptor storeCalls;
 extern const metric_descriptor readerAnswers;
 extern const metric_descriptor loadReportAge;
--- a/packages/model/endpoint_limit.h
+++ b/packages/model/endpoint_limit.h
@@ -4,10 +4,8 @@
 #include "model/time.h"
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <variant>
-#include <vector>
 
 namespace appleramp {
 
@@ -30,4 +28,18 @@
 // What an answer of an endpoint says of the requests that it takes.
 using limit_statement = std::variant<limit_not_stated, no_limit, request_limit, unreadable_limit>;
 
+// What an entry tells the others of an endpoint's limit.
+struct endpoint_limit_record {
+    endpoint_id endpoint;
+    // As endpoint_record::startedAtMs.
+    std::uint64_t startedAtMs = 0;
+    double requestsPerSecond = 0;
+    // The endpoint no longer names the limit.
+    bool isOver = false;
+    // Time since the endpoint said so.
+    duration age {};
+    // Time since the first turn began; negative before it.
+    duration turnsAge {};
+};
+
 } // namespace appleramp
--- a/packages/model/endpoint_news.h
+++ b/packages/model/endpoint_news.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "model/endpoint_limit.h"
 #include "model/identifiers.h"
 #include "model/time.h"
 
@@ -41,6 +42,8 @@
     bool leaving = false;
     // As endpoint_record::startedAtMs; tells incarnations at one address apart.
     std::uint64_t startedAtMs = 0;
+    // What the engine's report says of the requests that it takes.
+    limit_statement limit;
 };
 
 // An agent's report that its endpoint, started at that time, has ended.
--- a/tests/datagrams/datagram_codec_test.cpp
+++ b/tests/datagrams/datagram_codec_test.cpp
@@ -154,3 +154,38 @@
         decodeDatagram(bytes);
     }
 }
+
+// Guards against a limit that reaches other entries changed, or that a damaged datagram makes up.
+Test(datagram_codec, limits_of_endpoints_pass)
+{
+    const endpoint_limit_record sent { endpoint_id("i-1"), 1785821063025957, 1.8, true, 3s, -400ms };
+    const auto told = std::get<endpoint_limit_records>(*decodeDatagram(encodeDatagram(endpoint_limit_records { { sent } })));
+    cr_assert_eq(told.records.size(), 1);
+    const endpoint_limit_record& read = told.records.front();
+    cr_assert_eq(read.endpoint.str(), "i-1");
+    cr_assert_eq(read.startedAtMs, sent.startedAtMs);
+    cr_assert_eq(read.requestsPerSecond, 1.8);
+    cr_assert(read.isOver);
+    cr_assert(read.age == duration(3s));
+    cr_assert(read.turnsAge == duration(-400ms));
+    const endpoint_limit_record odd { endpoint_id("i-1"), 1, -2, false, duration::max(), duration::min() };
+    cr_assert(std::get<endpoint_limit_records>(*decodeDatagram(encodeDatagram(endpoint_limit_records { { odd } }))).records.empty());
+    const endpoint_limit_record old { endpoint_id("i-1"), 1, 2, false, duration::max(), duration::min() };
+    const auto cut = std::get<endpoint_limit_records>(*decodeDatagram(encodeDatagram(endpoint_limit_records { { old } })));
+    cr_assert(cut.records.front().age <= duration(24h));
+    cr_assert(cut.records.front().turnsAge >= -duration(24h));
+}
+
+// Guards against an agent that says nothing of a limit, and is taken to say that there is none.
+Test(datagram_codec, load_reports_tell_no_limit_from_nothing)
+{
+    const auto limitAfter = [](const limit_statement& limit) {
+        endpoint_load load { .address = "10.0.0.1:81" };
+        load.limit = limit;
+        return std::get<endpoint_load>(*decodeDatagram(encodeDatagram(load))).limit;
+    };
+    cr_assert_eq(std::get<request_limit>(limitAfter(request_limit { 2.5 })).requestsPerSecond, 2.5);
+    cr_assert(std::holds_alternative<no_limit>(limitAfter(no_limit {})));
+    cr_assert(std::holds_alternative<limit_not_stated>(limitAfter(limit_not_stated {})));
+    cr_assert(std::holds_alternative<limit_not_stated>(limitAfter(unreadable_limit { "x" })));
+}
--- a/tests/decisions/limits/limit_world.cpp
+++ b/tests/decisions/limits/limit_world.cpp
@@ -11,6 +11,9 @@
 
 constexpr duration tickInterval = 100ms;
 constexpr duration presenceInterval = 700ms;
+constexpr duration reportInterval = 100ms;
+// Entries that are told all that an entry knows in each round.
+constexpr std::size_t recordRecipients = 3;
 constexpr std::uint32_t slots = 12;
 const service_id service("service");
 const availability_zone_id zone("a");
@@ -57,6 +60,8 @@
     for (std::size_t entry = 0; entry < settings.entries; ++entry)
         startEntry(entry);
     schedule(1s, [this] { sendNext(); });
+    if (settings.hasAgents)
+        reportLoads();
 }
 
 limit_world::~limit_world() = default;
@@ -94,15 +99,23 @@
     entry_state& state = *m_entries[entry];
     forwarding_settings settings;
     settings.zone = zone;
+    settings.instance = nameOfEntry(entry);
     settings.seed = m_random();
     settings.retryBudget = { .requestFraction = 0.2, .baseRetries = 92, .window = 10s };
     state.reducer = std::make_unique<forwarding_reducer>(m_now, settings);
     state.toldAt.clear();
     ++state.life;
-    post(entry, entry_count_read { m_now, m_entries.size(), m_entries.size() - 1, entry });
+    std::vector<std::string> names;
+    for (std::size_t other = 0; other < m_entries.size(); ++other)
+        names.push_back(nameOfEntry(other));
+    post(entry, entry_count_read { m_now, m_entries.size(), m_entries.size() - 1, entry, names });
     post(entry, configuration_read { m_now, m_now, configuration() });
     post(entry, registry_read { m_now, registry() });
     post(entry, crash_table_read { m_now, true, {}, {} });
+    for (std::size_t other = 0; other < m_entries.size(); ++other) {
+        if (other != entry && m_entries[other]->reducer)
+            tell(other, entry, endpoint_limits_told { m_now, m_entries[other]->reducer->limitsForStartingEntry(m_now) });
+    }
     tickEntry(entry, state.life);
 }
 
@@ -151,6 +164,37 @@
     }
 }
 
+void limit_world::shareLimits(std::size_t entry, const share_endpoint_limits& effect)
+{
+    const endpoint_limits_told event { m_now, effect.records };
+    if (effect.recipients == record_recipients::AllEntries)
+        return tellOthers(entry, event);
+    std::vector<std::size_t> others;
+    for (std::size_t other = 0; other < m_entries.size(); ++other) {
+        if (other != entry)
+            others.push_back(other);
+    }
+    std::shuffle(others.begin(), others.end(), m_random);
+    for (std::size_t number = 0; number < std::min(recordRecipients, others.size()); ++number)
+        tell(entry, others[number], event);
+}
+
+void limit_world::reportLoads()
+{
+    for (std::size_t endpoint = 0; endpoint < m_settings.endpoints; ++endpoint) {
+        endpoint_load load { .address = addressOf(endpoint), .subscribers = static_cast<std::uint32_t>(m_entries.size()), .startedAtMs = endpoint + 1 };
+        if (isNaming(endpoint))
+            load.limit = request_limit { m_settings.limit };
+        else if (endpoint < m_settings.limited && m_now >= instant(m_settings.namedUntil))
+            load.limit = no_limit {};
+        for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
+            if (fraction() >= m_settings.datagramLoss)
+                schedule(m_settings.datagramDelay, [this, entry, load] { post(entry, endpoint_load_received { m_now, load }); });
+        }
+    }
+    schedule(reportInterval, [this] { reportLoads(); });
+}
+
 void limit_world::sendNext()
 {
     const request_number number = ++m_lastRequest;
@@ -178,6 +222,8 @@
         reachEndpoint(entry, *attempt);
     else if (const auto* const refusal = std::get_if<refuse_request>(&effect))
         m_outcomes[refusal->request].isRefused = true;
+    else if (const auto* const share = std::get_if<share_endpoint_limits>(&effect))
+        shareLimits(entry, *share);
     else if (const auto* const wait = std::get_if<wait_for_service>(&effect))
         schedule(wait->until - m_now, [this, entry, life, number = wait->request] {
             if (m_entries[entry]->life == life)
--- a/tests/decisions/limits/limit_world.h
+++ b/tests/decisions/limits/limit_world.h
@@ -31,6 +31,8 @@
     duration datagramDelay = std::chrono::milliseconds(2);
     // Fraction of the datagrams that are lost.
     double datagramLoss = 0;
+    // Agents report the limit of their endpoints to all entries.
+    bool hasAgents = false;
 };
 
 // Entries with their real reducers before endpoints of one service, some of which name a limit of requests, in virtual time.
@@ -96,6 +98,8 @@
     void post(std::size_t entry, const forwarding_event& event);
     void carryOut(std::size_t entry, const forwarding_effect& effect);
     void reachEndpoint(std::size_t entry, const send_attempt& attempt);
+    void reportLoads();
+    void shareLimits(std::size_t entry, const share_endpoint_limits& effect);
     void tell(std::size_t entry, std::size_t other, const forwarding_event& event);
     void tellOthers(std::size_t entry, const forwarding_event& event);
     bool isNaming(std::size_t endpoint) const;
--- a/tests/decisions/limits/named_limit_test.cpp
+++ b/tests/decisions/limits/named_limit_test.cpp
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 using namespace appleramp;
 using namespace appleramp::tests;
 using namespace std::chrono_literals;
@@ -42,3 +44,87 @@
 {
     expectWithinBound({ .endpoints = 3, .limit = 2.9, .requestInterval = 60ms }, [](limit_world&) {});
 }
+
+// Guards against more than the limit itself, whatever the rule allows beyond it: from the second after the first answer that
+// names it, no more than the limit in all, and one turn at either end.
+Test(named_limit, is_not_exceeded_in_the_long_run)
+{
+    for (const bool hasAgents : { false, true }) {
+        for (const double limit : { 1.0, 1.8, 3.2, 12.0 }) {
+            limit_world world({ .endpoints = 3, .limit = limit, .hasAgents = hasAgents });
+            world.runUntil(34s);
+            cr_assert_leq(world.arrivals(0, 7s, 30s), static_cast<std::size_t>(23 * limit + 1 + std::max(1.0, limit / 2)));
+            cr_assert_geq(world.arrivals(0, 7s, 30s), static_cast<std::size_t>(23 * limit * 0.5), "limit %.1f: %zu", limit, world.arrivals(0, 7s, 30s));
+        }
+    }
+}
+
+// Guards against entries that are told late, since the news is lost.
+Test(named_limit, is_kept_though_datagrams_are_lost)
+{
+    for (const bool hasAgents : { false, true })
+        expectWithinBound({ .limit = 1.0, .datagramLoss = 0.4, .hasAgents = hasAgents }, [](limit_world&) {});
+}
+
+// Guards against entries that forget the limit and their own sends when they start again, all of them one after another.
+Test(named_limit, is_kept_by_entries_that_restart)
+{
+    expectWithinBound({ .limit = 1.0 }, [](limit_world& world) {
+        for (std::size_t entry = 0; entry < 8; ++entry) {
+            world.at(9s + entry * 800ms, [&world, entry] { world.restartEntry(entry); });
+            world.at(18s + entry * 300ms, [&world, entry] { world.restartEntry(entry); });
+        }
+    });
+}
+
+// Guards against entries that hear nothing from each other: each of them learns the limit by itself, and keeps to its turns.
+Test(named_limit, is_kept_by_entries_that_are_cut_off)
+{
+    expectWithinBound({ .limit = 1.0 }, [](limit_world& world) {
+        for (std::size_t entry = 0; entry < 8; ++entry)
+            world.at(5s, [&world, entry] { world.cutEntry(entry, 25s); });
+    });
+}
+
+// Guards against a limit that changes while it lasts, also with every answer.
+Test(named_limit, is_kept_while_it_changes)
+{
+    expectWithinBound({ .limit = 3.0 }, [](limit_world& world) {
+        world.at(12s, [&world] { world.changeLimit(1.0); });
+        world.at(20s, [&world] { world.changeLimit(2.0); });
+    });
+    expectWithinBound({ .endpoints = 3, .limit = 1.0 }, [](limit_world& world) {
+        for (int change = 0; change < 400; ++change)
+            world.at(6s + change * 50ms, [&world, change] { world.changeLimit(1.0 + 0.01 * (change % 7)); });
+    });
+}
+
+// Guards against an endpoint that is never used again after its limit has ended, and against entries that all come back at once.
+Test(named_limit, ends_with_the_first_answer_without_it)
+{
+    for (const bool hasAgents : { false, true }) {
+        limit_world world({ .endpoints = 4, .limit = 1.8, .hasAgents = hasAgents });
+        world.runUntil(45s);
+        const std::size_t usual = world.sent(1s, 45s) / 44 / 4;
+        cr_assert_leq(world.arrivals(0, 30s, 31s), usual);
+        cr_assert_geq(world.arrivals(0, 38s, 43s), 5 * usual / 2);
+    }
+}
+
+// Guards against requests that are refused or wait though other endpoints have room.
+Test(named_limit, sends_the_rest_to_other_endpoints)
+{
+    limit_world world({});
+    world.runUntil(34s);
+    cr_assert_eq(world.refused(0s, 34s), 0);
+}
+
+// Guards against a service whose endpoints are all limited and that then takes less than they do, or more.
+Test(named_limit, of_all_endpoints_is_what_the_service_takes)
+{
+    limit_world world({ .endpoints = 3, .limited = 3, .limit = 2.0, .requestInterval = 60ms });
+    world.runUntil(34s);
+    cr_assert_leq(world.worstWindow(), 1.0);
+    for (std::size_t endpoint = 0; endpoint < 3; ++endpoint)
+        cr_assert_geq(world.arrivals(endpoint, 7s, 30s), 46 * 7 / 10, "%zu", world.arrivals(endpoint, 7s, 30s));
+}
--- a/tests/users_platform/header_codec_test.cpp
+++ b/tests/users_platform/header_codec_test.cpp
@@ -127,3 +127,45 @@
     cr_assert_not(decodeResponse(answerWith(421, { { "X-Attempt-Id", "9c41" }, { "Server-Leaving", "1" } }), "9c41").leaving);
     cr_assert_not(decodeResponse(answerWith(200, { { "X-Attempt-Id", "other" }, { "Server-Leaving", "1" } }), "9c41").leaving);
 }
+
+namespace {
+
+limit_statement limitOf(std::vector<header_field> fields, unsigned status = 200)
+{
+    fields.push_back({ "X-Attempt-Id", "9c41" });
+    http_response_head head;
+    head.status = status;
+    for (const header_field& field : fields)
+        head.headers.add(field.name, field.value);
+    return decodeResponse(head, "9c41").limit;
+}
+
+} // namespace
+
+// Guards against limits that are no number of requests per second: they are neither taken for a limit nor for none.
+Test(header_codec, a_limit_is_a_bounded_number)
+{
+    cr_assert_eq(std::get<request_limit>(limitOf({ { "server-limit", "1.8" } })).requestsPerSecond, 1.8);
+    cr_assert_eq(std::get<request_limit>(limitOf({ { "Server-Limit", "0" } })).requestsPerSecond, 0);
+    cr_assert_eq(std::get<request_limit>(limitOf({ { "Server-Limit", "1e30" } })).requestsPerSecond, 1e6);
+    for (const std::string text : { "", "-1", "nan", "inf", "1e999", "2 per second", "1,5", "2, 3" })
+        cr_assert(std::holds_alternative<unreadable_limit>(limitOf({ { "Server-Limit", text } })), "%s", text.c_str());
+    cr_assert_leq(std::get<unreadable_limit>(limitOf({ { "Server-Limit", std::string(4000, 'x') } })).value.size(), 40);
+    cr_assert(std::holds_alternative<no_limit>(limitOf({})));
+}
+
+// Guards against the higher one of two limits in one answer.
+Test(header_codec, the_lowest_of_several_limits_holds)
+{
+    cr_assert_eq(std::get<request_limit>(limitOf({ { "Server-Limit", "5" }, { "Server-Limit", "2" } })).requestsPerSecond, 2);
+    cr_assert(std::holds_alternative<unreadable_limit>(limitOf({ { "Server-Limit", "5" }, { "Server-Limit", "x" } })));
+}
+
+// Guards against a limit that ends with an answer that another endpoint gave.
+Test(header_codec, an_answer_of_another_endpoint_says_nothing_of_a_limit)
+{
+    cr_assert(std::holds_alternative<limit_not_stated>(limitOf({ { "Server-Limit", "2" } }, 421)));
+    cr_assert(std::holds_alternative<limit_not_stated>(limitOf({ { "X-Not-Executed", "1" } }, 503)));
+    cr_assert_eq(std::get<request_limit>(limitOf({ { "X-Not-Executed", "1" }, { "Retry-After", "2" }, { "Server-Limit", "3" } }, 503)).requestsPerSecond, 3);
+    cr_assert(std::holds_alternative<limit_not_stated>(decodeResponse(answerWith(200, { { "X-Attempt-Id", "late" }, { "Server-Limit", "2" } }), "9c41").limit));
+}
