Tests: real entries before an endpoint that names a limit

Three processes, one of which is killed and started again, before two endpoints of which one, then both, name a limit: within the users' rule, at least one request for the limit's end to be learned, the rest served elsewhere; with both limited, refusals say not_run and when to come back.

--- a/tests/processes/platform_stand_in.py
+++ b/tests/processes/platform_stand_in.py
@@ -146,6 +146,8 @@
         self.name = name
         self.leaving = leaving
         self.pause_seconds = None
+        # Requests per second that it names as its limit.
+        self.limit = None
         # Time for which it works on a request.
         self.work_seconds = 0.0
         self.arrivals = []
@@ -164,6 +166,8 @@
         answer = {"X-Attempt-Id": headers.get("X-Attempt-Id", ""), "X-Response-Stamp": self.name}
         if self.leaving:
             answer["Server-Leaving"] = "1"
+        if self.limit is not None:
+            answer["Server-Limit"] = str(self.limit)
         if self.pause_seconds is not None:
             answer.update({"X-Not-Executed": "1", "Retry-After": str(self.pause_seconds)})
             return 503, answer, b"full"
