Limits: entries lend each other turns of limited endpoints

Cause: a turn belongs to one entry, whether it has a request or not. Where all endpoints of a service are limited, callers at the other entries were refused while turns passed unused: in virtual time, 23 of 32 requests at 48 entries though the service takes five times as many. Change: an entry that would have to refuse, or to hold a request for long, asks the owner of one of the next turns for it. The owner gives it unless a request of its own waits, and then no longer uses it; a lost answer loses the turn. No more is sent in all. A wake-up of a request that was sent meanwhile no longer places it again (found with it; the real exchange drops such wake-ups).

--- a/packages/datagrams/datagram_class.cpp
+++ b/packages/datagrams/datagram_class.cpp
@@ -25,6 +25,8 @@
     datagram_class operator()(const load_subscription&) const { return { datagram_priority::Status, "subscription" }; }
     datagram_class operator()(const crash_records&) const { return { datagram_priority::Switch, {} }; }
     datagram_class operator()(const endpoint_limit_records&) const { return { datagram_priority::Switch, {} }; }
+    datagram_class operator()(const permit_question&) const { return { datagram_priority::Switch, {} }; }
+    datagram_class operator()(const permit_answer&) const { return { datagram_priority::Switch, {} }; }
     datagram_class operator()(const group_datagram& message) const { return std::visit(group_classifier {}, message.message); }
     // The sender classifies the message inside, which it has decoded.
     datagram_class operator()(const relay_request&) const { return { datagram_priority::Bulk, {} }; }
--- a/packages/datagrams/datagram_codec.cpp
+++ b/packages/datagrams/datagram_codec.cpp
@@ -46,6 +46,8 @@
         return { { "k", "c" }, { "r", std::move(records) } };
     }
     json operator()(const endpoint_limit_records& told) const { return { { "k", "m" }, { "r", limitRecordsToJson(told.records) } }; }
+    json operator()(const permit_question& question) const { return { { "k", "b" }, { "q", permitQuestionToJson(question) } }; }
+    json operator()(const permit_answer& answer) const { return { { "k", "p" }, { "q", permitQuestionToJson(answer.question) }, { "g", answer.isGranted } }; }
     json operator()(const relay_request& relayed) const
     {
         return { { "k", "r" }, { "t", relayed.targets },
@@ -150,6 +152,10 @@
             return freshnessAnswerFromJson(body);
         if (kind == "m")
             return endpoint_limit_records { limitRecordsFromJson(body.at("r")) };
+        if (kind == "b")
+            return permitQuestionFromJson(body.at("q"));
+        if (kind == "p")
+            return permit_answer { permitQuestionFromJson(body.at("q")), body.at("g").get<bool>() };
         if (kind == "c")
             return crashRecordsFromJson(body.at("r"));
     } catch (const json::exception&) {
--- a/packages/datagrams/limit_codec.cpp
+++ b/packages/datagrams/limit_codec.cpp
@@ -66,4 +66,15 @@
     return result;
 }
 
+json permitQuestionToJson(const permit_question& question)
+{
+    return json::array({ question.endpoint.str(), question.startedAtMs, question.requestsPerSecond, question.turn, question.request });
+}
+
+permit_question permitQuestionFromJson(const json& question)
+{
+    return { endpoint_id(question.at(0).get<std::string>()), question.at(1).get<std::uint64_t>(), question.at(2).get<double>(),
+        question.at(3).get<std::uint64_t>(), question.at(4).get<request_number>() };
+}
+
 } // namespace appleramp
--- a/packages/datagrams/limit_codec.h
+++ b/packages/datagrams/limit_codec.h
@@ -15,5 +15,7 @@
 limit_statement limitStatementFromJson(const nlohmann::json& statement);
 nlohmann::json limitRecordsToJson(std::span<const endpoint_limit_record> records);
 std::vector<endpoint_limit_record> limitRecordsFromJson(const nlohmann::json& records);
+nlohmann::json permitQuestionToJson(const permit_question& question);
+permit_question permitQuestionFromJson(const nlohmann::json& question);
 
 } // namespace appleramp
--- a/packages/decisions/forwarding/endpoint_fleet.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet.cpp
@@ -194,6 +194,12 @@
     return found == m_endpoints.end() ? std::string() : found->second.record.address;
 }
 
+service_id endpoint_fleet::serviceOf(const endpoint_id& endpoint) const
+{
+    const auto found = m_endpoints.find(endpoint);
+    return found == m_endpoints.end() ? service_id() : found->second.record.service;
+}
+
 std::uint64_t endpoint_fleet::startedAtMs(const endpoint_id& endpoint) const
 {
     const auto found = m_endpoints.find(endpoint);
--- a/packages/decisions/forwarding/endpoint_fleet.h
+++ b/packages/decisions/forwarding/endpoint_fleet.h
@@ -107,6 +107,13 @@
     // at the latest at that time.
     std::optional<instant> limitOpensAt(const placement_query& query, std::size_t requestsAhead, instant until);
     bool areAllLimited(const placement_query& query) const;
+    // A request of another entry to ask for, at one of the limited endpoints that the query may choose.
+    std::optional<endpoint_limits::borrowable_request> borrowableRequest(const placement_query& query, instant until, double randomFraction);
+    // As in endpoint_limits.
+    bool lendRequest(instant now, const permit_question& question) { return m_limits.lend(now, question); }
+    void borrowRequest(instant now, const permit_question& question) { m_limits.borrow(now, question); }
+    // Empty if the endpoint is not known.
+    service_id serviceOf(const endpoint_id& endpoint) const;
 
     // Stores a load report for the endpoint that was started last at its address.
     void recordLoad(instant now, const endpoint_load& load);
--- a/packages/decisions/forwarding/endpoint_fleet_placement.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet_placement.cpp
@@ -153,6 +153,20 @@
     return opensAt < until ? std::optional(opensAt) : std::nullopt;
 }
 
+std::optional<endpoint_limits::borrowable_request> endpoint_fleet::borrowableRequest(const placement_query& query, instant until, double randomFraction)
+{
+    std::vector<endpoint_id> limited;
+    for (const auto& [id, state] : m_endpoints) {
+        if (isEligible(state, query) && m_limits.isLimited(query.now, id))
+            limited.push_back(id);
+    }
+    if (limited.empty())
+        return std::nullopt;
+    const double position = randomFraction * static_cast<double>(limited.size());
+    const auto index = static_cast<std::size_t>(position);
+    return m_limits.borrowableRequest(query.now, limited[index], until, position - static_cast<double>(index));
+}
+
 bool endpoint_fleet::areAllLimited(const placement_query& query) const
 {
     bool hasEligible = false;
--- a/packages/decisions/forwarding/forwarding_effects.h
+++ b/packages/decisions/forwarding/forwarding_effects.h
@@ -106,6 +106,17 @@
     record_recipients recipients = record_recipients::AllEntries;
 };
 
+// Ask another entry for a request in a turn of a limited endpoint; post permit_answered if it answers.
+struct ask_permit {
+    instance_id owner;
+    permit_question question;
+};
+
+struct answer_permit {
+    instance_id asker;
+    permit_answer answer;
+};
+
 // Write the record of a suspect to the store, for entries that start or can't be told. Retry until it is written.
 struct store_crash_record {
     crash_record record;
@@ -130,7 +141,7 @@
 };
 
 using forwarding_effect = std::variant<send_attempt, refuse_request, wait_for_service, forward_failure_answer, abort_answer, cancel_forwarded_request,
-    share_crash_records, share_endpoint_limits, store_crash_record, remove_stored_crash_record, probe_endpoint, log_decision>;
+    share_crash_records, share_endpoint_limits, ask_permit, answer_permit, store_crash_record, remove_stored_crash_record, probe_endpoint, log_decision>;
 using forwarding_effects = std::vector<forwarding_effect>;
 
 } // namespace appleramp
--- a/packages/decisions/forwarding/forwarding_events.h
+++ b/packages/decisions/forwarding/forwarding_events.h
@@ -175,6 +175,18 @@
     std::vector<endpoint_limit_record> records;
 };
 
+// Another entry asks for a request of this one in a turn of a limited endpoint.
+struct permit_asked {
+    instant now;
+    instance_id asker;
+    permit_question question;
+};
+
+struct permit_answered {
+    instant now;
+    permit_answer answer;
+};
+
 // Another entry told what it knows of suspects.
 struct crash_records_received {
     instant now;
@@ -209,6 +221,6 @@
 using forwarding_event = std::variant<request_arrived, attempt_ended, attempt_succeeded, stream_advanced, service_wait_ended,
     caller_disconnected, deadline_passed,
     configuration_read, out_of_service_zones_changed, endpoint_listed, endpoint_unlisted, registry_read,
-    registry_access_changed, registry_restored, endpoint_leaving_announced, endpoint_limit_stated, endpoint_limits_told, endpoint_load_received, endpoint_death_reported, endpoint_probed, load_subset_changed, entry_presence_received, crash_records_received, crash_table_read, entry_count_read, timer_ticked>;
+    registry_access_changed, registry_restored, endpoint_leaving_announced, endpoint_limit_stated, endpoint_limits_told, permit_asked, permit_answered, endpoint_load_received, endpoint_death_reported, endpoint_probed, load_subset_changed, entry_presence_received, crash_records_received, crash_table_read, entry_count_read, timer_ticked>;
 
 } // namespace appleramp
--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -244,7 +244,8 @@
 void forwarding_reducer::on(const service_wait_ended& event)
 {
     const auto found = m_requests.find(event.request);
-    if (found != m_requests.end())
+    // A wake-up that was scheduled before the request was sent must not send it again.
+    if (found != m_requests.end() && found->second.currentEndpoint.empty())
         place(event.now, event.request, found->second);
 }
 
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -84,6 +84,8 @@
         // As outageWaitEnd, while all endpoints of the service are at their limits.
         instant permitWaitEnd;
         bool waitsForPermit = false;
+        // Questions to other entries for a request of theirs.
+        std::uint32_t permitQuestions = 0;
         // An earlier attempt may have been executed.
         bool mayHaveRun = false;
         // What endpoints may die of when they begin to answer.
@@ -109,6 +111,8 @@
     void on(const endpoint_leaving_announced& event);
     void on(const endpoint_limit_stated& event);
     void on(const endpoint_limits_told& event);
+    void on(const permit_asked& event);
+    void on(const permit_answered& event);
     void on(const endpoint_load_received& event);
     void on(const endpoint_death_reported& event);
     void on(const endpoint_probed& event);
@@ -127,6 +131,8 @@
     bool deferDuringOutage(instant now, request_number number, request_state& request);
     // If the limits of the service's endpoints allow the request soon, schedules another placement and returns true.
     bool waitForPermit(instant now, request_number number, request_state& request, const placement_query& query);
+    // Asks another entry for a request that it may not need. Returns false if there is none to ask for.
+    bool askForPermit(instant now, request_number number, request_state& request, const placement_query& query);
     void leavePermitQueue(request_number number, request_state& request);
     // Requests of the service that wait for its limits and are served before this one.
     std::size_t requestsAhead(request_number number, const request_state& request) const;
@@ -217,6 +223,8 @@
     instant m_limitsSharedAt;
     std::set<endpoint_id> m_unreadableLimits;
     permit_queue m_permitQueue;
+    // The other entries need their requests themselves: none is asked until then.
+    std::map<service_id, instant> m_noPermitsUntil;
     std::map<service_id, stream_pace> m_streamPaces;
     std::map<service_id, brief_outage> m_outages;
     std::map<request_number, request_state> m_requests;
--- a/packages/decisions/forwarding/forwarding_reducer_limits.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_limits.cpp
@@ -3,6 +3,7 @@
 #include "decisions/forwarding/durations.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 // The part of the reducer that keeps endpoints within the limits that they name: learning, telling other entries, waiting.
@@ -33,6 +34,13 @@
 constexpr int permitWaitDivisor = 3;
 // A waiting request looks for endpoints this often, since limits end.
 constexpr duration permitWaitStep = std::chrono::milliseconds(250);
+// A request that has to wait longer for a turn of this entry asks another entry for one.
+constexpr duration longPermitWait = std::chrono::milliseconds(200);
+// Questions of one request, and the time within which the answer to one is expected.
+constexpr std::uint32_t maxPermitQuestions = 3;
+constexpr duration permitAnswerWait = std::chrono::milliseconds(150);
+// After an entry needed its turn itself, no further one is asked for this long.
+constexpr duration refusedPermitPause = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -155,18 +163,63 @@
         request.permitWaitEnd = now + std::min(maxPermitWait, (request.deadline - now) / permitWaitDivisor);
     const std::size_t ahead = requestsAhead(number, request);
     const auto opensAt = m_fleet.limitOpensAt(query, ahead, request.permitWaitEnd);
-    if (!opensAt)
+    const bool isSoon = opensAt && *opensAt - now < longPermitWait;
+    const bool isAsked = !isSoon && askForPermit(now, number, request, query);
+    if (!opensAt && !isAsked)
         return false;
-    const instant until = std::min(std::max(*opensAt, now + duration(1)), now + permitWaitStep);
+    const instant nextLook = now + (isAsked ? permitAnswerWait : permitWaitStep);
+    const instant until = opensAt ? std::min(std::max(*opensAt, now + duration(1)), nextLook) : nextLook;
     if (!std::exchange(request.waitsForPermit, true)) {
         m_permitQueue.add(request.service, request.urgencyRank, number);
         m_effects.emplace_back(log_decision { "waits_for_limit", request.caller.sendId,
-            { { "service", request.service.str() }, { "for_ms", millisecondsText(*opensAt - now) }, { "ahead", std::to_string(ahead) } } });
+            { { "service", request.service.str() }, { "for_ms", millisecondsText(opensAt ? *opensAt - now : duration(-1)) },
+                { "ahead", std::to_string(ahead) }, { "asked", isAsked ? "true" : "false" } } });
     }
     m_effects.emplace_back(wait_for_service { number, until });
     return true;
 }
 
+bool forwarding_reducer::askForPermit(instant now, request_number number, request_state& request, const placement_query& query)
+{
+    if (request.permitQuestions == maxPermitQuestions || now < m_noPermitsUntil[request.service] || !m_fleet.areAllLimited(query))
+        return false;
+    auto found = m_fleet.borrowableRequest(query, request.permitWaitEnd, randomFraction());
+    if (!found)
+        return false;
+    ++request.permitQuestions;
+    found->question.request = number;
+    m_effects.emplace_back(ask_permit { instance_id(found->owner), found->question });
+    return true;
+}
+
+// A request that waits here goes first; without one, the turn would pass unused.
+void forwarding_reducer::on(const permit_asked& event)
+{
+    const service_id service = m_fleet.serviceOf(event.question.endpoint);
+    const bool isNeeded = m_permitQueue.countAhead(service, std::numeric_limits<std::uint32_t>::max(), 0) > 0;
+    const bool isGranted = !isNeeded && m_fleet.lendRequest(event.now, event.question);
+    m_effects.emplace_back(answer_permit { event.asker, { event.question, isGranted } });
+    if (isGranted)
+        m_effects.emplace_back(log_decision { "permit_lent", {},
+            { { "endpoint", event.question.endpoint.str() }, { "turn", std::to_string(event.question.turn) }, { "to", event.asker.str() } } });
+}
+
+void forwarding_reducer::on(const permit_answered& event)
+{
+    const permit_question& question = event.answer.question;
+    const auto found = m_requests.find(question.request);
+    if (event.answer.isGranted) {
+        m_fleet.borrowRequest(event.now, question);
+        if (found != m_requests.end())
+            found->second.permitQuestions = maxPermitQuestions;
+        m_effects.emplace_back(log_decision { "permit_borrowed", found == m_requests.end() ? std::string() : found->second.caller.sendId,
+            { { "endpoint", question.endpoint.str() }, { "turn", std::to_string(question.turn) } } });
+    } else
+        m_noPermitsUntil[m_fleet.serviceOf(question.endpoint)] = event.now + refusedPermitPause;
+    if (found != m_requests.end() && found->second.waitsForPermit)
+        place(event.now, question.request, found->second);
+}
+
 void forwarding_reducer::leavePermitQueue(request_number number, request_state& request)
 {
     if (std::exchange(request.waitsForPermit, false))
--- a/packages/decisions/limits/endpoint_limits.cpp
+++ b/packages/decisions/limits/endpoint_limits.cpp
@@ -43,6 +43,7 @@
     limit.lastTurn = 0;
     limit.sentInTurn = 0;
     limit.plan.clear();
+    limit.exchanged.clear();
 }
 
 bool endpoint_limits::recordStatement(
@@ -125,6 +126,14 @@
     return limit.plan[number - limit.plannedFrom];
 }
 
+std::uint64_t endpoint_limits::availableRequests(known_limit& limit, const endpoint_id& endpoint, const current_turns& current, std::uint64_t turn)
+{
+    const std::uint64_t number = turnNumber(current, turn);
+    const auto exchanged = limit.exchanged.find(number);
+    const auto own = static_cast<std::int64_t>(ownRequests(limit, endpoint, current, turn) - sentIn(limit, number));
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, own + (exchanged == limit.exchanged.end() ? 0 : exchanged->second)));
+}
+
 bool endpoint_limits::allowsSend(instant now, const endpoint_id& endpoint)
 {
     const auto found = m_limits.find(endpoint);
@@ -132,7 +141,7 @@
     if (!current)
         return true;
     const std::uint64_t turn = current->turns.turnAt(now);
-    return current->turns.hasBegun(now) && sentIn(found->second, turnNumber(*current, turn)) < ownRequests(found->second, endpoint, *current, turn);
+    return current->turns.hasBegun(now) && availableRequests(found->second, endpoint, *current, turn) > 0;
 }
 
 void endpoint_limits::recordSend(instant now, const endpoint_id& endpoint)
@@ -146,6 +155,7 @@
     limit.sentInTurn = sentIn(limit, number) + 1;
     limit.lastTurn = number;
     ++limit.sends;
+    forgetPastTurns(limit, number);
 }
 
 std::vector<instant> endpoint_limits::sendTimes(instant now, const endpoint_id& endpoint, instant until)
@@ -158,14 +168,76 @@
     const instant end = std::min(until, current->end);
     const std::uint64_t first = current->turns.turnAt(now);
     for (std::uint64_t turn = first; turn - first < maxPlannedTurns && current->turns.startOf(turn) < end; ++turn) {
-        const std::uint64_t own = ownRequests(found->second, endpoint, *current, turn);
-        const std::uint64_t used = sentIn(found->second, turnNumber(*current, turn));
-        for (std::uint64_t request = used; request < own && times.size() < maxPlannedTurns; ++request)
+        const std::uint64_t available = availableRequests(found->second, endpoint, *current, turn);
+        for (std::uint64_t request = 0; request < available && times.size() < maxPlannedTurns; ++request)
             times.push_back(std::max(now, current->turns.startOf(turn)));
     }
     return times;
 }
 
+std::optional<endpoint_limits::borrowable_request> endpoint_limits::borrowableRequest(
+    instant now, const endpoint_id& endpoint, instant until, double randomFraction)
+{
+    const auto found = m_limits.find(endpoint);
+    const auto current = found == m_limits.end() ? std::nullopt : turnsAt(found->second, now);
+    if (!current)
+        return std::nullopt;
+    const instant end = std::min(until, current->end);
+    // The answer takes time, so the current turn may be over by then.
+    const std::uint64_t first = current->turns.hasBegun(now) ? current->turns.turnAt(now) + 1 : 0;
+    std::vector<std::uint64_t> turns;
+    for (std::uint64_t turn = first; turns.size() < borrowableTurns && turn - first < maxPlannedTurns && current->turns.startOf(turn) < end; ++turn) {
+        if (availableRequests(found->second, endpoint, *current, turn) == 0)
+            turns.push_back(turn);
+    }
+    if (turns.empty())
+        return std::nullopt;
+    const std::uint64_t turn = turnNumber(*current, turns[static_cast<std::size_t>(randomFraction * static_cast<double>(turns.size()))]);
+    const auto owner = m_owners.otherOwner(endpoint.str(), turn, current->turns.requestsPerTurn(), randomFraction);
+    if (!owner)
+        return std::nullopt;
+    return borrowable_request { { endpoint, found->second.startedAtMs, found->second.requestsPerSecond, turn }, *owner };
+}
+
+void endpoint_limits::forgetPastTurns(known_limit& limit, std::uint64_t number)
+{
+    limit.exchanged.erase(limit.exchanged.begin(), limit.exchanged.lower_bound(number));
+}
+
+endpoint_limits::known_limit* endpoint_limits::limitOf(const permit_question& question)
+{
+    const auto found = m_limits.find(question.endpoint);
+    const bool isSame = found != m_limits.end() && found->second.startedAtMs == question.startedAtMs && found->second.requestsPerSecond == question.requestsPerSecond;
+    return isSame ? &found->second : nullptr;
+}
+
+bool endpoint_limits::lend(instant now, const permit_question& question)
+{
+    known_limit* const limit = limitOf(question);
+    const auto current = limit == nullptr ? std::nullopt : turnsAt(*limit, now);
+    // Turns are counted anew with each step of the recovery.
+    if (!current || question.turn >> stepShift != current->step)
+        return false;
+    const std::uint64_t turn = question.turn - (current->step << stepShift);
+    const std::uint64_t next = current->turns.turnAt(now);
+    if (turn < next || turn - next >= maxPlannedTurns || availableRequests(*limit, question.endpoint, *current, turn) == 0)
+        return false;
+    forgetPastTurns(*limit, turnNumber(*current, next));
+    --limit->exchanged[question.turn];
+    return true;
+}
+
+void endpoint_limits::borrow(instant now, const permit_question& question)
+{
+    known_limit* const limit = limitOf(question);
+    const auto current = limit == nullptr ? std::nullopt : turnsAt(*limit, now);
+    const std::uint64_t number = current ? turnNumber(*current, current->turns.turnAt(now)) : 0;
+    if (!current || question.turn < number)
+        return;
+    forgetPastTurns(*limit, number);
+    ++limit->exchanged[question.turn];
+}
+
 std::optional<endpoint_limit_record> endpoint_limits::record(instant now, const endpoint_id& endpoint) const
 {
     const auto found = m_limits.find(endpoint);
--- a/packages/decisions/limits/endpoint_limits.h
+++ b/packages/decisions/limits/endpoint_limits.h
@@ -58,6 +58,18 @@
     // When this entry may send to the endpoint, until that time; a time for each request. Empty if it is not limited.
     std::vector<instant> sendTimes(instant now, const endpoint_id& endpoint, instant until);
 
+    // A request of another entry in a turn that begins until that time, to ask for; chosen by the random fraction among the next
+    // few. Nothing if there is none.
+    struct borrowable_request {
+        permit_question question;
+        std::string owner;
+    };
+    std::optional<borrowable_request> borrowableRequest(instant now, const endpoint_id& endpoint, instant until, double randomFraction);
+    // Gives a request of this entry to the one that asks, if it is still unused. Returns true if it did.
+    bool lend(instant now, const permit_question& question);
+    // Another entry gave a request of its own to this one.
+    void borrow(instant now, const permit_question& question);
+
     std::optional<endpoint_limit_record> record(instant now, const endpoint_id& endpoint) const;
     // What other entries need to know.
     std::vector<endpoint_limit_record> records(instant now) const;
@@ -75,6 +87,8 @@
     static constexpr duration orderUncertainty = std::chrono::milliseconds(100);
     // Other entries are told of the end of a limit for this long.
     static constexpr duration endToldFor = std::chrono::seconds(5);
+    // Among this many of the next turns one is chosen to ask for, so that entries do not all ask the same owner.
+    static constexpr std::size_t borrowableTurns = 4;
 
 private:
     struct known_limit {
@@ -88,6 +102,8 @@
         // The turn in which this entry sent last, and how often.
         std::uint64_t lastTurn = 0;
         std::uint64_t sentInTurn = 0;
+        // Requests of turns that other entries gave to this one, or this one to others; negative for the latter.
+        std::map<std::uint64_t, std::int64_t> exchanged;
         // This entry's requests in the turns from plannedFrom on, as far as they were needed.
         std::uint64_t plannedFrom = 0;
         std::vector<std::uint64_t> plan;
@@ -104,6 +120,10 @@
     static std::uint64_t turnNumber(const current_turns& current, std::uint64_t turn);
     void adopt(instant now, known_limit& limit, double requestsPerSecond, bool isOver, instant statedAt, instant turnsFrom);
     std::uint64_t ownRequests(known_limit& limit, const endpoint_id& endpoint, const current_turns& current, std::uint64_t turn);
+    // With those that entries gave each other.
+    std::uint64_t availableRequests(known_limit& limit, const endpoint_id& endpoint, const current_turns& current, std::uint64_t turn);
+    static void forgetPastTurns(known_limit& limit, std::uint64_t number);
+    known_limit* limitOf(const permit_question& question);
     std::uint64_t sentIn(const known_limit& limit, std::uint64_t number) const { return limit.lastTurn == number ? limit.sentInTurn : 0; }
 
     turn_owners m_owners;
--- a/packages/decisions/limits/turn_owners.h
+++ b/packages/decisions/limits/turn_owners.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -21,6 +22,8 @@
 
     // Requests that this entry may send in the turn, out of so many of all entries. Zero while the entries are unknown.
     std::uint64_t ownRequests(std::string_view endpoint, std::uint64_t turn, std::uint64_t requestsPerTurn) const;
+    // Another entry that may send in the turn; of several, one by the random fraction. Nothing if all requests are this entry's.
+    std::optional<std::string> otherOwner(std::string_view endpoint, std::uint64_t turn, std::uint64_t requestsPerTurn, double randomFraction) const;
     std::size_t entryCount() const { return m_others.size() + (m_isKnown ? 1 : 0); }
     // Changes with the list of entries.
     std::uint64_t generation() const { return m_generation; }
@@ -28,8 +31,11 @@
 private:
     bool m_isKnown = false;
     std::uint64_t m_self = 0;
-    // Hashes of the names.
-    std::vector<std::uint64_t> m_others;
+    struct other_entry {
+        std::string name;
+        std::uint64_t hash = 0;
+    };
+    std::vector<other_entry> m_others;
     std::uint64_t m_generation = 0;
 };
 
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -289,6 +289,18 @@
             sendLimits(effect.records, *recipient);
     }
 
+    void carryOut(const ask_permit& effect)
+    {
+        if (const auto owner = m_members.find(effect.owner.str()); owner != m_members.end())
+            sendNews(effect.question, owner->second);
+    }
+
+    void carryOut(const answer_permit& effect)
+    {
+        if (const auto asker = m_members.find(effect.asker.str()); asker != m_members.end())
+            sendNews(effect.answer, asker->second);
+    }
+
     std::vector<const member_row*> recipientsOf(record_recipients which)
     {
         std::vector<const member_row*> recipients;
@@ -701,6 +713,8 @@
     {
         if (const auto* const question = std::get_if<freshness_question>(&message))
             return answer(*question, from);
+        if (const auto* const question = std::get_if<permit_question>(&message))
+            return answerPermit(*question, from);
         if (const auto* const presence = std::get_if<entry_presence>(&message))
             noteSender(*presence, from);
         std::visit([this](auto& concrete) { onNews(std::move(concrete)); }, message);
@@ -709,6 +723,14 @@
     void onNews(const load_subscription&) { }
     void onNews(const group_datagram&) { }
     void onNews(const relay_request&) { }
+    // The sender is known by the address of its datagrams.
+    void answerPermit(const permit_question& question, const boost::asio::ip::udp::endpoint& from)
+    {
+        const auto asker = std::find_if(m_members.begin(), m_members.end(),
+            [&](const auto& member) { return member.second.isEntry && datagramEndpoint(member.second) == from; });
+        if (asker != m_members.end())
+            post(permit_asked { now(), instance_id(asker->first), question });
+    }
     // An entry whose row was not read yet is added to the members. It gets this entry's presence at once, as does one that
     // has just started.
     void noteSender(const entry_presence& presence, const boost::asio::ip::udp::endpoint& from)
@@ -761,6 +783,8 @@
     void onNews(endpoint_load load) { post(endpoint_load_received { now(), std::move(load) }); }
     void onNews(endpoint_death death) { post(endpoint_death_reported { now(), std::move(death.address), death.startedAtMs }); }
     void onNews(endpoint_limit_records told) { post(endpoint_limits_told { now(), std::move(told.records) }); }
+    void onNews(const permit_question&) { }
+    void onNews(permit_answer answer) { post(permit_answered { now(), std::move(answer) }); }
     void onNews(crash_records told) { post(crash_records_received { now(), std::move(told.records) }); }
 
     // --- Time.
--- a/packages/model/endpoint_limit.h
+++ b/packages/model/endpoint_limit.h
@@ -42,4 +42,22 @@
     duration turnsAge {};
 };
 
+// Asks the owner of a request in a turn for it, as all endpoints of the asker's service are at their limits.
+struct permit_question {
+    endpoint_id endpoint;
+    // As endpoint_record::startedAtMs.
+    std::uint64_t startedAtMs = 0;
+    // Of the limit whose turns are counted.
+    double requestsPerSecond = 0;
+    std::uint64_t turn = 0;
+    // The request of the asker that waits.
+    request_number request = 0;
+};
+
+// The owner's answer: a granted request is the asker's, and the owner no longer sends it.
+struct permit_answer {
+    permit_question question;
+    bool isGranted = false;
+};
+
 } // namespace appleramp
--- a/tests/datagrams/datagram_codec_test.cpp
+++ b/tests/datagrams/datagram_codec_test.cpp
@@ -189,3 +189,15 @@
     cr_assert(std::holds_alternative<limit_not_stated>(limitAfter(limit_not_stated {})));
     cr_assert(std::holds_alternative<limit_not_stated>(limitAfter(unreadable_limit { "x" })));
 }
+
+Test(datagram_codec, questions_for_permits_pass)
+{
+    const permit_question sent { endpoint_id("i-1"), 1785821063025957, 1.8, (std::uint64_t { 2 } << 48U) + 7, 42 };
+    const auto asked = std::get<permit_question>(*decodeDatagram(encodeDatagram(sent)));
+    cr_assert_eq(asked.turn, sent.turn);
+    cr_assert_eq(asked.requestsPerSecond, sent.requestsPerSecond);
+    const auto answered = std::get<permit_answer>(*decodeDatagram(encodeDatagram(permit_answer { sent, true })));
+    cr_assert(answered.isGranted);
+    cr_assert_eq(answered.question.request, 42);
+    cr_assert_eq(answered.question.startedAtMs, sent.startedAtMs);
+}
--- a/tests/decisions/limits/endpoint_limits_test.cpp
+++ b/tests/decisions/limits/endpoint_limits_test.cpp
@@ -189,6 +189,39 @@
     cr_assert(times.front() == instant(12s));
 }
 
+// Guards against a request that is lent twice, or used by its owner as well.
+Test(endpoint_limits, lend_a_request_once)
+{
+    endpoint_limits owner = limitsOf(0, 2);
+    endpoint_limits asker = limitsOf(1, 2);
+    state(owner, instant(10s), instant(9s), request_limit { 1 });
+    asker.recordTold(instant(10s), *owner.record(instant(10s), endpoint));
+    const auto before = owner.sendTimes(instant(10s), endpoint, instant(60s)).size();
+    const auto found = asker.borrowableRequest(instant(10s), endpoint, instant(60s), 0);
+    cr_assert(found.has_value());
+    cr_assert_eq(found->owner, "entry-0");
+    cr_assert(owner.lend(instant(10s), found->question));
+    cr_assert_not(owner.lend(instant(10s), found->question));
+    cr_assert_eq(owner.sendTimes(instant(10s), endpoint, instant(60s)).size(), before - 1);
+    const auto borrowed = asker.sendTimes(instant(10s), endpoint, instant(60s)).size();
+    asker.borrow(instant(10s), found->question);
+    cr_assert_eq(asker.sendTimes(instant(10s), endpoint, instant(60s)).size(), borrowed + 1);
+}
+
+// Guards against requests of a turn that is over, of another limit or of an earlier start of the endpoint.
+Test(endpoint_limits, lend_nothing_that_is_out_of_date)
+{
+    endpoint_limits owner = limitsOf(0, 1);
+    state(owner, instant(10s), instant(9s), request_limit { 1 });
+    cr_assert_not(owner.lend(instant(20s), { endpoint, firstStart, 1, 3, 0 }));
+    cr_assert_not(owner.lend(instant(20s), { endpoint, firstStart, 2, 12, 0 }));
+    cr_assert_not(owner.lend(instant(20s), { endpoint, firstStart + 1, 1, 12, 0 }));
+    cr_assert_not(owner.lend(instant(20s), { endpoint, firstStart, 1, std::uint64_t { 1 } << 60U, 0 }));
+    cr_assert(owner.lend(instant(20s), { endpoint, firstStart, 1, 12, 0 }));
+    owner.borrow(instant(20s), { endpoint, firstStart, 1, 3, 0 });
+    cr_assert_eq(owner.sendTimes(instant(20s), endpoint, instant(21s)).size(), 1);
+}
+
 // Guards against requests that are served before others that came earlier or are more urgent.
 Test(permit_queue, serves_the_urgent_and_then_the_earliest_first)
 {
--- a/tests/decisions/limits/limit_world.cpp
+++ b/tests/decisions/limits/limit_world.cpp
@@ -36,6 +36,7 @@
 }
 
 std::string nameOfEntry(std::size_t entry) { return "entry-" + std::to_string(entry); }
+std::size_t numberOf(const instance_id& entry) { return static_cast<std::size_t>(std::stoul(entry.str().substr(6))); }
 endpoint_id idOf(std::size_t endpoint) { return endpoint_id("i-" + std::to_string(endpoint)); }
 std::string addressOf(std::size_t endpoint) { return "10.0.0." + std::to_string(endpoint) + ":80"; }
 
@@ -224,6 +225,10 @@
         m_outcomes[refusal->request].isRefused = true;
     else if (const auto* const share = std::get_if<share_endpoint_limits>(&effect))
         shareLimits(entry, *share);
+    else if (const auto* const ask = std::get_if<ask_permit>(&effect))
+        tell(entry, numberOf(ask->owner), permit_asked { m_now, instance_id(nameOfEntry(entry)), ask->question });
+    else if (const auto* const answer = std::get_if<answer_permit>(&effect))
+        tell(entry, numberOf(answer->asker), permit_answered { m_now, answer->answer });
     else if (const auto* const wait = std::get_if<wait_for_service>(&effect))
         schedule(wait->until - m_now, [this, entry, life, number = wait->request] {
             if (m_entries[entry]->life == life)
--- a/tests/decisions/limits/named_limit_test.cpp
+++ b/tests/decisions/limits/named_limit_test.cpp
@@ -128,3 +128,25 @@
     for (std::size_t endpoint = 0; endpoint < 3; ++endpoint)
         cr_assert_geq(world.arrivals(endpoint, 7s, 30s), 46 * 7 / 10, "%zu", world.arrivals(endpoint, 7s, 30s));
 }
+
+// Guards against callers that are refused at one entry while the turns of the others pass unused.
+Test(named_limit, of_all_endpoints_is_used_though_each_entry_owns_few_turns)
+{
+    limit_world world({ .entries = 48, .endpoints = 3, .limited = 3, .limit = 2.0, .requestInterval = 500ms });
+    world.runUntil(34s);
+    cr_assert_leq(world.refused(8s, 30s), world.sent(8s, 30s) / 5, "%zu of %zu", world.refused(8s, 30s), world.sent(8s, 30s));
+}
+
+// Guards against a turn that two entries use, as one was lent and the answer lost or late.
+Test(named_limit, of_all_endpoints_is_kept_though_turns_are_lent)
+{
+    for (const duration datagramDelay : { 2ms, 120ms }) {
+        limit_world world({ .endpoints = 2, .limited = 2, .limit = 1.5, .requestInterval = 60ms, .datagramDelay = datagramDelay, .datagramLoss = 0.3 });
+        for (std::size_t entry = 0; entry < 8; ++entry)
+            world.at(10s + entry * 700ms, [&world, entry] { world.restartEntry(entry); });
+        world.runUntil(34s);
+        cr_assert_leq(world.worstWindow(), 1.0);
+        for (std::size_t endpoint = 0; endpoint < 2; ++endpoint)
+            cr_assert_leq(world.arrivals(endpoint, 17s, 30s), static_cast<std::size_t>(13 * 1.5 + 2), "%zu", world.arrivals(endpoint, 17s, 30s));
+    }
+}
