Forwarding: an endpoint's failure reaches the caller where it can't be retried

What callers saw: 502 of ours in place of the 500 that an endpoint had answered, where a retry was allowed but no other endpoint took the request. Cause: the retry was decided before an endpoint for it was looked for, and the answer was given up with that decision. Change: the answer that is held is forwarded if no endpoint is found, and at once if all are limited. Result: forwarding_reducer::a_failure_answer_reaches_the_caller_where_no_other_endpoint_can_be_tried failed before.

--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -164,24 +164,16 @@
 
 void forwarding_reducer::place(instant now, request_number number, request_state& request)
 {
-    if (request.deadline - now < minTimeLeft) {
-        refuse(number, request, request.mayHaveRun ? refusal_reason::TimedOut : refusal_reason::ExpiredBeforeRun, {});
-        forget(number);
-        return;
-    }
+    if (request.deadline - now < minTimeLeft)
+        return refusePlacement(number, request, request.mayHaveRun ? refusal_reason::TimedOut : refusal_reason::ExpiredBeforeRun, {});
     if (const auto suspicion = suspicionAgainst(now, number, request)) {
         const bool isFinal = suspicion == refusal_reason::BreaksEndpoints;
-        refuse(number, request, request.mayHaveRun ? refusal_reason::OutcomeUnknown : *suspicion, isFinal ? std::nullopt : std::optional(longRetryAfter()));
-        forget(number);
-        return;
+        return refusePlacement(number, request, request.mayHaveRun ? refusal_reason::OutcomeUnknown : *suspicion, isFinal ? std::nullopt : std::optional(longRetryAfter()));
     }
     if (deferDuringOutage(now, number, request))
         return;
-    if (const auto retryAfter = request.attempts == 0 ? overloadRetryAfter(now, request) : std::nullopt) {
-        refuse(number, request, refusal_reason::NoCapacity, retryAfter);
-        forget(number);
-        return;
-    }
+    if (const auto retryAfter = request.attempts == 0 ? overloadRetryAfter(now, request) : std::nullopt)
+        return refusePlacement(number, request, refusal_reason::NoCapacity, retryAfter);
     const service_description* const service = request.routes->service(request.service);
     const placement_query query { .now = now,
         .service = request.service,
@@ -206,9 +198,7 @@
         duration retryAfter = isTemporary ? retryAfterPause(now, request.service) : longRetryAfter();
         if (m_fleet.areAllLimited(query))
             retryAfter = std::max(retryAfter, longRetryAfter());
-        refuse(number, request, request.mayHaveRun ? refusal_reason::OutcomeUnknown : refusal_reason::NoCapacity, retryAfter);
-        forget(number);
-        return;
+        return refusePlacement(number, request, request.mayHaveRun ? refusal_reason::OutcomeUnknown : refusal_reason::NoCapacity, retryAfter);
     }
     const auto admission = admission_gate::decide({ .load = found->load,
                                                       .slots = found->slots,
@@ -217,14 +207,23 @@
                                                       .timeLeft = request.deadline - now,
                                                       .urgencyRank = request.urgencyRank },
         randomFraction());
-    if (!admission.admitted && !request.mayHaveRun) {
-        refuse(number, request, refusal_reason::NoCapacity, admission.retryAfter);
-        forget(number);
-        return;
-    }
+    if (!admission.admitted && !request.mayHaveRun)
+        return refusePlacement(number, request, refusal_reason::NoCapacity, admission.retryAfter);
     send(now, number, request, *found);
 }
 
+void forwarding_reducer::refusePlacement(
+    request_number number, const request_state& request, refusal_reason reason, std::optional<duration> retryAfter)
+{
+    // The failure that an endpoint answered before is the outcome of the request.
+    if (request.hasFailureAnswer) {
+        m_effects.emplace_back(forward_failure_answer { number });
+        m_effects.emplace_back(log_decision { "failure_forwarded", request.caller.sendId, { { "no_retry", std::string(nameOf(reason)) } } });
+    } else
+        refuse(number, request, reason, retryAfter);
+    forget(number);
+}
+
 bool forwarding_reducer::deferDuringOutage(instant now, request_number number, request_state& request)
 {
     const auto outage = m_outages.find(request.service);
@@ -268,6 +267,7 @@
 {
     ++request.attempts;
     request.answerPieces = 0;
+    request.hasFailureAnswer = false;
     request.currentEndpoint = chosen.endpoint;
     request.sentAt = now;
     request.triedEndpoints.push_back(chosen.endpoint);
@@ -310,6 +310,7 @@
         pauseEndpoint(event.now, request, *event.retryAfter);
     if (executionStatusAfter(event.ending) != execution_status::NotRun)
         request.mayHaveRun = true;
+    request.hasFailureAnswer = event.ending == attempt_ending::FailureAnswer && !event.answerBegun;
     m_effects.emplace_back(log_decision { "attempt_ended", request.caller.sendId,
         { { "endpoint", request.currentEndpoint.str() }, { "ending", std::string(nameOf(event.ending)) },
             { "after_ms", millisecondsText(event.now - request.sentAt) }, { "begun", event.answerBegun ? "true" : "false" } } });
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -88,6 +88,8 @@
         std::uint32_t permitQuestions = 0;
         // An earlier attempt may have been executed.
         bool mayHaveRun = false;
+        // The latest attempt brought a whole answer that says that the request failed.
+        bool hasFailureAnswer = false;
         // What endpoints may die of when they begin to answer.
         std::vector<suspect_key> suspects;
         // Pieces of an answer that the current attempt has brought.
@@ -145,6 +147,8 @@
     bool tryTakeRetry(instant now, request_state& request, const attempt_ended& event);
     void finishFailedRequest(request_number number, const request_state& request, const attempt_ended& event);
     void refuse(request_number number, const request_state& request, refusal_reason reason, std::optional<duration> retryAfter);
+    // Ends a request that can't be sent now.
+    void refusePlacement(request_number number, const request_state& request, refusal_reason reason, std::optional<duration> retryAfter);
     void moveStreamsFromSlowEndpoint(instant now, const endpoint_id& slow, double pace);
     void recordEnding(instant now, const request_state& request, const attempt_ended& event);
     // The endpoint asked for no requests for that long.
--- a/packages/decisions/forwarding/forwarding_reducer_limits.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_limits.cpp
@@ -159,6 +159,9 @@
 
 bool forwarding_reducer::waitForPermit(instant now, request_number number, request_state& request, const placement_query& query)
 {
+    // The caller need not wait for a failure that is at hand.
+    if (request.hasFailureAnswer)
+        return false;
     if (request.permitWaitEnd == instant {})
         request.permitWaitEnd = now + std::min(maxPermitWait, (request.deadline - now) / permitWaitDivisor);
     const std::size_t ahead = requestsAhead(number, request);
--- a/tests/decisions/forwarding/forwarding_reducer_test.cpp
+++ b/tests/decisions/forwarding/forwarding_reducer_test.cpp
@@ -188,6 +188,17 @@
     cr_assert_not_null(entry.effect<forward_failure_answer>());
 }
 
+// Guards against an endpoint's answer that is replaced by an error of ours, since no other endpoint takes the request now.
+Test(forwarding_reducer, a_failure_answer_reaches_the_caller_where_no_other_endpoint_can_be_tried)
+{
+    entry entry;
+    entry.handle(endpoint_unlisted { entry.now, endpoint_id("l2") });
+    entry.request("/read/x");
+    entry.endAttempt(attempt_ending::FailureAnswer);
+    cr_assert_null(entry.effect<refuse_request>());
+    cr_assert_not_null(entry.effect<forward_failure_answer>());
+}
+
 Test(forwarding_reducer, a_broken_stream_is_resumed_and_a_second_time_broken_off)
 {
     entry entry;
