--- a/packages/decisions/forwarding/endpoint_fleet.h
+++ b/packages/decisions/forwarding/endpoint_fleet.h
@@ -103,6 +103,7 @@
     // Another entry tells of a limit. It is ignored if that incarnation of the endpoint is not known.
     endpoint_limits::told_outcome recordToldLimit(instant now, const endpoint_limit_record& record);
     const endpoint_limits& limits() const { return m_limits; }
+    std::vector<endpoint_limits::limit_view> limitViews(instant now) { return m_limits.views(now); }
     // If all endpoints that the query may choose name limits: when they allow a request of this entry after so many others,
     // at the latest at that time.
     std::optional<instant> limitOpensAt(const placement_query& query, std::size_t requestsAhead, instant until);
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -62,6 +62,7 @@
     std::vector<crash_record> recordsForStartingEntry(instant now) const;
     // What it is told of endpoints' limits.
     std::vector<endpoint_limit_record> limitsForStartingEntry(instant now) const;
+    std::vector<endpoint_limits::limit_view> limitViews(instant now) { return m_fleet.limitViews(now); }
     std::size_t requestsAwaitingPermit() const { return m_permitQueue.size(); }
 
 private:
--- a/packages/decisions/limits/endpoint_limits.cpp
+++ b/packages/decisions/limits/endpoint_limits.cpp
@@ -141,7 +141,9 @@
     if (!current)
         return true;
     const std::uint64_t turn = current->turns.turnAt(now);
-    return current->turns.hasBegun(now) && availableRequests(found->second, endpoint, *current, turn) > 0;
+    const bool isAllowed = current->turns.hasBegun(now) && availableRequests(found->second, endpoint, *current, turn) > 0;
+    found->second.passedOver += isAllowed ? 0 : 1;
+    return isAllowed;
 }
 
 void endpoint_limits::recordSend(instant now, const endpoint_id& endpoint)
@@ -257,11 +259,13 @@
     return result;
 }
 
-std::vector<endpoint_limits::limit_view> endpoint_limits::views(instant now) const
+std::vector<endpoint_limits::limit_view> endpoint_limits::views(instant now)
 {
     std::vector<limit_view> result;
-    for (const auto& [endpoint, limit] : m_limits)
-        result.push_back({ *record(now, endpoint), now - limit.knownSince, limit.sends });
+    for (const auto& [endpoint, limit] : m_limits) {
+        const auto times = sendTimes(now, endpoint, now + viewHorizon);
+        result.push_back({ *record(now, endpoint), now - limit.knownSince, limit.sends, limit.passedOver, times.empty() ? std::nullopt : std::optional(times.front()) });
+    }
     return result;
 }
 
--- a/packages/decisions/limits/endpoint_limits.h
+++ b/packages/decisions/limits/endpoint_limits.h
@@ -36,6 +36,10 @@
         duration knownFor {};
         // Requests of this entry under the limit.
         std::uint64_t sends = 0;
+        // How often this entry passed the endpoint over, as it had no turn.
+        std::uint64_t passedOver = 0;
+        // When this entry may send next; nothing if that is not soon.
+        std::optional<instant> nextSend;
     };
 
     void setEntries(std::string_view self, std::span<const std::string> names) { m_owners.setEntries(self, names); }
@@ -73,7 +77,7 @@
     std::optional<endpoint_limit_record> record(instant now, const endpoint_id& endpoint) const;
     // What other entries need to know.
     std::vector<endpoint_limit_record> records(instant now) const;
-    std::vector<limit_view> views(instant now) const;
+    std::vector<limit_view> views(instant now);
     std::size_t limitedCount(instant now) const;
 
     // An endpoint that names a lower limit, or zero, gets a request of one entry that often, which shows whether the limit
@@ -87,6 +91,8 @@
     static constexpr duration orderUncertainty = std::chrono::milliseconds(100);
     // Other entries are told of the end of a limit for this long.
     static constexpr duration endToldFor = std::chrono::seconds(5);
+    // How far a view looks ahead for the next turn of this entry.
+    static constexpr duration viewHorizon = std::chrono::minutes(1);
     // Among this many of the next turns one is chosen to ask for, so that entries do not all ask the same owner.
     static constexpr std::size_t borrowableTurns = 4;
 
@@ -99,6 +105,7 @@
         instant turnsFrom;
         instant knownSince;
         std::uint64_t sends = 0;
+        std::uint64_t passedOver = 0;
         // The turn in which this entry sent last, and how often.
         std::uint64_t lastTurn = 0;
         std::uint64_t sentInTurn = 0;
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -8,6 +8,7 @@
 #include "directentry/caller_exchange.h"
 #include "directentry/crash_record_writer.h"
 #include "directentry/entry_metrics.h"
+#include "directentry/limits_page.h"
 #include "http/client_pool.h"
 #include "http/connection_probe.h"
 #include "http/http_acceptor.h"
@@ -374,6 +375,13 @@
         http_response response;
         if (const auto question = decodeChangesTarget(request.head.target))
             return connection->respond(changesFor(*question));
+        if (request.head.method == "GET" && request.head.path() == "/v1/limits") {
+            response.head.status = 200;
+            response.head.headers.add("Content-Type", "application/json");
+            const instant moment = now();
+            response.body = limitsPage(moment, m_reducer.limitViews(moment), m_reducer.fleet().limits().entryCount());
+            return connection->respond(std::move(response));
+        }
         const bool asked = request.head.method == "GET" && request.head.path() == "/v1/metrics";
         response.head.status = asked ? 200 : 404;
         if (asked) {
--- a/tests/processes/direct_limits.py
+++ b/tests/processes/direct_limits.py
@@ -1,5 +1,6 @@
 """Real entries before an endpoint that names a limit: all entries together send it no more than that, also one that starts
 meanwhile, the rest goes elsewhere, and the endpoint is used again after the limit has ended."""
+import json
 import pathlib
 import sys
 import threading
@@ -89,6 +90,9 @@
         assert arrivals, "the endpoint got nothing, so that nobody would learn of the end of its limit"
         assert all(status == 200 for status, _, _ in answers), [answer for answer in answers if answer[0] != 200][:3]
         assert fleet.logged("entry-3", "endpoint_limited"), "the entry that started was not told"
+        page = json.loads(call(all_ports[0]["operations"], "GET", "/v1/limits")[2])
+        assert page["entries"] == len(ENTRIES) and page["limits"][0]["endpoint"] == "e1", page
+        assert page["limits"][0]["requests_per_second"] == LIMIT and page["limits"][0]["passed_over"] > 0, page
 
         other.limit = LIMIT
         play(all_ports[:2])
