Tests: limits with news that overtake each other and entries that freeze

The world of test_limits passes all messages through the real encoding, doubles and reorders them, and lets entries stand still. Both new tests hold on the code as it is: no fault found.

--- a/tests/decisions/limits/limit_world.cpp
+++ b/tests/decisions/limits/limit_world.cpp
@@ -1,5 +1,7 @@
 #include "decisions/limits/limit_world.h"
 
+#include "datagrams/datagram_codec.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -46,6 +48,7 @@
     std::unique_ptr<forwarding_reducer> reducer;
     std::uint64_t life = 0;
     instant cutUntil;
+    instant frozenUntil;
     instant presenceToldAt;
     // When this life of the entry first passed on an answer with a limit, by endpoint.
     std::map<std::size_t, instant> toldAt;
@@ -115,7 +118,7 @@
     post(entry, crash_table_read { m_now, true, {}, {} });
     for (std::size_t other = 0; other < m_entries.size(); ++other) {
         if (other != entry && m_entries[other]->reducer)
-            tell(other, entry, endpoint_limits_told { m_now, m_entries[other]->reducer->limitsForStartingEntry(m_now) });
+            tell(other, entry, endpoint_limit_records { m_entries[other]->reducer->limitsForStartingEntry(m_now) });
     }
     tickEntry(entry, state.life);
 }
@@ -124,6 +127,8 @@
 
 void limit_world::cutEntry(std::size_t entry, duration length) { m_entries[entry]->cutUntil = m_now + length; }
 
+void limit_world::freezeEntry(std::size_t entry, duration length) { m_entries[entry]->frozenUntil = m_now + length; }
+
 void limit_world::changeLimit(double limit) { m_settings.limit = limit; }
 
 void limit_world::tickEntry(std::size_t entry, std::uint64_t life)
@@ -131,45 +136,64 @@
     entry_state& state = *m_entries[entry];
     if (state.life != life)
         return;
+    if (m_now < state.frozenUntil)
+        return schedule(state.frozenUntil - m_now, [this, entry, life] { tickEntry(entry, life); });
     post(entry, configuration_read { m_now, m_now, std::nullopt });
     post(entry, timer_ticked { m_now });
     if (m_now - state.presenceToldAt >= presenceInterval) {
         state.presenceToldAt = m_now;
         const std::string name = nameOfEntry(entry);
-        tellOthers(entry, entry_presence_received { m_now, { instance_id(name), zone, name, true, 1 } });
+        tellOthers(entry, entry_presence { instance_id(name), zone, name, true, 1 });
     }
     schedule(tickInterval, [this, entry, life] { tickEntry(entry, life); });
 }
 
-void limit_world::tell(std::size_t entry, std::size_t other, const forwarding_event& event)
+void limit_world::tell(std::size_t entry, std::size_t other, const datagram_message& message)
 {
     const bool isCut = m_now < m_entries[entry]->cutUntil || m_now < m_entries[other]->cutUntil;
     if (isCut || fraction() < m_settings.datagramLoss)
         return;
-    schedule(m_settings.datagramDelay, [this, other, event] {
-        forwarding_event arrived = event;
-        std::visit([this](auto& concrete) {
-            if constexpr (requires { concrete.now; })
-                concrete.now = m_now;
-        },
-            arrived);
-        post(other, arrived);
-    });
+    deliver(entry, other, message);
+    if (fraction() < m_settings.datagramDuplication)
+        deliver(entry, other, message);
+}
+
+void limit_world::deliver(std::size_t from, std::size_t to, const datagram_message& message)
+{
+    const duration jitter(static_cast<duration::rep>(fraction() * static_cast<double>(m_settings.datagramJitter.count())));
+    schedule(m_settings.datagramDelay + jitter, [this, from, to, bytes = encodeDatagram(message)] { onDatagram(from, to, bytes); });
 }
 
-void limit_world::tellOthers(std::size_t entry, const forwarding_event& event)
+void limit_world::onDatagram(std::size_t from, std::size_t to, const std::string& bytes)
+{
+    if (m_now < m_entries[to]->frozenUntil)
+        return schedule(m_entries[to]->frozenUntil - m_now, [this, from, to, bytes] { onDatagram(from, to, bytes); });
+    const auto message = decodeDatagram(bytes);
+    if (const auto* const presence = std::get_if<entry_presence>(&*message))
+        post(to, entry_presence_received { m_now, *presence });
+    else if (const auto* const told = std::get_if<endpoint_limit_records>(&*message))
+        post(to, endpoint_limits_told { m_now, told->records });
+    else if (const auto* const question = std::get_if<permit_question>(&*message))
+        post(to, permit_asked { m_now, instance_id(nameOfEntry(from)), *question });
+    else if (const auto* const answer = std::get_if<permit_answer>(&*message))
+        post(to, permit_answered { m_now, *answer });
+    else if (const auto* const load = std::get_if<endpoint_load>(&*message))
+        post(to, endpoint_load_received { m_now, *load });
+}
+
+void limit_world::tellOthers(std::size_t entry, const datagram_message& message)
 {
     for (std::size_t other = 0; other < m_entries.size(); ++other) {
         if (other != entry)
-            tell(entry, other, event);
+            tell(entry, other, message);
     }
 }
 
 void limit_world::shareLimits(std::size_t entry, const share_endpoint_limits& effect)
 {
-    const endpoint_limits_told event { m_now, effect.records };
+    const endpoint_limit_records message { effect.records };
     if (effect.recipients == record_recipients::AllEntries)
-        return tellOthers(entry, event);
+        return tellOthers(entry, message);
     std::vector<std::size_t> others;
     for (std::size_t other = 0; other < m_entries.size(); ++other) {
         if (other != entry)
@@ -177,7 +201,7 @@
     }
     std::shuffle(others.begin(), others.end(), m_random);
     for (std::size_t number = 0; number < std::min(recordRecipients, others.size()); ++number)
-        tell(entry, others[number], event);
+        tell(entry, others[number], message);
 }
 
 void limit_world::reportLoads()
@@ -190,7 +214,7 @@
             load.limit = no_limit {};
         for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
             if (fraction() >= m_settings.datagramLoss)
-                schedule(m_settings.datagramDelay, [this, entry, load] { post(entry, endpoint_load_received { m_now, load }); });
+                deliver(entry, entry, load);
         }
     }
     schedule(reportInterval, [this] { reportLoads(); });
@@ -200,14 +224,22 @@
 {
     const request_number number = ++m_lastRequest;
     m_outcomes[number].when = m_now;
+    const std::size_t entry = std::uniform_int_distribution<std::size_t>(0, m_entries.size() - 1)(m_random);
+    arrive(entry, number);
+    schedule(duration(static_cast<duration::rep>(2 * fraction() * static_cast<double>(m_settings.requestInterval.count()))), [this] { sendNext(); });
+}
+
+void limit_world::arrive(std::size_t entry, request_number number)
+{
+    if (m_now < m_entries[entry]->frozenUntil)
+        return schedule(m_entries[entry]->frozenUntil - m_now, [this, entry, number] { arrive(entry, number); });
     caller_request caller;
     caller.host = "a.example";
     caller.path = "/read/x";
     caller.sendId = "s" + std::to_string(number);
     caller.timeout = m_settings.callerTimeout;
     caller.contentHash = number;
-    post(std::uniform_int_distribution<std::size_t>(0, m_entries.size() - 1)(m_random), request_arrived { m_now, number, caller });
-    schedule(duration(static_cast<duration::rep>(2 * fraction() * static_cast<double>(m_settings.requestInterval.count()))), [this] { sendNext(); });
+    post(entry, request_arrived { m_now, number, caller });
 }
 
 void limit_world::post(std::size_t entry, const forwarding_event& event)
@@ -226,16 +258,23 @@
     else if (const auto* const share = std::get_if<share_endpoint_limits>(&effect))
         shareLimits(entry, *share);
     else if (const auto* const ask = std::get_if<ask_permit>(&effect))
-        tell(entry, numberOf(ask->owner), permit_asked { m_now, instance_id(nameOfEntry(entry)), ask->question });
+        tell(entry, numberOf(ask->owner), ask->question);
     else if (const auto* const answer = std::get_if<answer_permit>(&effect))
-        tell(entry, numberOf(answer->asker), permit_answered { m_now, answer->answer });
+        tell(entry, numberOf(answer->asker), answer->answer);
     else if (const auto* const wait = std::get_if<wait_for_service>(&effect))
         schedule(wait->until - m_now, [this, entry, life, number = wait->request] {
-            if (m_entries[entry]->life == life)
-                post(entry, service_wait_ended { m_now, number });
+            wake(entry, life, number);
         });
 }
 
+void limit_world::wake(std::size_t entry, std::uint64_t life, request_number number)
+{
+    if (m_now < m_entries[entry]->frozenUntil)
+        return schedule(m_entries[entry]->frozenUntil - m_now, [this, entry, life, number] { wake(entry, life, number); });
+    if (m_entries[entry]->life == life)
+        post(entry, service_wait_ended { m_now, number });
+}
+
 bool limit_world::isNaming(std::size_t endpoint) const
 {
     return endpoint < m_settings.limited && m_now >= instant(m_settings.namedFrom) && m_now < instant(m_settings.namedUntil);
@@ -248,19 +287,26 @@
     const auto told = toldAt.find(endpoint);
     m_arrivals.push_back({ m_now, endpoint, m_settings.limit, told != toldAt.end() && m_now - told->second >= toldBefore });
     schedule(m_settings.answerTime, [this, entry, endpoint, life = m_entries[entry]->life, number = attempt.request] {
-        entry_state& state = *m_entries[entry];
-        if (state.life != life)
-            return;
-        limit_statement statement = no_limit {};
-        if (isNaming(endpoint)) {
-            statement = request_limit { m_settings.limit };
-            state.toldAt.try_emplace(endpoint, m_now);
-        }
-        post(entry, endpoint_limit_stated { m_now, number, statement });
-        post(entry, attempt_succeeded { m_now, number });
+        answer(entry, life, number, endpoint, isNaming(endpoint) ? std::optional(m_settings.limit) : std::nullopt);
     });
 }
 
+void limit_world::answer(std::size_t entry, std::uint64_t life, request_number number, std::size_t endpoint, std::optional<double> limit)
+{
+    entry_state& state = *m_entries[entry];
+    if (state.life != life)
+        return;
+    if (m_now < state.frozenUntil)
+        return schedule(state.frozenUntil - m_now, [this, entry, life, number, endpoint, limit] { answer(entry, life, number, endpoint, limit); });
+    if (limit)
+        state.toldAt.try_emplace(endpoint, m_now);
+    if (limit)
+        post(entry, endpoint_limit_stated { m_now, number, request_limit { *limit } });
+    else
+        post(entry, endpoint_limit_stated { m_now, number, no_limit {} });
+    post(entry, attempt_succeeded { m_now, number });
+}
+
 double limit_world::worstWindow() const
 {
     const instant from = instant(m_settings.namedFrom) + contactTime;
--- a/tests/decisions/limits/limit_world.h
+++ b/tests/decisions/limits/limit_world.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "datagrams/datagram_message.h"
 #include "decisions/forwarding/forwarding_reducer.h"
 
 #include <cstdint>
@@ -31,6 +32,9 @@
     duration datagramDelay = std::chrono::milliseconds(2);
     // Fraction of the datagrams that are lost.
     double datagramLoss = 0;
+    // Fraction of the datagrams that arrive twice, and the longest further delay of any, by which they overtake each other.
+    double datagramDuplication = 0;
+    duration datagramJitter {};
     // Agents report the limit of their endpoints to all entries.
     bool hasAgents = false;
 };
@@ -52,6 +56,8 @@
     void restartEntry(std::size_t entry);
     // No datagram passes between the entry and the others for that long.
     void cutEntry(std::size_t entry, duration length);
+    // The entry stands still; what reaches it meanwhile is handled when it goes on.
+    void freezeEntry(std::size_t entry, duration length);
     // The endpoints name this limit from now on.
     void changeLimit(double limit);
 
@@ -96,12 +102,18 @@
     void tickEntry(std::size_t entry, std::uint64_t life);
     void sendNext();
     void post(std::size_t entry, const forwarding_event& event);
+    // The message passes through the real encoding.
+    void deliver(std::size_t from, std::size_t to, const datagram_message& message);
+    void onDatagram(std::size_t from, std::size_t to, const std::string& bytes);
     void carryOut(std::size_t entry, const forwarding_effect& effect);
+    void arrive(std::size_t entry, request_number number);
+    void wake(std::size_t entry, std::uint64_t life, request_number number);
+    void answer(std::size_t entry, std::uint64_t life, request_number number, std::size_t endpoint, std::optional<double> limit);
     void reachEndpoint(std::size_t entry, const send_attempt& attempt);
     void reportLoads();
     void shareLimits(std::size_t entry, const share_endpoint_limits& effect);
-    void tell(std::size_t entry, std::size_t other, const forwarding_event& event);
-    void tellOthers(std::size_t entry, const forwarding_event& event);
+    void tell(std::size_t entry, std::size_t other, const datagram_message& message);
+    void tellOthers(std::size_t entry, const datagram_message& message);
     bool isNaming(std::size_t endpoint) const;
     std::vector<endpoint_record> registry() const;
     double fraction();
--- a/tests/decisions/limits/named_limit_test.cpp
+++ b/tests/decisions/limits/named_limit_test.cpp
@@ -86,6 +86,28 @@
     });
 }
 
+// Guards against news that arrive twice, late, or behind others that were sent after them.
+Test(named_limit, is_kept_though_news_overtake_each_other)
+{
+    for (const bool hasAgents : { false, true })
+        expectWithinBound({ .limit = 1.2, .datagramLoss = 0.1, .datagramDuplication = 0.3, .datagramJitter = 400ms, .hasAgents = hasAgents }, [](limit_world& world) {
+            world.at(14s, [&world] { world.changeLimit(2.4); });
+            world.at(22s, [&world] { world.changeLimit(1.0); });
+        });
+}
+
+// Guards against entries that wake and act on what they knew or were told before: limits, their ages and turns.
+Test(named_limit, is_kept_by_entries_that_freeze)
+{
+    for (const bool hasAgents : { false, true })
+        expectWithinBound({ .endpoints = 3, .limit = 1.2, .requestInterval = 30ms, .hasAgents = hasAgents }, [](limit_world& world) {
+            for (std::size_t entry = 0; entry < 8; ++entry)
+                world.at(5s + entry * 1700ms, [&world, entry] { world.freezeEntry(entry, 3500ms); });
+            world.at(15s, [&world] { world.changeLimit(2.4); });
+            world.at(21s, [&world] { world.changeLimit(1.0); });
+        });
+}
+
 // Guards against a limit that changes while it lasts, also with every answer.
 Test(named_limit, is_kept_while_it_changes)
 {
