--- a/packages/decisions/forwarding/forwarding_reducer_limits.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_limits.cpp
@@ -3,7 +3,6 @@
 #include "decisions/forwarding/durations.h"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 // The part of the reducer that keeps endpoints within the limits that they name: learning, telling other entries, waiting.
@@ -199,8 +198,7 @@
 void forwarding_reducer::on(const permit_asked& event)
 {
     const service_id service = m_fleet.serviceOf(event.question.endpoint);
-    const bool isNeeded = m_permitQueue.countAhead(service, std::numeric_limits<std::uint32_t>::max(), 0) > 0;
-    const bool isGranted = !isNeeded && m_fleet.lendRequest(event.now, event.question);
+    const bool isGranted = !m_permitQueue.isWaiting(service) && m_fleet.lendRequest(event.now, event.question);
     m_effects.emplace_back(answer_permit { event.asker, { event.question, isGranted } });
     if (isGranted)
         m_effects.emplace_back(log_decision { "permit_lent", {},
--- a/packages/decisions/limits/permit_queue.h
+++ b/packages/decisions/limits/permit_queue.h
@@ -17,6 +17,7 @@
     void remove(const service_id& service, std::uint32_t urgencyRank, request_number request);
     // Requests that are served before this one.
     std::size_t countAhead(const service_id& service, std::uint32_t urgencyRank, request_number request) const;
+    bool isWaiting(const service_id& service) const { return m_waiting.contains(service); }
     std::size_t size() const;
 
 private:
--- a/tests/decisions/fleet/fleet_world.cpp
+++ b/tests/decisions/fleet/fleet_world.cpp
@@ -1,4 +1,4 @@
-#include "decisions/fleet/fleet_world.h"
+#include "decisions/fleet/fleet_world_state.h"
 
 #include "datagrams/datagram_codec.h"
 
@@ -14,23 +14,11 @@
 constexpr duration tickInterval = 100ms;
 constexpr duration presenceInterval = 700ms;
 constexpr duration datagramDelay = 2ms;
-constexpr duration refusalDelay = 1ms;
-constexpr duration feedDelay = 450ms;
-// The registry drops a silent engine, and an engine that leaves ends, that long afterwards.
-constexpr duration registryExpiry = 3600ms;
-constexpr duration leavingTime = 4s;
-constexpr duration coldTime = 3s;
-constexpr duration shortestWork = 40ms;
-constexpr duration workSpread = 160ms;
 constexpr duration callerTimeout = 3s;
 constexpr double limitSpread = 3.0;
 constexpr double leastLimit = 0.8;
 constexpr std::size_t recordRecipients = 3;
-constexpr std::uint32_t slots = 12;
-const service_id service("service");
 
-availability_zone_id zoneOf(std::size_t number) { return availability_zone_id("zone-" + std::to_string(number)); }
-std::string nameOfEntry(std::size_t entry) { return "entry-" + std::to_string(entry); }
 std::size_t numberOf(const instance_id& entry) { return static_cast<std::size_t>(std::stoul(entry.str().substr(6))); }
 
 route routeOf(const std::string& prefix, route_kind kind, std::uint32_t attempts)
@@ -40,7 +28,7 @@
     result.host = "a.example";
     result.prefix = prefix;
     result.kind = kind;
-    result.services = { { service, 1 } };
+    result.services = { { fleetService, 1 } };
     result.timeout = callerTimeout;
     result.latencyTarget = 300ms;
     result.maxAttempts = attempts;
@@ -53,7 +41,7 @@
     result.version = 1;
     result.routes = { routeOf("/read/", route_kind::Idempotent, 2), routeOf("/post/", route_kind::NonRepeatable, 1) };
     service_description description;
-    description.id = service;
+    description.id = fleetService;
     description.coldRequestsPerSecond = fleet_world::coldPerSecond;
     result.services = { description };
     return result;
@@ -61,59 +49,6 @@
 
 } // namespace
 
-struct fleet_world::entry_state {
-    std::unique_ptr<forwarding_reducer> reducer;
-    std::uint64_t life = 0;
-    instant frozenUntil;
-    instant cutUntil;
-    // Excused until then: it restarted, froze or was cut off.
-    instant disturbedUntil;
-    instant presenceToldAt;
-    // What answers told this life of the entry, by start of an engine.
-    std::map<std::uint64_t, instant> toldLeaving;
-    std::map<std::uint64_t, instant> toldLimit;
-    struct pause {
-        instant from;
-        instant until;
-        std::size_t requests = 0;
-    };
-    std::map<std::uint64_t, pause> pauses;
-    std::map<request_number, std::uint64_t> attempts;
-};
-
-struct fleet_world::engine_state {
-    std::size_t number = 0;
-    bool isUp = true;
-    bool isLeaving = false;
-    std::uint64_t start = 0;
-    instant startedAt;
-    instant coldUntil;
-    instant pausedUntil;
-    double limit = 0;
-    instant limitedFrom;
-    instant limitedUntil;
-    std::uint32_t running = 0;
-    struct arrival {
-        instant when;
-        bool isTold = false;
-    };
-    std::vector<arrival> arrivals;
-
-    std::string address() const { return "10.0.0." + std::to_string(number) + ":80"; }
-    endpoint_id id() const { return endpoint_id("i-" + std::to_string(start)); }
-    availability_zone_id zone(std::size_t zones) const { return zoneOf(number % zones); }
-    bool isNaming(instant now) const { return now >= limitedFrom && now < limitedUntil; }
-};
-
-struct fleet_world::request_record {
-    instant when;
-    bool mayRepeat = false;
-    std::size_t runs = 0;
-    bool isServed = false;
-    bool isSaidNotRun = false;
-    instant deadline;
-};
-
 fleet_world::fleet_world(fleet_world_settings settings)
     : m_settings(settings)
     , m_random(settings.seed)
@@ -190,7 +125,7 @@
         return crashEngine(engine, fault.length);
     case fault_kind::EngineLeaves:
         if (target.isUp && !target.isLeaving)
-            stopEngine(engine);
+            stopEngine(engine, fault.strength < 0.5);
         return;
     case fault_kind::EnginePauses:
         target.pausedUntil = std::max(target.pausedUntil, m_now + fault.length);
@@ -245,7 +180,7 @@
 {
     const engine_state& state = *m_engines[engine];
     const duration coldFor = std::max(duration::zero(), state.coldUntil - m_now);
-    return { state.id(), service, state.address(), state.zone(m_settings.zones), slots, state.isLeaving, coldFor, state.start };
+    return { state.id(), fleetService, state.address(), state.zone(m_settings.zones), engineSlots, state.isLeaving, coldFor, state.start };
 }
 
 void fleet_world::startEntry(std::size_t entry)
@@ -351,190 +286,6 @@
         });
 }
 
-void fleet_world::reachEngine(std::size_t entry, const send_attempt& attempt)
-{
-    const auto found = std::find_if(m_engines.begin(), m_engines.end(), [&](const auto& engine) { return engine->address() == attempt.address; });
-    const auto engine = static_cast<std::size_t>(found - m_engines.begin());
-    engine_state& target = **found;
-    const request_number number = attempt.request;
-    const std::uint64_t current = ++m_entries[entry]->attempts[number];
-    scheduleAt(entry, attempt.timeLeft, [this, entry, number, current] {
-        if (m_entries[entry]->attempts[number] == current)
-            post(entry, deadline_passed { m_now, number, false });
-    });
-    if (!target.isUp)
-        return end(entry, number, attempt_ending::NotSent, {}, true);
-    if (target.id() != attempt.endpoint)
-        return end(entry, number, attempt_ending::WrongEndpoint);
-    checkArrival(entry, engine);
-    if (m_now < target.pausedUntil) {
-        const duration left = target.pausedUntil - m_now;
-        m_entries[entry]->pauses.try_emplace(target.start, entry_state::pause { m_now + settleTime, target.pausedUntil });
-        noteAnswer(entry, target);
-        return end(entry, number, attempt_ending::Rejected, left);
-    }
-    run(entry, engine, number);
-}
-
-void fleet_world::run(std::size_t entry, std::size_t engine, request_number number)
-{
-    request_record& record = m_requests.at(number);
-    ++record.runs;
-    if (!record.mayRepeat && record.runs > 1)
-        breakPromise("at most once", "request " + std::to_string(number) + " ran twice");
-    if (record.isSaidNotRun)
-        breakPromise("not run is true", "request " + std::to_string(number) + " runs after it was refused");
-    engine_state& target = *m_engines[engine];
-    ++target.running;
-    const duration work = shortestWork + duration(static_cast<duration::rep>(fraction() * static_cast<double>(workSpread.count())));
-    schedule(work, [this, entry, engine, start = target.start, life = m_entries[entry]->life, number, current = m_entries[entry]->attempts[number]] {
-        engine_state& target = *m_engines[engine];
-        const bool isGone = !target.isUp || target.start != start;
-        if (!isGone)
-            --target.running;
-        if (m_entries[entry]->life != life || m_entries[entry]->attempts[number] != current)
-            return;
-        if (isGone || fraction() < m_answerLoss)
-            return end(entry, number, attempt_ending::NoAnswer);
-        answer(entry, engine, start, number);
-    });
-}
-
-void fleet_world::end(std::size_t entry, request_number number, attempt_ending ending, std::optional<duration> retryAfter, bool isRefused)
-{
-    scheduleAt(entry, refusalDelay, [this, entry, number, current = m_entries[entry]->attempts[number], ending, retryAfter, isRefused] {
-        if (m_entries[entry]->attempts[number] == current)
-            post(entry, attempt_ended { m_now, number, ending, false, retryAfter, isRefused });
-    });
-}
-
-void fleet_world::answer(std::size_t entry, std::size_t engine, std::uint64_t start, request_number number)
-{
-    const engine_state& source = *m_engines[engine];
-    const std::optional<double> limit = source.isNaming(m_now) ? std::optional(source.limit) : std::nullopt;
-    scheduleAt(entry, duration::zero(), [this, entry, engine, start, isLeaving = source.isLeaving, limit, number, current = m_entries[entry]->attempts[number]] {
-        entry_state& state = *m_entries[entry];
-        if (state.attempts[number] != current)
-            return;
-        if (m_engines[engine]->start == start)
-            noteAnswer(entry, *m_engines[engine]);
-        if (isLeaving)
-            post(entry, endpoint_leaving_announced { m_now, endpoint_id("i-" + std::to_string(start)) });
-        if (limit)
-            post(entry, endpoint_limit_stated { m_now, number, request_limit { *limit } });
-        else
-            post(entry, endpoint_limit_stated { m_now, number, no_limit {} });
-        m_requests.at(number).isServed = true;
-        post(entry, attempt_succeeded { m_now, number });
-    });
-}
-
-void fleet_world::noteAnswer(std::size_t entry, const engine_state& engine)
-{
-    if (engine.isLeaving)
-        m_entries[entry]->toldLeaving.try_emplace(engine.start, m_now);
-    if (!engine.isNaming(m_now))
-        return;
-    if (instant& told = m_entries[entry]->toldLimit[engine.start]; told < engine.limitedFrom)
-        told = m_now;
-}
-
-void fleet_world::noteRefusal(request_number number, const refuse_request& refusal)
-{
-    request_record& record = m_requests.at(number);
-    if (!guaranteesNotExecuted(refusal.reason))
-        return;
-    record.isSaidNotRun = true;
-    if (record.runs > 0)
-        breakPromise("not run is true", "request " + std::to_string(number) + " has run, refused as " + std::string(nameOf(refusal.reason)));
-}
-
-void fleet_world::crashEngine(std::size_t engine, duration length)
-{
-    engine_state& target = *m_engines[engine];
-    if (!target.isUp)
-        return;
-    target.isUp = false;
-    target.running = 0;
-    const endpoint_id gone = target.id();
-    postToAll(registryExpiry, [this, gone] { return endpoint_unlisted { m_now, gone }; });
-    schedule(length, [this, engine] { startEngine(engine, coldTime); });
-}
-
-void fleet_world::stopEngine(std::size_t engine)
-{
-    m_engines[engine]->isLeaving = true;
-    postToAll(feedDelay, [this, record = recordOf(engine)] { return endpoint_listed { m_now, record }; });
-    schedule(leavingTime, [this, engine, start = m_engines[engine]->start] {
-        if (m_engines[engine]->isUp && m_engines[engine]->start == start)
-            crashEngine(engine, 1s);
-    });
-}
-
-void fleet_world::startEngine(std::size_t engine, duration coldFor)
-{
-    engine_state& target = *m_engines[engine];
-    target = { .number = target.number };
-    target.start = ++m_lastStart;
-    target.startedAt = m_now;
-    target.coldUntil = m_now + coldFor;
-    postToAll(feedDelay, [this, engine, start = target.start] {
-        endpoint_record record = recordOf(engine);
-        record.id = endpoint_id("i-" + std::to_string(start));
-        return endpoint_listed { m_now, record };
-    });
-}
-
-bool fleet_world::isInTouch(const entry_state& entry) const { return m_now >= entry.disturbedUntil; }
-
-void fleet_world::checkArrival(std::size_t entry, std::size_t engine)
-{
-    entry_state& state = *m_entries[entry];
-    engine_state& target = *m_engines[engine];
-    const auto told = state.toldLimit.find(target.start);
-    const bool isTold = target.isNaming(m_now) && told != state.toldLimit.end() && told->second >= target.limitedFrom && m_now - told->second >= settleTime;
-    target.arrivals.push_back({ m_now, isTold });
-    checkCold(target);
-    checkLimit(target);
-    const std::string who = nameOfEntry(entry) + " to " + target.id().str();
-    if (const auto left = state.toldLeaving.find(target.start); left != state.toldLeaving.end() && m_now - left->second > drainTime && isInTouch(state))
-        breakPromise("leaving endpoints", who + " after it announced its leaving");
-    if (const auto pause = state.pauses.find(target.start); pause != state.pauses.end()) {
-        if (m_now >= pause->second.until)
-            state.pauses.erase(pause);
-        else if (m_now >= pause->second.from && ++pause->second.requests > mostInPause && isInTouch(state))
-            breakPromise("pauses", who + " in its pause");
-    }
-    const auto out = m_zonesOut.find(target.zone(m_settings.zones));
-    if (out != m_zonesOut.end() && m_now - out->second > evacuationTime && isInTouch(state))
-        breakPromise("zones out", who + " in a zone that is out");
-}
-
-void fleet_world::checkCold(const engine_state& engine)
-{
-    if (m_now >= engine.coldUntil)
-        return;
-    const auto inSecond = std::count_if(engine.arrivals.begin(), engine.arrivals.end(), [this](const auto& each) { return m_now - each.when < 1s; });
-    if (static_cast<double>(inSecond) > mostCold)
-        breakPromise("cold endpoints", std::to_string(inSecond) + " in a second at " + engine.id().str());
-}
-
-void fleet_world::checkLimit(const engine_state& engine)
-{
-    if (!engine.isNaming(m_now) || m_now - engine.limitedFrom < contactTime)
-        return;
-    const auto counted = std::count_if(
-        engine.arrivals.begin(), engine.arrivals.end(), [this](const auto& each) { return each.isTold && m_now - each.when < limitWindow; });
-    if (static_cast<double>(counted) > limitFactor * engine.limit * std::chrono::duration<double>(limitWindow).count() + limitMore)
-        breakPromise("limits", std::to_string(counted) + " in four seconds at " + engine.id().str() + ", which named " + std::to_string(engine.limit));
-}
-
-void fleet_world::breakPromise(const std::string& promise, const std::string& how)
-{
-    if (m_broken.empty())
-        m_broken = promise + ": " + how + " at " + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(m_now.time_since_epoch()).count()) + " ms";
-}
-
 void fleet_world::tell(std::size_t entry, std::size_t other, const datagram_message& message)
 {
     if (m_now < m_entries[entry]->cutUntil || m_now < m_entries[other]->cutUntil || fraction() < m_datagramLoss)
--- a/tests/decisions/fleet/fleet_world.h
+++ b/tests/decisions/fleet/fleet_world.h
@@ -82,7 +82,8 @@
     void end(std::size_t entry, request_number number, attempt_ending ending, std::optional<duration> retryAfter = {}, bool isRefused = false);
     void answer(std::size_t entry, std::size_t engine, std::uint64_t start, request_number number);
     void crashEngine(std::size_t engine, duration length);
-    void stopEngine(std::size_t engine);
+    // The engine announces in its answers that it leaves. Some do not tell the registry.
+    void stopEngine(std::size_t engine, bool isListed);
     void startEngine(std::size_t engine, duration coldFor);
     void checkArrival(std::size_t entry, std::size_t engine);
     void checkCold(const engine_state& engine);
