Soak: supervisors end before the processes that they watch

Cause: a run ends its own processes with SIGKILL while the tasks that supervise them still run. A supervisor whose wait has passed at the same step of the event loop then sees an ended process, reports a crash and starts it again; the new process outlives the run. The four agents' supervisors wait in step, since nothing stops agents before the end, so all four are reported at once; the entries were stopped and started before, and wait out of step.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -35,6 +35,7 @@
         self.zones_out, self.version = [], 10
         self.store_disturbed = []
         self.proxies = []
+        self.entries, self.agents, self.supervisors = [], [], []
         self.broken = []
         self.faults = []
 
@@ -56,7 +57,6 @@
             endpoint.proxy = await self.proxy(endpoint.address)
             self.register(endpoint)
         self.configure()
-        self.entries, self.agents = [], []
         for number, zone in enumerate(ZONES):
             address = (await self.proxy(self.store.address)).address
             self.entries.append(Member(f"entry{number}", zone, address, self.folder))
@@ -65,9 +65,12 @@
             self.agents.append(Member(f"agent{rank.rank}", rank.zone, address, self.folder, rank.address))
         for member in self.entries + self.agents:
             member.start()
-        self.supervisors = [asyncio.create_task(member.supervise(self.broken.append)) for member in self.entries + self.agents]
+        self.supervise()
         self.callers = Callers(self.entries, self.random, KEYS)
 
+    def supervise(self):
+        self.supervisors = [asyncio.create_task(member.supervise(self.broken.append)) for member in self.entries + self.agents]
+
     def register(self, endpoint):
         endpoint.registered = endpoint.id
         self.store.put("servers", endpoint.id, endpoint.row(endpoint.proxy.address))
@@ -173,6 +176,12 @@
 
     # --- The run.
 
+    async def run_to_end(self, seconds):
+        try:
+            await self.run(seconds)
+        finally:
+            await self.end()
+
     async def run(self, seconds):
         await self.start()
         workers = [asyncio.create_task(self.callers.work()) for _ in range(WORKERS)]
@@ -237,8 +246,13 @@
         if self.group.mixed_passes:
             self.broken.append(f"MAP {self.group.mixed_passes} passes with two maps")
 
-    def end(self):
-        for member in getattr(self, "entries", []) + getattr(self, "agents", []):
+    async def end(self):
+        # Supervisors end first, since one that still ran would take an ended process for a crashed one and start it again.
+        for supervisor in self.supervisors:
+            supervisor.cancel()
+        ends = await asyncio.gather(*self.supervisors, return_exceptions=True)
+        self.broken += [f"FAULT supervisor: {end!r}" for end in ends if isinstance(end, Exception)]
+        for member in self.entries + self.agents:
             member.end()
 
 
@@ -246,13 +260,7 @@
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"appleramp-soak-{seed}-"))
     soak = Soak(seed, folder)
 
-    async def whole():
-        try:
-            await soak.run(seconds)
-        finally:
-            soak.end()
-
-    asyncio.run(whole())
+    asyncio.run(soak.run_to_end(seconds))
     outcomes = soak.callers.outcomes
     served = sum(outcome.served for outcome in outcomes)
     print(f"seed {seed}: {len(outcomes)} requests, {served} served, {soak.group.changes} map changes, "
