Forwarding: a request that may have crashed a group is not tried again for a minute

Cause: after the first death the request was only suspected, and ran alone. Callers send it again as soon as the group serves, 0.2 to 1.5 s later, and the second death, which convicts it, takes down all 16 engines for another 3.5 s. Ruled out: late news (the accusation was known at all entries within 10 ms), other crashing requests (one content only). Change: where the endpoints of a service share experts, a request under which one died is refused with the time until it may be tried, a minute after the death; one request is then let through. Plain endpoints are as before.

--- a/packages/decisions/crashes/crash_ledger.cpp
+++ b/packages/decisions/crashes/crash_ledger.cpp
@@ -150,11 +150,14 @@
     return wasAccused;
 }
 
-void crash_ledger::recordRefusal(instant now, const suspect_key& key)
+bool crash_ledger::recordRefusal(instant now, const suspect_key& key)
 {
     const auto found = m_suspects.find(key);
-    if (found != m_suspects.end())
-        found->second.seenAt = now;
+    if (found == m_suspects.end())
+        return false;
+    found->second.seenAt = now;
+    const std::size_t deaths = found->second.deaths.size();
+    return std::exchange(found->second.deathsAtRefusal, deaths) != deaths;
 }
 
 suspect_verdict crash_ledger::verdict(instant now, const suspect_key& key) const
@@ -168,15 +171,22 @@
     return isNearlyProved ? suspect_verdict::Suspected : suspect_verdict::Unsuspected;
 }
 
-bool crash_ledger::startTrial(instant now, const suspect_key& key)
+std::optional<instant> crash_ledger::nextTrial(const suspect_key& key) const
 {
     const std::size_t finalDeaths = key.kind == suspect_kind::Request ? finalDeathsOfRequest : finalDeathsOfPart;
     const auto found = m_suspects.find(key);
-    if (found == m_suspects.end() || !found->second.convictedAt || found->second.deaths.size() >= finalDeaths)
-        return false;
-    if (now - std::max(*found->second.convictedAt, found->second.triedAt.value_or(instant {})) < trialInterval)
+    if (found == m_suspects.end() || found->second.deaths.empty() || found->second.deaths.size() >= finalDeaths)
+        return std::nullopt;
+    const instant suspectedAt = found->second.convictedAt.value_or(found->second.deaths.back().diedAt);
+    return std::max(suspectedAt, found->second.triedAt.value_or(instant {})) + trialInterval;
+}
+
+bool crash_ledger::startTrial(instant now, const suspect_key& key)
+{
+    const auto next = nextTrial(key);
+    if (!next || now < *next)
         return false;
-    found->second.triedAt = now;
+    m_suspects.at(key).triedAt = now;
     m_changed.insert(key);
     return true;
 }
--- a/packages/decisions/crashes/crash_ledger.h
+++ b/packages/decisions/crashes/crash_ledger.h
@@ -51,11 +51,12 @@
     void accuse(instant now, const suspect_key& key, const accusation& accusation);
     // An endpoint answers to the suspect without harm. Returns true if that clears it of deaths.
     bool recordSound(instant now, const suspect_key& key);
-    // A request with the suspect arrived and was refused.
-    void recordRefusal(instant now, const suspect_key& key);
+    // A request with the suspect arrived and was refused. Returns true if none was since its deaths last changed.
+    bool recordRefusal(instant now, const suspect_key& key);
     suspect_verdict verdict(instant now, const suspect_key& key) const;
-    // True if a convicted suspect may be tried once more; the caller sends that request. Suspects under which enough endpoints
-    // died are never tried.
+    // When a refused suspect may be tried once more. Suspects under which enough endpoints died are never tried.
+    std::optional<instant> nextTrial(const suspect_key& key) const;
+    // True if it may be tried now; the caller sends that request.
     bool startTrial(instant now, const suspect_key& key);
 
     void merge(instant now, std::span<const crash_record> records);
@@ -74,7 +75,7 @@
     // Suspects are remembered for that long after the last death, convicted ones after the last request with them.
     static constexpr duration suspicionRetention = std::chrono::seconds(60);
     static constexpr duration convictionRetention = std::chrono::minutes(10);
-    // Time between a conviction, or a trial, and the next trial.
+    // Time between a conviction, a trial, or the death that made a suspect, and the next trial.
     static constexpr duration trialInterval = std::chrono::seconds(60);
     // Deaths under requests that were sent before the first of them may have one cause of their own, such as a loss of power. So
     // many of them count at most.
@@ -98,6 +99,8 @@
         std::optional<instant> triedAt;
         instant seenAt;
         std::uint32_t position = 0;
+        // Deaths that were known at the last refusal.
+        std::size_t deathsAtRefusal = 0;
     };
 
     suspect& find(instant now, const suspect_key& key);
--- a/packages/decisions/forwarding/forwarding_effects.h
+++ b/packages/decisions/forwarding/forwarding_effects.h
@@ -47,7 +47,7 @@
     NoCapacity,
     // Endpoints broke down while they ran this request before.
     BreaksEndpoints,
-    // An endpoint may break down under this request, and another one like it is being tried.
+    // An endpoint broke down under this request before, and it is not tried again now.
     SuspectRunning,
     // The deadline passed and the request was not executed.
     ExpiredBeforeRun,
--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -166,10 +166,8 @@
 {
     if (request.deadline - now < minTimeLeft)
         return refusePlacement(number, request, request.mayHaveRun ? refusal_reason::TimedOut : refusal_reason::ExpiredBeforeRun, {});
-    if (const auto suspicion = suspicionAgainst(now, number, request)) {
-        const bool isFinal = suspicion == refusal_reason::BreaksEndpoints;
-        return refusePlacement(number, request, request.mayHaveRun ? refusal_reason::OutcomeUnknown : *suspicion, isFinal ? std::nullopt : std::optional(longRetryAfter()));
-    }
+    if (const auto suspicion = suspicionAgainst(now, number, request))
+        return refusePlacement(number, request, request.mayHaveRun ? refusal_reason::OutcomeUnknown : suspicion->reason, suspicion->retryAfter);
     if (deferDuringOutage(now, number, request))
         return;
     if (const auto retryAfter = request.attempts == 0 ? overloadRetryAfter(now, request) : std::nullopt)
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -176,8 +176,15 @@
     // Counts a piece of the answer; the second one shows that the request does not crash its endpoint.
     void recordAnswerPiece(instant now, request_state& request);
     void recordSound(instant now, const request_state& request);
+    struct suspicion {
+        refusal_reason reason;
+        // Nothing if the refusal is final.
+        std::optional<duration> retryAfter;
+    };
     // Why the request must not be sent now, by what is known of its suspects.
-    std::optional<refusal_reason> suspicionAgainst(instant now, request_number number, const request_state& request);
+    std::optional<suspicion> suspicionAgainst(instant now, request_number number, const request_state& request);
+    // The suspect may not even run alone: one more death would convict it, but stop a group of endpoints once more.
+    bool endangersGroup(const request_state& request, const suspect_key& key) const;
     bool isAlone(request_number number, const suspect_key& key) const;
     // Requests with the suspect whose endpoints have not begun to answer.
     std::vector<request_number> requestsAwaitingAnswer(const suspect_key& key) const;
--- a/packages/decisions/forwarding/forwarding_reducer_crashes.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_crashes.cpp
@@ -144,24 +144,36 @@
     }
 }
 
-std::optional<refusal_reason> forwarding_reducer::suspicionAgainst(instant now, request_number number, const request_state& request)
+std::optional<forwarding_reducer::suspicion> forwarding_reducer::suspicionAgainst(instant now, request_number number, const request_state& request)
 {
     for (const suspect_key& key : request.suspects) {
         const suspect_verdict verdict = m_crashes.verdict(now, key);
         if (verdict == suspect_verdict::Unsuspected)
             continue;
-        if (verdict == suspect_verdict::Suspected && isAlone(number, key))
+        const bool isConvicted = verdict == suspect_verdict::Convicted;
+        const bool waitsForTrial = isConvicted || endangersGroup(request, key);
+        if (!waitsForTrial && isAlone(number, key))
             continue;
-        if (verdict == suspect_verdict::Convicted && m_crashes.startTrial(now, key)) {
+        if (waitsForTrial && m_crashes.startTrial(now, key)) {
             m_effects.emplace_back(log_decision { "suspect_tried", request.caller.sendId, { { "suspect", suspectText(key) } } });
             continue;
         }
-        m_crashes.recordRefusal(now, key);
-        return verdict == suspect_verdict::Convicted ? refusal_reason::BreaksEndpoints : refusal_reason::SuspectRunning;
+        if (m_crashes.recordRefusal(now, key))
+            m_unstoredSuspects.try_emplace(key, now);
+        if (isConvicted)
+            return suspicion { refusal_reason::BreaksEndpoints, {} };
+        const auto nextTrial = waitsForTrial ? m_crashes.nextTrial(key) : std::nullopt;
+        return suspicion { refusal_reason::SuspectRunning, nextTrial ? *nextTrial - now : longRetryAfter() };
     }
     return std::nullopt;
 }
 
+bool forwarding_reducer::endangersGroup(const request_state& request, const suspect_key& key) const
+{
+    const service_description* const service = request.routes->service(request.service);
+    return key.kind == suspect_kind::Request && service != nullptr && service->experts.has_value();
+}
+
 bool forwarding_reducer::isAlone(request_number number, const suspect_key& key) const
 {
     const std::vector<request_number> others = requestsAwaitingAnswer(key);
@@ -225,8 +237,8 @@
     return records;
 }
 
-// Requests are stored once they are convicted: most of those that an endpoint ran when it died never come again. Parts are shared
-// by many, and the few that were not seen to be sound are stored with their first death.
+// Requests are stored once they are convicted, or come again and are refused: most of those that an endpoint ran when it died
+// never do. Parts are shared by many, and the few that were not seen to be sound are stored with their first death.
 bool forwarding_reducer::shouldStore(const crash_record& record) const
 {
     const auto stored = m_storedSuspects.find(record.key);
@@ -234,7 +246,8 @@
     if (record.convictedAge && !row.isConvicted)
         return true;
     const bool isKnownSound = record.soundAge && *record.soundAge < crash_ledger::soundMemory;
-    return record.key.kind == suspect_kind::PromptPart && !isKnownSound && record.deaths.size() > row.deaths;
+    const bool mayComeAgain = record.key.kind == suspect_kind::PromptPart ? !isKnownSound : !record.convictedAge;
+    return mayComeAgain && record.deaths.size() > row.deaths;
 }
 
 void forwarding_reducer::storeSuspects(instant now)
--- a/tests/decisions/crashes/crash_world.cpp
+++ b/tests/decisions/crashes/crash_world.cpp
@@ -23,7 +23,7 @@
 const service_id model("model");
 const availability_zone_id zone("a");
 
-routing_configuration configuration()
+routing_configuration configuration(bool hasExperts)
 {
     route route;
     route.name = "draft";
@@ -38,6 +38,11 @@
     routing_configuration result;
     result.version = 1;
     result.routes = { route };
+    service_description service;
+    service.id = model;
+    if (hasExperts)
+        service.experts = expert_layout { .sets = 2, .expertsPerSet = 8, .placesPerRank = 5 };
+    result.services = { service };
     return result;
 }
 
@@ -152,7 +157,7 @@
     state.reducer = std::make_unique<forwarding_reducer>(m_now, settings);
     ++state.life;
     post(entry, entry_count_read { m_now, m_entries.size(), m_entries.size() - 1, entry });
-    post(entry, configuration_read { m_now, m_now, configuration() });
+    post(entry, configuration_read { m_now, m_now, configuration(m_settings.hasExperts) });
     post(entry, registry_read { m_now, registry() });
     readRecords(entry);
     for (std::size_t other = 0; other < m_entries.size(); ++other) {
--- a/tests/decisions/crashes/crash_world.h
+++ b/tests/decisions/crashes/crash_world.h
@@ -36,6 +36,8 @@
     // Fraction of the datagrams to entries that are lost.
     double datagramLoss = 0;
     bool agentsReportDeaths = true;
+    // The configuration says that the engines of the service share experts, so that they serve as one group.
+    bool hasExperts = false;
     // Time of a write to the store, and of its way to the followers of the table.
     duration storeDelay = std::chrono::milliseconds(5);
     duration feedDelay = std::chrono::milliseconds(450);
