Crash record writer: a row that it drops is logged, a waiting one takes its new value at the bound

Change: crash_row_dropped names the row; a waiting row is replaced whatever the number of others. Test: crash_record_writer::* in tests/directentry; before, nothing said what was dropped.

--- a/packages/directentry/crash_record_writer.cpp
+++ b/packages/directentry/crash_record_writer.cpp
@@ -13,18 +13,17 @@
 
 // Rows of one write, below what a call may hold.
 constexpr std::size_t maxRowsOfWrite = 50;
-// Rows that wait for the store; the ledger that they come from is bounded as well.
-constexpr std::size_t maxPendingRows = 1024;
 // Entries whose writes failed together do not retry together.
 constexpr int minRetryDelayMs = 400;
 constexpr int maxRetryDelayMs = 1200;
 
 } // namespace
 
-crash_record_writer::crash_record_writer(boost::asio::io_context& loop, row_store& store, std::minstd_rand::result_type seed)
+crash_record_writer::crash_record_writer(boost::asio::io_context& loop, row_store& store, std::minstd_rand::result_type seed, dropped_handler onDropped)
     : m_store(store)
     , m_timer(loop)
     , m_random(seed)
+    , m_onDropped(std::move(onDropped))
 {
 }
 
@@ -34,8 +33,10 @@
 
 void crash_record_writer::enqueue(const suspect_key& key, std::string value)
 {
-    if (m_pending.size() < maxPendingRows)
-        m_pending.insert_or_assign(crashRowKey(key), std::move(value));
+    std::string rowKey = crashRowKey(key);
+    if (m_pending.size() == maxPendingRows && !m_pending.contains(rowKey))
+        return m_onDropped(rowKey);
+    m_pending.insert_or_assign(std::move(rowKey), std::move(value));
     write();
 }
 
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -131,7 +131,8 @@
         , m_registration(loop, m_store, settings.process.instance.str(),
               { true, settings.process.zone, socket_address { settings.listen.links.host, m_news.port() }.str(), {},
                   socket_address { settings.listen.operations.host, m_operations.port() }.str() })
-        , m_crashWriter(loop, m_store, static_cast<std::minstd_rand::result_type>(life))
+        , m_crashWriter(loop, m_store, static_cast<std::minstd_rand::result_type>(life),
+              [this](const std::string& row) { m_log.write(now(), "crash_row_dropped", {}, { { "row", row } }); })
         , m_relay(settings.process.instance.str())
         , m_random(static_cast<std::minstd_rand::result_type>(life))
     {
