Crash ledger: what was sound before a death does not refute it because the news is late

Callers would see: a request or a part of prompts that was convicted is let through again, and crashes more engines than the rule allows. Cause: ages in records are true when they are sent or written. Rows of the store are never aged, so that the next whole read of the table ended the conviction of anything that was sound shortly before its first death. Ruled out: clocks (each entry uses its own only). Change: deaths that both know show the delay of a record; where none does, news count as old as a standstill just before, and a row of unknown delay refutes no death that was known before. Test: crash_ledger::a_row_that_is_read_late_refutes_nothing and news_that_waited_refute_no_later_death failed before. Ruled out on the way (trial): taking the shown delay of any message as true; entries see one death up to 1.5 s apart, and crashing_part::is_not_seen_where_engines_lose_power broke. A message's delay is bounded by the standstill.

--- a/packages/decisions/crashes/crash_ledger.cpp
+++ b/packages/decisions/crashes/crash_ledger.cpp
@@ -191,11 +191,11 @@
     return true;
 }
 
-void crash_ledger::merge(instant now, std::span<const crash_record> records)
+void crash_ledger::merge(instant now, std::span<const crash_record> records, duration longestDelay)
 {
     std::vector<suspect_key> merged;
     for (const crash_record& received : records) {
-        mergeRecord(now, received);
+        mergeRecord(now, received, longestDelay);
         merged.push_back(received.key);
     }
     // A record that made room for a later one is gone.
@@ -203,13 +203,33 @@
     convictProved(now, merged, false);
 }
 
-void crash_ledger::mergeRecord(instant now, const crash_record& received)
+std::optional<duration> crash_ledger::shownDelay(instant now, const suspect& known, const crash_record& received)
+{
+    std::optional<duration> delay;
+    for (const suspected_death& death : received.deaths) {
+        const auto same = std::find_if(known.deaths.begin(), known.deaths.end(), [&](const auto& each) { return each.endpoint == death.endpoint; });
+        if (same != known.deaths.end())
+            delay = std::max(delay.value_or(duration::zero()), now - death.age - same->diedAt);
+    }
+    return delay;
+}
+
+void crash_ledger::mergeRecord(instant now, const crash_record& received, duration longestDelay)
 {
     suspect& known = find(now, received.key);
     const bool wasConvicted = known.convictedAt.has_value();
-    for (const suspected_death& death : received.deaths)
-        addDeath(known, { death.endpoint, now - death.age - death.ranFor, now - death.age });
-    known.soundAt = std::max(known.soundAt, timeOf(now, received.soundAge));
+    const bool hasKnownDelay = longestDelay != unknownDelay;
+    const auto shown = shownDelay(now, known, received);
+    // Entries see one death at somewhat different times, so that it shows no more than the delay that is possible.
+    const duration delay = std::min(shown.value_or(hasKnownDelay ? longestDelay : duration::zero()), longestDelay);
+    // The deaths of a record are later than its answer: with an unknown delay, that could wrongly refute only those known before.
+    const bool isAnswerDated = hasKnownDelay || shown || known.deaths.empty();
+    for (const suspected_death& death : received.deaths) {
+        const instant diedAt = now - death.age - (shown ? delay : duration::zero());
+        addDeath(known, { death.endpoint, diedAt - death.ranFor, diedAt });
+    }
+    if (isAnswerDated)
+        known.soundAt = std::max(known.soundAt, timeOf(now - delay, received.soundAge));
     known.triedAt = std::max(known.triedAt, timeOf(now, received.trialAge));
     known.convictedAt = earlier(known.convictedAt, timeOf(now, received.convictedAge));
     known.seenAt = std::max(known.seenAt, now - received.seenAge);
--- a/packages/decisions/crashes/crash_ledger.h
+++ b/packages/decisions/crashes/crash_ledger.h
@@ -59,7 +59,9 @@
     // True if it may be tried now; the caller sends that request.
     bool startTrial(instant now, const suspect_key& key);
 
-    void merge(instant now, std::span<const crash_record> records);
+    // Merges what another entry or the store tells. The records may have been under way for that long since their ages were true.
+    // Deaths that both know give the delay itself.
+    void merge(instant now, std::span<const crash_record> records, duration longestDelay);
     // Records that this entry's own evidence has changed since the last call.
     std::vector<crash_record> takeChanged(instant now);
     // The convictions since the last call.
@@ -83,6 +85,8 @@
     // A suspect that was sound within this time before its first death needs more of them.
     static constexpr duration soundMemory = std::chrono::seconds(60);
     static constexpr std::size_t maxSuspects = 1024;
+    // Rows of the store keep the ages that were true when they were written.
+    static constexpr duration unknownDelay = duration::max();
     static constexpr std::size_t maxDeathsKept = 8;
 
 private:
@@ -104,7 +108,9 @@
     };
 
     suspect& find(instant now, const suspect_key& key);
-    void mergeRecord(instant now, const crash_record& received);
+    void mergeRecord(instant now, const crash_record& received, duration longestDelay);
+    // How much longer a record was under way than its ages say, as far as a death that both know shows it.
+    static std::optional<duration> shownDelay(instant now, const suspect& known, const crash_record& received);
     bool addDeath(suspect& suspect, const death& added);
     // Removes the deaths before the suspect was last sound, and the conviction if none remains.
     static void clearEarlierDeaths(suspect& suspect);
--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -41,6 +41,9 @@
 // Random addition to the pause that an endpoint asks for, as a fraction of it and at most.
 constexpr double pauseSpread = 0.2;
 constexpr duration maxPauseSpread = std::chrono::seconds(1);
+// Time without an event from which the process counts as having stood still, and in which it handles what arrived meanwhile.
+constexpr duration standstillGap = std::chrono::milliseconds(500);
+constexpr duration backlogTime = std::chrono::seconds(1);
 // For callers and routes that set no timeout.
 constexpr duration defaultTimeout = std::chrono::seconds(60);
 
@@ -84,15 +87,29 @@
     , m_fleet(m_settings.fleet)
     , m_peers(startedAt, m_settings.peers)
     , m_random(m_settings.seed)
+    , m_latestTime(startedAt)
 {
 }
 
+// The timer ticks several times a second, so that a larger gap means that the process stood still. What arrived meanwhile waits in its
+// sockets, and is handled soon after.
+void forwarding_reducer::recordTime(instant now)
+{
+    if (now - m_latestTime >= standstillGap) {
+        m_newsDelay = now - m_latestTime;
+        m_newsDelayedUntil = now + backlogTime;
+    } else if (now >= m_newsDelayedUntil)
+        m_newsDelay = {};
+    m_latestTime = std::max(m_latestTime, now);
+    m_now = now;
+}
+
 forwarding_effects forwarding_reducer::handle(const forwarding_event& event)
 {
     std::visit(
         [this](const auto& concrete) {
             if constexpr (requires { concrete.now; })
-                m_now = concrete.now;
+                recordTime(concrete.now);
             on(concrete);
         },
         event);
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -164,6 +164,7 @@
     void logLimit(instant now, const endpoint_id& endpoint, std::string_view source, const std::string& sendId);
     void shareLimits(instant now);
     void shareChangedLimits(instant now);
+    void recordTime(instant now);
     void recordSuspiciousEnding(instant now, const request_state& request, const attempt_ended& event);
     void recordCancelledAttempt(instant now, const request_state& request);
     // Keeps an attempt that ended without an answer as one that the death of its endpoint may explain, for that long.
@@ -245,6 +246,11 @@
     std::mt19937_64 m_random;
     // Time of the event that is being handled.
     instant m_now;
+    // Latest time of an event; some events carry the earlier time of what they tell.
+    instant m_latestTime;
+    // Messages that are handled until that time may have waited for that long, since this process stood still.
+    duration m_newsDelay {};
+    instant m_newsDelayedUntil;
     forwarding_effects m_effects;
 };
 
--- a/packages/decisions/forwarding/forwarding_reducer_crashes.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_crashes.cpp
@@ -276,7 +276,7 @@
 
 void forwarding_reducer::on(const crash_records_received& event)
 {
-    m_crashes.merge(event.now, event.records);
+    m_crashes.merge(event.now, event.records, m_newsDelay);
     refuseNewlyConvicted(event.now);
 }
 
@@ -290,7 +290,7 @@
         m_storedSuspects.erase(key);
     for (const crash_record& record : event.records)
         m_storedSuspects[record.key] = { record.deaths.size(), record.convictedAge.has_value() };
-    m_crashes.merge(event.now, event.records);
+    m_crashes.merge(event.now, event.records, crash_ledger::unknownDelay);
     // The store may have come back from an older copy.
     for (const suspect_key& key : m_crashes.convicted()) {
         const auto stored = m_storedSuspects.find(key);
--- a/tests/decisions/crashes/crash_ledger_test.cpp
+++ b/tests/decisions/crashes/crash_ledger_test.cpp
@@ -64,8 +64,8 @@
     killUnderBothParts(second, 3, 1);
     std::vector<crash_record> records = first.records(instant(30s));
     std::reverse(records.begin(), records.end());
-    second.merge(instant(30s), records);
-    first.merge(instant(30s), second.records(instant(30s)));
+    second.merge(instant(30s), records, {});
+    first.merge(instant(30s), second.records(instant(30s)), {});
     for (const crash_ledger& ledger : { first, second }) {
         cr_assert(ledger.verdict(instant(30s), laterPart) == suspect_verdict::Convicted);
         cr_assert(ledger.verdict(instant(30s), firstPart) == suspect_verdict::Unsuspected);
@@ -92,7 +92,7 @@
     ledger.accuse(instant(11s), request, { 1, instant(11s) - runTime, instant(11s) });
     other.accuse(instant(10s), request, { 1, instant(10s) - runTime, instant(10s) });
     for (int round = 0; round < 3; ++round)
-        ledger.merge(instant(12s), other.records(instant(12s)));
+        ledger.merge(instant(12s), other.records(instant(12s)), {});
     cr_assert(ledger.verdict(instant(12s), request) == suspect_verdict::Suspected);
 }
 
@@ -136,14 +136,55 @@
     accuser.accuse(instant(12s), request, { 2, instant(12s) - runTime, instant(12s) });
     crash_ledger witness;
     witness.recordSound(instant(13s), request);
-    witness.merge(instant(14s), accuser.records(instant(14s)));
+    witness.merge(instant(14s), accuser.records(instant(14s)), {});
     cr_assert_neq(witness.verdict(instant(14s), request), suspect_verdict::Convicted);
-    accuser.merge(instant(14s), witness.records(instant(14s)));
+    accuser.merge(instant(14s), witness.records(instant(14s)), {});
     cr_assert_neq(accuser.verdict(instant(14s), request), suspect_verdict::Convicted);
-    witness.merge(instant(15s), accuser.records(instant(15s)));
+    witness.merge(instant(15s), accuser.records(instant(15s)), {});
     cr_assert_neq(witness.verdict(instant(15s), request), suspect_verdict::Convicted);
 }
 
+// Guards against a conviction that ends when its row is read again, as after the store's history was cut: what the row says of the
+// time before the deaths must not count as news of the time after them.
+Test(crash_ledger, a_row_that_is_read_late_refutes_nothing)
+{
+    crash_ledger ledger;
+    ledger.recordSound(instant(9s), request);
+    for (std::uint64_t endpoint = 1; endpoint <= 3; ++endpoint) {
+        const instant when(9s + endpoint * 2s);
+        ledger.accuse(when, request, { endpoint, when - runTime, when });
+    }
+    cr_assert(ledger.verdict(instant(16s), request) == suspect_verdict::Convicted);
+    const std::vector<crash_record> rows = ledger.records(instant(16s));
+    ledger.merge(instant(50s), rows, crash_ledger::unknownDelay);
+    cr_assert(ledger.verdict(instant(50s), request) == suspect_verdict::Convicted);
+    // An entry that knows one of the deaths only, and one that knows none.
+    crash_ledger other;
+    other.accuse(instant(13s), request, { 2, instant(13s) - runTime, instant(13s) });
+    other.merge(instant(50s), rows, crash_ledger::unknownDelay);
+    cr_assert(other.verdict(instant(50s), request) == suspect_verdict::Convicted);
+    crash_ledger starting;
+    starting.merge(instant(50s), rows, crash_ledger::unknownDelay);
+    cr_assert(starting.verdict(instant(50s), request) == suspect_verdict::Convicted);
+}
+
+// Guards against an entry that stood still, and reads news that waited for it: an answer that came before the deaths looks later.
+Test(crash_ledger, news_that_waited_refute_no_later_death)
+{
+    crash_ledger witness;
+    witness.accuse(instant(8s), request, { 9, instant(8s) - runTime, instant(8s) });
+    witness.recordSound(instant(9s), request);
+    const std::vector<crash_record> news = witness.records(instant(9s));
+    crash_ledger ledger;
+    ledger.accuse(instant(10s), request, { 1, instant(10s) - runTime, instant(10s) });
+    ledger.accuse(instant(11s), request, { 2, instant(11s) - runTime, instant(11s) });
+    ledger.merge(instant(15s), news, 6s);
+    cr_assert(ledger.verdict(instant(15s), request) == suspect_verdict::Convicted);
+    // Without a delay the same news would be later than the deaths.
+    ledger.merge(instant(15s), news, {});
+    cr_assert_neq(ledger.verdict(instant(15s), request), suspect_verdict::Convicted);
+}
+
 Test(crash_ledger, a_conviction_lasts_while_requests_with_it_come)
 {
     crash_ledger ledger;
