--- a/tests/decisions/fleet/fault_plan.cpp
+++ b/tests/decisions/fleet/fault_plan.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 11> kindNames { "restart_entry", "restart_all_entries", "freeze_entry", "cut_entry", "crash_engine", "engine_leaves",
-    "engine_pauses", "engine_names_limit", "lose_datagrams", "lose_answers", "zone_out" };
+constexpr std::array<std::string_view, 14> kindNames { "restart_entry", "restart_all_entries", "freeze_entry", "cut_entry", "crash_engine", "engine_leaves",
+    "engine_pauses", "engine_names_limit", "lose_datagrams", "lose_answers", "zone_out", "crashing_request",
+    "crashing_part", "store_away" };
 constexpr std::size_t leastFaults = 4;
 constexpr std::size_t mostFaults = 14;
 constexpr double shortestSeconds = 0.3;
--- a/tests/decisions/fleet/fault_plan.h
+++ b/tests/decisions/fleet/fault_plan.h
@@ -24,6 +24,10 @@
     LoseDatagrams,
     LoseAnswers,
     ZoneOut,
+    // Callers send a request, or requests with one part of their prompts, that crash each engine which begins them.
+    CrashingRequest,
+    CrashingPart,
+    StoreAway,
 };
 
 struct planned_fault {
--- a/tests/decisions/fleet/fleet_schedule.cpp
+++ b/tests/decisions/fleet/fleet_schedule.cpp
@@ -20,9 +20,10 @@
 
 fleet_schedule_result runFleetSchedule(std::uint64_t seed) { return runFleetSchedule(seed, planFaults(seed, faultsFrom, faultsUntil)); }
 
-fleet_schedule_result runFleetSchedule(std::uint64_t seed, const std::vector<planned_fault>& faults)
+fleet_schedule_result runFleetSchedule(std::uint64_t seed, const std::vector<planned_fault>& faults, const std::function<void(const std::string&)>& trace)
 {
-    fleet_world world({ .seed = seed, .entries = 2 + seed % 7, .engines = 5 + seed % 8 });
+    fleet_world world({ .seed = seed, .entries = 2 + seed % 7, .engines = 5 + seed % 8, .hasExperts = seed % 2 == 0, .agentsReportDeaths = seed % 3 != 0 });
+    world.traceTo(trace);
     world.play(faults);
     world.runUntil(scheduleEnd);
     fleet_schedule_result result { faults, world.broken(), world.served(serviceFrom, serviceUntil) };
--- a/tests/decisions/fleet/fleet_schedule.h
+++ b/tests/decisions/fleet/fleet_schedule.h
@@ -3,6 +3,7 @@
 #include "decisions/fleet/fault_plan.h"
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -19,7 +20,7 @@
 // Plays the faults that the seed draws at a fleet whose size it draws as well.
 fleet_schedule_result runFleetSchedule(std::uint64_t seed);
 // As above, with these faults only.
-fleet_schedule_result runFleetSchedule(std::uint64_t seed, const std::vector<planned_fault>& faults);
+fleet_schedule_result runFleetSchedule(std::uint64_t seed, const std::vector<planned_fault>& faults, const std::function<void(const std::string&)>& trace = {});
 // The fewest of the faults with which the schedule still breaks a promise.
 std::vector<planned_fault> fewestFaults(std::uint64_t seed, std::vector<planned_fault> faults);
 
--- a/tests/decisions/fleet/fleet_world.cpp
+++ b/tests/decisions/fleet/fleet_world.cpp
@@ -18,6 +18,11 @@
 constexpr double limitSpread = 3.0;
 constexpr double leastLimit = 0.8;
 constexpr std::size_t recordRecipients = 3;
+constexpr duration crashingInterval = 300ms;
+// Sound requests share so many parts of prompts.
+constexpr std::uint64_t sharedParts = 12;
+// Identifiers of what crashes engines; those of sound requests and parts are smaller.
+constexpr std::uint64_t firstCrashingId = 1'000'000'000;
 
 std::size_t numberOf(const instance_id& entry) { return static_cast<std::size_t>(std::stoul(entry.str().substr(6))); }
 
@@ -35,7 +40,7 @@
     return result;
 }
 
-routing_configuration configuration()
+routing_configuration configuration(bool hasExperts)
 {
     routing_configuration result;
     result.version = 1;
@@ -43,6 +48,8 @@
     service_description description;
     description.id = fleetService;
     description.coldRequestsPerSecond = fleet_world::coldPerSecond;
+    if (hasExperts)
+        description.experts = expert_layout { .sets = 2, .expertsPerSet = 8, .placesPerRank = 5 };
     result.services = { description };
     return result;
 }
@@ -70,6 +77,8 @@
 
 double fleet_world::fraction() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
 
+duration fleet_world::randomUpTo(duration most) { return duration(static_cast<duration::rep>(fraction() * static_cast<double>(most.count()))); }
+
 void fleet_world::schedule(duration delay, std::function<void()> action) { m_schedule.push({ m_now + delay, ++m_order, std::move(action) }); }
 
 void fleet_world::scheduleAt(std::size_t entry, duration delay, std::function<void()> action)
@@ -104,8 +113,6 @@
 void fleet_world::begin(const planned_fault& fault)
 {
     const std::size_t entry = fault.target % m_entries.size();
-    const std::size_t engine = fault.target % m_engines.size();
-    engine_state& target = *m_engines[engine];
     switch (fault.kind) {
     case fault_kind::RestartEntry:
         return startEntry(entry);
@@ -122,49 +129,66 @@
         m_entries[entry]->cutUntil = std::max(m_entries[entry]->cutUntil, m_now + fault.length);
         return disturb(entry, fault.length);
     case fault_kind::CrashEngine:
-        return crashEngine(engine, fault.length);
     case fault_kind::EngineLeaves:
-        if (target.isUp && !target.isLeaving)
-            stopEngine(engine, fault.strength < 0.5);
-        return;
     case fault_kind::EnginePauses:
-        target.pausedUntil = std::max(target.pausedUntil, m_now + fault.length);
-        return;
     case fault_kind::EngineNamesLimit:
-        if (target.isNaming(m_now))
-            return;
-        target.limit = leastLimit + limitSpread * fault.strength;
-        target.limitedFrom = m_now;
-        target.limitedUntil = m_now + 2 * fault.length;
-        return;
+        return beginAtEngine(fault);
     case fault_kind::LoseDatagrams:
         m_datagramLoss = fault.strength / 2;
         return schedule(fault.length, [this] { m_datagramLoss = 0; });
     case fault_kind::LoseAnswers:
         m_answerLoss = fault.strength / 2;
         return schedule(fault.length, [this] { m_answerLoss = 0; });
-    case fault_kind::ZoneOut: {
-        const availability_zone_id zone = zoneOf(fault.target % m_settings.zones);
+    case fault_kind::ZoneOut:
         // Two zones must remain.
-        if (!m_zonesOut.empty())
-            return;
-        const auto zones = [this] {
-            std::set<availability_zone_id> out;
-            for (const auto& [each, since] : m_zonesOut)
-                out.insert(each);
-            return out_of_service_zones_changed { m_now, out };
-        };
-        m_zonesOut[zone] = m_now;
-        postToAll(feedDelay, zones);
-        schedule(2 * fault.length, [this, zone, zones] {
-            m_zonesOut.erase(zone);
-            postToAll(feedDelay, zones);
-        });
+        if (m_zonesOut.empty())
+            takeZoneOut(zoneOf(fault.target % m_settings.zones), 2 * fault.length);
+        return;
+    case fault_kind::CrashingRequest:
+    case fault_kind::CrashingPart:
+        m_causes.push_back({ .id = firstCrashingId + m_causes.size(), .isPart = fault.kind == fault_kind::CrashingPart });
+        return sendCrashing(m_causes.size() - 1, m_now + 2 * fault.length);
+    case fault_kind::StoreAway:
+        m_storeBackAt = std::max(m_storeBackAt, m_now + fault.length);
         return;
-    }
     }
 }
 
+void fleet_world::beginAtEngine(const planned_fault& fault)
+{
+    const std::size_t engine = fault.target % m_engines.size();
+    engine_state& target = *m_engines[engine];
+    if (fault.kind == fault_kind::CrashEngine)
+        return crashEngine(engine, fault.length);
+    if (fault.kind == fault_kind::EngineLeaves && target.isUp && !target.isLeaving)
+        return stopEngine(engine, fault.strength < 0.5);
+    if (fault.kind == fault_kind::EnginePauses)
+        target.pausedUntil = std::max(target.pausedUntil, m_now + fault.length);
+    if (fault.kind != fault_kind::EngineNamesLimit || target.isNaming(m_now))
+        return;
+    target.limit = leastLimit + limitSpread * fault.strength;
+    target.limitedFrom = m_now;
+    target.limitedUntil = m_now + 2 * fault.length;
+}
+
+void fleet_world::takeZoneOut(const availability_zone_id& zone, duration length)
+{
+    const auto zones = [this] {
+        std::set<availability_zone_id> out;
+        for (const auto& [each, since] : m_zonesOut)
+            out.insert(each);
+        return out_of_service_zones_changed { m_now, out };
+    };
+    // The operator's row is written once the store answers, and so is its removal.
+    const duration storeDelay = std::max(duration::zero(), m_storeBackAt - m_now);
+    m_zonesOut[zone] = m_now + storeDelay;
+    followStore(zones);
+    schedule(length + storeDelay, [this, zone, zones] {
+        m_zonesOut.erase(zone);
+        followStore(zones);
+    });
+}
+
 void fleet_world::postToAll(duration delay, const std::function<forwarding_event()>& make)
 {
     for (std::size_t entry = 0; entry < m_entries.size(); ++entry)
@@ -202,21 +226,23 @@
     for (std::size_t other = 0; other < m_entries.size(); ++other)
         names.push_back(nameOfEntry(other));
     post(entry, entry_count_read { m_now, names.size(), names.size() - 1, entry, names });
-    post(entry, configuration_read { m_now, m_now, configuration() });
+    post(entry, configuration_read { m_now, m_now, configuration(m_settings.hasExperts) });
     std::vector<endpoint_record> records;
     for (std::size_t engine = 0; engine < m_engines.size(); ++engine) {
         if (m_engines[engine]->isUp)
             records.push_back(recordOf(engine));
     }
     post(entry, registry_read { m_now, records });
-    post(entry, crash_table_read { m_now, true, {}, {} });
+    readSuspects(entry);
     std::set<availability_zone_id> out;
     for (const auto& [zone, since] : m_zonesOut)
         out.insert(zone);
     post(entry, out_of_service_zones_changed { m_now, out });
     for (std::size_t other = 0; other < m_entries.size(); ++other) {
-        if (other != entry && m_entries[other]->reducer)
+        if (other != entry && m_entries[other]->reducer) {
             tell(other, entry, endpoint_limit_records { m_entries[other]->reducer->limitsForStartingEntry(m_now) });
+            tell(other, entry, crash_records { m_entries[other]->reducer->recordsForStartingEntry(m_now) });
+        }
     }
     tickEntry(entry);
 }
@@ -224,7 +250,8 @@
 void fleet_world::tickEntry(std::size_t entry)
 {
     entry_state& state = *m_entries[entry];
-    post(entry, configuration_read { m_now, m_now, std::nullopt });
+    if (m_now >= m_storeBackAt)
+        post(entry, configuration_read { m_now, m_now, std::nullopt });
     post(entry, timer_ticked { m_now });
     if (m_now - state.presenceToldAt >= presenceInterval) {
         state.presenceToldAt = m_now;
@@ -235,10 +262,29 @@
 }
 
 void fleet_world::sendNext()
+{
+    sendRequest(m_lastRequest + 1, { std::uniform_int_distribution<std::uint64_t>(1, sharedParts)(m_random) }, std::nullopt);
+    schedule(randomUpTo(2 * m_settings.requestInterval), [this] { sendNext(); });
+}
+
+void fleet_world::sendCrashing(std::size_t cause, instant until)
+{
+    if (m_now >= until)
+        return;
+    const crash_cause& crashing = m_causes[cause];
+    if (crashing.isPart)
+        sendRequest(m_lastRequest + 1, { crashing.id }, cause);
+    else
+        sendRequest(crashing.id, {}, cause);
+    schedule(crashingInterval, [this, cause, until] { sendCrashing(cause, until); });
+}
+
+void fleet_world::sendRequest(std::uint64_t content, std::vector<std::uint64_t> parts, std::optional<std::size_t> cause)
 {
     const request_number number = ++m_lastRequest;
     request_record& record = m_requests[number];
     record.when = m_now;
+    record.cause = cause;
     record.mayRepeat = fraction() < 0.5;
     record.deadline = m_now + callerTimeout;
     caller_request caller;
@@ -246,10 +292,10 @@
     caller.path = record.mayRepeat ? "/read/x" : "/post/x";
     caller.sendId = "s" + std::to_string(number);
     caller.timeout = callerTimeout;
-    caller.contentHash = number;
+    caller.contentHash = content;
+    caller.sharedPromptParts = std::move(parts);
     const std::size_t entry = std::uniform_int_distribution<std::size_t>(0, m_entries.size() - 1)(m_random);
     scheduleAt(entry, duration::zero(), [this, entry, number, caller] { post(entry, request_arrived { m_now, number, caller }); });
-    schedule(duration(static_cast<duration::rep>(2 * fraction() * static_cast<double>(m_settings.requestInterval.count()))), [this] { sendNext(); });
 }
 
 void fleet_world::post(std::size_t entry, const forwarding_event& event)
@@ -271,10 +317,19 @@
         scheduleAt(entry, wait->until - m_now, [this, entry, number = wait->request] { post(entry, service_wait_ended { m_now, number }); });
     else if (const auto* const cancelled = std::get_if<cancel_forwarded_request>(&effect))
         ++state.attempts[cancelled->request];
-    else if (const auto* const records = std::get_if<share_crash_records>(&effect))
+    else if (const auto* const line = std::get_if<log_decision>(&effect)) {
+        std::string text = std::string(line->what) + " " + line->sendId;
+        for (const auto& [name, value] : line->inputs)
+            text.append(" ").append(name).append("=").append(value);
+        trace(nameOfEntry(entry), text);
+    } else if (const auto* const records = std::get_if<share_crash_records>(&effect))
         tellSome(entry, crash_records { records->records }, records->recipients);
     else if (const auto* const limits = std::get_if<share_endpoint_limits>(&effect))
         tellSome(entry, endpoint_limit_records { limits->records }, limits->recipients);
+    else if (const auto* const store = std::get_if<store_crash_record>(&effect))
+        writeSuspect(entry, store->record);
+    else if (const auto* const removal = std::get_if<remove_stored_crash_record>(&effect))
+        removeSuspect(entry, removal->key);
     else if (const auto* const ask = std::get_if<ask_permit>(&effect))
         tell(entry, numberOf(ask->owner), ask->question);
     else if (const auto* const answer = std::get_if<answer_permit>(&effect))
@@ -322,12 +377,18 @@
         post(to, permit_answered { m_now, *answer });
 }
 
+void fleet_world::trace(const std::string& who, const std::string& what) const
+{
+    if (m_trace)
+        m_trace(std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(m_now.time_since_epoch()).count()) + " ms " + who + " " + what);
+}
+
 double fleet_world::served(duration from, duration until) const
 {
     std::size_t sent = 0;
     std::size_t answered = 0;
     for (const auto& [number, record] : m_requests) {
-        if (record.when < instant(from) || record.when >= instant(until))
+        if (record.when < instant(from) || record.when >= instant(until) || record.cause)
             continue;
         ++sent;
         answered += record.isServed ? 1 : 0;
--- a/tests/decisions/fleet/fleet_world_engines.cpp
+++ b/tests/decisions/fleet/fleet_world_engines.cpp
@@ -14,6 +14,12 @@
 constexpr duration registryExpiry = 3600ms;
 constexpr duration leavingTime = 4s;
 constexpr duration restartTime = 1s;
+// An engine begins a request within that time, and one that dies of it is back after that time.
+constexpr duration mostBeginDelay = 60ms;
+constexpr duration crashedTime = 2500ms;
+// Agents report the end of their engine that often.
+constexpr int deathReports = 5;
+constexpr duration deathReportInterval = 80ms;
 constexpr duration shortestWork = 40ms;
 constexpr duration workSpread = 160ms;
 
@@ -35,6 +41,11 @@
     if (target.id() != attempt.endpoint)
         return end(entry, number, attempt_ending::WrongEndpoint);
     checkArrival(entry, engine);
+    request_record& record = m_requests.at(number);
+    if (++record.arrivals > 1)
+        checkRepeats();
+    if (record.cause)
+        checkCrashing(entry, *record.cause);
     if (m_now < target.pausedUntil) {
         const duration left = target.pausedUntil - m_now;
         m_entries[entry]->pauses.try_emplace(target.start, entry_state::pause { m_now + settleTime, target.pausedUntil });
@@ -54,7 +65,12 @@
         breakPromise("not run is true", "request " + std::to_string(number) + " runs after it was refused");
     engine_state& target = *m_engines[engine];
     ++target.running;
-    const duration work = shortestWork + duration(static_cast<duration::rep>(fraction() * static_cast<double>(workSpread.count())));
+    if (record.cause)
+        schedule(randomUpTo(mostBeginDelay), [this, engine, start = target.start, cause = *record.cause] {
+            if (m_engines[engine]->start == start)
+                beginCrashing(engine, cause);
+        });
+    const duration work = shortestWork + randomUpTo(workSpread);
     schedule(work, [this, entry, engine, start = target.start, life = m_entries[entry]->life, number, current = m_entries[entry]->attempts[number]] {
         engine_state& target = *m_engines[engine];
         const bool isGone = !target.isUp || target.start != start;
@@ -62,7 +78,7 @@
             --target.running;
         if (m_entries[entry]->life != life || m_entries[entry]->attempts[number] != current)
             return;
-        if (isGone || fraction() < m_answerLoss)
+        if (isGone || m_requests.at(number).cause || fraction() < m_answerLoss)
             return end(entry, number, attempt_ending::NoAnswer);
         answer(entry, engine, start, number);
     });
@@ -125,15 +141,40 @@
     target.isUp = false;
     target.running = 0;
     const endpoint_id gone = target.id();
-    postToAll(registryExpiry, [this, gone] { return endpoint_unlisted { m_now, gone }; });
+    reportDeath(target);
+    schedule(registryExpiry, [this, gone] { followStore([this, gone] { return endpoint_unlisted { m_now, gone }; }); });
     schedule(length, [this, engine] { startEngine(engine, coldTime); });
 }
 
+void fleet_world::beginCrashing(std::size_t engine, std::size_t cause)
+{
+    if (!m_engines[engine]->isUp)
+        return;
+    m_causes[cause].deaths.push_back(m_now);
+    trace(m_engines[engine]->id().str(), "dies of " + std::to_string(m_causes[cause].id));
+    crashEngine(engine, crashedTime);
+}
+
+void fleet_world::reportDeath(const engine_state& engine)
+{
+    if (!m_settings.agentsReportDeaths)
+        return;
+    for (int report = 1; report <= deathReports; ++report) {
+        for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
+            if (fraction() < m_datagramLoss)
+                continue;
+            scheduleAt(entry, report * deathReportInterval, [this, entry, address = engine.address(), start = engine.start] {
+                post(entry, endpoint_death_reported { m_now, address, start });
+            });
+        }
+    }
+}
+
 void fleet_world::stopEngine(std::size_t engine, bool isListed)
 {
     m_engines[engine]->isLeaving = true;
     if (isListed)
-        postToAll(feedDelay, [this, record = recordOf(engine)] { return endpoint_listed { m_now, record }; });
+        followStore([this, record = recordOf(engine)] { return endpoint_listed { m_now, record }; });
     schedule(leavingTime, [this, engine, start = m_engines[engine]->start] {
         if (m_engines[engine]->isUp && m_engines[engine]->start == start)
             crashEngine(engine, restartTime);
@@ -147,7 +188,7 @@
     target.start = ++m_lastStart;
     target.startedAt = m_now;
     target.coldUntil = m_now + coldFor;
-    postToAll(feedDelay, [this, engine, start = target.start] {
+    followStore([this, engine, start = target.start] {
         endpoint_record record = recordOf(engine);
         record.id = idOfStart(start);
         return endpoint_listed { m_now, record };
@@ -198,6 +239,29 @@
         breakPromise("limits", std::to_string(counted) + " in four seconds at " + engine.id().str() + ", which named " + std::to_string(engine.limit));
 }
 
+void fleet_world::checkCrashing(std::size_t entry, std::size_t cause)
+{
+    crash_cause& crashing = m_causes[cause];
+    const std::size_t known = crashing.isPart ? deathsOfPart : deathsOfRequest;
+    if (crashing.deaths.size() < known || m_now <= crashing.deaths[known - 1] + contactTime || !isInTouch(*m_entries[entry]))
+        return;
+    if (++crashing.lateSends > mostLateSends)
+        breakPromise(crashing.isPart ? "crashing parts" : "crashing requests",
+            std::to_string(crashing.lateSends) + " late sends, " + std::to_string(crashing.deaths.size()) + " engines died, last from " + nameOfEntry(entry));
+}
+
+void fleet_world::checkRepeats()
+{
+    m_repeats.push_back(m_now);
+    std::erase_if(m_repeats, [this](instant when) { return m_now - when >= repeatWindow; });
+    const std::size_t repeats = m_repeats.size();
+    // The later a request, the higher its number.
+    const auto first = std::find_if(m_requests.rbegin(), m_requests.rend(), [this](const auto& each) { return m_now - each.second.when >= repeatWindow; });
+    const auto requests = std::distance(m_requests.rbegin(), first);
+    if (static_cast<double>(repeats) > repeatFraction * static_cast<double>(requests) + repeatsMore)
+        breakPromise("repeats", std::to_string(repeats) + " in ten seconds beside " + std::to_string(requests) + " requests");
+}
+
 void fleet_world::breakPromise(const std::string& promise, const std::string& how)
 {
     if (m_broken.empty())
--- a/tests/decisions/fleet/fleet_world_state.h
+++ b/tests/decisions/fleet/fleet_world_state.h
@@ -63,9 +63,19 @@
     bool isNaming(instant now) const { return now >= limitedFrom && now < limitedUntil; }
 };
 
+// What crashes engines: a request, or a part of prompts.
+struct fleet_world::crash_cause {
+    std::uint64_t id = 0;
+    bool isPart = false;
+    std::vector<instant> deaths;
+    std::size_t lateSends = 0;
+};
+
 struct fleet_world::request_record {
     instant when;
+    std::optional<std::size_t> cause;
     bool mayRepeat = false;
+    std::size_t arrivals = 0;
     std::size_t runs = 0;
     bool isServed = false;
     bool isSaidNotRun = false;
--- a/tests/decisions/fleet/measure_fleet_schedules.cpp
+++ b/tests/decisions/fleet/measure_fleet_schedules.cpp
@@ -7,7 +7,8 @@
 #include <string_view>
 
 // Plays COUNT schedules of the direct fleet with consecutive seeds from SEED: measure_fleet_schedules --seed SEED --count COUNT. Prints
-// the broken ones with the fewest faults that break them, and one JSON line with the counts.
+// the broken ones with the fewest faults that break them, and one JSON line with the counts. With --replay SEED it prints the faults
+// of one schedule, the fewest that break it if it is broken, and each decision that the entries log meanwhile.
 
 using namespace appleramp::tests;
 
@@ -32,14 +33,28 @@
         std::cout << "  " << textOf(fault) << '\n';
 }
 
+int replay(std::uint64_t seed)
+{
+    fleet_schedule_result result = runFleetSchedule(seed);
+    if (!result.broken.empty())
+        result.faults = fewestFaults(seed, result.faults);
+    for (const planned_fault& fault : result.faults)
+        std::cout << textOf(fault) << '\n';
+    result = runFleetSchedule(seed, result.faults, [](const std::string& line) { std::cout << line << '\n'; });
+    std::cout << (result.broken.empty() ? "no promise broken" : result.broken) << '\n';
+    return result.broken.empty() ? 0 : 1;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
+    if (const auto seed = numberAfter(argc, argv, "--replay"); seed && argc == 3)
+        return replay(*seed);
     const auto first = numberAfter(argc, argv, "--seed");
     const auto count = numberAfter(argc, argv, "--count");
     if (argc != 5 || !first || !count) {
-        std::cerr << "usage: measure_fleet_schedules --seed SEED --count COUNT (whole numbers)\n";
+        std::cerr << "usage: measure_fleet_schedules --seed SEED --count COUNT | --replay SEED (whole numbers)\n";
         return 2;
     }
     std::map<std::string, std::uint64_t> broken;
