Tests: the simulated fleets share their event queue and their list of other entries

Cause: limit_world, fleet_world and crash_world each had a scheduler and the delivery of datagrams of their own. Change: fakes/event_queue.h and fakes/other_entries.h hold them; crash_world's engines stand in a file of their own.

--- a/tests/decisions/crashes/crash_world.cpp
+++ b/tests/decisions/crashes/crash_world.cpp
@@ -1,4 +1,6 @@
-#include "decisions/crashes/crash_world.h"
+#include "decisions/crashes/crash_world_state.h"
+
+#include "fakes/other_entries.h"
 
 #include <algorithm>
 #include <tuple>
@@ -16,9 +18,6 @@
 constexpr duration storeRetry = 800ms;
 // Entries that are told the records of suspects in each round.
 constexpr std::size_t recordRecipients = 3;
-// Agents report the end of their engine this often.
-constexpr int deathReports = 5;
-constexpr duration reportInterval = 80ms;
 constexpr std::uint32_t slots = 12;
 const service_id model("model");
 const availability_zone_id zone("a");
@@ -48,37 +47,10 @@
 
 } // namespace
 
-struct crash_world::entry_state {
-    std::unique_ptr<forwarding_reducer> reducer;
-    std::uint64_t life = 0;
-    instant disturbedUntil;
-    instant cutUntil;
-    std::map<request_number, simulated_request> requests;
-    std::map<request_number, std::uint64_t> runs;
-    instant presenceToldAt;
-};
-
-struct crash_world::engine_state {
-    std::string address;
-    endpoint_id id;
-    std::uint64_t startedAtMs = 0;
-    bool up = true;
-    bool listed = true;
-};
-
-struct crash_world::run {
-    std::size_t entry = 0;
-    std::uint64_t life = 0;
-    request_number request = 0;
-    std::size_t engine = 0;
-    simulated_request content;
-    int events = 0;
-};
-
 crash_world::crash_world(crash_world_settings settings)
     : m_settings(settings)
     , m_random(settings.seed)
-    , m_now(1s)
+    , m_events(instant(1s))
 {
     for (std::size_t engine = 0; engine < settings.engines; ++engine) {
         auto state = std::make_unique<engine_state>();
@@ -97,22 +69,9 @@
 
 double crash_world::fraction() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
 
-void crash_world::schedule(duration delay, std::function<void()> action)
-{
-    m_schedule.push({ m_now + delay, ++m_order, std::move(action) });
-}
-
-void crash_world::at(duration time, std::function<void()> action) { m_schedule.push({ instant(time), ++m_order, std::move(action) }); }
-
 void crash_world::runUntil(duration time)
 {
-    while (!m_schedule.empty() && m_schedule.top().when <= instant(time)) {
-        const scheduled next = m_schedule.top();
-        m_schedule.pop();
-        m_now = std::max(m_now, next.when);
-        next.action();
-    }
-    m_now = instant(time);
+    while (m_events.runNext(instant(time))) { }
 }
 
 void crash_world::sendEvery(duration interval, duration from, duration until, const std::function<simulated_request()>& make)
@@ -126,7 +85,7 @@
     const request_number number = ++m_lastRequest;
     m_entries[entry]->requests[number] = request;
     if (!request.crashesEngines)
-        m_sound[number].sentAt = m_now;
+        m_sound[number].sentAt = now();
     caller_request caller;
     caller.host = "a.example";
     caller.path = "/draft/x";
@@ -134,7 +93,7 @@
     caller.timeout = callerTimeout;
     caller.contentHash = request.content;
     caller.sharedPromptParts = request.parts;
-    post(entry, request_arrived { m_now, number, caller });
+    post(entry, request_arrived { now(), number, caller });
 }
 
 std::vector<endpoint_record> crash_world::registry() const
@@ -154,15 +113,15 @@
     settings.zone = zone;
     settings.seed = m_random();
     settings.retryBudget = { .requestFraction = 0.2, .baseRetries = 92, .window = 10s };
-    state.reducer = std::make_unique<forwarding_reducer>(m_now, settings);
+    state.reducer = std::make_unique<forwarding_reducer>(now(), settings);
     ++state.life;
-    post(entry, entry_count_read { m_now, m_entries.size(), m_entries.size() - 1, entry });
-    post(entry, configuration_read { m_now, m_now, configuration(m_settings.hasExperts) });
-    post(entry, registry_read { m_now, registry() });
+    post(entry, entry_count_read { now(), m_entries.size(), m_entries.size() - 1, entry });
+    post(entry, configuration_read { now(), now(), configuration(m_settings.hasExperts) });
+    post(entry, registry_read { now(), registry() });
     readRecords(entry);
     for (std::size_t other = 0; other < m_entries.size(); ++other) {
         if (other != entry && m_entries[other]->reducer)
-            tell(other, entry, crash_records_received { m_now, m_entries[other]->reducer->recordsForStartingEntry(m_now) });
+            tell(other, entry, crash_records_received { now(), m_entries[other]->reducer->recordsForStartingEntry(now()) });
     }
     tickEntry(entry, state.life);
 }
@@ -174,7 +133,7 @@
     ++state.life;
     state.requests.clear();
     state.runs.clear();
-    state.disturbedUntil = m_now + contactTime;
+    state.disturbedUntil = now() + contactTime;
     std::erase_if(m_runs, [entry](const auto& each) { return each.second.entry == entry; });
 }
 
@@ -192,31 +151,31 @@
         startEntry(entry);
 }
 
-void crash_world::cutEntry(std::size_t entry, duration length) { m_entries[entry]->cutUntil = m_now + length; }
+void crash_world::cutEntry(std::size_t entry, duration length) { m_entries[entry]->cutUntil = now() + length; }
 
 void crash_world::tickEntry(std::size_t entry, std::uint64_t life)
 {
     entry_state& state = *m_entries[entry];
     if (state.life != life)
         return;
-    post(entry, configuration_read { m_now, m_now, std::nullopt });
-    post(entry, timer_ticked { m_now });
-    if (m_now - state.presenceToldAt >= presenceInterval) {
-        state.presenceToldAt = m_now;
+    post(entry, configuration_read { now(), now(), std::nullopt });
+    post(entry, timer_ticked { now() });
+    if (now() - state.presenceToldAt >= presenceInterval) {
+        state.presenceToldAt = now();
         const std::string name = "entry-" + std::to_string(entry);
-        tellOthers(entry, entry_presence_received { m_now, { instance_id(name), zone, name, true, 1 } });
+        tellOthers(entry, entry_presence_received { now(), { instance_id(name), zone, name, true, 1 } });
     }
     schedule(tickInterval, [this, entry, life] { tickEntry(entry, life); });
 }
 
 bool crash_world::isInTouch(std::size_t entry) const
 {
-    return m_now >= m_entries[entry]->disturbedUntil;
+    return now() >= m_entries[entry]->disturbedUntil;
 }
 
 bool crash_world::arePeersCut(std::size_t from, std::size_t to) const
 {
-    return m_now < m_entries[from]->cutUntil || m_now < m_entries[to]->cutUntil;
+    return now() < m_entries[from]->cutUntil || now() < m_entries[to]->cutUntil;
 }
 
 void crash_world::tell(std::size_t entry, std::size_t other, const forwarding_event& event)
@@ -227,7 +186,7 @@
         forwarding_event arrived = event;
         std::visit([this](auto& concrete) {
             if constexpr (requires { concrete.now; })
-                concrete.now = m_now;
+                concrete.now = now();
         },
             arrived);
         post(other, arrived);
@@ -244,38 +203,33 @@
 
 void crash_world::shareRecords(std::size_t entry, const share_crash_records& effect)
 {
-    const crash_records_received event { m_now, effect.records };
+    const crash_records_received event { now(), effect.records };
     if (effect.recipients == record_recipients::AllEntries)
         return tellOthers(entry, event);
-    std::vector<std::size_t> others;
-    for (std::size_t other = 0; other < m_entries.size(); ++other) {
-        if (other != entry)
-            others.push_back(other);
-    }
-    std::shuffle(others.begin(), others.end(), m_random);
+    const std::vector<std::size_t> others = shuffledOthers(m_entries.size(), entry, m_random);
     for (std::size_t number = 0; number < std::min(recordRecipients, others.size()); ++number)
         tell(entry, others[number], event);
 }
 
 void crash_world::writeRecord(std::size_t entry, const crash_record& record)
 {
-    if (m_now < m_storeBackAt)
+    if (now() < m_storeBackAt)
         return schedule(storeRetry, [this, entry, record] { writeRecord(entry, record); });
     m_stored[record.key] = record;
     schedule(m_settings.feedDelay, [this, record] {
         for (std::size_t other = 0; other < m_entries.size(); ++other)
-            post(other, crash_table_read { m_now, false, { record }, {} });
+            post(other, crash_table_read { now(), false, { record }, {} });
     });
 }
 
 void crash_world::removeRecord(const suspect_key& key)
 {
-    if (m_now < m_storeBackAt)
+    if (now() < m_storeBackAt)
         return schedule(storeRetry, [this, key] { removeRecord(key); });
     m_stored.erase(key);
     schedule(m_settings.feedDelay, [this, key] {
         for (std::size_t other = 0; other < m_entries.size(); ++other)
-            post(other, crash_table_read { m_now, false, {}, { key } });
+            post(other, crash_table_read { now(), false, {}, { key } });
     });
 }
 
@@ -284,9 +238,9 @@
     schedule(m_settings.storeDelay, [this, entry, life = m_entries[entry]->life] {
         if (m_entries[entry]->life != life)
             return;
-        if (m_now < m_storeBackAt)
+        if (now() < m_storeBackAt)
             return schedule(storeRetry, [this, entry] { readRecords(entry); });
-        crash_table_read read { m_now, true, {}, {} };
+        crash_table_read read { now(), true, {}, {} };
         for (const auto& [key, record] : m_stored)
             read.records.push_back(record);
         post(entry, read);
@@ -311,9 +265,9 @@
         m_soundConvicted += isConvicted && m_sound.contains(refusal->request) ? 1 : 0;
         state.requests.erase(refusal->request);
     } else if (const auto* const wait = std::get_if<wait_for_service>(&effect))
-        schedule(wait->until - m_now, [this, entry, life = state.life, number = wait->request] {
+        schedule(wait->until - now(), [this, entry, life = state.life, number = wait->request] {
             if (m_entries[entry]->life == life)
-                post(entry, service_wait_ended { m_now, number });
+                post(entry, service_wait_ended { now(), number });
         });
     else if (const auto* const cancelled = std::get_if<cancel_forwarded_request>(&effect)) {
         m_runs.erase(state.runs[cancelled->request]);
@@ -329,143 +283,10 @@
     else if (const auto* const probe = std::get_if<probe_endpoint>(&effect))
         schedule(1ms, [this, entry, probe = *probe] {
             const auto found = std::find_if(m_engines.begin(), m_engines.end(), [&](const auto& engine) { return engine->address == probe.address; });
-            post(entry, endpoint_probed { m_now, probe.endpoint, found != m_engines.end() && !(*found)->up });
+            post(entry, endpoint_probed { now(), probe.endpoint, found != m_engines.end() && !(*found)->up });
         });
 }
 
-void crash_world::reachEngine(std::size_t entry, const send_attempt& attempt)
-{
-    const auto found = std::find_if(m_engines.begin(), m_engines.end(), [&](const auto& engine) { return engine->address == attempt.address; });
-    const std::uint64_t number = ++m_lastRun;
-    entry_state& state = *m_entries[entry];
-    const simulated_request content = state.requests.at(attempt.request);
-    m_runs[number] = { entry, state.life, attempt.request, static_cast<std::size_t>(found - m_engines.begin()), content };
-    state.runs[attempt.request] = number;
-    const engine_state& engine = **found;
-    if (!engine.up)
-        return schedule(1ms, [this, number] { endRun(number, attempt_ending::NotSent); });
-    if (engine.id != attempt.endpoint)
-        return schedule(1ms, [this, number] { endRun(number, attempt_ending::WrongEndpoint); });
-    if (content.crashesEngines)
-        m_crashingSends.push_back({ m_now, isInTouch(entry) });
-    if (!groupServes())
-        return schedule(1ms, [this, number] { endRun(number, attempt_ending::Rejected); });
-    schedule(duration(static_cast<duration::rep>(fraction() * static_cast<double>(m_settings.maxBeginDelay.count()))), [this, number] { beginRun(number); });
-}
-
-void crash_world::beginRun(std::uint64_t number)
-{
-    const auto found = m_runs.find(number);
-    if (found == m_runs.end() || !groupServes())
-        return;
-    if (found->second.content.crashesEngines) {
-        m_crashes.push_back(m_now);
-        return killEngine(found->second.engine);
-    }
-    writeEvent(number);
-}
-
-void crash_world::writeEvent(std::uint64_t number)
-{
-    const auto found = m_runs.find(number);
-    if (found == m_runs.end() || !groupServes())
-        return;
-    run& current = found->second;
-    const std::size_t entry = current.entry;
-    if (current.events == m_settings.events) {
-        const request_number request = current.request;
-        m_runs.erase(found);
-        m_entries[entry]->runs.erase(request);
-        return post(entry, attempt_succeeded { m_now, request });
-    }
-    if (const auto outcome = m_sound.find(current.request); outcome != m_sound.end() && current.events == 0)
-        outcome->second.begunAtFirstAttempt = true;
-    const auto pause = current.events++ == 0 ? std::nullopt : std::optional(m_settings.eventInterval);
-    post(entry, stream_advanced { m_now, current.request, pause });
-    schedule(m_settings.eventInterval, [this, number] { writeEvent(number); });
-}
-
-void crash_world::killEngine(std::size_t engine)
-{
-    ++m_deaths;
-    m_engines[engine]->up = false;
-    m_groupOpensAt = m_now + m_settings.groupOutage;
-    std::vector<std::uint64_t> running;
-    for (const auto& [number, run] : m_runs) {
-        if (run.engine == engine)
-            running.push_back(number);
-    }
-    for (const std::uint64_t number : running)
-        endRun(number, attempt_ending::TruncatedAnswer);
-    for (int report = 1; m_settings.agentsReportDeaths && report <= deathReports; ++report)
-        schedule(report * reportInterval, [this, address = m_engines[engine]->address, started = m_engines[engine]->startedAtMs] { reportDeath(address, started); });
-    schedule(m_settings.stall, [this, engine] { stallGroup(engine); });
-    schedule(m_settings.engineRestart, [this, engine] { restartEngine(engine); });
-}
-
-void crash_world::killEngines(std::size_t count)
-{
-    for (std::size_t engine = 0; engine < count; ++engine) {
-        if (m_engines[engine]->up)
-            killEngine(engine);
-    }
-}
-
-void crash_world::reportDeath(const std::string& address, std::uint64_t startedAtMs)
-{
-    for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
-        if (fraction() >= m_settings.datagramLoss)
-            schedule(m_settings.datagramDelay, [this, entry, address, startedAtMs] { post(entry, endpoint_death_reported { m_now, address, startedAtMs }); });
-    }
-}
-
-void crash_world::stallGroup(std::size_t dead)
-{
-    std::vector<std::uint64_t> running;
-    for (const auto& [number, run] : m_runs) {
-        if (run.engine != dead)
-            running.push_back(number);
-    }
-    for (const std::uint64_t number : running) {
-        const auto found = m_runs.find(number);
-        if (found != m_runs.end())
-            endRun(number, found->second.events > 0 ? attempt_ending::TruncatedAnswer : attempt_ending::Rejected);
-    }
-}
-
-void crash_world::restartEngine(std::size_t engine)
-{
-    engine_state& state = *m_engines[engine];
-    const endpoint_id before = state.id;
-    state.id = endpoint_id("i-" + std::to_string(++m_lastEngineId));
-    state.startedAtMs = m_lastEngineId;
-    state.up = true;
-    const std::vector<endpoint_record> listed = registry();
-    const endpoint_record& record = listed.at(engine);
-    schedule(m_settings.registryDelay, [this, record] {
-        for (std::size_t entry = 0; entry < m_entries.size(); ++entry)
-            post(entry, endpoint_listed { m_now, record });
-    });
-    schedule(m_settings.registryExpiry - m_settings.engineRestart, [this, before] {
-        for (std::size_t entry = 0; entry < m_entries.size(); ++entry)
-            post(entry, endpoint_unlisted { m_now, before });
-    });
-}
-
-void crash_world::endRun(std::uint64_t number, attempt_ending ending)
-{
-    const auto found = m_runs.find(number);
-    if (found == m_runs.end())
-        return;
-    const run ended = found->second;
-    m_runs.erase(found);
-    entry_state& state = *m_entries[ended.entry];
-    if (state.life != ended.life)
-        return;
-    state.runs.erase(ended.request);
-    post(ended.entry, attempt_ended { m_now, ended.request, ending, ended.events > 0, {} });
-}
-
 std::size_t crash_world::lateSends(std::size_t death) const
 {
     if (m_crashes.size() < death)
--- a/tests/decisions/crashes/crash_world.h
+++ b/tests/decisions/crashes/crash_world.h
@@ -1,16 +1,17 @@
 #pragma once
 
 #include "decisions/forwarding/forwarding_reducer.h"
+#include "fakes/event_queue.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
-#include <queue>
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace appleramp::tests {
@@ -60,7 +61,7 @@
     crash_world& operator=(const crash_world&) = delete;
 
     void runUntil(duration time);
-    void at(duration time, std::function<void()> action);
+    void at(duration time, std::function<void()> action) { m_events.runAt(instant(time), std::move(action)); }
     // Sends requests at random entries, evenly spaced; `make` gives the content of each.
     void sendEvery(duration interval, duration from, duration until, const std::function<simulated_request()>& make);
     void send(std::size_t entry, const simulated_request& request);
@@ -73,7 +74,7 @@
     // Engines that die together of another cause, such as a loss of power.
     void killEngines(std::size_t count);
     // No entry reaches the store until then.
-    void stopStore(duration length) { m_storeBackAt = m_now + length; }
+    void stopStore(duration length) { m_storeBackAt = now() + length; }
 
     std::size_t engineDeaths() const { return m_deaths; }
     // Crashing requests that entries in touch sent to engines later than the contact time after the given one of the deaths that
@@ -90,12 +91,6 @@
     struct entry_state;
     struct engine_state;
     struct run;
-    struct scheduled {
-        instant when;
-        std::uint64_t order = 0;
-        std::function<void()> action;
-        bool operator>(const scheduled& other) const { return std::tie(when, order) > std::tie(other.when, other.order); }
-    };
     struct crashing_send {
         instant when;
         bool entryInTouch = false;
@@ -105,7 +100,8 @@
         bool begunAtFirstAttempt = false;
     };
 
-    void schedule(duration delay, std::function<void()> action);
+    instant now() const { return m_events.now(); }
+    void schedule(duration delay, std::function<void()> action) { m_events.runAfter(delay, std::move(action)); }
     void startEntry(std::size_t entry);
     void stopEntry(std::size_t entry);
     void tickEntry(std::size_t entry, std::uint64_t life);
@@ -127,15 +123,13 @@
     void tellOthers(std::size_t entry, const forwarding_event& event);
     bool isInTouch(std::size_t entry) const;
     bool arePeersCut(std::size_t from, std::size_t to) const;
-    bool groupServes() const { return m_now >= m_groupOpensAt; }
+    bool groupServes() const { return now() >= m_groupOpensAt; }
     std::vector<endpoint_record> registry() const;
     double fraction();
 
     crash_world_settings m_settings;
     std::mt19937_64 m_random;
-    instant m_now;
-    std::uint64_t m_order = 0;
-    std::priority_queue<scheduled, std::vector<scheduled>, std::greater<>> m_schedule;
+    event_queue m_events;
     std::vector<std::unique_ptr<entry_state>> m_entries;
     std::vector<std::unique_ptr<engine_state>> m_engines;
     std::map<std::uint64_t, run> m_runs;
--- a/tests/decisions/fleet/fleet_world.cpp
+++ b/tests/decisions/fleet/fleet_world.cpp
@@ -1,6 +1,7 @@
 #include "decisions/fleet/fleet_world_state.h"
 
 #include "datagrams/datagram_codec.h"
+#include "fakes/other_entries.h"
 
 #include <algorithm>
 #include <utility>
@@ -59,7 +60,7 @@
 fleet_world::fleet_world(fleet_world_settings settings)
     : m_settings(settings)
     , m_random(settings.seed)
-    , m_now(1s)
+    , m_events(instant(1s))
 {
     for (std::size_t engine = 0; engine < settings.engines; ++engine) {
         m_engines.push_back(std::make_unique<engine_state>());
@@ -79,16 +80,14 @@
 
 duration fleet_world::randomUpTo(duration most) { return duration(static_cast<duration::rep>(fraction() * static_cast<double>(most.count()))); }
 
-void fleet_world::schedule(duration delay, std::function<void()> action) { m_schedule.push({ m_now + delay, ++m_order, std::move(action) }); }
-
 void fleet_world::scheduleAt(std::size_t entry, duration delay, std::function<void()> action)
 {
     schedule(delay, [this, entry, life = m_entries[entry]->life, action = std::move(action)] {
         const entry_state& state = *m_entries[entry];
         if (state.life != life)
             return;
-        if (m_now < state.frozenUntil)
-            return scheduleAt(entry, state.frozenUntil - m_now, action);
+        if (now() < state.frozenUntil)
+            return scheduleAt(entry, state.frozenUntil - now(), action);
         action();
     });
 }
@@ -96,18 +95,12 @@
 void fleet_world::play(const std::vector<planned_fault>& faults)
 {
     for (const planned_fault& fault : faults)
-        m_schedule.push({ instant(fault.at), ++m_order, [this, fault] { begin(fault); } });
+        m_events.runAt(instant(fault.at), [this, fault] { begin(fault); });
 }
 
 void fleet_world::runUntil(duration time)
 {
-    while (!m_schedule.empty() && m_schedule.top().when <= instant(time) && m_broken.empty()) {
-        const scheduled next = m_schedule.top();
-        m_schedule.pop();
-        m_now = std::max(m_now, next.when);
-        next.action();
-    }
-    m_now = instant(time);
+    while (m_broken.empty() && m_events.runNext(instant(time))) { }
 }
 
 void fleet_world::begin(const planned_fault& fault)
@@ -123,10 +116,10 @@
             startEntry(each);
         return;
     case fault_kind::FreezeEntry:
-        m_entries[entry]->frozenUntil = std::max(m_entries[entry]->frozenUntil, m_now + fault.length);
+        m_entries[entry]->frozenUntil = std::max(m_entries[entry]->frozenUntil, now() + fault.length);
         return disturb(entry, fault.length);
     case fault_kind::CutEntry:
-        m_entries[entry]->cutUntil = std::max(m_entries[entry]->cutUntil, m_now + fault.length);
+        m_entries[entry]->cutUntil = std::max(m_entries[entry]->cutUntil, now() + fault.length);
         return disturb(entry, fault.length);
     case fault_kind::CrashEngine:
     case fault_kind::EngineLeaves:
@@ -147,9 +140,9 @@
     case fault_kind::CrashingRequest:
     case fault_kind::CrashingPart:
         m_causes.push_back({ .id = firstCrashingId + m_causes.size(), .isPart = fault.kind == fault_kind::CrashingPart });
-        return sendCrashing(m_causes.size() - 1, m_now + 2 * fault.length);
+        return sendCrashing(m_causes.size() - 1, now() + 2 * fault.length);
     case fault_kind::StoreAway:
-        m_storeBackAt = std::max(m_storeBackAt, m_now + fault.length);
+        m_storeBackAt = std::max(m_storeBackAt, now() + fault.length);
         return;
     }
 }
@@ -163,12 +156,12 @@
     if (fault.kind == fault_kind::EngineLeaves && target.isUp && !target.isLeaving)
         return stopEngine(engine, fault.strength < 0.5);
     if (fault.kind == fault_kind::EnginePauses)
-        target.pausedUntil = std::max(target.pausedUntil, m_now + fault.length);
-    if (fault.kind != fault_kind::EngineNamesLimit || target.isNaming(m_now))
+        target.pausedUntil = std::max(target.pausedUntil, now() + fault.length);
+    if (fault.kind != fault_kind::EngineNamesLimit || target.isNaming(now()))
         return;
     target.limit = leastLimit + limitSpread * fault.strength;
-    target.limitedFrom = m_now;
-    target.limitedUntil = m_now + 2 * fault.length;
+    target.limitedFrom = now();
+    target.limitedUntil = now() + 2 * fault.length;
 }
 
 void fleet_world::takeZoneOut(const availability_zone_id& zone, duration length)
@@ -177,11 +170,11 @@
         std::set<availability_zone_id> out;
         for (const auto& [each, since] : m_zonesOut)
             out.insert(each);
-        return out_of_service_zones_changed { m_now, out };
+        return out_of_service_zones_changed { now(), out };
     };
     // The operator's row is written once the store answers, and so is its removal.
-    const duration storeDelay = std::max(duration::zero(), m_storeBackAt - m_now);
-    m_zonesOut[zone] = m_now + storeDelay;
+    const duration storeDelay = std::max(duration::zero(), m_storeBackAt - now());
+    m_zonesOut[zone] = now() + storeDelay;
     followStore(zones);
     schedule(length + storeDelay, [this, zone, zones] {
         m_zonesOut.erase(zone);
@@ -197,13 +190,13 @@
 
 void fleet_world::disturb(std::size_t entry, duration length)
 {
-    m_entries[entry]->disturbedUntil = std::max(m_entries[entry]->disturbedUntil, m_now + length + contactTime);
+    m_entries[entry]->disturbedUntil = std::max(m_entries[entry]->disturbedUntil, now() + length + contactTime);
 }
 
 endpoint_record fleet_world::recordOf(std::size_t engine) const
 {
     const engine_state& state = *m_engines[engine];
-    const duration coldFor = std::max(duration::zero(), state.coldUntil - m_now);
+    const duration coldFor = std::max(duration::zero(), state.coldUntil - now());
     return { state.id(), fleetService, state.address(), state.zone(m_settings.zones), engineSlots, state.isLeaving, coldFor, state.start };
 }
 
@@ -214,34 +207,34 @@
     state = {};
     state.life = life;
     // All entries start together at first, which excuses nothing later.
-    if (m_now > instant(1s))
+    if (now() > instant(1s))
         disturb(entry, duration::zero());
     forwarding_settings settings;
     settings.zone = zoneOf(entry % m_settings.zones);
     settings.instance = nameOfEntry(entry);
     settings.seed = m_random();
     settings.retryBudget = { .requestFraction = 0.2, .baseRetries = 92, .window = 10s };
-    state.reducer = std::make_unique<forwarding_reducer>(m_now, settings);
+    state.reducer = std::make_unique<forwarding_reducer>(now(), settings);
     std::vector<std::string> names;
     for (std::size_t other = 0; other < m_entries.size(); ++other)
         names.push_back(nameOfEntry(other));
-    post(entry, entry_count_read { m_now, names.size(), names.size() - 1, entry, names });
-    post(entry, configuration_read { m_now, m_now, configuration(m_settings.hasExperts) });
+    post(entry, entry_count_read { now(), names.size(), names.size() - 1, entry, names });
+    post(entry, configuration_read { now(), now(), configuration(m_settings.hasExperts) });
     std::vector<endpoint_record> records;
     for (std::size_t engine = 0; engine < m_engines.size(); ++engine) {
         if (m_engines[engine]->isUp)
             records.push_back(recordOf(engine));
     }
-    post(entry, registry_read { m_now, records });
+    post(entry, registry_read { now(), records });
     readSuspects(entry);
     std::set<availability_zone_id> out;
     for (const auto& [zone, since] : m_zonesOut)
         out.insert(zone);
-    post(entry, out_of_service_zones_changed { m_now, out });
+    post(entry, out_of_service_zones_changed { now(), out });
     for (std::size_t other = 0; other < m_entries.size(); ++other) {
         if (other != entry && m_entries[other]->reducer) {
-            tell(other, entry, endpoint_limit_records { m_entries[other]->reducer->limitsForStartingEntry(m_now) });
-            tell(other, entry, crash_records { m_entries[other]->reducer->recordsForStartingEntry(m_now) });
+            tell(other, entry, endpoint_limit_records { m_entries[other]->reducer->limitsForStartingEntry(now()) });
+            tell(other, entry, crash_records { m_entries[other]->reducer->recordsForStartingEntry(now()) });
         }
     }
     tickEntry(entry);
@@ -250,11 +243,11 @@
 void fleet_world::tickEntry(std::size_t entry)
 {
     entry_state& state = *m_entries[entry];
-    if (m_now >= m_storeBackAt)
-        post(entry, configuration_read { m_now, m_now, std::nullopt });
-    post(entry, timer_ticked { m_now });
-    if (m_now - state.presenceToldAt >= presenceInterval) {
-        state.presenceToldAt = m_now;
+    if (now() >= m_storeBackAt)
+        post(entry, configuration_read { now(), now(), std::nullopt });
+    post(entry, timer_ticked { now() });
+    if (now() - state.presenceToldAt >= presenceInterval) {
+        state.presenceToldAt = now();
         const std::string name = nameOfEntry(entry);
         tellSome(entry, entry_presence { instance_id(name), zoneOf(entry % m_settings.zones), name, true, 1 }, record_recipients::AllEntries);
     }
@@ -269,7 +262,7 @@
 
 void fleet_world::sendCrashing(std::size_t cause, instant until)
 {
-    if (m_now >= until)
+    if (now() >= until)
         return;
     const crash_cause& crashing = m_causes[cause];
     if (crashing.isPart)
@@ -283,10 +276,10 @@
 {
     const request_number number = ++m_lastRequest;
     request_record& record = m_requests[number];
-    record.when = m_now;
+    record.when = now();
     record.cause = cause;
     record.mayRepeat = fraction() < 0.5;
-    record.deadline = m_now + callerTimeout;
+    record.deadline = now() + callerTimeout;
     caller_request caller;
     caller.host = "a.example";
     caller.path = record.mayRepeat ? "/read/x" : "/post/x";
@@ -295,7 +288,7 @@
     caller.contentHash = content;
     caller.sharedPromptParts = std::move(parts);
     const std::size_t entry = std::uniform_int_distribution<std::size_t>(0, m_entries.size() - 1)(m_random);
-    scheduleAt(entry, duration::zero(), [this, entry, number, caller] { post(entry, request_arrived { m_now, number, caller }); });
+    scheduleAt(entry, duration::zero(), [this, entry, number, caller] { post(entry, request_arrived { now(), number, caller }); });
 }
 
 void fleet_world::post(std::size_t entry, const forwarding_event& event)
@@ -314,7 +307,7 @@
     else if (const auto* const refusal = std::get_if<refuse_request>(&effect))
         noteRefusal(refusal->request, *refusal);
     else if (const auto* const wait = std::get_if<wait_for_service>(&effect))
-        scheduleAt(entry, wait->until - m_now, [this, entry, number = wait->request] { post(entry, service_wait_ended { m_now, number }); });
+        scheduleAt(entry, wait->until - now(), [this, entry, number = wait->request] { post(entry, service_wait_ended { now(), number }); });
     else if (const auto* const cancelled = std::get_if<cancel_forwarded_request>(&effect))
         ++state.attempts[cancelled->request];
     else if (const auto* const line = std::get_if<log_decision>(&effect)) {
@@ -337,25 +330,20 @@
     else if (const auto* const probe = std::get_if<probe_endpoint>(&effect))
         scheduleAt(entry, refusalDelay, [this, entry, probe = *probe] {
             const auto found = std::find_if(m_engines.begin(), m_engines.end(), [&](const auto& engine) { return engine->address() == probe.address; });
-            post(entry, endpoint_probed { m_now, probe.endpoint, !(*found)->isUp });
+            post(entry, endpoint_probed { now(), probe.endpoint, !(*found)->isUp });
         });
 }
 
 void fleet_world::tell(std::size_t entry, std::size_t other, const datagram_message& message)
 {
-    if (m_now < m_entries[entry]->cutUntil || m_now < m_entries[other]->cutUntil || fraction() < m_datagramLoss)
+    if (now() < m_entries[entry]->cutUntil || now() < m_entries[other]->cutUntil || fraction() < m_datagramLoss)
         return;
     scheduleAt(other, datagramDelay, [this, entry, other, bytes = encodeDatagram(message)] { onDatagram(entry, other, bytes); });
 }
 
 void fleet_world::tellSome(std::size_t entry, const datagram_message& message, record_recipients recipients)
 {
-    std::vector<std::size_t> others;
-    for (std::size_t other = 0; other < m_entries.size(); ++other) {
-        if (other != entry)
-            others.push_back(other);
-    }
-    std::shuffle(others.begin(), others.end(), m_random);
+    std::vector<std::size_t> others = shuffledOthers(m_entries.size(), entry, m_random);
     if (recipients == record_recipients::SomeEntries)
         others.resize(std::min(others.size(), recordRecipients));
     for (const std::size_t other : others)
@@ -366,21 +354,21 @@
 {
     const auto message = decodeDatagram(bytes);
     if (const auto* const presence = std::get_if<entry_presence>(&*message))
-        post(to, entry_presence_received { m_now, *presence });
+        post(to, entry_presence_received { now(), *presence });
     else if (const auto* const limits = std::get_if<endpoint_limit_records>(&*message))
-        post(to, endpoint_limits_told { m_now, limits->records });
+        post(to, endpoint_limits_told { now(), limits->records });
     else if (const auto* const crashes = std::get_if<crash_records>(&*message))
-        post(to, crash_records_received { m_now, crashes->records });
+        post(to, crash_records_received { now(), crashes->records });
     else if (const auto* const question = std::get_if<permit_question>(&*message))
-        post(to, permit_asked { m_now, instance_id(nameOfEntry(from)), *question });
+        post(to, permit_asked { now(), instance_id(nameOfEntry(from)), *question });
     else if (const auto* const answer = std::get_if<permit_answer>(&*message))
-        post(to, permit_answered { m_now, *answer });
+        post(to, permit_answered { now(), *answer });
 }
 
 void fleet_world::trace(const std::string& who, const std::string& what) const
 {
     if (m_trace)
-        m_trace(std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(m_now.time_since_epoch()).count()) + " ms " + who + " " + what);
+        m_trace(std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now().time_since_epoch()).count()) + " ms " + who + " " + what);
 }
 
 double fleet_world::served(duration from, duration until) const
--- a/tests/decisions/fleet/fleet_world.h
+++ b/tests/decisions/fleet/fleet_world.h
@@ -3,17 +3,16 @@
 #include "datagrams/datagram_message.h"
 #include "decisions/fleet/fault_plan.h"
 #include "decisions/forwarding/forwarding_reducer.h"
+#include "fakes/event_queue.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
-#include <queue>
 #include <random>
 #include <set>
 #include <string>
-#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -73,14 +72,9 @@
     struct engine_state;
     struct request_record;
     struct crash_cause;
-    struct scheduled {
-        instant when;
-        std::uint64_t order = 0;
-        std::function<void()> action;
-        bool operator>(const scheduled& other) const { return std::tie(when, order) > std::tie(other.when, other.order); }
-    };
 
-    void schedule(duration delay, std::function<void()> action);
+    instant now() const { return m_events.now(); }
+    void schedule(duration delay, std::function<void()> action) { m_events.runAfter(delay, std::move(action)); }
     // Runs the action at the entry if it still lives, once it does not stand still.
     void scheduleAt(std::size_t entry, duration delay, std::function<void()> action);
     void begin(const planned_fault& fault);
@@ -133,9 +127,7 @@
 
     fleet_world_settings m_settings;
     std::mt19937_64 m_random;
-    instant m_now;
-    std::uint64_t m_order = 0;
-    std::priority_queue<scheduled, std::vector<scheduled>, std::greater<>> m_schedule;
+    event_queue m_events;
     std::vector<std::unique_ptr<entry_state>> m_entries;
     std::vector<std::unique_ptr<engine_state>> m_engines;
     std::map<request_number, request_record> m_requests;
--- a/tests/decisions/fleet/fleet_world_engines.cpp
+++ b/tests/decisions/fleet/fleet_world_engines.cpp
@@ -34,7 +34,7 @@
     const std::uint64_t current = ++m_entries[entry]->attempts[number];
     scheduleAt(entry, attempt.timeLeft, [this, entry, number, current] {
         if (m_entries[entry]->attempts[number] == current)
-            post(entry, deadline_passed { m_now, number, false });
+            post(entry, deadline_passed { now(), number, false });
     });
     if (!target.isUp)
         return end(entry, number, attempt_ending::NotSent, {}, true);
@@ -46,9 +46,9 @@
         checkRepeats();
     if (record.cause)
         checkCrashing(entry, *record.cause);
-    if (m_now < target.pausedUntil) {
-        const duration left = target.pausedUntil - m_now;
-        m_entries[entry]->pauses.try_emplace(target.start, entry_state::pause { m_now + settleTime, target.pausedUntil });
+    if (now() < target.pausedUntil) {
+        const duration left = target.pausedUntil - now();
+        m_entries[entry]->pauses.try_emplace(target.start, entry_state::pause { now() + settleTime, target.pausedUntil });
         noteAnswer(entry, target);
         return end(entry, number, attempt_ending::Rejected, left);
     }
@@ -88,14 +88,14 @@
 {
     scheduleAt(entry, refusalDelay, [this, entry, number, current = m_entries[entry]->attempts[number], ending, retryAfter, isRefused] {
         if (m_entries[entry]->attempts[number] == current)
-            post(entry, attempt_ended { m_now, number, ending, false, retryAfter, isRefused });
+            post(entry, attempt_ended { now(), number, ending, false, retryAfter, isRefused });
     });
 }
 
 void fleet_world::answer(std::size_t entry, std::size_t engine, std::uint64_t start, request_number number)
 {
     const engine_state& source = *m_engines[engine];
-    const std::optional<double> limit = source.isNaming(m_now) ? std::optional(source.limit) : std::nullopt;
+    const std::optional<double> limit = source.isNaming(now()) ? std::optional(source.limit) : std::nullopt;
     scheduleAt(entry, duration::zero(), [this, entry, engine, start, isLeaving = source.isLeaving, limit, number, current = m_entries[entry]->attempts[number]] {
         entry_state& state = *m_entries[entry];
         if (state.attempts[number] != current)
@@ -103,24 +103,24 @@
         if (m_engines[engine]->start == start)
             noteAnswer(entry, *m_engines[engine]);
         if (isLeaving)
-            post(entry, endpoint_leaving_announced { m_now, idOfStart(start) });
+            post(entry, endpoint_leaving_announced { now(), idOfStart(start) });
         if (limit)
-            post(entry, endpoint_limit_stated { m_now, number, request_limit { *limit } });
+            post(entry, endpoint_limit_stated { now(), number, request_limit { *limit } });
         else
-            post(entry, endpoint_limit_stated { m_now, number, no_limit {} });
+            post(entry, endpoint_limit_stated { now(), number, no_limit {} });
         m_requests.at(number).isServed = true;
-        post(entry, attempt_succeeded { m_now, number });
+        post(entry, attempt_succeeded { now(), number });
     });
 }
 
 void fleet_world::noteAnswer(std::size_t entry, const engine_state& engine)
 {
     if (engine.isLeaving)
-        m_entries[entry]->toldLeaving.try_emplace(engine.start, m_now);
-    if (!engine.isNaming(m_now))
+        m_entries[entry]->toldLeaving.try_emplace(engine.start, now());
+    if (!engine.isNaming(now()))
         return;
     if (instant& told = m_entries[entry]->toldLimit[engine.start]; told < engine.limitedFrom)
-        told = m_now;
+        told = now();
 }
 
 void fleet_world::noteRefusal(request_number number, const refuse_request& refusal)
@@ -142,7 +142,7 @@
     target.running = 0;
     const endpoint_id gone = target.id();
     reportDeath(target);
-    schedule(registryExpiry, [this, gone] { followStore([this, gone] { return endpoint_unlisted { m_now, gone }; }); });
+    schedule(registryExpiry, [this, gone] { followStore([this, gone] { return endpoint_unlisted { now(), gone }; }); });
     schedule(length, [this, engine] { startEngine(engine, coldTime); });
 }
 
@@ -150,7 +150,7 @@
 {
     if (!m_engines[engine]->isUp)
         return;
-    m_causes[cause].deaths.push_back(m_now);
+    m_causes[cause].deaths.push_back(now());
     trace(m_engines[engine]->id().str(), "dies of " + std::to_string(m_causes[cause].id));
     crashEngine(engine, crashedTime);
 }
@@ -164,7 +164,7 @@
             if (fraction() < m_datagramLoss)
                 continue;
             scheduleAt(entry, report * deathReportInterval, [this, entry, address = engine.address(), start = engine.start] {
-                post(entry, endpoint_death_reported { m_now, address, start });
+                post(entry, endpoint_death_reported { now(), address, start });
             });
         }
     }
@@ -174,7 +174,7 @@
 {
     m_engines[engine]->isLeaving = true;
     if (isListed)
-        followStore([this, record = recordOf(engine)] { return endpoint_listed { m_now, record }; });
+        followStore([this, record = recordOf(engine)] { return endpoint_listed { now(), record }; });
     schedule(leavingTime, [this, engine, start = m_engines[engine]->start] {
         if (m_engines[engine]->isUp && m_engines[engine]->start == start)
             crashEngine(engine, restartTime);
@@ -186,55 +186,55 @@
     engine_state& target = *m_engines[engine];
     target = { .number = target.number };
     target.start = ++m_lastStart;
-    target.startedAt = m_now;
-    target.coldUntil = m_now + coldFor;
+    target.startedAt = now();
+    target.coldUntil = now() + coldFor;
     followStore([this, engine, start = target.start] {
         endpoint_record record = recordOf(engine);
         record.id = idOfStart(start);
-        return endpoint_listed { m_now, record };
+        return endpoint_listed { now(), record };
     });
 }
 
-bool fleet_world::isInTouch(const entry_state& entry) const { return m_now >= entry.disturbedUntil; }
+bool fleet_world::isInTouch(const entry_state& entry) const { return now() >= entry.disturbedUntil; }
 
 void fleet_world::checkArrival(std::size_t entry, std::size_t engine)
 {
     entry_state& state = *m_entries[entry];
     engine_state& target = *m_engines[engine];
     const auto told = state.toldLimit.find(target.start);
-    const bool isTold = target.isNaming(m_now) && told != state.toldLimit.end() && told->second >= target.limitedFrom && m_now - told->second >= settleTime;
-    target.arrivals.push_back({ m_now, isTold });
+    const bool isTold = target.isNaming(now()) && told != state.toldLimit.end() && told->second >= target.limitedFrom && now() - told->second >= settleTime;
+    target.arrivals.push_back({ now(), isTold });
     checkCold(target);
     checkLimit(target);
     const std::string who = nameOfEntry(entry) + " to " + target.id().str();
-    if (const auto left = state.toldLeaving.find(target.start); left != state.toldLeaving.end() && m_now - left->second > drainTime && isInTouch(state))
+    if (const auto left = state.toldLeaving.find(target.start); left != state.toldLeaving.end() && now() - left->second > drainTime && isInTouch(state))
         breakPromise("leaving endpoints", who + " after it announced its leaving");
     if (const auto pause = state.pauses.find(target.start); pause != state.pauses.end()) {
-        if (m_now >= pause->second.until)
+        if (now() >= pause->second.until)
             state.pauses.erase(pause);
-        else if (m_now >= pause->second.from && ++pause->second.requests > mostInPause && isInTouch(state))
+        else if (now() >= pause->second.from && ++pause->second.requests > mostInPause && isInTouch(state))
             breakPromise("pauses", who + " in its pause");
     }
     const auto out = m_zonesOut.find(target.zone(m_settings.zones));
-    if (out != m_zonesOut.end() && m_now - out->second > evacuationTime && isInTouch(state))
+    if (out != m_zonesOut.end() && now() - out->second > evacuationTime && isInTouch(state))
         breakPromise("zones out", who + " in a zone that is out");
 }
 
 void fleet_world::checkCold(const engine_state& engine)
 {
-    if (m_now >= engine.coldUntil)
+    if (now() >= engine.coldUntil)
         return;
-    const auto inSecond = std::count_if(engine.arrivals.begin(), engine.arrivals.end(), [this](const auto& each) { return m_now - each.when < 1s; });
+    const auto inSecond = std::count_if(engine.arrivals.begin(), engine.arrivals.end(), [this](const auto& each) { return now() - each.when < 1s; });
     if (static_cast<double>(inSecond) > mostCold)
         breakPromise("cold endpoints", std::to_string(inSecond) + " in a second at " + engine.id().str());
 }
 
 void fleet_world::checkLimit(const engine_state& engine)
 {
-    if (!engine.isNaming(m_now) || m_now - engine.limitedFrom < contactTime)
+    if (!engine.isNaming(now()) || now() - engine.limitedFrom < contactTime)
         return;
     const auto counted = std::count_if(
-        engine.arrivals.begin(), engine.arrivals.end(), [this](const auto& each) { return each.isTold && m_now - each.when < limitWindow; });
+        engine.arrivals.begin(), engine.arrivals.end(), [this](const auto& each) { return each.isTold && now() - each.when < limitWindow; });
     if (static_cast<double>(counted) > limitFactor * engine.limit * std::chrono::duration<double>(limitWindow).count() + limitMore)
         breakPromise("limits", std::to_string(counted) + " in four seconds at " + engine.id().str() + ", which named " + std::to_string(engine.limit));
 }
@@ -243,7 +243,7 @@
 {
     crash_cause& crashing = m_causes[cause];
     const std::size_t known = crashing.isPart ? deathsOfPart : deathsOfRequest;
-    if (crashing.deaths.size() < known || m_now <= crashing.deaths[known - 1] + contactTime || !isInTouch(*m_entries[entry]))
+    if (crashing.deaths.size() < known || now() <= crashing.deaths[known - 1] + contactTime || !isInTouch(*m_entries[entry]))
         return;
     if (++crashing.lateSends > mostLateSends)
         breakPromise(crashing.isPart ? "crashing parts" : "crashing requests",
@@ -252,11 +252,11 @@
 
 void fleet_world::checkRepeats()
 {
-    m_repeats.push_back(m_now);
-    std::erase_if(m_repeats, [this](instant when) { return m_now - when >= repeatWindow; });
+    m_repeats.push_back(now());
+    std::erase_if(m_repeats, [this](instant when) { return now() - when >= repeatWindow; });
     const std::size_t repeats = m_repeats.size();
     // The later a request, the higher its number.
-    const auto first = std::find_if(m_requests.rbegin(), m_requests.rend(), [this](const auto& each) { return m_now - each.second.when >= repeatWindow; });
+    const auto first = std::find_if(m_requests.rbegin(), m_requests.rend(), [this](const auto& each) { return now() - each.second.when >= repeatWindow; });
     const auto requests = std::distance(m_requests.rbegin(), first);
     if (static_cast<double>(repeats) > repeatFraction * static_cast<double>(requests) + repeatsMore)
         breakPromise("repeats", std::to_string(repeats) + " in ten seconds beside " + std::to_string(requests) + " requests");
@@ -265,7 +265,7 @@
 void fleet_world::breakPromise(const std::string& promise, const std::string& how)
 {
     if (m_broken.empty())
-        m_broken = promise + ": " + how + " at " + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(m_now.time_since_epoch()).count()) + " ms";
+        m_broken = promise + ": " + how + " at " + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now().time_since_epoch()).count()) + " ms";
 }
 
 } // namespace appleramp::tests
--- a/tests/decisions/fleet/fleet_world_store.cpp
+++ b/tests/decisions/fleet/fleet_world_store.cpp
@@ -21,9 +21,9 @@
 
 void fleet_world::callStore(std::size_t entry, std::function<void()> action)
 {
-    const duration wait = m_now < m_storeBackAt ? m_storeBackAt - m_now + randomUpTo(returnSpread) : callTime;
+    const duration wait = now() < m_storeBackAt ? m_storeBackAt - now() + randomUpTo(returnSpread) : callTime;
     scheduleAt(entry, wait, [this, entry, action = std::move(action)] {
-        if (m_now < m_storeBackAt)
+        if (now() < m_storeBackAt)
             return callStore(entry, action);
         action();
     });
@@ -32,7 +32,7 @@
 void fleet_world::followStore(const std::function<forwarding_event()>& make)
 {
     for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
-        const duration wait = m_now < m_storeBackAt ? m_storeBackAt - m_now + randomUpTo(returnSpread) : feedDelay;
+        const duration wait = now() < m_storeBackAt ? m_storeBackAt - now() + randomUpTo(returnSpread) : feedDelay;
         scheduleAt(entry, wait, [this, entry, make] { post(entry, make()); });
     }
 }
@@ -41,7 +41,7 @@
 {
     callStore(entry, [this, record] {
         const std::string& row = m_rows[crashRowKey(record.key)] = encodeCrashRow(record);
-        followStore([this, row] { return crash_table_read { m_now, false, { decodeCrashRow(row).value() }, {} }; });
+        followStore([this, row] { return crash_table_read { now(), false, { decodeCrashRow(row).value() }, {} }; });
     });
 }
 
@@ -49,14 +49,14 @@
 {
     callStore(entry, [this, key] {
         m_rows.erase(crashRowKey(key));
-        followStore([this, key] { return crash_table_read { m_now, false, {}, { key } }; });
+        followStore([this, key] { return crash_table_read { now(), false, {}, { key } }; });
     });
 }
 
 void fleet_world::readSuspects(std::size_t entry)
 {
     callStore(entry, [this, entry] {
-        crash_table_read read { m_now, true, {}, {} };
+        crash_table_read read { now(), true, {}, {} };
         for (const auto& [key, row] : m_rows)
             read.records.push_back(decodeCrashRow(row).value());
         post(entry, read);
--- a/tests/decisions/limits/limit_world.h
+++ b/tests/decisions/limits/limit_world.h
@@ -2,20 +2,24 @@
 
 #include "datagrams/datagram_message.h"
 #include "decisions/forwarding/forwarding_reducer.h"
+#include "fakes/event_queue.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
-#include <queue>
 #include <random>
 #include <string>
-#include <tuple>
+#include <utility>
 #include <vector>
 
 namespace appleramp::tests {
 
+const service_id limitedService("service");
+// One route for reading, to that service.
+routing_configuration limitedServiceConfiguration();
+
 struct limit_world_settings {
     std::uint64_t seed = 1;
     std::size_t entries = 8;
@@ -50,7 +54,7 @@
 
     // Plays the callers' requests until then.
     void runUntil(duration time);
-    void at(duration time, std::function<void()> action);
+    void at(duration time, std::function<void()> action) { m_events.runAt(instant(time), std::move(action)); }
 
     // The entry loses its memory.
     void restartEntry(std::size_t entry);
@@ -79,12 +83,6 @@
 
 private:
     struct entry_state;
-    struct scheduled {
-        instant when;
-        std::uint64_t order = 0;
-        std::function<void()> action;
-        bool operator>(const scheduled& other) const { return std::tie(when, order) > std::tie(other.when, other.order); }
-    };
     struct arrival {
         instant when;
         std::size_t endpoint = 0;
@@ -97,7 +95,8 @@
         bool isRefused = false;
     };
 
-    void schedule(duration delay, std::function<void()> action);
+    instant now() const { return m_events.now(); }
+    void schedule(duration delay, std::function<void()> action) { m_events.runAfter(delay, std::move(action)); }
     void startEntry(std::size_t entry);
     void tickEntry(std::size_t entry, std::uint64_t life);
     void sendNext();
@@ -120,9 +119,7 @@
 
     limit_world_settings m_settings;
     std::mt19937_64 m_random;
-    instant m_now;
-    std::uint64_t m_order = 0;
-    std::priority_queue<scheduled, std::vector<scheduled>, std::greater<>> m_schedule;
+    event_queue m_events;
     std::vector<std::unique_ptr<entry_state>> m_entries;
     request_number m_lastRequest = 0;
     std::vector<arrival> m_arrivals;
--- a/tests/decisions/limits/permit_exchange_test.cpp
+++ b/tests/decisions/limits/permit_exchange_test.cpp
@@ -1,15 +1,16 @@
 #include "decisions/forwarding/forwarding_reducer.h"
+#include "decisions/limits/limit_world.h"
 
 #include <criterion/criterion.h>
 
 #include <optional>
 
 using namespace appleramp;
+using namespace appleramp::tests;
 using namespace std::chrono_literals;
 
 namespace {
 
-const service_id service("service");
 constexpr duration step = 10ms;
 // Long enough for several turns of the limit of one request per second.
 constexpr duration playTime = 20s;
@@ -20,21 +21,9 @@
     limited_entry()
         : m_reducer(now, settings())
     {
-        route route;
-        route.name = "read";
-        route.host = "a.example";
-        route.prefix = "/read/";
-        route.kind = route_kind::Idempotent;
-        route.services = { { service, 1 } };
-        route.timeout = 8s;
-        route.latencyTarget = 500ms;
-        route.maxAttempts = 2;
-        routing_configuration configuration;
-        configuration.version = 1;
-        configuration.routes = { route };
         handle(entry_count_read { now, 2, 1, 0, { "entry-0", "entry-1" } });
-        handle(configuration_read { now, now, configuration });
-        handle(registry_read { now, { { endpoint_id("i-1"), service, "10.0.0.1:80", availability_zone_id("a"), 12, false, {}, 1 } } });
+        handle(configuration_read { now, now, limitedServiceConfiguration() });
+        handle(registry_read { now, { { endpoint_id("i-1"), limitedService, "10.0.0.1:80", availability_zone_id("a"), 12, false, {}, 1 } } });
         handle(crash_table_read { now, true, {}, {} });
         handle(endpoint_limits_told { now, { { endpoint_id("i-1"), 1, 1.0, false, {}, {} } } });
     }
--- a/tests/fakes/event_queue.h
+++ b/tests/fakes/event_queue.h
@@ -2,6 +2,7 @@
 
 #include "model/time.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -15,6 +16,11 @@
 public:
     using action = std::function<void()>;
 
+    explicit event_queue(instant start = {})
+        : m_now(start)
+    {
+    }
+
     instant now() const { return m_now; }
 
     void runAt(instant when, action run) { m_actions.emplace(std::make_pair(std::max(when, m_now), ++m_postedCount), std::move(run)); }
