Forwarding: requests that arrive while an entry starts wait until it can serve them

Cause: when all entries lose power at once, an entry that starts refuses callers for about 0.5 s as not_ready and for about 2 s as no_capacity, since its first sends to each endpoint are spread over the time between two of its sends. Callers retry once, so these refusals lose the request. Change: starting_requests keeps them, at most [entry] start_wait_ms and a third of the caller's time, for 5 s after a start; placement waits the same way for an endpoint that opens later. 0 refuses as before.

--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -86,6 +86,7 @@
     , m_startedAt(startedAt)
     , m_fleet(m_settings.fleet)
     , m_peers(startedAt, m_settings.peers)
+    , m_startingRequests(startedAt, m_settings.longestStartWait)
     , m_random(m_settings.seed)
     , m_latestTime(startedAt)
 {
@@ -137,14 +138,13 @@
     return shortRetryAfter() + (resumed ? *resumed - now : duration::zero());
 }
 
-void forwarding_reducer::on(const request_arrived& event)
+void forwarding_reducer::accept(instant now, request_number number, request_state request)
 {
-    request_state request { .caller = event.caller, .routes = m_routes, .arrivedAt = event.now };
-    if (!admit(event.now, event.request, request))
+    if (!admit(now, number, request))
         return;
-    m_retryBudget.recordRequest(event.now, request.service);
-    const auto [inserted, isNew] = m_requests.emplace(event.request, std::move(request));
-    place(event.now, event.request, inserted->second);
+    m_retryBudget.recordRequest(now, request.service);
+    const auto [inserted, isNew] = m_requests.emplace(number, std::move(request));
+    place(now, number, inserted->second);
 }
 
 bool forwarding_reducer::admit(instant now, request_number number, request_state& request)
@@ -175,7 +175,7 @@
     request.service = pickServiceByWeight(*request.matchedRoute, randomFraction());
     const duration callerTimeout = request.caller.timeout.value_or(defaultTimeout);
     const duration routeTimeout = request.matchedRoute->timeout > duration::zero() ? request.matchedRoute->timeout : defaultTimeout;
-    request.deadline = now + std::min(callerTimeout, routeTimeout);
+    request.deadline = request.arrivedAt + std::min(callerTimeout, routeTimeout);
     return true;
 }
 
@@ -210,6 +210,8 @@
             if (deferDuringOutage(now, number, request))
                 return;
         }
+        if (isTemporary && waitForOpenEndpoint(now, number, request))
+            return;
         duration retryAfter = isTemporary ? retryAfterPause(now, request.service) : longRetryAfter();
         if (m_fleet.areAllLimited(query))
             retryAfter = std::max(retryAfter, longRetryAfter());
@@ -257,6 +259,8 @@
 
 void forwarding_reducer::on(const service_wait_ended& event)
 {
+    if (m_startingRequests.contains(event.request))
+        return retryStartingRequest(event.now, event.request);
     const auto found = m_requests.find(event.request);
     // A wake-up that was scheduled before the request was sent must not send it again.
     if (found != m_requests.end() && found->second.currentEndpoint.empty())
@@ -442,6 +446,8 @@
 
 void forwarding_reducer::on(const caller_disconnected& event)
 {
+    if (forgetStartingRequest(event.now, event.request))
+        return;
     const auto found = m_requests.find(event.request);
     if (found == m_requests.end())
         return;
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -12,6 +12,7 @@
 #include "decisions/forwarding/freshness_lease.h"
 #include "decisions/forwarding/route_table.h"
 #include "decisions/forwarding/shared_retry_budget.h"
+#include "decisions/forwarding/starting_requests.h"
 #include "decisions/forwarding/stream_pace.h"
 #include "decisions/limits/permit_queue.h"
 
@@ -34,6 +35,8 @@
     std::string instance;
     // Longest pause between two events of a stream that is still on time, for routes that set no pause target.
     duration defaultPauseTarget = std::chrono::milliseconds(200);
+    // Longest time for which a request that arrives while the process starts waits until it is ready; zero: it is refused.
+    duration longestStartWait {};
     std::uint64_t seed = 1;
 };
 
@@ -56,7 +59,7 @@
     const route_table* routes() const { return m_routes.get(); }
     const entry_peers& peers() const { return m_peers; }
     const endpoint_fleet& fleet() const { return m_fleet; }
-    std::size_t requestsInFlight() const { return m_requests.size(); }
+    std::size_t requestsInFlight() const { return m_requests.size() + m_startingRequests.size(); }
     const crash_ledger& crashes() const { return m_crashes; }
     // What an entry that has just started is told of suspects.
     std::vector<crash_record> recordsForStartingEntry(instant now) const;
@@ -85,6 +88,8 @@
         // As outageWaitEnd, while all endpoints of the service are at their limits.
         instant permitWaitEnd;
         bool waitsForPermit = false;
+        // The wait of this request while the process starts was logged.
+        bool waitsForOpenEndpoint = false;
         // Questions to other entries for a request of theirs.
         std::uint32_t permitQuestions = 0;
         // The one that has not been answered.
@@ -128,6 +133,14 @@
     void on(const entry_count_read& event);
     void on(const timer_ticked& event);
 
+    // Admits a request and places it, or refuses it.
+    void accept(instant now, request_number number, request_state request);
+    // Requests that arrived while the process starts: schedules the first try, tries again, and forgets one whose caller left.
+    void waitForStart(instant now, request_number number, const std::string& sendId);
+    void retryStartingRequest(instant now, request_number number);
+    bool forgetStartingRequest(instant now, request_number number);
+    // If the process has just started and all endpoints open to it only later, schedules another placement and returns true.
+    bool waitForOpenEndpoint(instant now, request_number number, request_state& request);
     // Matches the route, authenticates the caller, and sets service and deadline; refuses the request if that fails.
     bool admit(instant now, request_number number, request_state& request);
     // Chooses an endpoint and sends the request there, or defers or refuses it.
@@ -243,6 +256,7 @@
     std::map<service_id, stream_pace> m_streamPaces;
     std::map<service_id, brief_outage> m_outages;
     std::map<request_number, request_state> m_requests;
+    starting_requests m_startingRequests;
     std::mt19937_64 m_random;
     // Time of the event that is being handled.
     instant m_now;
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -176,6 +176,7 @@
         result.zone = settings.process.zone;
         result.instance = settings.process.instance.str();
         result.defaultPauseTarget = settings.bounds.pause;
+        result.longestStartWait = settings.entry.startWait;
         // Processes that start at the same moment must not draw the same random numbers.
         result.seed = life ^ std::hash<std::string> {}(settings.process.instance.str());
         return result;
--- a/packages/settings/process_settings.h
+++ b/packages/settings/process_settings.h
@@ -102,10 +102,11 @@
     duration requestReadTimeout {};
 };
 
-// Entry only.
 struct entry_section {
-    // Number of threads that serve callers; each serves one connection at a time.
+    // Entry only: number of threads that serve callers; each serves one connection at a time.
     std::uint32_t maxCallers = 0;
+    // Direct entry only: longest wait of a request that arrives while the process starts.
+    duration startWait {};
 };
 
 // The parsed settings file of a process, with one member for each section.
--- a/packages/settings/setting_descriptor.cpp
+++ b/packages/settings/setting_descriptor.cpp
@@ -400,6 +400,16 @@
             .roles = { process_role::Entry },
             .doc = "Callers' connections that are served at the same time, each by a thread.",
             .assign = [](settings& s, const value& v) { s.entry.maxCallers = number<std::uint32_t>(v); } },
+        { .section = "entry",
+            .key = "start_wait_ms",
+            .type = setting_type::Integer,
+            .unit = "milliseconds",
+            .defaultValue = "0",
+            .minimum = 0,
+            .maximum = 10'000,
+            .roles = directEntryRole,
+            .doc = "Longest wait of a request that arrives while the process starts, at most a third of its caller's time; 0 refuses it.",
+            .assign = [](settings& s, const value& v) { s.entry.startWait = milliseconds(v); } },
     };
 }
 
