Sharing: a service's capacity by urgency rank and team

Cause: where requests of several urgency ranks lead to one service, an entry let less urgent ones wait longer and shed load at random. Change: packages/decisions/sharing computes what each rank and team can be served from load reports and the demand that entries report to each other (demand_report); room_gate admits, holds or refuses by it. [admission] shared_room switches it on; it is off by default.

--- a/packages/datagrams/datagram_class.cpp
+++ b/packages/datagrams/datagram_class.cpp
@@ -27,6 +27,7 @@
     datagram_class operator()(const endpoint_limit_records&) const { return { datagram_priority::Switch, {} }; }
     datagram_class operator()(const permit_question&) const { return { datagram_priority::Switch, {} }; }
     datagram_class operator()(const permit_answer&) const { return { datagram_priority::Switch, {} }; }
+    datagram_class operator()(const demand_report&) const { return { datagram_priority::Status, {} }; }
     datagram_class operator()(const group_datagram& message) const { return std::visit(group_classifier {}, message.message); }
     // The sender classifies the message inside, which it has decoded.
     datagram_class operator()(const relay_request&) const { return { datagram_priority::Bulk, {} }; }
--- a/packages/datagrams/datagram_codec.cpp
+++ b/packages/datagrams/datagram_codec.cpp
@@ -1,6 +1,7 @@
 #include "datagrams/datagram_codec.h"
 
 #include "datagrams/crash_codec.h"
+#include "datagrams/demand_codec.h"
 #include "datagrams/group_codec.h"
 #include "datagrams/limit_codec.h"
 
@@ -48,6 +49,7 @@
     json operator()(const endpoint_limit_records& told) const { return { { "k", "m" }, { "r", limitRecordsToJson(told.records) } }; }
     json operator()(const permit_question& question) const { return { { "k", "b" }, { "q", permitQuestionToJson(question) } }; }
     json operator()(const permit_answer& answer) const { return { { "k", "p" }, { "q", permitQuestionToJson(answer.question) }, { "g", answer.isGranted } }; }
+    json operator()(const demand_report& report) const { return demandReportToJson(report); }
     json operator()(const relay_request& relayed) const
     {
         return { { "k", "r" }, { "t", relayed.targets },
@@ -156,6 +158,8 @@
             return permitQuestionFromJson(body.at("q"));
         if (kind == "p")
             return permit_answer { permitQuestionFromJson(body.at("q")), body.at("g").get<bool>() };
+        if (kind == "o")
+            return demandReportFromJson(body);
         if (kind == "c")
             return crashRecordsFromJson(body.at("r"));
     } catch (const json::exception&) {
--- a/packages/datagrams/datagram_message.h
+++ b/packages/datagrams/datagram_message.h
@@ -2,6 +2,7 @@
 
 #include "decisions/groups/group_messages.h"
 #include "model/crash_news.h"
+#include "model/demand_report.h"
 #include "model/endpoint_limit.h"
 #include "model/endpoint_news.h"
 #include "model/freshness_news.h"
@@ -39,7 +40,7 @@
 };
 
 // Messages that processes send each other as single datagrams.
-using datagram_message = std::variant<entry_presence, zone_presence, endpoint_load, endpoint_death, load_subscription, crash_records, endpoint_limit_records, permit_question, permit_answer, group_datagram, relay_request, freshness_question,
+using datagram_message = std::variant<entry_presence, zone_presence, endpoint_load, endpoint_death, load_subscription, crash_records, endpoint_limit_records, permit_question, permit_answer, demand_report, group_datagram, relay_request, freshness_question,
     freshness_answer>;
 
 } // namespace appleramp
--- a/packages/decisions/forwarding/endpoint_fleet.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet.cpp
@@ -231,4 +231,26 @@
     return m_reporting.contains(address) ? load_source::None : load_source::OwnRequests;
 }
 
+service_load endpoint_fleet::loadOf(instant now, const service_id& service) const
+{
+    service_load load;
+    double reportedSlots = 0;
+    for (const auto& [id, state] : m_endpoints) {
+        // The slots of an endpoint that names a limit, or asked for a pause, can't be used.
+        const bool isUsable = state.record.service == service && isInService(state, now) && !isReplaced(state) && now >= state.pausedUntil;
+        if (!isUsable || m_limits.isLimited(now, id))
+            continue;
+        load.slots += state.record.slots;
+        if (!hasFreshReport(state, now))
+            continue;
+        reportedSlots += state.record.slots;
+        load.requests += state.report->running + state.report->waiting;
+    }
+    load.isReported = reportedSlots > 0;
+    if (load.isReported)
+        load.requests *= load.slots / reportedSlots;
+    load.slotTime = meanAnswerTime(service);
+    return load;
+}
+
 } // namespace appleramp
--- a/packages/decisions/forwarding/endpoint_fleet.h
+++ b/packages/decisions/forwarding/endpoint_fleet.h
@@ -4,6 +4,7 @@
 #include "decisions/forwarding/departed_endpoints.h"
 #include "decisions/forwarding/sliding_window_counter.h"
 #include "decisions/limits/endpoint_limits.h"
+#include "decisions/sharing/service_room.h"
 #include "model/endpoint_news.h"
 #include "model/routing.h"
 #include "model/time.h"
@@ -140,6 +141,9 @@
     bool hasOtherFastEndpoint(instant now, const service_id& service, const endpoint_id& endpoint) const;
     // Requests running and waiting, relative to the slots, over the endpoints with a fresh report; zero if there is none.
     double slotUtilization(instant now, const service_id& service) const;
+    // Slots of the service's endpoints in service and what their reports say of them; requests at those that do not report are
+    // taken to be as many.
+    service_load loadOf(instant now, const service_id& service) const;
     // Requests that this entry has in flight at the service's endpoints.
     std::size_t inFlight(const service_id& service) const;
     bool contains(const endpoint_id& endpoint) const { return m_endpoints.contains(endpoint); }
--- a/packages/decisions/forwarding/entry_peers.cpp
+++ b/packages/decisions/forwarding/entry_peers.cpp
@@ -45,6 +45,16 @@
     return heard;
 }
 
+std::map<availability_zone_id, std::set<instance_id>> entry_peers::heardWithin(instant now, duration time) const
+{
+    std::map<availability_zone_id, std::set<instance_id>> heard;
+    for (const auto& [address, peer] : m_peers) {
+        if (now - peer.heardAt < time)
+            heard[peer.presence.zone].insert(peer.presence.instance);
+    }
+    return heard;
+}
+
 std::vector<std::string> entry_peers::callerAddresses(
     instant now, const entry_presence& self, const availability_zone_id& zone) const
 {
--- a/packages/decisions/forwarding/entry_peers.h
+++ b/packages/decisions/forwarding/entry_peers.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,8 @@
     bool recordPresence(instant now, const entry_presence& presence);
     // Entries of the zone that were heard lately, with the time since.
     std::vector<relayed_presence> heardIn(instant now, const availability_zone_id& zone) const;
+    // Names of the other entries that were heard within that time, by zone.
+    std::map<availability_zone_id, std::set<instance_id>> heardWithin(instant now, duration time) const;
     // Sets the number of entries that the store lists, whether or not their presence messages arrive.
     void setListedEntries(std::size_t entries) { m_listedEntries = entries; }
     // Addresses of the entries that serve callers, those in the caller's zone first. If there are more than `maxAddresses`,
--- a/packages/decisions/forwarding/forwarding_effects.h
+++ b/packages/decisions/forwarding/forwarding_effects.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "model/crash_news.h"
+#include "model/demand_report.h"
 #include "model/endpoint_limit.h"
 #include "model/identifiers.h"
 #include "model/time.h"
@@ -117,6 +118,12 @@
     permit_answer answer;
 };
 
+// Tell these entries what callers ask of a service.
+struct share_demand {
+    demand_report report;
+    std::vector<instance_id> recipients;
+};
+
 // Write the record of a suspect to the store, for entries that start or can't be told. Retry until it is written.
 struct store_crash_record {
     crash_record record;
@@ -141,7 +148,7 @@
 };
 
 using forwarding_effect = std::variant<send_attempt, refuse_request, wait_for_service, forward_failure_answer, abort_answer, cancel_forwarded_request,
-    share_crash_records, share_endpoint_limits, ask_permit, answer_permit, store_crash_record, remove_stored_crash_record, probe_endpoint, log_decision>;
+    share_crash_records, share_endpoint_limits, ask_permit, answer_permit, share_demand, store_crash_record, remove_stored_crash_record, probe_endpoint, log_decision>;
 using forwarding_effects = std::vector<forwarding_effect>;
 
 } // namespace appleramp
--- a/packages/decisions/forwarding/forwarding_events.h
+++ b/packages/decisions/forwarding/forwarding_events.h
@@ -2,6 +2,7 @@
 
 #include "decisions/forwarding/attempt_ending.h"
 #include "model/crash_news.h"
+#include "model/demand_report.h"
 #include "model/endpoint_limit.h"
 #include "model/endpoint_news.h"
 #include "model/identifiers.h"
@@ -187,6 +188,12 @@
     permit_answer answer;
 };
 
+// Another entry told what its callers ask of a service.
+struct demand_reported {
+    instant now;
+    demand_report report;
+};
+
 // Another entry told what it knows of suspects.
 struct crash_records_received {
     instant now;
@@ -221,6 +228,6 @@
 using forwarding_event = std::variant<request_arrived, attempt_ended, attempt_succeeded, stream_advanced, service_wait_ended,
     caller_disconnected, deadline_passed,
     configuration_read, out_of_service_zones_changed, endpoint_listed, endpoint_unlisted, registry_read,
-    registry_access_changed, registry_restored, endpoint_leaving_announced, endpoint_limit_stated, endpoint_limits_told, permit_asked, permit_answered, endpoint_load_received, endpoint_death_reported, endpoint_probed, load_subset_changed, entry_presence_received, crash_records_received, crash_table_read, entry_count_read, timer_ticked>;
+    registry_access_changed, registry_restored, endpoint_leaving_announced, endpoint_limit_stated, endpoint_limits_told, permit_asked, permit_answered, demand_reported, endpoint_load_received, endpoint_death_reported, endpoint_probed, load_subset_changed, entry_presence_received, crash_records_received, crash_table_read, entry_count_read, timer_ticked>;
 
 } // namespace appleramp
--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -113,6 +113,7 @@
             on(concrete);
         },
         event);
+    sendRoomWaiting(m_latestTime);
     return std::exchange(m_effects, {});
 }
 
@@ -143,6 +144,7 @@
     if (!admit(event.now, event.request, request))
         return;
     m_retryBudget.recordRequest(event.now, request.service);
+    recordRoomArrival(event.now, request);
     const auto [inserted, isNew] = m_requests.emplace(event.request, std::move(request));
     place(event.now, event.request, inserted->second);
 }
@@ -187,7 +189,10 @@
         return refusePlacement(number, request, request.mayHaveRun ? refusal_reason::OutcomeUnknown : suspicion->reason, suspicion->retryAfter);
     if (deferDuringOutage(now, number, request))
         return;
-    if (const auto retryAfter = request.attempts == 0 ? overloadRetryAfter(now, request) : std::nullopt)
+    room_gate* const room = sharedRoom(request.service);
+    if (room != nullptr && !passRoom(now, number, request, *room))
+        return;
+    if (const auto retryAfter = room == nullptr && request.attempts == 0 ? overloadRetryAfter(now, request) : std::nullopt)
         return refusePlacement(number, request, refusal_reason::NoCapacity, retryAfter);
     const service_description* const service = request.routes->service(request.service);
     const placement_query query { .now = now,
@@ -222,7 +227,7 @@
                                                       .timeLeft = request.deadline - now,
                                                       .urgencyRank = request.urgencyRank },
         randomFraction());
-    if (!admission.admitted && !request.mayHaveRun)
+    if (room == nullptr && !admission.admitted && !request.mayHaveRun)
         return refusePlacement(number, request, refusal_reason::NoCapacity, admission.retryAfter);
     send(now, number, request, *found);
 }
@@ -263,13 +268,21 @@
         place(event.now, event.request, found->second);
 }
 
+std::optional<duration> forwarding_reducer::stallRetryAfter(instant now, const request_state& request)
+{
+    const auto pace = m_streamPaces.find(request.service);
+    if (request.matchedRoute->kind != route_kind::Stream || pace == m_streamPaces.end() || !pace->second.isStalled(now, m_fleet.inFlight(request.service)))
+        return std::nullopt;
+    return stallRetryAfterMin + scaled(stallRetryAfterJitter, randomFraction());
+}
+
 std::optional<duration> forwarding_reducer::overloadRetryAfter(instant now, const request_state& request)
 {
+    if (const auto retryAfter = stallRetryAfter(now, request))
+        return retryAfter;
     const auto pace = m_streamPaces.find(request.service);
     if (request.matchedRoute->kind != route_kind::Stream || pace == m_streamPaces.end())
         return std::nullopt;
-    if (pace->second.isStalled(now, m_fleet.inFlight(request.service)))
-        return stallRetryAfterMin + scaled(stallRetryAfterJitter, randomFraction());
     const duration pauseTarget = request.matchedRoute->pauseTarget > duration::zero() ? request.matchedRoute->pauseTarget : m_settings.defaultPauseTarget;
     const double utilizationLimit = pace->second.utilizationLimit(pauseTarget);
     const double excess = (m_fleet.slotUtilization(now, request.service) - utilizationLimit) / utilizationLimit;
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -14,6 +14,7 @@
 #include "decisions/forwarding/shared_retry_budget.h"
 #include "decisions/forwarding/stream_pace.h"
 #include "decisions/limits/permit_queue.h"
+#include "decisions/sharing/room_gate.h"
 
 #include <map>
 #include <memory>
@@ -34,6 +35,8 @@
     std::string instance;
     // Longest pause between two events of a stream that is still on time, for routes that set no pause target.
     duration defaultPauseTarget = std::chrono::milliseconds(200);
+    // Requests of several urgency ranks share a service's capacity by room_gate.
+    bool sharesRoom = false;
     std::uint64_t seed = 1;
 };
 
@@ -64,6 +67,9 @@
     std::vector<endpoint_limit_record> limitsForStartingEntry(instant now) const;
     std::vector<endpoint_limits::limit_view> limitViews(instant now) { return m_fleet.limitViews(now); }
     std::size_t requestsAwaitingPermit() const { return m_permitQueue.size(); }
+    // The services whose capacity several urgency ranks share.
+    const std::map<service_id, room_gate>& rooms() const { return m_rooms; }
+    const std::map<room_refusal_cause, std::uint64_t>& roomRefusals() const { return m_roomRefusals; }
 
 private:
     struct request_state {
@@ -85,6 +91,8 @@
         // As outageWaitEnd, while all endpoints of the service are at their limits.
         instant permitWaitEnd;
         bool waitsForPermit = false;
+        // The request's rank has room for it at its service.
+        bool hasRoom = false;
         // Questions to other entries for a request of theirs.
         std::uint32_t permitQuestions = 0;
         // The one that has not been answered.
@@ -118,6 +126,7 @@
     void on(const endpoint_limits_told& event);
     void on(const permit_asked& event);
     void on(const permit_answered& event);
+    void on(const demand_reported& event);
     void on(const endpoint_load_received& event);
     void on(const endpoint_death_reported& event);
     void on(const endpoint_probed& event);
@@ -143,6 +152,23 @@
     std::size_t requestsAhead(request_number number, const request_state& request) const;
     // The request is over.
     void forget(request_number number);
+    // Creates the rooms of the services to which routes of several urgency ranks lead.
+    void findSharedServices();
+    // Nothing if the service's capacity is not shared by urgency rank.
+    room_gate* sharedRoom(const service_id& service);
+    void updateRoom(instant now, const service_id& service, room_gate& room);
+    void recordRoomArrival(instant now, const request_state& request);
+    // True if the request may be sent now; otherwise it waits, or was refused.
+    bool passRoom(instant now, request_number number, request_state& request, room_gate& room);
+    room_query roomQuery(instant now, request_number number, const request_state& request);
+    void refuseForRoom(request_number number, const request_state& request, const room_gate& room, const room_refusal& refusal);
+    void refuseDisplaced(instant now, room_gate& room, const std::vector<request_number>& displaced);
+    void sendRoomWaiting(instant now);
+    // Tells other entries the demand for services that are near their limits.
+    void shareDemand(instant now);
+    void logRooms(instant now);
+    // Retry-After for a new stream of a service whose streams are all stalled.
+    std::optional<duration> stallRetryAfter(instant now, const request_state& request);
     // Retry-After for a new stream that is refused because its service's streams are stalled or already too slow.
     std::optional<duration> overloadRetryAfter(instant now, const request_state& request);
     void send(instant now, request_number number, request_state& request, const placement& chosen);
@@ -240,6 +266,12 @@
     permit_queue m_permitQueue;
     // The other entries need their requests themselves: none is asked until then.
     std::map<service_id, instant> m_noPermitsUntil;
+    std::map<service_id, room_gate> m_rooms;
+    // Shortest pause targets of the streams of these services.
+    std::map<service_id, duration> m_roomPauseTargets;
+    std::map<room_refusal_cause, std::uint64_t> m_roomRefusals;
+    instant m_demandSharedAt;
+    instant m_roomsLoggedAt;
     std::map<service_id, stream_pace> m_streamPaces;
     std::map<service_id, brief_outage> m_outages;
     std::map<request_number, request_state> m_requests;
--- a/packages/decisions/forwarding/forwarding_reducer_limits.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_limits.cpp
@@ -238,6 +238,8 @@
     if (found == m_requests.end())
         return;
     leavePermitQueue(number, found->second);
+    if (room_gate* const room = sharedRoom(found->second.service))
+        room->leave(number);
     m_requests.erase(found);
 }
 
--- a/packages/decisions/forwarding/forwarding_reducer_news.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_news.cpp
@@ -31,6 +31,7 @@
     }
     if (isNewer) {
         m_routes = std::make_shared<route_table>(*event.configuration);
+        findSharedServices();
         m_effects.emplace_back(log_decision { "configuration_adopted", {},
             { { "version", std::to_string(event.configuration->version) },
                 { "routes", std::to_string(event.configuration->routes.size()) },
@@ -180,6 +181,7 @@
     shareCrashRecords(event.now);
     storeSuspects(event.now);
     shareLimits(event.now);
+    shareDemand(event.now);
     for (const endpoint_id& gone : m_fleet.removeLapsed(event.now))
         m_effects.emplace_back(log_decision { "endpoint_gone", {}, { { "endpoint", gone.str() } } });
 }
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -9,6 +9,8 @@
 #include "directentry/crash_record_writer.h"
 #include "directentry/entry_metrics.h"
 #include "directentry/limits_page.h"
+#include "directentry/news_sender.h"
+#include "directentry/sharing_metrics.h"
 #include "http/client_pool.h"
 #include "http/connection_probe.h"
 #include "http/http_acceptor.h"
@@ -71,10 +73,6 @@
 constexpr duration membersConfirmationWait = std::chrono::seconds(3);
 // As membersConfirmationWait.
 constexpr duration crashesConfirmationWait = std::chrono::milliseconds(1500);
-// Crash records of one datagram, so that it fits into one packet.
-constexpr std::size_t crashRecordsPerDatagram = 8;
-// Limits of endpoints in one datagram, as crashRecordsPerDatagram.
-constexpr std::size_t limitsPerDatagram = 16;
 // Entries that are told all records each time, so that all hear of them within a few rounds.
 constexpr std::size_t recordRecipients = 3;
 // Batches configuration versions in quick succession. A fifth of the time within which a change must be in force.
@@ -176,6 +174,7 @@
         result.zone = settings.process.zone;
         result.instance = settings.process.instance.str();
         result.defaultPauseTarget = settings.bounds.pause;
+        result.sharesRoom = settings.admission.sharedRoom;
         // Processes that start at the same moment must not draw the same random numbers.
         result.seed = life ^ std::hash<std::string> {}(settings.process.instance.str());
         return result;
@@ -282,13 +281,13 @@
     void carryOut(const share_crash_records& effect)
     {
         for (const member_row* recipient : recipientsOf(effect.recipients))
-            sendCrashRecords(effect.records, *recipient);
+            m_sender.sendCrashRecords(effect.records, *recipient);
     }
 
     void carryOut(const share_endpoint_limits& effect)
     {
         for (const member_row* recipient : recipientsOf(effect.recipients))
-            sendLimits(effect.records, *recipient);
+            m_sender.sendLimits(effect.records, *recipient);
     }
 
     void carryOut(const ask_permit& effect)
@@ -297,6 +296,8 @@
             sendNews(effect.question, owner->second);
     }
 
+    void carryOut(const share_demand& effect) { m_sender.sendDemand(effect); }
+
     void carryOut(const answer_permit& effect)
     {
         if (const auto asker = m_members.find(effect.asker.str()); asker != m_members.end())
@@ -317,22 +318,6 @@
         return recipients;
     }
 
-    void sendLimits(std::span<const endpoint_limit_record> records, const member_row& member)
-    {
-        for (std::size_t begin = 0; begin < records.size(); begin += limitsPerDatagram) {
-            const auto part = records.subspan(begin, std::min(limitsPerDatagram, records.size() - begin));
-            sendNews(endpoint_limit_records { { part.begin(), part.end() } }, member);
-        }
-    }
-
-    void sendCrashRecords(std::span<const crash_record> records, const member_row& member)
-    {
-        for (std::size_t begin = 0; begin < records.size(); begin += crashRecordsPerDatagram) {
-            const auto part = records.subspan(begin, std::min(crashRecordsPerDatagram, records.size() - begin));
-            sendNews(crash_records { { part.begin(), part.end() } }, member);
-        }
-    }
-
     void carryOut(const store_crash_record& effect) { m_crashWriter.put(effect.record); }
     void carryOut(const remove_stored_crash_record& effect) { m_crashWriter.remove(effect.key); }
 
@@ -438,6 +423,7 @@
         m_metrics.set(entry_metrics::readerAnswers, static_cast<double>(m_store.readerAnswers()));
         m_metrics.set(entry_metrics::suspects, static_cast<double>(m_reducer.crashes().size()));
         m_metrics.set(entry_metrics::convictedSuspects, static_cast<double>(m_reducer.crashes().convicted().size()));
+        noteSharingGauges(m_metrics, m_reducer);
         m_metrics.set(entry_metrics::datagramsDropped, static_cast<double>(m_news.droppedCount()));
     }
 
@@ -748,8 +734,8 @@
         const bool isNew = m_members.emplace(presence.instance.str(), row).second;
         if (isNew || presence.starting) {
             sendNews(this->presence(), row);
-            sendCrashRecords(m_reducer.recordsForStartingEntry(now()), row);
-            sendLimits(m_reducer.limitsForStartingEntry(now()), row);
+            m_sender.sendCrashRecords(m_reducer.recordsForStartingEntry(now()), row);
+            m_sender.sendLimits(m_reducer.limitsForStartingEntry(now()), row);
         }
     }
     void onNews(entry_presence presence)
@@ -794,6 +780,7 @@
     void onNews(endpoint_limit_records told) { post(endpoint_limits_told { now(), std::move(told.records) }); }
     void onNews(const permit_question&) { }
     void onNews(permit_answer answer) { post(permit_answered { now(), std::move(answer) }); }
+    void onNews(demand_report report) { post(demand_reported { now(), std::move(report) }); }
     void onNews(crash_records told) { post(crash_records_received { now(), std::move(told.records) }); }
 
     // --- Time.
@@ -891,6 +878,7 @@
     std::size_t m_heldBytes = 0;
     std::map<request_number, std::shared_ptr<caller_exchange>> m_exchanges;
     std::map<std::string, member_row> m_members;
+    news_sender m_sender { m_news, m_members };
     // Zones that are out for this entry, and those that the store lists.
     std::set<availability_zone_id> m_zonesOut;
     std::set<availability_zone_id> m_zonesListedOut;
--- /dev/null
+++ b/packages/directentry/news_sender.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "datagrams/datagram_message.h"
+#include "decisions/forwarding/forwarding_effects.h"
+#include "membership/member_row.h"
+
+#include <map>
+#include <span>
+#include <string>
+
+namespace appleramp {
+
+class datagram_socket;
+
+// Sends what an entry tells other processes, in datagrams that fit into one packet each.
+class news_sender {
+public:
+    // `members` are the processes of the deployment by name, as they are known at each send.
+    news_sender(datagram_socket& socket, const std::map<std::string, member_row>& members);
+
+    void send(const datagram_message& message, const member_row& member);
+    void sendLimits(std::span<const endpoint_limit_record> records, const member_row& member);
+    void sendCrashRecords(std::span<const crash_record> records, const member_row& member);
+    void sendDemand(const share_demand& effect);
+
+private:
+    datagram_socket& m_socket;
+    const std::map<std::string, member_row>& m_members;
+};
+
+} // namespace appleramp
--- a/packages/settings/process_settings.h
+++ b/packages/settings/process_settings.h
@@ -73,6 +73,12 @@
     double coldConstant = 0;
 };
 
+// Direct entries only.
+struct admission_section {
+    // Requests of several urgency ranks share the capacity of a service by their urgency.
+    bool sharedRoom = false;
+};
+
 // The process's own network link. Direct agents only.
 struct link_section {
     // Rate of the link in megabits per second.
@@ -115,6 +121,7 @@
     platform_section platform;
     store_section store;
     bounds_section bounds;
+    admission_section admission;
     link_section link;
     endpoint_section endpoint;
     observe_section observe;
--- a/packages/settings/setting_descriptor.cpp
+++ b/packages/settings/setting_descriptor.cpp
@@ -225,6 +225,20 @@
     };
 }
 
+std::vector<setting_descriptor> admissionDescriptors()
+{
+    return {
+        { .section = "admission",
+            .key = "shared_room",
+            .type = setting_type::Choice,
+            .defaultValue = "false",
+            .choices = { "false", "true" },
+            .roles = directEntryRole,
+            .doc = "Whether the capacity of a service is shared by urgency rank and team, where routes of several ranks lead to it.",
+            .assign = [](settings& s, const value& v) { s.admission.sharedRoom = text(v) == "true"; } },
+    };
+}
+
 std::vector<setting_descriptor> linkDescriptors()
 {
     return {
@@ -407,7 +421,7 @@
 {
     std::vector<setting_descriptor> all;
     for (auto* const section : { processDescriptors, listenDescriptors, platformDescriptors, storeDescriptors,
-             boundsDescriptors, linkDescriptors, endpointDescriptors,
+             boundsDescriptors, admissionDescriptors, linkDescriptors, endpointDescriptors,
              observeDescriptors, limitsDescriptors, entryDescriptors }) {
         const auto descriptors = section();
         all.insert(all.end(), descriptors.begin(), descriptors.end());
