--- a/packages/decisions/sharing/demand_meter.cpp
+++ b/packages/decisions/sharing/demand_meter.cpp
@@ -16,13 +16,13 @@
 
 void decayed_rate::record(instant now)
 {
-    m_rate = perSecond(now) + 1 / seconds(timeConstant);
+    m_rate = perSecond(now) + 1 / seconds(m_timeConstant);
     m_updatedAt = now;
 }
 
 double decayed_rate::perSecond(instant now) const
 {
-    return m_rate <= 0 ? 0 : m_rate * std::exp(-seconds(std::max(now - m_updatedAt, duration::zero())) / seconds(timeConstant));
+    return m_rate <= 0 ? 0 : m_rate * std::exp(-seconds(std::max(now - m_updatedAt, duration::zero())) / seconds(m_timeConstant));
 }
 
 void demand_meter::record(instant now, std::uint8_t rank, std::uint32_t team)
@@ -30,7 +30,7 @@
     m_ranks.at(rank).record(now);
     if (m_teams.size() >= maxTeams && !m_teams.contains({ rank, team }))
         removeLeast(now);
-    m_teams[{ rank, team }].record(now);
+    m_teams.try_emplace({ rank, team }, teamTimeConstant).first->second.record(now);
 }
 
 void demand_meter::removeLeast(instant now)
--- a/packages/decisions/sharing/demand_meter.h
+++ b/packages/decisions/sharing/demand_meter.h
@@ -7,19 +7,23 @@
 #include <cstdint>
 #include <map>
 #include <utility>
+#include <vector>
 
 namespace appleramp {
 
 // A rate per second in which events count less the older they are.
 class decayed_rate {
 public:
+    explicit decayed_rate(duration timeConstant)
+        : m_timeConstant(timeConstant)
+    {
+    }
+
     void record(instant now);
     double perSecond(instant now) const;
 
-    // Time constant of the decay. Bursts begin within a second, and one entry sees few requests of a rank in that time.
-    static constexpr duration timeConstant = std::chrono::milliseconds(500);
-
 private:
+    duration m_timeConstant;
     double m_rate = 0;
     instant m_updatedAt;
 };
@@ -36,11 +40,15 @@
 
     // Teams that are measured; of more, the ones with the least demand are left out.
     static constexpr std::size_t maxTeams = 256;
+    // Time constants of the decay. Bursts begin within a second, and one entry sees few requests of a rank in that time, and
+    // fewer of a team.
+    static constexpr duration rankTimeConstant = std::chrono::milliseconds(500);
+    static constexpr duration teamTimeConstant = std::chrono::seconds(1);
 
 private:
     void removeLeast(instant now);
 
-    std::array<decayed_rate, sharedRanks> m_ranks;
+    std::vector<decayed_rate> m_ranks { sharedRanks, decayed_rate(rankTimeConstant) };
     std::map<team_key, decayed_rate> m_teams;
 };
 
--- a/packages/decisions/sharing/demand_reports.cpp
+++ b/packages/decisions/sharing/demand_reports.cpp
@@ -23,8 +23,11 @@
         inFlight[rank] += load.inFlight;
         waiting[rank] += load.waiting;
     }
-    for (const team_load& load : report.teams)
-        teams[{ load.rank, load.team }] += load.offeredMilliSlots / milli;
+    for (const team_load& load : report.teams) {
+        team_demand& team = teams[{ load.rank, load.team }];
+        team.slots += load.offeredMilliSlots / milli;
+        team.entries += report.entries;
+    }
 }
 
 demand_report demand_sum::toReport() const
@@ -36,8 +39,8 @@
         if (load.offeredMilliSlots > 0 || load.inFlight > 0 || load.waiting > 0)
             report.ranks.push_back(load);
     }
-    for (const auto& [key, slots] : teams)
-        report.teams.push_back({ key.first, key.second, rounded(slots * milli) });
+    for (const auto& [key, team] : teams)
+        report.teams.push_back({ key.first, key.second, rounded(team.slots * milli) });
     std::stable_sort(report.teams.begin(), report.teams.end(),
         [](const team_load& left, const team_load& right) { return left.offeredMilliSlots > right.offeredMilliSlots; });
     report.teams.resize(std::min(report.teams.size(), reportedTeams));
--- a/packages/decisions/sharing/demand_reports.h
+++ b/packages/decisions/sharing/demand_reports.h
@@ -11,6 +11,13 @@
 
 namespace appleramp {
 
+// Demand of one team, as far as entries named it.
+struct team_demand {
+    double slots = 0;
+    // Entries that named it.
+    double entries = 0;
+};
+
 // Demand of several entries for one service.
 struct demand_sum {
     // Entries whose demand is known.
@@ -19,7 +26,7 @@
     rank_values offered {};
     rank_values inFlight {};
     rank_values waiting {};
-    std::map<demand_meter::team_key, double> teams;
+    std::map<demand_meter::team_key, team_demand> teams;
 
     void add(const demand_report& report);
     // Largest teams first, as many as a report holds.
--- a/packages/decisions/sharing/room_gate.cpp
+++ b/packages/decisions/sharing/room_gate.cpp
@@ -58,9 +58,11 @@
         m_own.offered[rank] = m_ownRates[rank] * slotSeconds;
         m_own.waiting[rank] = static_cast<double>(m_waiting.count(static_cast<std::uint8_t>(rank)));
     }
-    m_own.teams = m_meter.teamRates(now);
-    for (auto& [key, slots] : m_own.teams)
-        slots *= slotSeconds;
+    // Where all requests of a rank are served, the demand of its teams does not matter, and reports have places for few teams.
+    for (const auto& [key, rate] : m_meter.teamRates(now)) {
+        if (m_room.fraction(key.first) < 1)
+            m_own.teams[key] = { rate * slotSeconds, 1 };
+    }
     m_room.update(load, m_own, m_reports.sum(now), m_entryCount);
 }
 
@@ -76,20 +78,29 @@
     return m_room.fraction(rank) * m_ownRates.at(rank) + m_room.spareRate() / static_cast<double>(m_entryCount);
 }
 
-// While requests of the rank wait, its share is earned by time; otherwise each arrival earns its part.
-void room_gate::earnCredit(instant now, std::uint8_t rank)
+duration room_gate::longestWait(const room_query& query) const
 {
-    rank_state& state = m_ranks.at(rank);
-    const duration since = now - std::exchange(state.creditedAt, now);
-    state.credit = std::min(maxCredit, state.credit + ownRate(rank) * seconds(since));
+    return std::min({ maxWait, scaled(query.latencyTarget, waitShareOfTarget), query.timeLeft / retryAfterDivisor });
 }
 
-bool room_gate::takeCredit(rank_state& state, double leastCredit)
+double room_gate::waitingRate(std::uint8_t rank) const
 {
-    if (state.credit < leastCredit)
-        return false;
-    state.credit -= 1;
-    return true;
+    return waitingShare * m_room.fraction(rank) * m_ownRates.at(rank) + m_room.spareRate() / static_cast<double>(m_entryCount);
+}
+
+double room_gate::directFraction(const room_query& query) const
+{
+    const double fraction = m_room.fraction(query.rank, query.team);
+    const bool mayWait = waitingRate(query.rank) * seconds(longestWait(query)) >= 1;
+    return fraction >= 1 || !mayWait ? fraction : fraction * (1 - waitingShare);
+}
+
+// Entries begin at different points, so that they do not send a team's requests at the same time.
+double& room_gate::creditOf(const room_query& query)
+{
+    if (m_credits.size() >= maxCredits)
+        m_credits.clear();
+    return m_credits.try_emplace({ query.rank, query.team }, query.jitter).first->second;
 }
 
 room_decision room_gate::decide(const room_query& query)
@@ -99,16 +110,11 @@
     const auto kind = m_returning.kindOf(query.now, query.contentHash);
     if (kind == returning_requests::return_kind::Early)
         return room_refusal { std::max(m_returning.timeLeft(query.now, query.contentHash), duration(1)), room_refusal_cause::EarlyReturn };
-    const double fraction = m_room.fraction(query.rank, query.team);
     const bool isReturning = kind == returning_requests::return_kind::AsTold;
-    rank_state& state = m_ranks.at(query.rank);
-    const bool hasWaiting = m_waiting.count(query.rank) > 0;
-    // What arrives while others wait earns its part by time.
-    if (!hasWaiting)
-        state.credit = std::min(maxCredit, state.credit + fraction);
-    const bool isWithinTeamShare = fraction >= 1;
-    const bool goesFirst = isWithinTeamShare || (isReturning && fraction >= m_room.fraction(query.rank));
-    if ((goesFirst || !hasWaiting) && takeCredit(state, goesFirst ? 1 - maxDebt : 1)) {
+    double& credit = creditOf(query);
+    credit = std::min(maxCredit, credit + directFraction(query));
+    if (credit >= (isReturning ? 1 - maxDebt : 1)) {
+        credit -= 1;
         m_returning.forget(query.contentHash);
         return room_admission {};
     }
@@ -119,11 +125,11 @@
 {
     const double fraction = m_room.fraction(query.rank, query.team);
     const bool isTeamAboveShare = fraction < m_room.fraction(query.rank);
-    const duration longestWait = std::min({ maxWait, scaled(query.latencyTarget, waitShareOfTarget), query.timeLeft / retryAfterDivisor });
-    const waiting_request request { query.request, query.rank, query.team, isReturning, query.now + longestWait, query.now + longestWait, query.bytes, fraction };
-    const double rate = ownRate(query.rank);
+    const instant until = query.now + longestWait(query);
+    const waiting_request request { query.request, query.rank, query.team, isReturning, until, until, query.bytes, fraction };
+    const double rate = waitingRate(query.rank);
     const double ahead = static_cast<double>(m_waiting.countAhead(query.now, request));
-    if (rate < leastRate || ofSeconds((ahead + 1) / rate) > longestWait)
+    if (rate < leastRate || ofSeconds((ahead + 1) / rate) > longestWait(query))
         return refuse(query, isTeamAboveShare ? room_refusal_cause::Team : room_refusal_cause::Rank);
     const bool isFirst = m_waiting.count(query.rank) == 0;
     auto added = m_waiting.add(query.now, request);
@@ -131,18 +137,27 @@
         return refuse(query, room_refusal_cause::Displaced);
     if (isFirst)
         m_ranks.at(query.rank).creditedAt = query.now;
-    return room_wait { request.waitsUntil, std::move(added.displaced) };
+    return room_wait { until, std::move(added.displaced) };
+}
+
+bool room_gate::mayTakeWaiting(instant now, std::uint8_t rank)
+{
+    rank_state& state = m_ranks.at(rank);
+    const duration since = now - std::exchange(state.creditedAt, now);
+    state.waitingCredit = std::min(maxCredit, state.waitingCredit + waitingRate(rank) * seconds(since));
+    if (!m_room.isNearLimit())
+        return true;
+    if (state.waitingCredit < 1)
+        return false;
+    state.waitingCredit -= 1;
+    return true;
 }
 
 std::optional<request_number> room_gate::takeReady(instant now)
 {
     for (std::uint8_t rank = 0; rank < sharedRanks; ++rank) {
-        if (m_waiting.count(rank) == 0)
-            continue;
-        earnCredit(now, rank);
-        if (m_room.isNearLimit() && !takeCredit(m_ranks.at(rank), 1))
-            continue;
-        return m_waiting.takeFirst(now, rank)->request;
+        if (m_waiting.count(rank) > 0 && mayTakeWaiting(now, rank))
+            return m_waiting.takeFirst(now, rank)->request;
     }
     return std::nullopt;
 }
--- a/packages/decisions/sharing/room_gate.h
+++ b/packages/decisions/sharing/room_gate.h
@@ -9,6 +9,7 @@
 #include "model/time.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string_view>
 #include <variant>
@@ -101,12 +102,15 @@
     static constexpr int retryAfterDivisor = 3;
     // Part of a rank's share to which callers are told to return; the rest is for new requests.
     static constexpr double returningShare = 0.15;
+    // Part of a rank's share that goes to waiting requests, where it serves at least one within its wait.
+    static constexpr double waitingShare = 0.2;
+    // Teams whose credit is kept.
+    static constexpr std::size_t maxCredits = 512;
 
 private:
     struct rank_state {
-        // Part of a request that the share of the rank has earned and not used.
-        double credit = 0;
-        // Of returning requests that went before others.
+        // Part of a request that the waiting ones of the rank have earned and not used, and since when.
+        double waitingCredit = 0;
         instant creditedAt;
         // Until when returns are promised.
         instant nextReturn;
@@ -114,8 +118,14 @@
 
     // Requests per second that the share of the rank allows at this entry.
     double ownRate(std::uint8_t rank) const;
-    void earnCredit(instant now, std::uint8_t rank);
-    bool takeCredit(rank_state& state, double leastCredit);
+    duration longestWait(const room_query& query) const;
+    // Fraction of the requests of the query's team that is sent at once.
+    double directFraction(const room_query& query) const;
+    // Waiting requests per second that are sent.
+    double waitingRate(std::uint8_t rank) const;
+    // Credit of the team, which its requests earn and use.
+    double& creditOf(const room_query& query);
+    bool mayTakeWaiting(instant now, std::uint8_t rank);
     room_decision waitOrRefuse(const room_query& query, bool isReturning);
     room_refusal refuse(const room_query& query, room_refusal_cause cause);
 
@@ -128,6 +138,8 @@
     waiting_requests m_waiting;
     returning_requests m_returning;
     std::array<rank_state, sharedRanks> m_ranks;
+    // Parts of requests that the shares of teams have earned and not used.
+    std::map<demand_meter::team_key, double> m_credits;
     instant m_updatedAt;
 };
 
--- a/packages/decisions/sharing/service_room.cpp
+++ b/packages/decisions/sharing/service_room.cpp
@@ -22,10 +22,12 @@
         sum.inFlight[rank] = (own.inFlight[rank] + others.inFlight[rank]) * factor;
         sum.waiting[rank] = (own.waiting[rank] + others.waiting[rank]) * factor;
     }
-    for (const auto& [key, slots] : others.teams)
-        sum.teams[key] += slots;
-    for (auto& [key, slots] : sum.teams)
-        slots *= factor;
+    for (const auto& [key, team] : others.teams) {
+        team_demand& known = sum.teams[key];
+        known = { known.slots + team.slots, known.entries + team.entries };
+    }
+    for (auto& [key, team] : sum.teams)
+        team.slots *= factor;
     return sum;
 }
 
@@ -48,7 +50,7 @@
 {
     const demand_sum demand = scaledSum(own, others, entryCount);
     m_hasOthers = others.entries > 0;
-    m_isKnown = load.slots > 0 && load.slotTime > duration::zero();
+    m_isKnown = load.slots > 0;
     if (!m_isKnown)
         return;
     const bool isAlone = 2 * (own.entries + others.entries) < static_cast<double>(entryCount);
@@ -57,6 +59,10 @@
     const double inFlight = std::accumulate(demand.inFlight.begin(), demand.inFlight.end(), 0.0);
     const double requests = !load.isReported || m_hasOthers ? std::max(load.requests, inFlight) : load.requests;
     m_utilization = requests / capacity;
+    // Without an answer so far, there is no demand in slots to compare with the capacity.
+    m_isKnown = load.slotTime > duration::zero();
+    if (!m_isKnown)
+        return;
     const double correction = seconds(load.slotTime) / seconds(correctionTime);
     const rank_values waiting = waitingUpTo(demand.inFlight, requests, std::max(0.0, requests - capacity));
     rank_values room {};
@@ -72,23 +78,26 @@
     updateTeams(demand);
 }
 
+// Reports name few teams. What the other teams of an entry offer is taken to be of those that other entries named, by how many
+// did not.
 void service_room::updateTeams(const demand_sum& demand)
 {
-    m_teams = demand.teams;
-    for (std::size_t rank = 0; rank < sharedRanks; ++rank) {
-        m_teamLevels[rank] = std::numeric_limits<double>::infinity();
-        if (m_fractions[rank] >= 1)
-            continue;
-        std::vector<double> demands;
-        for (const auto& [key, slots] : m_teams) {
-            if (key.first == rank)
-                demands.push_back(slots);
-        }
-        // What is offered by teams that no report names is served at the rank's fraction.
-        const double known = std::accumulate(demands.begin(), demands.end(), 0.0);
-        const double unnamed = std::max(0.0, m_offered[rank] - known);
-        m_teamLevels[rank] = fairLevel(demands, m_shares.allocated[rank] - m_fractions[rank] * unnamed);
+    m_teams.clear();
+    rank_values named {};
+    rank_values weights {};
+    const auto weightOf = [&demand](const team_demand& team) { return std::max(0.0, demand.entries - team.entries) * team.slots / std::max(1.0, team.entries); };
+    for (const auto& [key, team] : demand.teams) {
+        named.at(key.first) += team.slots;
+        weights.at(key.first) += weightOf(team);
+    }
+    std::array<std::vector<double>, sharedRanks> demands;
+    for (const auto& [key, team] : demand.teams) {
+        const double unnamed = std::max(0.0, m_offered.at(key.first) - named.at(key.first));
+        const double share = weights.at(key.first) > 0 ? weightOf(team) / weights.at(key.first) : 0;
+        demands.at(key.first).push_back(m_teams[key] = team.slots + unnamed * share);
     }
+    for (std::size_t rank = 0; rank < sharedRanks; ++rank)
+        m_teamLevels[rank] = m_fractions[rank] >= 1 ? std::numeric_limits<double>::infinity() : fairLevel(demands[rank], m_shares.allocated[rank]);
 }
 
 double service_room::fraction(std::uint8_t rank, std::uint32_t team) const
--- a/packages/decisions/sharing/service_room.h
+++ b/packages/decisions/sharing/service_room.h
@@ -61,7 +61,7 @@
     double m_spareRate = 0;
     rank_shares m_shares;
     rank_values m_offered {};
-    rank_values m_fractions {};
+    rank_values m_fractions = { 1, 1, 1, 1, 1, 1, 1, 1 };
     std::array<double, sharedRanks> m_teamLevels {};
     std::map<demand_meter::team_key, double> m_teams;
 };
