Direct entry: the store's followers move into a class of their own

Change: store_followers holds the four followers, the relay and the decoding of rows; the process hands it what it needs as functions. No change of behaviour.

--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -9,6 +9,7 @@
 #include "directentry/crash_record_writer.h"
 #include "directentry/entry_metrics.h"
 #include "directentry/limits_page.h"
+#include "directentry/store_followers.h"
 #include "http/client_pool.h"
 #include "http/connection_probe.h"
 #include "http/http_acceptor.h"
@@ -18,10 +19,6 @@
 #include "ports/platform_adapter.h"
 #include "runtime/process_clock.h"
 #include "storefeed/change_codec.h"
-#include "storefeed/freshness_relay.h"
-#include "storefeed/store_reachability.h"
-#include "storefeed/table_follower.h"
-#include "storefeed/zone_store.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -58,40 +55,15 @@
 constexpr double serveOnPart = 0.45;
 // Fraction of the grace period after which remaining requests are aborted, so that the process ends before SIGKILL.
 constexpr double cutOffPart = 0.93;
-// Batches registry changes of engines that start together. Well below the time within which a leaving engine must stop
-// receiving requests.
-constexpr duration registryGap = std::chrono::milliseconds(400);
-// Long-poll timeout for the members table, which rarely changes.
-constexpr duration membersPoll = std::chrono::seconds(20);
-// Batches the rows of processes that start together.
-constexpr duration membersGap = std::chrono::milliseconds(1200);
-// Used once the process has run for a while: entries then learn of new entries from their presence messages.
-constexpr duration settledMembersGap = std::chrono::seconds(6);
-// Processes that start together would all read the rows that the others write; the zone's reader tells them instead.
-constexpr duration membersConfirmationWait = std::chrono::seconds(3);
-// As membersConfirmationWait.
-constexpr duration crashesConfirmationWait = std::chrono::milliseconds(1500);
 // Crash records of one datagram, so that it fits into one packet.
 constexpr std::size_t crashRecordsPerDatagram = 8;
 // Limits of endpoints in one datagram, as crashRecordsPerDatagram.
 constexpr std::size_t limitsPerDatagram = 16;
 // Entries that are told all records each time, so that all hear of them within a few rounds.
 constexpr std::size_t recordRecipients = 3;
-// Batches configuration versions in quick succession. A fifth of the time within which a change must be in force.
-constexpr duration configurationGap = std::chrono::milliseconds(350);
-
-// Time for the operator to write again what the store lost when it came back from an older copy.
-constexpr duration restoredZoneHold = std::chrono::seconds(6);
 // Processes write their rows again at a random time within this one after the store came back from an older copy.
 constexpr std::chrono::milliseconds renewalSpread { 1000 };
 
-// Indexes of the followed tables in freshness answers.
-constexpr std::size_t configurationPlace = 0;
-constexpr std::size_t registryPlace = 1;
-constexpr std::size_t membersPlace = 2;
-constexpr std::size_t crashesPlace = 3;
-// Tables whose reads show whether the store is reachable.
-constexpr std::size_t followedTables = 2;
 // Larger changes are read from the store, whose link is wider than that of an entry.
 constexpr std::size_t maxRelayedChangesBytes = 32UL * 1024;
 
@@ -108,7 +80,7 @@
         const platform_adapter& platform)
         : m_loop(loop)
         , m_settings(settings)
-        , m_store(loop, store, [this] { return zoneReaderAddress(); })
+        , m_followers(loop, m_settings, store, platform, followerServices())
         , m_platform(platform)
         , m_log({ settings.process.instance, settings.process.zone, life }, {})
         , m_reducer(suspendAwareNow(), reducerSettings(settings, life))
@@ -128,19 +100,18 @@
               loop, settings.listen.operations.host, settings.listen.operations.port, [] { return server_limits {}; },
               [this](const auto& connection, const http_request& request) { onOperations(connection, request); })
         , m_tick(loop)
-        , m_registration(loop, m_store, settings.process.instance.str(),
+        , m_registration(loop, m_followers.store(), settings.process.instance.str(),
               { true, settings.process.zone, socket_address { settings.listen.links.host, m_news.port() }.str(), {},
                   socket_address { settings.listen.operations.host, m_operations.port() }.str() })
-        , m_crashWriter(loop, m_store, static_cast<std::minstd_rand::result_type>(life),
+        , m_crashWriter(loop, m_followers.store(), static_cast<std::minstd_rand::result_type>(life),
               [this](const std::string& row) { m_log.write(now(), "crash_row_dropped", {}, { { "row", row } }); })
-        , m_relay(settings.process.instance.str())
         , m_random(static_cast<std::minstd_rand::result_type>(life))
     {
         m_log.write(now(), "started", {},
             { { "role", "direct_entry" }, { "zone", settings.process.zone.str() }, { "callers", std::to_string(m_callersPort) },
                 { "readiness", std::to_string(m_readiness.port()) }, { "directory", std::to_string(m_directory.port()) },
                 { "operations", std::to_string(m_operations.port()) }, { "links", std::to_string(m_news.port()) } });
-        follow(life ^ std::hash<std::string> {}(settings.process.instance.str()));
+        m_followers.start(life ^ std::hash<std::string> {}(settings.process.instance.str()));
         m_registration.start();
         scheduleTick();
     }
@@ -393,21 +364,12 @@
         connection->respond(std::move(response));
     }
 
-    // What this entry read of a table after the version of another entry of its zone.
     http_response changesFor(const changes_question& question) const
     {
         http_response response;
         response.head.status = 404;
-        for (const auto& follower : { m_configurationFollower, m_registryFollower, m_membersFollower, m_crashesFollower }) {
-            if (follower->table() != question.table || !follower->currentAsOf())
-                continue;
-            const change_log& log = follower->latestChanges();
-            const auto changes = log.since(question.generation, question.afterVersion);
-            if (!changes)
-                continue;
-            store_rows rows { .rows = *changes, .version = log.version(), .generation = log.generation() };
-            rows.age = now() - *follower->currentAsOf();
-            response.body = encodeChanges(rows);
+        if (const auto rows = m_followers.changesFor(question)) {
+            response.body = encodeChanges(*rows);
             response.head.status = response.body.size() <= maxRelayedChangesBytes ? 200 : 413;
         }
         if (response.head.status != 200)
@@ -415,14 +377,6 @@
         return response;
     }
 
-    std::optional<std::string> zoneReaderAddress() const
-    {
-        const auto reader = m_relay.designatedReader(now());
-        const auto member = reader ? m_members.find(*reader) : m_members.end();
-        const bool isKnown = member != m_members.end() && !member->second.readerAddress.empty();
-        return isKnown ? std::optional(member->second.readerAddress) : std::nullopt;
-    }
-
     void noteGauges()
     {
         const auto age = m_reducer.configurationAge(now());
@@ -434,8 +388,8 @@
         m_metrics.set(entry_metrics::endpointsPaused, static_cast<double>(m_reducer.fleet().pausedCount(now())));
         m_metrics.set(entry_metrics::endpointsLimited, static_cast<double>(m_reducer.fleet().limits().limitedCount(now())));
         m_metrics.set(entry_metrics::requestsAwaitingPermit, static_cast<double>(m_reducer.requestsAwaitingPermit()));
-        m_metrics.set(entry_metrics::storeCalls, static_cast<double>(m_store.storeCalls()));
-        m_metrics.set(entry_metrics::readerAnswers, static_cast<double>(m_store.readerAnswers()));
+        m_metrics.set(entry_metrics::storeCalls, static_cast<double>(m_followers.store().storeCalls()));
+        m_metrics.set(entry_metrics::readerAnswers, static_cast<double>(m_followers.store().readerAnswers()));
         m_metrics.set(entry_metrics::suspects, static_cast<double>(m_reducer.crashes().size()));
         m_metrics.set(entry_metrics::convictedSuspects, static_cast<double>(m_reducer.crashes().convicted().size()));
         m_metrics.set(entry_metrics::datagramsDropped, static_cast<double>(m_news.droppedCount()));
@@ -445,186 +399,41 @@
 
     // --- The store.
 
-    void follow(incarnation life)
-    {
-        follower_settings settings;
-        settings.longPollTimeout = m_settings.store.poll;
-        settings.readInterval = configurationGap;
-        const auto confirmed = [this](std::size_t table) {
-            return [this, table](std::uint64_t digest) { return m_relay.currentAsOf(now(), table, digest).has_value(); };
-        };
-        m_configurationFollower = follower(m_platform.configurationTable(), settings, life,
-            { .onSnapshot = [this](auto rows, instant sentAt) { onConfigurationRows(std::move(rows), sentAt, true); },
-                .onChanges = [this](auto rows, instant sentAt) { onConfigurationRows(std::move(rows), sentAt, false); },
-                .onReachability = [this](bool reachable) { onAccess(configurationPlace, reachable); },
-                .onRestored = [this] { m_zoneHoldUntil = now() + restoredZoneHold; },
-                .isDigestConfirmed = confirmed(configurationPlace) });
-        settings.readInterval = registryGap;
-        m_registryFollower = follower(m_platform.registryTable(), settings, life + 1,
-            { .onSnapshot = [this](auto rows, instant) { onRegistryWhole(rows); },
-                .onChanges = [this](auto rows, instant) { onRegistryChanges(rows); },
-                .onReachability = [this](bool reachable) { onAccess(registryPlace, reachable); },
-                .onRestored = [this] { post(registry_restored { now() }); },
-                .isDigestConfirmed = confirmed(registryPlace) });
-        settings.longPollTimeout = membersPoll;
-        settings.confirmationWait = crashesConfirmationWait;
-        m_crashesFollower = follower(std::string(crashTable), settings, life + 3,
-            { .onSnapshot = [this](auto rows, instant) { onCrashRows(rows, true); },
-                .onChanges = [this](auto rows, instant) { onCrashRows(rows, false); },
-                .onReachability = [](bool) {},
-                .onRestored = [] {},
-                .isDigestConfirmed = confirmed(crashesPlace) });
-        settings.readInterval = membersGap;
-        settings.settledReadInterval = settledMembersGap;
-        settings.confirmationWait = membersConfirmationWait;
-        m_membersFollower = follower(std::string(membersTable), settings, life + 2,
-            { .onSnapshot =
-                    [this](auto rows, instant) {
-                        if (!std::exchange(m_membersRestored, false))
-                            m_members.clear();
-                        onMemberRows(rows);
-                    },
-                .onChanges = [this](auto rows, instant) { onMemberRows(rows); },
-                .onReachability = [](bool) {},
-                .onRestored = [this] { onMembersRestored(); },
-                .isDigestConfirmed = confirmed(membersPlace) });
-    }
-
-    std::shared_ptr<table_follower> follower(std::string table, follower_settings settings, incarnation seed, follower_handlers handlers)
-    {
-        auto result = std::make_shared<table_follower>(
-            m_loop, m_store, std::move(table), settings, [] { return now(); }, std::move(handlers), seed);
-        result->start();
-        return result;
-    }
-
-    // Processes that started after the copy was made are missing in it until they write their rows again, so the known ones
-    // are kept.
-    void onMembersRestored()
-    {
-        m_membersRestored = true;
-        m_log.write(now(), "store_restored", {}, { { "members", std::to_string(m_members.size()) } });
-        m_registration.onStoreGeneration(m_membersFollower->generation(), randomRenewalDelay());
-    }
-
-    std::chrono::milliseconds randomRenewalDelay()
-    {
-        return std::chrono::milliseconds(std::uniform_int_distribution<int>(0, static_cast<int>(renewalSpread.count()))(m_random));
-    }
-
-    void onAccess(std::size_t place, bool reachable)
-    {
-        if (const auto changed = m_access.update(place, reachable))
-            post(registry_access_changed { now(), *changed });
-    }
-
-    void onConfigurationRows(const std::vector<store_row>& rows, instant sentAt, bool isWhole)
-    {
-        std::set<availability_zone_id> zones = isWhole ? std::set<availability_zone_id> {} : m_zonesListedOut;
-        std::optional<routing_configuration> newest;
-        bool isReadable = true;
-        for (const store_row& row : rows) {
-            configuration_row decoded = m_platform.readConfigurationRow(row);
-            if (auto* const configuration = std::get_if<routing_configuration>(&decoded); configuration && !row.removed)
-                newest = std::move(*configuration);
-            else if (const auto* const out = std::get_if<zone_out_row>(&decoded))
-                row.removed ? static_cast<void>(zones.erase(out->zone)) : static_cast<void>(zones.insert(out->zone));
-            else if (std::holds_alternative<unreadable_row>(decoded)) {
-                isReadable = row.removed;
-                logUnreadable(row, std::get<unreadable_row>(decoded).reason);
-            }
-        }
-        m_zonesListedOut = std::move(zones);
-        updateZonesOut();
-        m_configurationReadable = isReadable;
-        // An unreadable configuration may have revoked an API key, so the known configuration is not confirmed and keeps ageing.
-        if (isReadable)
-            post(configuration_read { now(), sentAt, std::move(newest) });
-    }
-
-    // An older copy of the store may lack a zone that was taken out since. It stays out until the operator had the time to
-    // write it again.
-    void updateZonesOut()
-    {
-        std::set<availability_zone_id> zones = m_zonesListedOut;
-        if (now() < m_zoneHoldUntil)
-            zones.insert(m_zonesOut.begin(), m_zonesOut.end());
-        if (zones == m_zonesOut)
-            return;
-        m_zonesOut = zones;
-        post(out_of_service_zones_changed { now(), std::move(zones) });
-    }
-
-    void logUnreadable(const store_row& row, const std::string& reason)
-    {
-        if (reason.empty() || row.removed)
-            return;
-        // A row may be rewritten many times; only its first unreadable value is logged.
-        if (m_unreadable.insert(row.key).second)
-            m_log.write(now(), "row_unreadable", {}, { { "row", row.key }, { "reason", reason } });
-    }
-
-    std::optional<endpoint_record> recordOf(const store_row& row)
+    store_follower_services followerServices()
     {
-        const registry_row decoded = m_platform.readRegistryRow(row);
-        if (const auto* const record = std::get_if<endpoint_record>(&decoded))
-            return *record;
-        logUnreadable(row, std::get<unreadable_row>(decoded).reason);
-        return std::nullopt;
+        return { .post = [this](const forwarding_event& event) { post(event); },
+            .log = [this](std::string_view what, const line_log::inputs& inputs) { m_log.write(now(), what, {}, inputs); },
+            .onMemberRows = [this](const std::vector<store_row>& rows, bool isWhole) { onMemberRows(rows, isWhole); },
+            .onStoreRestored = [this](std::uint64_t generation) { onStoreRestored(generation); },
+            .member = [this](const std::string& name) { return member(name); },
+            .ask = [this](const freshness_question& question, const member_row& reader) { sendNews(question, reader); } };
     }
 
-    void onRegistryWhole(const std::vector<store_row>& rows)
+    const member_row* member(const std::string& name) const
     {
-        std::vector<endpoint_record> records;
-        for (const store_row& row : rows) {
-            if (auto record = recordOf(row))
-                records.push_back(std::move(*record));
-        }
-        post(registry_read { now(), std::move(records) });
+        const auto found = m_members.find(name);
+        return found == m_members.end() ? nullptr : &found->second;
     }
 
-    void onRegistryChanges(const std::vector<store_row>& rows)
+    void onStoreRestored(std::uint64_t generation)
     {
-        for (const store_row& row : rows) {
-            if (row.removed) {
-                post(endpoint_unlisted { now(), endpoint_id(row.key) });
-                continue;
-            }
-            // An unreadable row removes the endpoint that it described before.
-            if (auto record = recordOf(row))
-                post(endpoint_listed { now(), std::move(*record) });
-            else
-                post(endpoint_unlisted { now(), endpoint_id(row.key) });
-        }
-    }
-
-    void onCrashRows(const std::vector<store_row>& rows, bool isWhole)
-    {
-        crash_table_read read { now(), isWhole, {}, {} };
-        for (const store_row& row : rows) {
-            const auto key = suspectOfRowKey(row.key);
-            auto record = row.removed ? std::nullopt : decodeCrashRow(row.value);
-            if (row.removed && key)
-                read.removed.push_back(*key);
-            else if (record)
-                read.records.push_back(std::move(*record));
-            else
-                logUnreadable(row, "no crash record of this version");
-        }
-        if (isWhole || !rows.empty())
-            post(read);
+        m_log.write(now(), "store_restored", {}, { { "members", std::to_string(m_members.size()) } });
+        const std::chrono::milliseconds delay(std::uniform_int_distribution<int>(0, static_cast<int>(renewalSpread.count()))(m_random));
+        m_registration.onStoreGeneration(generation, delay);
     }
 
-    void onMemberRows(const std::vector<store_row>& rows)
+    void onMemberRows(const std::vector<store_row>& rows, bool isWhole)
     {
+        if (isWhole)
+            m_members.clear();
         for (const store_row& row : rows) {
             const auto member = row.removed ? std::nullopt : decodeMember(row.value);
             if (member)
                 m_members[row.key] = *member;
             else
                 m_members.erase(row.key);
-            if (!member && !row.removed)
-                logUnreadable(row, "no member of this version");
+            if (!member && !row.removed && m_unreadable.insert(row.key).second)
+                m_log.write(now(), "row_unreadable", {}, { { "row", row.key }, { "reason", "no member of this version" } });
         }
         const auto isEntry = [](const auto& member) { return member.second.isEntry; };
         const auto entries = std::count_if(m_members.begin(), m_members.end(), isEntry);
@@ -671,7 +480,7 @@
             if (name != m_settings.process.instance.str() && member.isEntry && (toAll || member.zone == m_settings.process.zone))
                 sendNews(self, member);
         }
-        if (!toAll && !m_relay.designatedReader(m_presenceTold))
+        if (!toAll && m_followers.isDesignatedReader(m_presenceTold))
             tellZonePresence(self);
     }
 
@@ -695,7 +504,7 @@
         m_subscribedAt = moment;
         for (const auto& [name, member] : m_members) {
             if (!member.isEntry && m_subset.contains(member.engineAddress))
-                sendNews(load_subscription { m_settings.process.zone, m_membersFollower->generation() }, member);
+                sendNews(load_subscription { m_settings.process.zone, m_followers.membersGeneration() }, member);
         }
     }
 
@@ -755,7 +564,7 @@
     void onNews(entry_presence presence)
     {
         if (presence.zone == m_settings.process.zone)
-            m_relay.onPeerHeard(now(), presence.instance.str());
+            m_followers.onPeerHeard(now(), presence.instance.str());
         post(entry_presence_received { now(), std::move(presence) });
     }
     void onNews(const zone_presence& zone)
@@ -764,30 +573,11 @@
             post(entry_presence_received { now() - age, presence });
     }
     void onNews(const freshness_question&) { }
-    void onNews(const freshness_answer& answer)
-    {
-        m_relay.onAnswer(now(), answer);
-        const auto heldAt = m_relay.currentAsOf(now(), configurationPlace, m_configurationFollower->digest());
-        // An unreadable configuration may have revoked an API key, so it is not confirmed.
-        if (heldAt && m_configurationReadable)
-            post(configuration_read { now(), *heldAt, std::nullopt });
-    }
+    void onNews(const freshness_answer& answer) { m_followers.onAnswer(now(), answer); }
     void answer(const freshness_question& question, const boost::asio::ip::udp::endpoint& from)
     {
-        freshness_answer answer { question.askedAt, {} };
-        for (const auto& follower : { m_configurationFollower, m_registryFollower, m_membersFollower, m_crashesFollower }) {
-            if (!follower->currentAsOf())
-                return;
-            answer.tables.push_back({ follower->digest(), now() - *follower->currentAsOf() });
-        }
-        m_news.send(answer, from);
-    }
-    void askReader(instant moment)
-    {
-        const auto reader = m_relay.readerToQuery(moment);
-        const auto member = reader ? m_members.find(*reader) : m_members.end();
-        if (member != m_members.end())
-            sendNews(freshness_question { moment }, member->second);
+        if (const auto answer = m_followers.answer(question))
+            m_news.send(*answer, from);
     }
     void onNews(endpoint_load load) { post(endpoint_load_received { now(), std::move(load) }); }
     void onNews(endpoint_death death) { post(endpoint_death_reported { now(), std::move(death.address), death.startedAtMs }); }
@@ -826,10 +616,10 @@
             renewSubscriptions(moment);
         if (moment - m_agedAt >= agingInterval) {
             m_agedAt = moment;
-            updateZonesOut();
+            m_followers.updateZonesOut();
             post(timer_ticked { moment });
         }
-        askReader(moment);
+        m_followers.onTick(moment);
         m_log.flush();
         if (m_stopping && !m_acceptsNothing && moment - *m_stopping >= gracePart(serveOnPart))
             stopAccepting();
@@ -866,7 +656,7 @@
 
     boost::asio::io_context& m_loop;
     process_settings m_settings;
-    zone_store m_store;
+    store_followers m_followers;
     const platform_adapter& m_platform;
     line_log m_log;
     metrics_registry m_metrics;
@@ -882,28 +672,16 @@
     boost::asio::steady_timer m_tick;
     member_registration m_registration;
     crash_record_writer m_crashWriter;
-    freshness_relay m_relay;
-    bool m_configurationReadable = true;
-    std::shared_ptr<table_follower> m_configurationFollower;
-    std::shared_ptr<table_follower> m_registryFollower;
-    std::shared_ptr<table_follower> m_membersFollower;
-    std::shared_ptr<table_follower> m_crashesFollower;
     std::size_t m_heldBytes = 0;
     std::map<request_number, std::shared_ptr<caller_exchange>> m_exchanges;
     std::map<std::string, member_row> m_members;
-    // Zones that are out for this entry, and those that the store lists.
-    std::set<availability_zone_id> m_zonesOut;
-    std::set<availability_zone_id> m_zonesListedOut;
-    instant m_zoneHoldUntil;
     std::size_t m_entryCount = 0;
-    bool m_membersRestored = false;
     // No presence was sent since the start.
     bool m_isUnannounced = true;
     std::minstd_rand m_random;
     std::set<std::string> m_unreadable;
     std::map<service_id, instant> m_serviceProgress;
     request_number m_lastRequest = 0;
-    store_reachability m_access { followedTables };
     instant m_presenceTold;
     instant m_agedAt;
     instant m_subscribedAt;
--- /dev/null
+++ b/packages/directentry/store_followers.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "decisions/forwarding/forwarding_events.h"
+#include "membership/member_row.h"
+#include "model/freshness_news.h"
+#include "settings/process_settings.h"
+#include "storefeed/change_codec.h"
+#include "storefeed/freshness_relay.h"
+#include "storefeed/store_reachability.h"
+#include "storefeed/table_follower.h"
+#include "storefeed/zone_store.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace appleramp {
+
+class platform_adapter;
+
+// What the followers need of the entry's process.
+struct store_follower_services {
+    std::function<void(const forwarding_event&)> post;
+    std::function<void(std::string_view what, const std::vector<std::pair<std::string_view, std::string>>& inputs)> log;
+    // Rows of the members table; all of them if `isWhole` is set.
+    std::function<void(const std::vector<store_row>& rows, bool isWhole)> onMemberRows;
+    // The store came back from an older copy, of this generation.
+    std::function<void(std::uint64_t generation)> onStoreRestored;
+    // The row of a member; null if it is not known.
+    std::function<const member_row*(const std::string& instance)> member;
+    std::function<void(const freshness_question& question, const member_row& member)> ask;
+};
+
+// Follows the store's tables for an entry, decodes their rows into events, and exchanges with the other entries of the zone which
+// contents are current.
+class store_followers {
+public:
+    store_followers(boost::asio::io_context& loop, const process_settings& settings, row_store& store, const platform_adapter& platform,
+        store_follower_services services);
+
+    void start(incarnation seed);
+    void onTick(instant now);
+    // Reports the zones that are out of service if they changed, also because a hold ended.
+    void updateZonesOut();
+
+    // The store for calls of this process, which are counted.
+    zone_store& store() { return m_store; }
+    const zone_store& store() const { return m_store; }
+    // Generation of the store in which the members were read.
+    std::uint64_t membersGeneration() const { return m_members->generation(); }
+    // Whether this entry reads the store for its zone.
+    bool isDesignatedReader(instant now) const { return !m_relay.designatedReader(now); }
+
+    void onPeerHeard(instant now, const std::string& instance) { m_relay.onPeerHeard(now, instance); }
+    void onAnswer(instant now, const freshness_answer& answer);
+    // Nothing if a table was not read yet.
+    std::optional<freshness_answer> answer(const freshness_question& question) const;
+    // What this entry read of a table after the version of another entry of its zone; nothing if its log does not reach back so far.
+    std::optional<store_rows> changesFor(const changes_question& question) const;
+
+private:
+    std::shared_ptr<table_follower> follower(std::string table, follower_settings settings, incarnation seed, follower_handlers handlers);
+    std::optional<std::string> readerAddress() const;
+    void askReader(instant now);
+    void onAccess(std::size_t place, bool reachable);
+    void onMembersRestored();
+    void onConfigurationRows(const std::vector<store_row>& rows, instant sentAt, bool isWhole);
+    void onRegistryWhole(const std::vector<store_row>& rows);
+    void onRegistryChanges(const std::vector<store_row>& rows);
+    void onCrashRows(const std::vector<store_row>& rows, bool isWhole);
+    std::optional<endpoint_record> recordOf(const store_row& row);
+    void logUnreadable(const store_row& row, const std::string& reason);
+
+    // Tables whose reads show whether the store is reachable.
+    static constexpr std::size_t followedTables = 2;
+
+    boost::asio::io_context& m_loop;
+    const process_settings& m_settings;
+    const platform_adapter& m_platform;
+    store_follower_services m_services;
+    zone_store m_store;
+    freshness_relay m_relay;
+    store_reachability m_access { followedTables };
+    std::shared_ptr<table_follower> m_configuration;
+    std::shared_ptr<table_follower> m_registry;
+    std::shared_ptr<table_follower> m_members;
+    std::shared_ptr<table_follower> m_crashes;
+    bool m_configurationReadable = true;
+    bool m_membersRestored = false;
+    // Zones that are out for this entry, and those that the store lists.
+    std::set<availability_zone_id> m_zonesOut;
+    std::set<availability_zone_id> m_zonesListedOut;
+    instant m_zoneHoldUntil;
+    std::set<std::string> m_unreadable;
+};
+
+} // namespace appleramp
