Store feed: timers of followers can be replaced

Cause: the followers' times on the store's return can only be measured and tested in virtual time if their timers are not the loop's. Change: table_follower takes a delayed_call; store_followers takes clock, timers and row store from its owner. No change of behaviour.

--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -18,7 +18,9 @@
 #include "observe/metrics_registry.h"
 #include "ports/platform_adapter.h"
 #include "runtime/process_clock.h"
+#include "storefeed/asio_delayed_call.h"
 #include "storefeed/change_codec.h"
+#include "storefeed/zone_store.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -80,7 +82,8 @@
         const platform_adapter& platform)
         : m_loop(loop)
         , m_settings(settings)
-        , m_followers(loop, m_settings, store, platform, followerServices())
+        , m_store(loop, store, [this] { return m_followers.readerAddress(); })
+        , m_followers(m_settings, m_store, platform, followerServices())
         , m_platform(platform)
         , m_log({ settings.process.instance, settings.process.zone, life }, {})
         , m_reducer(suspendAwareNow(), reducerSettings(settings, life))
@@ -100,10 +103,10 @@
               loop, settings.listen.operations.host, settings.listen.operations.port, [] { return server_limits {}; },
               [this](const auto& connection, const http_request& request) { onOperations(connection, request); })
         , m_tick(loop)
-        , m_registration(loop, m_followers.store(), settings.process.instance.str(),
+        , m_registration(loop, m_store, settings.process.instance.str(),
               { true, settings.process.zone, socket_address { settings.listen.links.host, m_news.port() }.str(), {},
                   socket_address { settings.listen.operations.host, m_operations.port() }.str() })
-        , m_crashWriter(loop, m_followers.store(), static_cast<std::minstd_rand::result_type>(life),
+        , m_crashWriter(loop, m_store, static_cast<std::minstd_rand::result_type>(life),
               [this](const std::string& row) { m_log.write(now(), "crash_row_dropped", {}, { { "row", row } }); })
         , m_random(static_cast<std::minstd_rand::result_type>(life))
     {
@@ -388,8 +391,8 @@
         m_metrics.set(entry_metrics::endpointsPaused, static_cast<double>(m_reducer.fleet().pausedCount(now())));
         m_metrics.set(entry_metrics::endpointsLimited, static_cast<double>(m_reducer.fleet().limits().limitedCount(now())));
         m_metrics.set(entry_metrics::requestsAwaitingPermit, static_cast<double>(m_reducer.requestsAwaitingPermit()));
-        m_metrics.set(entry_metrics::storeCalls, static_cast<double>(m_followers.store().storeCalls()));
-        m_metrics.set(entry_metrics::readerAnswers, static_cast<double>(m_followers.store().readerAnswers()));
+        m_metrics.set(entry_metrics::storeCalls, static_cast<double>(m_store.storeCalls()));
+        m_metrics.set(entry_metrics::readerAnswers, static_cast<double>(m_store.readerAnswers()));
         m_metrics.set(entry_metrics::suspects, static_cast<double>(m_reducer.crashes().size()));
         m_metrics.set(entry_metrics::convictedSuspects, static_cast<double>(m_reducer.crashes().convicted().size()));
         m_metrics.set(entry_metrics::datagramsDropped, static_cast<double>(m_news.droppedCount()));
@@ -401,7 +404,9 @@
 
     store_follower_services followerServices()
     {
-        return { .post = [this](const forwarding_event& event) { post(event); },
+        return { .now = [] { return now(); },
+            .timer = [this] { return std::make_unique<asio_delayed_call>(m_loop); },
+            .post = [this](const forwarding_event& event) { post(event); },
             .log = [this](std::string_view what, const line_log::inputs& inputs) { m_log.write(now(), what, {}, inputs); },
             .onMemberRows = [this](const std::vector<store_row>& rows, bool isWhole) { onMemberRows(rows, isWhole); },
             .onStoreRestored = [this](std::uint64_t generation) { onStoreRestored(generation); },
@@ -656,6 +661,7 @@
 
     boost::asio::io_context& m_loop;
     process_settings m_settings;
+    zone_store m_store;
     store_followers m_followers;
     const platform_adapter& m_platform;
     line_log m_log;
--- a/packages/directentry/store_followers.cpp
+++ b/packages/directentry/store_followers.cpp
@@ -2,7 +2,6 @@
 
 #include "datagrams/crash_codec.h"
 #include "ports/platform_adapter.h"
-#include "runtime/process_clock.h"
 
 #include <algorithm>
 
@@ -34,17 +33,14 @@
 constexpr std::size_t membersPlace = 2;
 constexpr std::size_t crashesPlace = 3;
 
-instant now() { return suspendAwareNow(); }
-
 } // namespace
 
-store_followers::store_followers(boost::asio::io_context& loop, const process_settings& settings, row_store& store,
-    const platform_adapter& platform, store_follower_services services)
-    : m_loop(loop)
-    , m_settings(settings)
+store_followers::store_followers(
+    const process_settings& settings, row_store& store, const platform_adapter& platform, store_follower_services services)
+    : m_settings(settings)
     , m_platform(platform)
     , m_services(std::move(services))
-    , m_store(loop, store, [this] { return readerAddress(); })
+    , m_store(store)
     , m_relay(settings.process.instance.str())
 {
 }
@@ -92,7 +88,7 @@
 std::shared_ptr<table_follower> store_followers::follower(
     std::string table, follower_settings settings, incarnation seed, follower_handlers handlers)
 {
-    auto result = std::make_shared<table_follower>(m_loop, m_store, std::move(table), settings, &now, std::move(handlers), seed);
+    auto result = std::make_shared<table_follower>(m_services.timer(), m_store, std::move(table), settings, m_services.now, std::move(handlers), seed);
     result->start();
     return result;
 }
--- a/packages/directentry/store_followers.h
+++ b/packages/directentry/store_followers.h
@@ -5,12 +5,10 @@
 #include "model/freshness_news.h"
 #include "settings/process_settings.h"
 #include "storefeed/change_codec.h"
+#include "storefeed/delayed_call.h"
 #include "storefeed/freshness_relay.h"
 #include "storefeed/store_reachability.h"
 #include "storefeed/table_follower.h"
-#include "storefeed/zone_store.h"
-
-#include <boost/asio/io_context.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -28,6 +26,8 @@
 
 // What the followers need of the entry's process.
 struct store_follower_services {
+    std::function<instant()> now;
+    delayed_call_factory timer;
     std::function<void(const forwarding_event&)> post;
     std::function<void(std::string_view what, const std::vector<std::pair<std::string_view, std::string>>& inputs)> log;
     // Rows of the members table; all of them if `isWhole` is set.
@@ -43,22 +43,21 @@
 // contents are current.
 class store_followers {
 public:
-    store_followers(boost::asio::io_context& loop, const process_settings& settings, row_store& store, const platform_adapter& platform,
-        store_follower_services services);
+    store_followers(const process_settings& settings, row_store& store, const platform_adapter& platform, store_follower_services services);
 
     void start(incarnation seed);
     void onTick(instant now);
     // Reports the zones that are out of service if they changed, also because a hold ended.
     void updateZonesOut();
 
-    // The store for calls of this process, which are counted.
-    zone_store& store() { return m_store; }
-    const zone_store& store() const { return m_store; }
     // Generation of the store in which the members were read.
     std::uint64_t membersGeneration() const { return m_members->generation(); }
     // Whether this entry reads the store for its zone.
     bool isDesignatedReader(instant now) const { return !m_relay.designatedReader(now); }
 
+    // Address at which the zone's reader passes on changes; nothing if this entry reads for its zone.
+    std::optional<std::string> readerAddress() const;
+
     void onPeerHeard(instant now, const std::string& instance) { m_relay.onPeerHeard(now, instance); }
     void onAnswer(instant now, const freshness_answer& answer);
     // Nothing if a table was not read yet.
@@ -68,7 +67,6 @@
 
 private:
     std::shared_ptr<table_follower> follower(std::string table, follower_settings settings, incarnation seed, follower_handlers handlers);
-    std::optional<std::string> readerAddress() const;
     void askReader(instant now);
     void onAccess(std::size_t place, bool reachable);
     void onMembersRestored();
@@ -76,17 +74,17 @@
     void onRegistryWhole(const std::vector<store_row>& rows);
     void onRegistryChanges(const std::vector<store_row>& rows);
     void onCrashRows(const std::vector<store_row>& rows, bool isWhole);
+    instant now() const { return m_services.now(); }
     std::optional<endpoint_record> recordOf(const store_row& row);
     void logUnreadable(const store_row& row, const std::string& reason);
 
     // Tables whose reads show whether the store is reachable.
     static constexpr std::size_t followedTables = 2;
 
-    boost::asio::io_context& m_loop;
     const process_settings& m_settings;
     const platform_adapter& m_platform;
     store_follower_services m_services;
-    zone_store m_store;
+    row_store& m_store;
     freshness_relay m_relay;
     store_reachability m_access { followedTables };
     std::shared_ptr<table_follower> m_configuration;
--- a/packages/storefeed/table_follower.cpp
+++ b/packages/storefeed/table_follower.cpp
@@ -1,5 +1,7 @@
 #include "storefeed/table_follower.h"
 
+#include "storefeed/asio_delayed_call.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -13,7 +15,13 @@
 
 table_follower::table_follower(boost::asio::io_context& loop, row_store& store, std::string table, follower_settings settings,
     clock now, follower_handlers handlers, std::uint64_t seed)
-    : m_timer(loop)
+    : table_follower(std::make_unique<asio_delayed_call>(loop), store, std::move(table), settings, std::move(now), std::move(handlers), seed)
+{
+}
+
+table_follower::table_follower(std::unique_ptr<delayed_call> timer, row_store& store, std::string table, follower_settings settings,
+    clock now, follower_handlers handlers, std::uint64_t seed)
+    : m_timer(std::move(timer))
     , m_store(store)
     , m_table(std::move(table))
     , m_settings(settings)
@@ -32,7 +40,7 @@
 void table_follower::stop()
 {
     m_stopped = true;
-    m_timer.cancel();
+    m_timer->cancel();
 }
 
 void table_follower::readSnapshot()
@@ -170,9 +178,8 @@
 
 void table_follower::scheduleNext(duration pause, void (table_follower::*next)())
 {
-    m_timer.expires_after(pause);
-    m_timer.async_wait([self = shared_from_this(), next](const boost::system::error_code& cancelled) {
-        if (!cancelled && !self->m_stopped)
+    m_timer->callAfter(pause, [self = shared_from_this(), next] {
+        if (!self->m_stopped)
             (self.get()->*next)();
     });
 }
--- a/packages/storefeed/table_follower.h
+++ b/packages/storefeed/table_follower.h
@@ -3,10 +3,10 @@
 #include "model/time.h"
 #include "ports/row_store.h"
 #include "storefeed/change_log.h"
+#include "storefeed/delayed_call.h"
 #include "storefeed/table_digest.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -61,6 +61,8 @@
 
     table_follower(boost::asio::io_context& loop, row_store& store, std::string table, follower_settings settings, clock now,
         follower_handlers handlers, std::uint64_t seed);
+    table_follower(std::unique_ptr<delayed_call> timer, row_store& store, std::string table, follower_settings settings, clock now,
+        follower_handlers handlers, std::uint64_t seed);
 
     void start();
     void stop();
@@ -89,7 +91,7 @@
     duration randomDuration(duration longest);
     void scheduleNext(duration pause, void (table_follower::*next)());
 
-    boost::asio::steady_timer m_timer;
+    std::unique_ptr<delayed_call> m_timer;
     row_store& m_store;
     std::string m_table;
     follower_settings m_settings;
