Store feed: one entry of each zone probes a lost store for all, and says at once that it answers again

Cause: after a failure each follower backs off up to 1.2 s and then starts a long poll that is answered only when it ends; the others of a zone hear of it by the next question; a silent store is noticed only when calls time out. Meanwhile all entries call the store.

--- a/packages/datagrams/datagram_class.cpp
+++ b/packages/datagrams/datagram_class.cpp
@@ -32,6 +32,7 @@
     datagram_class operator()(const relay_request&) const { return { datagram_priority::Bulk, {} }; }
     datagram_class operator()(const freshness_question&) const { return { datagram_priority::Status, "question" }; }
     datagram_class operator()(const freshness_answer&) const { return { datagram_priority::Status, {} }; }
+    datagram_class operator()(const store_notice&) const { return { datagram_priority::Switch, {} }; }
 };
 
 } // namespace
--- a/packages/datagrams/datagram_codec.cpp
+++ b/packages/datagrams/datagram_codec.cpp
@@ -61,6 +61,11 @@
             tables.push_back({ table.digest, table.age.count() });
         return { { "k", "a" }, { "t", answer.askedAt.time_since_epoch().count() }, { "c", std::move(tables) } };
     }
+    json operator()(const store_notice& notice) const
+    {
+        return { { "k", "s" }, { "i", notice.sender }, { "s", notice.isServed }, { "t", notice.turn }, { "p", notice.prober },
+            { "a", notice.servedAge.count() }, { "f", notice.failures }, { "y", static_cast<int>(notice.symptom) } };
+    }
     json operator()(const group_datagram& group) const
     {
         return { { "k", "g" }, { "g", group.group }, { "m", groupMessageToJson(group.message) } };
@@ -100,6 +105,17 @@
     return answer;
 }
 
+std::optional<datagram_message> storeNoticeFromJson(const json& body)
+{
+    store_notice notice { body.at("i").get<std::string>(), body.at("s").get<bool>(), body.at("t").get<std::uint32_t>(),
+        body.at("p").get<std::string>(), duration(body.at("a").get<duration::rep>()), body.at("f").get<std::uint32_t>() };
+    const int symptom = body.at("y").get<int>();
+    if (notice.servedAge < duration::zero() || symptom < 0 || symptom > static_cast<int>(store_symptom::Refused))
+        return std::nullopt;
+    notice.symptom = static_cast<store_symptom>(symptom);
+    return notice;
+}
+
 crash_records crashRecordsFromJson(const json& records)
 {
     crash_records told;
@@ -150,6 +166,8 @@
             return freshness_question { askedAtFromJson(body) };
         if (kind == "a")
             return freshnessAnswerFromJson(body);
+        if (kind == "s")
+            return storeNoticeFromJson(body);
         if (kind == "m")
             return endpoint_limit_records { limitRecordsFromJson(body.at("r")) };
         if (kind == "b")
--- a/packages/datagrams/datagram_message.h
+++ b/packages/datagrams/datagram_message.h
@@ -40,6 +40,6 @@
 
 // Messages that processes send each other as single datagrams.
 using datagram_message = std::variant<entry_presence, zone_presence, endpoint_load, endpoint_death, load_subscription, crash_records, endpoint_limit_records, permit_question, permit_answer, group_datagram, relay_request, freshness_question,
-    freshness_answer>;
+    freshness_answer, store_notice>;
 
 } // namespace appleramp
--- a/packages/decisions/forwarding/forwarding_events.h
+++ b/packages/decisions/forwarding/forwarding_events.h
@@ -13,6 +13,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -131,6 +133,8 @@
 struct registry_access_changed {
     instant now;
     bool reachable = true;
+    // What shows the change, for the log.
+    std::vector<std::pair<std::string_view, std::string>> evidence;
 };
 
 // The store that holds the registry came back from an older copy, and may list endpoints that have left.
--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -130,6 +130,12 @@
 
 duration forwarding_reducer::longRetryAfter() { return longRetryAfterMin + scaled(longRetryAfterJitter, randomFraction()); }
 
+duration forwarding_reducer::confirmationRetryAfter(instant now, const caller_request& caller, duration usual)
+{
+    const auto spread = m_settings.spreadOutageRetries ? m_storeOutage.retryAfter(now, caller.timeout.value_or(defaultTimeout), randomFraction()) : std::nullopt;
+    return spread.value_or(usual);
+}
+
 // When every endpoint of the service asked for a pause, callers come back after the first of them ends.
 duration forwarding_reducer::retryAfterPause(instant now, const service_id& service)
 {
@@ -154,7 +160,7 @@
         return false;
     };
     if (!request.routes || !areConvictionsKnown(now))
-        return refuseWith(refusal_reason::NotReady, shortRetryAfter());
+        return refuseWith(refusal_reason::NotReady, confirmationRetryAfter(now, request.caller, shortRetryAfter()));
     request.matchedRoute = request.routes->find(request.caller.host, request.caller.path);
     const bool allowsDefiniteRefusal = m_freshness.allowsDefiniteRefusal(now);
     if (request.matchedRoute == nullptr || request.matchedRoute->services.empty())
@@ -162,7 +168,7 @@
     request.urgencyRank = request.matchedRoute->urgencyRank;
     if (request.routes->requiresKeys() && !request.matchedRoute->isPublic) {
         if (!m_freshness.allowsKeyUse(now))
-            return refuseWith(refusal_reason::NotReady, longRetryAfter());
+            return refuseWith(refusal_reason::NotReady, confirmationRetryAfter(now, request.caller, longRetryAfter()));
         const team* const callerTeam = request.routes->teamForKey(request.caller.apiKey);
         if (callerTeam == nullptr)
             return allowsDefiniteRefusal ? refuseWith(refusal_reason::UnknownKey, {}) : refuseWith(refusal_reason::NotReady, shortRetryAfter());
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -12,6 +12,7 @@
 #include "decisions/forwarding/freshness_lease.h"
 #include "decisions/forwarding/route_table.h"
 #include "decisions/forwarding/shared_retry_budget.h"
+#include "decisions/forwarding/store_outage.h"
 #include "decisions/forwarding/stream_pace.h"
 #include "decisions/limits/permit_queue.h"
 
@@ -34,6 +35,8 @@
     std::string instance;
     // Longest pause between two events of a stream that is still on time, for routes that set no pause target.
     duration defaultPauseTarget = std::chrono::milliseconds(200);
+    // Spread the Retry-After of callers that are refused during an outage of the store over the time in which it may be back.
+    bool spreadOutageRetries = false;
     std::uint64_t seed = 1;
 };
 
@@ -202,11 +205,14 @@
     double randomFraction();
     duration shortRetryAfter();
     duration longRetryAfter();
+    // Until the store confirms the configuration, or `usual` where the store is available.
+    duration confirmationRetryAfter(instant now, const caller_request& caller, duration usual);
     duration retryAfterPause(instant now, const service_id& service);
 
     forwarding_settings m_settings;
     std::shared_ptr<const route_table> m_routes;
     freshness_lease m_freshness;
+    store_outage m_storeOutage;
     configuration_trust m_trust;
     // When the last read that has confirmed nothing yet was sent.
     std::optional<instant> m_unconfirmedReadAt;
--- a/packages/decisions/forwarding/forwarding_reducer_news.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_news.cpp
@@ -91,11 +91,14 @@
 
 void forwarding_reducer::on(const registry_access_changed& event)
 {
-    if (event.reachable)
+    if (event.reachable) {
         m_fleet.onRegistryRegained(event.now);
-    else
+        m_storeOutage.onRegained();
+    } else {
         m_fleet.onRegistryLost(event.now);
-    m_effects.emplace_back(log_decision { event.reachable ? "store_regained" : "store_lost", {}, {} });
+        m_storeOutage.onLost(event.now);
+    }
+    m_effects.emplace_back(log_decision { event.reachable ? "store_regained" : "store_lost", {}, event.evidence });
 }
 
 void forwarding_reducer::on(const registry_restored& event)
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -149,6 +149,7 @@
         result.fleet.coldRateAllowance = settings.bounds.coldConstant;
         result.zone = settings.process.zone;
         result.instance = settings.process.instance.str();
+        result.spreadOutageRetries = settings.store.fastReturn;
         result.defaultPauseTarget = settings.bounds.pause;
         // Processes that start at the same moment must not draw the same random numbers.
         result.seed = life ^ std::hash<std::string> {}(settings.process.instance.str());
@@ -411,7 +412,35 @@
             .onMemberRows = [this](const std::vector<store_row>& rows, bool isWhole) { onMemberRows(rows, isWhole); },
             .onStoreRestored = [this](std::uint64_t generation) { onStoreRestored(generation); },
             .member = [this](const std::string& name) { return member(name); },
-            .ask = [this](const freshness_question& question, const member_row& reader) { sendNews(question, reader); } };
+            .ask = [this](const freshness_question& question, const member_row& reader) { sendNews(question, reader); },
+            .sendAnswer =
+                [this](const freshness_answer& answer, const std::string& address) {
+                    const auto target = endpointFromText(address);
+                    m_news.send(answer, { target.address(), target.port() });
+                },
+            .notifyZone = [this](const store_notice& notice) { notifyZone(notice); },
+            .entryOfOtherZone = [this] { return entryOfOtherZone(); },
+            .onLossNoticed = [this](duration time) { m_metrics.observe(entry_metrics::storeLossNotice, time); },
+            .onReturnConfirmed = [this](duration time) { m_metrics.observe(entry_metrics::storeReturnConfirmation, time); } };
+    }
+
+    void notifyZone(const store_notice& notice)
+    {
+        const std::string bytes = encodeDatagram(notice);
+        for (const auto& [name, member] : m_members) {
+            if (member.isEntry && member.zone == m_settings.process.zone && name != m_settings.process.instance.str())
+                m_news.sendEncoded(bytes, datagramEndpoint(member));
+        }
+    }
+
+    const member_row* entryOfOtherZone()
+    {
+        std::vector<const member_row*> entries;
+        for (const auto& [name, member] : m_members) {
+            if (member.isEntry && member.zone != m_settings.process.zone)
+                entries.push_back(&member);
+        }
+        return entries.empty() ? nullptr : entries[std::uniform_int_distribution<std::size_t>(0, entries.size() - 1)(m_random)];
     }
 
     const member_row* member(const std::string& name) const
@@ -581,9 +610,10 @@
     void onNews(const freshness_answer& answer) { m_followers.onAnswer(now(), answer); }
     void answer(const freshness_question& question, const boost::asio::ip::udp::endpoint& from)
     {
-        if (const auto answer = m_followers.answer(question))
+        if (const auto answer = m_followers.answer(now(), from.address().to_string() + ":" + std::to_string(from.port()), question))
             m_news.send(*answer, from);
     }
+    void onNews(const store_notice& notice) { m_followers.onNotice(now(), notice); }
     void onNews(endpoint_load load) { post(endpoint_load_received { now(), std::move(load) }); }
     void onNews(endpoint_death death) { post(endpoint_death_reported { now(), std::move(death.address), death.startedAtMs }); }
     void onNews(endpoint_limit_records told) { post(endpoint_limits_told { now(), std::move(told.records) }); }
--- a/packages/directentry/entry_metrics.cpp
+++ b/packages/directentry/entry_metrics.cpp
@@ -18,6 +18,8 @@
 const metric_descriptor requestsAwaitingPermit { "appleramp_requests_awaiting_limit", metric_kind::Gauge, "Requests that wait for the limits of endpoints." };
 const metric_descriptor storeCalls { "appleramp_store_calls", metric_kind::Gauge, "Calls to the store since the start." };
 const metric_descriptor readerAnswers { "appleramp_reader_answers", metric_kind::Gauge, "Reads that the zone's reader answered in place of the store." };
+const metric_descriptor storeLossNotice { "appleramp_store_loss_notice_seconds", metric_kind::Summary, "From the last answer of the store that is known to its loss." };
+const metric_descriptor storeReturnConfirmation { "appleramp_store_return_confirmation_seconds", metric_kind::Summary, "From the store's return to a renewed confirmation of the configuration." };
 const metric_descriptor loadReportAge { "appleramp_load_report_age_seconds", metric_kind::Summary, "Age of the load report of the chosen endpoint." };
 const metric_descriptor suspects { "appleramp_suspects", metric_kind::Gauge, "Requests and parts of prompts that endpoints may have died of." };
 const metric_descriptor convictedSuspects { "appleramp_suspects_convicted", metric_kind::Gauge, "Suspects whose requests are refused." };
--- a/packages/directentry/entry_metrics.h
+++ b/packages/directentry/entry_metrics.h
@@ -20,6 +20,8 @@
 extern const metric_descriptor requestsAwaitingPermit;
 extern const metric_descriptor storeCalls;
 extern const metric_descriptor readerAnswers;
+extern const metric_descriptor storeLossNotice;
+extern const metric_descriptor storeReturnConfirmation;
 extern const metric_descriptor loadReportAge;
 extern const metric_descriptor suspects;
 extern const metric_descriptor convictedSuspects;
--- a/packages/directentry/store_followers.cpp
+++ b/packages/directentry/store_followers.cpp
@@ -40,7 +40,11 @@
     : m_settings(settings)
     , m_platform(platform)
     , m_services(std::move(services))
-    , m_store(store)
+    , m_platformStore(store)
+    , m_store(store, { .now = m_services.now,
+                  .onAnswered = [this](instant sentAt, duration lateness) { m_watch.onAnswered(now(), sentAt, lateness); },
+                  .onFailed = [this](instant sentAt, store_failure failure) { m_watch.onFailed(now(), sentAt, failure); } })
+    , m_watch(settings.process.instance.str(), {}, std::hash<std::string> {}(settings.process.instance.str()))
     , m_relay(settings.process.instance.str())
 {
 }
@@ -51,44 +55,65 @@
     settings.longPollTimeout = m_settings.store.poll;
     settings.readInterval = configurationGap;
     const auto confirmed = [this](std::size_t table) {
-        return [this, table](std::uint64_t digest) { return m_relay.currentAsOf(now(), table, digest).has_value(); };
+        return [this, table](std::uint64_t digest) { 
+            // The relay knows digests with the generation of the store.
+            const std::uint64_t known = isFast() ? digestOf(*followers().at(table)) : digest;
+            return m_relay.currentAsOf(now(), table, known).has_value();
+        };
     };
-    m_configuration = follower(m_platform.configurationTable(), settings, seed,
+    const auto mayRead = [this, &settings](std::size_t table) -> std::function<std::optional<duration>()> {
+        if (!isFast())
+            return {};
+        return [this, table, longest = settings.longPollTimeout] { return nextReadWait(table, longest); };
+    };
+    m_configuration = follower(configurationPlace, m_platform.configurationTable(), settings, seed,
         { .onSnapshot = [this](auto rows, instant sentAt) { onConfigurationRows(std::move(rows), sentAt, true); },
             .onChanges = [this](auto rows, instant sentAt) { onConfigurationRows(std::move(rows), sentAt, false); },
             .onReachability = [this](bool reachable) { onAccess(configurationPlace, reachable); },
             .onRestored = [this] { m_zoneHoldUntil = now() + restoredZoneHold; },
-            .isDigestConfirmed = confirmed(configurationPlace) });
+            .isDigestConfirmed = confirmed(configurationPlace),
+            .nextReadWait = mayRead(configurationPlace) });
     settings.readInterval = registryGap;
-    m_registry = follower(m_platform.registryTable(), settings, seed + 1,
+    m_registry = follower(registryPlace, m_platform.registryTable(), settings, seed + 1,
         { .onSnapshot = [this](auto rows, instant) { onRegistryWhole(rows); },
             .onChanges = [this](auto rows, instant) { onRegistryChanges(rows); },
             .onReachability = [this](bool reachable) { onAccess(registryPlace, reachable); },
             .onRestored = [this] { m_services.post(registry_restored { now() }); },
-            .isDigestConfirmed = confirmed(registryPlace) });
+            .isDigestConfirmed = confirmed(registryPlace),
+            .nextReadWait = mayRead(registryPlace) });
     settings.longPollTimeout = membersPoll;
     settings.confirmationWait = crashesConfirmationWait;
-    m_crashes = follower(std::string(crashTable), settings, seed + 3,
+    m_crashes = follower(crashesPlace, std::string(crashTable), settings, seed + 3,
         { .onSnapshot = [this](auto rows, instant) { onCrashRows(rows, true); },
             .onChanges = [this](auto rows, instant) { onCrashRows(rows, false); },
             .onReachability = [](bool) {},
             .onRestored = [] {},
-            .isDigestConfirmed = confirmed(crashesPlace) });
+            .isDigestConfirmed = confirmed(crashesPlace),
+            .nextReadWait = mayRead(crashesPlace) });
     settings.readInterval = membersGap;
     settings.settledReadInterval = settledMembersGap;
     settings.confirmationWait = membersConfirmationWait;
-    m_members = follower(std::string(membersTable), settings, seed + 2,
+    m_members = follower(membersPlace, std::string(membersTable), settings, seed + 2,
         { .onSnapshot = [this](auto rows, instant) { m_services.onMemberRows(rows, !std::exchange(m_membersRestored, false)); },
             .onChanges = [this](auto rows, instant) { m_services.onMemberRows(rows, false); },
             .onReachability = [](bool) {},
             .onRestored = [this] { onMembersRestored(); },
-            .isDigestConfirmed = confirmed(membersPlace) });
+            .isDigestConfirmed = confirmed(membersPlace),
+            .nextReadWait = mayRead(membersPlace) });
 }
 
 std::shared_ptr<table_follower> store_followers::follower(
-    std::string table, follower_settings settings, incarnation seed, follower_handlers handlers)
+    std::size_t place, std::string table, follower_settings settings, incarnation seed, follower_handlers handlers)
 {
-    auto result = std::make_shared<table_follower>(m_services.timer(), m_store, std::move(table), settings, m_services.now, std::move(handlers), seed);
+    handlers.onSnapshot = [this, place, apply = std::move(handlers.onSnapshot)](auto rows, instant currentAsOf) {
+        apply(std::move(rows), currentAsOf);
+        pushConfirmations(place);
+    };
+    handlers.onChanges = [this, place, apply = std::move(handlers.onChanges)](auto rows, instant currentAsOf) {
+        apply(std::move(rows), currentAsOf);
+        pushConfirmations(place);
+    };
+    auto result = std::make_shared<table_follower>(m_services.timer(), isFast() ? static_cast<row_store&>(m_store) : m_platformStore, std::move(table), settings, m_services.now, std::move(handlers), seed);
     result->start();
     return result;
 }
@@ -96,13 +121,15 @@
 void store_followers::onTick(instant moment)
 {
     askReader(moment);
+    if (isFast())
+        watchStore(moment);
 }
 
 // --- The zone's other entries.
 
 std::optional<std::string> store_followers::readerAddress() const
 {
-    const auto reader = m_relay.designatedReader(now());
+    const auto reader = m_isProbing ? std::nullopt : m_relay.designatedReader(now());
     const member_row* const member = reader ? m_services.member(*reader) : nullptr;
     return member != nullptr && !member->readerAddress.empty() ? std::optional(member->readerAddress) : std::nullopt;
 }
@@ -117,26 +144,39 @@
 void store_followers::onAnswer(instant moment, const freshness_answer& answer)
 {
     m_relay.onAnswer(moment, answer);
-    const auto heldAt = m_relay.currentAsOf(moment, configurationPlace, m_configuration->digest());
+    if (isFast() && !answer.tables.empty())
+        m_watch.onHeardServed(std::min(moment, answer.askedAt - answer.tables.front().age));
+    const auto heldAt = m_relay.currentAsOf(moment, configurationPlace, digestOf(*m_configuration));
     // An unreadable configuration may have revoked an API key, so it is not confirmed.
     if (heldAt && m_configurationReadable)
-        m_services.post(configuration_read { moment, *heldAt, std::nullopt });
+        postConfirmation(moment, *heldAt, std::nullopt);
 }
 
-std::optional<freshness_answer> store_followers::answer(const freshness_question& question) const
+std::optional<freshness_answer> store_followers::answer(instant moment, const std::string& from, const freshness_question& question)
 {
-    freshness_answer answer { question.askedAt, {} };
-    for (const auto& follower : { m_configuration, m_registry, m_members, m_crashes }) {
+    if (isFast())
+        onQuestion(moment, from, question);
+    return answerFor(question.askedAt, moment);
+}
+
+// What other entries confirmed is passed on: its age counts from the sending of the call that confirmed it, whoever made it.
+std::optional<freshness_answer> store_followers::answerFor(instant askedAt, instant receivedAt) const
+{
+    freshness_answer answer { askedAt, {} };
+    for (const auto& follower : followers()) {
         if (!follower->currentAsOf())
             return std::nullopt;
-        answer.tables.push_back({ follower->digest(), now() - *follower->currentAsOf() });
+        instant currentAsOf = *follower->currentAsOf();
+        if (isFast())
+            currentAsOf = std::max(currentAsOf, m_relay.currentAsOf(now(), answer.tables.size(), digestOf(*follower)).value_or(currentAsOf));
+        answer.tables.push_back({ digestOf(*follower), receivedAt - currentAsOf });
     }
     return answer;
 }
 
 std::optional<store_rows> store_followers::changesFor(const changes_question& question) const
 {
-    for (const auto& follower : { m_configuration, m_registry, m_members, m_crashes }) {
+    for (const auto& follower : followers()) {
         if (follower->table() != question.table || !follower->currentAsOf())
             continue;
         const change_log& log = follower->latestChanges();
@@ -162,6 +202,8 @@
 
 void store_followers::onAccess(std::size_t place, bool reachable)
 {
+    if (isFast())
+        return;
     if (const auto changed = m_access.update(place, reachable))
         m_services.post(registry_access_changed { now(), *changed });
 }
@@ -187,7 +229,7 @@
     m_configurationReadable = isReadable;
     // An unreadable configuration may have revoked an API key, so the known configuration is not confirmed and keeps ageing.
     if (isReadable)
-        m_services.post(configuration_read { now(), sentAt, std::move(newest) });
+        postConfirmation(now(), sentAt, std::move(newest));
 }
 
 // An older copy of the store may lack a zone that was taken out since. It stays out until the operator had the time to
--- a/packages/model/freshness_news.h
+++ b/packages/model/freshness_news.h
@@ -3,6 +3,8 @@
 #include "model/time.h"
 
 #include <cstdint>
+#include <string>
+#include <string_view>
 #include <vector>
 
 namespace appleramp {
@@ -14,7 +16,8 @@
     instant askedAt;
 };
 
-// States that a table's contents with this digest were current at the given age before the answer was sent.
+// States that a table's contents with this digest were current at the given age before the question was received, or before the answer
+// was composed. Negative if they were read after the question had come.
 struct table_confirmation {
     std::uint64_t digest = 0;
     duration age {};
@@ -26,4 +29,44 @@
     std::vector<table_confirmation> tables;
 };
 
+// How calls to the store fail.
+enum class store_symptom {
+    None,
+    // No answer comes.
+    Silent,
+    // Connections fail at once.
+    Broken,
+    // The store answers that it does not execute the call.
+    Refused,
+};
+
+constexpr std::string_view nameOf(store_symptom symptom)
+{
+    switch (symptom) {
+    case store_symptom::None:
+        break;
+    case store_symptom::Silent:
+        return "silent";
+    case store_symptom::Broken:
+        return "broken";
+    case store_symptom::Refused:
+        return "refused";
+    }
+    return "none";
+}
+
+// Tells the other entries of the zone whether the store answers the sender. It confirms no contents.
+struct store_notice {
+    std::string sender;
+    bool isServed = false;
+    // Rises with each change of the prober and of `isServed`; a notice with a lower one is out of date.
+    std::uint32_t turn = 0;
+    // The entry that probes the store for the zone.
+    std::string prober;
+    // Since the sender knows the store to have answered an entry.
+    duration servedAge {};
+    std::uint32_t failures = 0;
+    store_symptom symptom = store_symptom::None;
+};
+
 } // namespace appleramp
--- a/packages/settings/process_settings.h
+++ b/packages/settings/process_settings.h
@@ -56,6 +56,8 @@
 struct store_section {
     socket_address address;
     duration poll {};
+    // Direct entries only.
+    bool fastReturn = false;
 };
 
 // Time bounds, retry budgets and rates of cold endpoints that the deployment guarantees. Direct entries and direct agents
--- a/packages/settings/setting_descriptor.cpp
+++ b/packages/settings/setting_descriptor.cpp
@@ -167,6 +167,14 @@
             .roles = directFleetRoles,
             .doc = "Longest wait of a read for changes; one entry of each zone asks a quiet store this often.",
             .assign = [](settings& s, const value& v) { s.store.poll = milliseconds(v); } },
+        { .section = "store",
+            .key = "fast_return",
+            .type = setting_type::Choice,
+            .defaultValue = "false",
+            .choices = { "true", "false" },
+            .roles = directEntryRole,
+            .doc = "One entry of each zone probes an unavailable store for all and tells them when it answers again.",
+            .assign = [](settings& s, const value& v) { s.store.fastReturn = text(v) == "true"; } },
     };
 }
 
--- a/packages/storefeed/freshness_relay.cpp
+++ b/packages/storefeed/freshness_relay.cpp
@@ -14,12 +14,26 @@
 
 std::optional<std::string> freshness_relay::designatedReader(instant now) const
 {
+    if (m_preferred == m_self && !m_preferred.empty())
+        return std::nullopt;
+    if (const auto preferred = m_peersHeardAt.find(m_preferred); preferred != m_peersHeardAt.end() && now - preferred->second < peerTimeout)
+        return m_preferred;
     const auto first = std::find_if(m_peersHeardAt.begin(), m_peersHeardAt.end(), [&](const auto& peer) { return now - peer.second < peerTimeout; });
     if (first == m_peersHeardAt.end() || m_self < first->first)
         return std::nullopt;
     return first->first;
 }
 
+std::vector<std::string> freshness_relay::heardPeers(instant now) const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, heardAt] : m_peersHeardAt) {
+        if (now - heardAt < peerTimeout)
+            names.push_back(name);
+    }
+    return names;
+}
+
 std::optional<std::string> freshness_relay::readerToQuery(instant now)
 {
     auto target = designatedReader(now);
@@ -36,6 +50,9 @@
         return;
     for (std::size_t table = 0; table < answer.tables.size(); ++table) {
         const confirmation heard { answer.tables[table].digest, answer.askedAt - answer.tables[table].age };
+        // No read was sent at a time that this process's clock has not reached yet.
+        if (heard.currentAsOf > now)
+            continue;
         confirmation& known = m_confirmations[table];
         // Answers may arrive out of order; the newest confirmation is kept.
         if (heard.currentAsOf >= known.currentAsOf)
--- a/packages/storefeed/freshness_relay.h
+++ b/packages/storefeed/freshness_relay.h
@@ -8,6 +8,8 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace appleramp {
 
@@ -25,6 +27,10 @@
     // The entry to query now. None if the last query was less than `queryInterval` ago or this entry polls for its zone.
     std::optional<std::string> readerToQuery(instant now);
     void onAnswer(instant now, const freshness_answer& answer);
+    // Lets this entry read for the zone, instead of the one with the smallest name, as long as it is heard.
+    void setPreferredReader(std::string name) { m_preferred = std::move(name); }
+    // Names of the other entries that are heard, sorted.
+    std::vector<std::string> heardPeers(instant now) const;
     // A time at which the contents with this digest were current; none if older than `confirmationLifetime`.
     std::optional<instant> currentAsOf(instant now, std::size_t table, std::uint64_t digest) const;
 
@@ -40,6 +46,7 @@
 
 private:
     std::string m_self;
+    std::string m_preferred;
     std::map<std::string, instant> m_peersHeardAt;
     instant m_queriedAt;
     struct confirmation {
--- a/packages/storefeed/table_follower.cpp
+++ b/packages/storefeed/table_follower.cpp
@@ -45,16 +45,25 @@
 
 void table_follower::readSnapshot()
 {
+    if (m_handlers.nextReadWait && !m_handlers.nextReadWait())
+        return scheduleNext(m_settings.confirmationCheckInterval, &table_follower::readSnapshot);
     m_snapshotRows.clear();
     m_readSentAt = m_now();
+    m_answerDue = m_readSentAt;
     m_firstPageVersion = 0;
-    m_store.read(m_table, {}, [self = shared_from_this()](store_result result) { self->onSnapshotPage(std::move(result)); });
+    readPage({});
+}
+
+void table_follower::readPage(const std::string& fromKey)
+{
+    m_store.read(m_table, fromKey, [self = shared_from_this(), call = ++m_call](store_result result) {
+        if (!self->isGivenUp(call))
+            self->onSnapshotPage(std::move(result));
+    });
 }
 
 void table_follower::onSnapshotPage(store_result result)
 {
-    if (m_stopped)
-        return;
     if (const auto* const failure = std::get_if<store_failure>(&result))
         return onFailure(*failure);
     auto& page = std::get<store_rows>(result);
@@ -66,10 +75,10 @@
         m_firstPageVersion = page.version;
     std::move(page.rows.begin(), page.rows.end(), std::back_inserter(m_snapshotRows));
     if (page.hasMore && !m_snapshotRows.empty()) {
-        const std::string next = m_snapshotRows.back().key + '\0';
-        m_store.read(m_table, next, [self = shared_from_this()](store_result more) { self->onSnapshotPage(std::move(more)); });
+        readPage(m_snapshotRows.back().key + '\0');
         return;
     }
+    m_answerDue.reset();
     m_version = m_firstPageVersion;
     markReachable();
     // Later pages may be newer, but the contents as a whole are only as recent as the first page.
@@ -92,21 +101,79 @@
     }
     if (m_now() < m_confirmationAwaitedUntil)
         return scheduleNext(m_settings.confirmationCheckInterval, &table_follower::readChanges);
+    const auto wait = m_handlers.nextReadWait ? m_handlers.nextReadWait() : std::optional(m_settings.longPollTimeout);
+    if (!wait)
+        return scheduleNext(m_settings.confirmationCheckInterval, &table_follower::readChanges);
     m_readSentAt = m_now();
-    m_store.changes(m_table, m_version, m_settings.longPollTimeout,
-        [self = shared_from_this()](store_result result) { self->onChanges(std::move(result)); });
+    m_answerDue = m_readSentAt + *wait;
+    m_store.changes(m_table, m_version, *wait, [self = shared_from_this(), call = ++m_call, after = m_version](store_result result) {
+        if (!self->isGivenUp(call))
+            self->onChanges(std::move(result), after);
+    });
+}
+
+void table_follower::probe(probe_handler done)
+{
+    m_store.changes(m_table, m_version, {}, [self = shared_from_this(), after = m_version, sentAt = m_now(), done = std::move(done)](store_result result) {
+        if (self->m_stopped)
+            return;
+        done(sentAt, result);
+        if (auto* const changed = std::get_if<store_rows>(&result))
+            self->onProbed(std::move(*changed), after, sentAt);
+    });
+}
+
+void table_follower::onProbed(store_rows changed, std::uint64_t afterVersion, instant sentAt)
+{
+    // Without a whole read the changes are no table; after another answer they may be older than what is known.
+    if (m_version == 0 || afterVersion != m_version)
+        return;
+    if (changed.generation != m_generation) {
+        isOtherGeneration(changed);
+        ++m_call;
+        m_answerDue.reset();
+        return scheduleNext(randomDuration(m_settings.restoreSpread), &table_follower::readSnapshot);
+    }
+    m_version = std::max(m_version, changed.version);
+    m_digest.apply(changed.rows);
+    m_log.append(changed.rows, m_version);
+    m_currentAsOf = std::max(m_currentAsOf.value_or(sentAt), sentAt);
+    m_handlers.onChanges(std::move(changed.rows), sentAt);
 }
 
-void table_follower::onChanges(store_result result)
+void table_follower::giveUpOverdue()
 {
-    if (m_stopped)
+    if (!m_answerDue || m_now() <= *m_answerDue)
         return;
+    ++m_call;
+    m_answerDue.reset();
+    scheduleRead(m_settings.confirmationCheckInterval);
+}
+
+void table_follower::readNow()
+{
+    giveUpOverdue();
+    if (!m_answerDue)
+        scheduleRead(duration::zero());
+}
+
+void table_follower::scheduleRead(duration pause)
+{
+    scheduleNext(pause, m_version == 0 ? &table_follower::readSnapshot : &table_follower::readChanges);
+}
+
+void table_follower::onChanges(store_result result, std::uint64_t afterVersion)
+{
+    m_answerDue.reset();
     if (const auto* const failure = std::get_if<store_failure>(&result)) {
         if (*failure == store_failure::HistoryTruncated)
             return readSnapshot();
         return onFailure(*failure);
     }
     auto& changed = std::get<store_rows>(result);
+    // A probe was answered meanwhile: these rows may be older than the known ones.
+    if (afterVersion != m_version)
+        return scheduleNext(duration::zero(), &table_follower::readChanges);
     if (isOtherGeneration(changed)) {
         markReachable();
         return scheduleNext(randomDuration(m_settings.restoreSpread), &table_follower::readSnapshot);
@@ -116,8 +183,9 @@
     const bool isQuiet = changed.rows.empty();
     m_digest.apply(changed.rows);
     m_log.append(changed.rows, m_version);
-    m_currentAsOf = changed.age ? m_readSentAt - *changed.age : estimateComposedAt(changed.storeTime);
-    m_handlers.onChanges(std::move(changed.rows), *m_currentAsOf);
+    const instant currentAsOf = changed.age ? m_readSentAt - *changed.age : estimateComposedAt(changed.storeTime);
+    m_currentAsOf = currentAsOf;
+    m_handlers.onChanges(std::move(changed.rows), currentAsOf);
     // An empty answer that came early must not cause a busy loop.
     const bool waited = m_now() - m_readSentAt >= m_settings.readInterval;
     scheduleNext(isQuiet && waited ? duration::zero() : currentReadInterval(), &table_follower::readChanges);
@@ -150,9 +218,15 @@
 {
     if (std::exchange(m_reachable, false))
         m_handlers.onReachability(false);
+    m_answerDue.reset();
+    if (m_handlers.nextReadWait) {
+        // The store may be another one when it answers again, with another clock.
+        m_minClockOffset.reset();
+        return scheduleRead(m_settings.initialBackoff);
+    }
     const duration pause = std::min(m_settings.initialBackoff * (1U << std::min(m_consecutiveFailures, maxBackoffDoublings)), m_settings.maxBackoff);
     ++m_consecutiveFailures;
-    scheduleNext(pause / 2 + randomDuration(pause), m_version == 0 ? &table_follower::readSnapshot : &table_follower::readChanges);
+    scheduleRead(pause / 2 + randomDuration(pause));
 }
 
 duration table_follower::randomDuration(duration longest)
--- a/packages/storefeed/table_follower.h
+++ b/packages/storefeed/table_follower.h
@@ -31,6 +31,9 @@
     std::function<void()> onRestored;
     // Optional: whether another reader of the store confirms the contents with this digest, which makes a read unnecessary.
     std::function<bool(std::uint64_t digest)> isDigestConfirmed;
+    // Optional: whether the follower may read now, and how long a read for changes may wait; nothing if it may not. Without it the
+    // follower backs off by itself.
+    std::function<std::optional<duration>()> nextReadWait;
 };
 
 struct follower_settings {
@@ -67,6 +70,17 @@
     void start();
     void stop();
 
+    // Reads the changes at once, also while another read is in progress, and applies them if none were applied meanwhile. The handler
+    // is called first and gets the time at which the call was sent.
+    using probe_handler = std::function<void(instant sentAt, const store_result& result)>;
+    void probe(probe_handler done);
+    // Gives up a read that is overdue, for example since its connection broke without a sign.
+    void giveUpOverdue();
+    // Reads at once unless a read is in progress that is not overdue.
+    void readNow();
+    // By then the read in progress is answered, unless the answer is late; none without one.
+    std::optional<instant> answerDue() const { return m_answerDue; }
+
     const std::string& table() const { return m_table; }
     // Digest of the known rows.
     std::uint64_t digest() const { return m_digest.value(); }
@@ -79,9 +93,13 @@
 
 private:
     void readSnapshot();
+    void readPage(const std::string& fromKey);
     void onSnapshotPage(store_result result);
+    void onProbed(store_rows changed, std::uint64_t afterVersion, instant sentAt);
+    // Whether the call with this number was given up.
+    bool isGivenUp(std::uint64_t call) const { return m_stopped || call != m_call; }
     void readChanges();
-    void onChanges(store_result result);
+    void onChanges(store_result result, std::uint64_t afterVersion);
     void onFailure(store_failure failure);
     void markReachable();
     // Notes the generation of an answer. Returns true if it is not the one of the known rows.
@@ -89,6 +107,7 @@
     instant estimateComposedAt(duration storeTime);
     duration currentReadInterval() const;
     duration randomDuration(duration longest);
+    void scheduleRead(duration pause);
     void scheduleNext(duration pause, void (table_follower::*next)());
 
     std::unique_ptr<delayed_call> m_timer;
@@ -108,6 +127,9 @@
     // Generation of the store to which the known version belongs; zero before the first answer.
     std::uint64_t m_generation = 0;
     instant m_readSentAt;
+    std::optional<instant> m_answerDue;
+    // Number of the read in progress; answers to those before it are dropped.
+    std::uint64_t m_call = 0;
     // Lower bound of this process's clock minus the store's clock.
     std::optional<duration> m_minClockOffset;
     instant m_startedAt;
--- a/tests/datagrams/datagram_codec_test.cpp
+++ b/tests/datagrams/datagram_codec_test.cpp
@@ -118,6 +118,18 @@
     cr_assert_eq(counts[3], 0);
 }
 
+Test(datagram_codec, notices_about_the_store_pass)
+{
+    const store_notice notice { "entry-1", false, 7, "entry-2", std::chrono::milliseconds(1300), 4, store_symptom::Refused };
+    const auto decoded = std::get<store_notice>(*decodeDatagram(encodeDatagram(notice)));
+    cr_assert_eq(decoded.sender, "entry-1");
+    cr_assert(!decoded.isServed && decoded.turn == 7 && decoded.failures == 4);
+    cr_assert_eq(decoded.prober, "entry-2");
+    cr_assert(decoded.servedAge == std::chrono::milliseconds(1300) && decoded.symptom == store_symptom::Refused);
+    // A negative age would count as evidence of the future.
+    cr_assert(!decodeDatagram(encodeDatagram(store_notice { "entry-1", false, 7, "entry-2", duration(-1) })));
+}
+
 Test(datagram_codec, questions_and_answers_about_freshness_pass)
 {
     const instant askedAt(std::chrono::microseconds(123456789));
--- a/tests/directentry/store_world.cpp
+++ b/tests/directentry/store_world.cpp
@@ -95,9 +95,11 @@
             entry* const target = m_world.find(reader);
             if (target == nullptr || !target->alive)
                 return finish(std::nullopt);
-            m_world.run(*target, [this, target, question, finish] {
+            // This entry may start again while the reader stands still.
+            m_world.run(*target, [&world = m_world, &self = m_self, life = m_self.life, target, question, finish] {
                 const auto rows = target->followers->changesFor(question);
-                m_world.runAfter(m_self, datagramDelay * 2, [finish, rows] { finish(rows); });
+                if (self.life == life)
+                    world.runAfter(self, datagramDelay * 2, [finish, rows] { finish(rows); });
             });
         });
         m_world.runAfter(m_self, readerTimeout, [finish] { finish(std::nullopt); });
@@ -119,9 +121,9 @@
             done(std::move(result));
         };
         m_world.m_store.call(m_self.name, table, after, wait, whole,
-            [this, life = m_self.life, finish](store_result result) {
-                if (m_self.life == life)
-                    m_world.run(m_self, [finish, result = std::move(result)] { finish(result); });
+            [&world = m_world, &self = m_self, life = m_self.life, finish](store_result result) {
+                if (self.life == life)
+                    world.run(self, [finish, result = std::move(result)] { finish(result); });
             });
         m_world.runAfter(m_self, wait + callTimeout, [finish] { finish(store_failure::NoResponse); });
     }
@@ -147,6 +149,7 @@
             self->clockOffset = random(std::chrono::hours(1));
             self->settings.process.instance = instance_id(self->name);
             self->settings.process.zone = self->zone;
+            self->settings.store.fastReturn = m_settings.fastReturn;
             self->settings.store.poll = std::chrono::milliseconds(1000);
             m_store.put(std::string(membersTable), self->name, encodeMember({ true, self->zone, self->name, {}, self->name }));
             m_entries.emplace(self->name, std::move(self));
@@ -174,6 +177,7 @@
     reducer.zone = self.zone;
     reducer.instance = self.name;
     reducer.seed = m_random();
+    reducer.spreadOutageRetries = m_settings.fastReturn;
     self.reducer = std::make_unique<forwarding_reducer>(now() + self.clockOffset, reducer);
     self.store = std::make_unique<client>(*this, self);
     self.followers = std::make_unique<store_followers>(self.settings, *self.store, m_adapter,
@@ -190,7 +194,27 @@
                 const auto found = self.members.find(name);
                 return found == self.members.end() ? nullptr : &found->second;
             },
-            .ask = [this, &self](const auto& question, const member_row& member) { send(self, member.datagramAddress, question); } });
+            .ask = [this, &self](const auto& question, const member_row& member) { send(self, member.datagramAddress, question); },
+            .sendAnswer = [this, &self](const auto& answer, const std::string& address) { send(self, address, answer); },
+            .notifyZone =
+                [this, &self](const store_notice& notice) {
+                    if (!notice.isServed)
+                        m_probers[self.zone.str()] = notice.prober;
+                    for (const auto& [name, member] : self.members) {
+                        if (name != self.name && member.zone == self.zone)
+                            send(self, name, notice);
+                    }
+                },
+            .entryOfOtherZone = [this, &self]() -> const member_row* {
+                std::vector<const member_row*> others;
+                for (const auto& [name, member] : self.members) {
+                    if (member.zone != self.zone)
+                        others.push_back(&member);
+                }
+                return others.empty() ? nullptr : others[m_random() % others.size()];
+            },
+            .onLossNoticed = [](duration) {},
+            .onReturnConfirmed = [](duration) {} });
     self.followers->start(m_random());
     runAfter(self, random(tickInterval), [this, &self] { tick(self); });
     runAfter(self, random(requestInterval), [this, &self] { request(self, "kept"); });
@@ -270,10 +294,12 @@
             self.followers->onPeerHeard(local, from);
         post(self, entry_presence_received { local, *presence });
     } else if (const auto* const question = std::get_if<freshness_question>(&message)) {
-        if (const auto answer = self.followers->answer(*question))
+        if (const auto answer = self.followers->answer(local, from, *question))
             send(self, from, *answer);
     } else if (const auto* const answer = std::get_if<freshness_answer>(&message))
         self.followers->onAnswer(local, *answer);
+    else if (const auto* const notice = std::get_if<store_notice>(&message))
+        self.followers->onNotice(local, *notice);
 }
 
 void store_world::post(entry& self, const forwarding_event& event)
--- a/tests/directentry/store_world.h
+++ b/tests/directentry/store_world.h
@@ -54,6 +54,8 @@
     // No datagram passes between the entry and the others for that long.
     void cut(const std::string& entry, duration length);
 
+    // The entry that probes the lost store for a zone.
+    const std::string& prober(std::size_t zone) const { return m_probers.at(std::string(1, static_cast<char>('a' + zone))); }
     // Fraction of the requests with the valid key that were sent to an endpoint in a span of time; one without requests.
     double served(duration from, duration until) const;
     // From the store's acknowledgement of the revocation to the last use of the key "old"; nothing if it was not used after it.
@@ -100,6 +102,7 @@
     fake_adapter m_adapter;
     std::minstd_rand m_random;
     std::map<std::string, std::unique_ptr<entry>> m_entries;
+    std::map<std::string, std::string> m_probers;
     std::vector<outcome> m_outcomes;
     std::map<std::string, std::vector<confirmation>> m_confirmations;
     std::map<std::string, std::map<std::string, std::vector<instant>>> m_logged;
