--- a/packages/directentry/store_followers.cpp
+++ b/packages/directentry/store_followers.cpp
@@ -42,7 +42,7 @@
     , m_services(std::move(services))
     , m_platformStore(store)
     , m_store(store, { .now = m_services.now,
-                  .onAnswered = [this](instant sentAt, duration lateness) { m_watch.onAnswered(now(), sentAt, lateness); },
+                  .onAnswered = [this](duration lateness) { m_watch.onAnswered(now(), lateness); },
                   .onFailed = [this](instant sentAt, store_failure failure) { m_watch.onFailed(now(), sentAt, failure); } })
     , m_watch(settings.process.instance.str(), {}, std::hash<std::string> {}(settings.process.instance.str()))
     , m_relay(settings.process.instance.str())
@@ -94,7 +94,10 @@
     settings.settledReadInterval = settledMembersGap;
     settings.confirmationWait = membersConfirmationWait;
     m_members = follower(membersPlace, std::string(membersTable), settings, seed + 2,
-        { .onSnapshot = [this](auto rows, instant) { m_services.onMemberRows(rows, !std::exchange(m_membersRestored, false)); },
+        { .onSnapshot = [this](auto rows, instant) {
+              m_services.onMemberRows(rows, !std::exchange(m_membersRestored, false));
+              m_watch.onEntriesKnown(now());
+          },
             .onChanges = [this](auto rows, instant) { m_services.onMemberRows(rows, false); },
             .onReachability = [](bool) {},
             .onRestored = [this] { onMembersRestored(); },
--- a/packages/storefeed/store_watch.cpp
+++ b/packages/storefeed/store_watch.cpp
@@ -19,6 +19,8 @@
 constexpr duration readerNoticeTime = std::chrono::milliseconds(400);
 constexpr duration noticeInterval = std::chrono::milliseconds(150);
 constexpr unsigned servedNotices = 3;
+// Entries that become known so long after the store's return are told of it.
+constexpr duration returnNoticeTime = std::chrono::seconds(1);
 // Probes are sent up to this fraction of the interval earlier, so that zones do not probe in step.
 constexpr double intervalSpread = 0.2;
 // A store that answers this many times later than usual counts as slow, not as lost.
@@ -36,10 +38,12 @@
 {
 }
 
-void store_watch::onAnswered(instant now, instant sentAt, duration lateness)
+void store_watch::onAnswered(instant now, duration lateness)
 {
     m_answerDelay = std::max({ lateness, m_answerDelay / 2, duration::zero() });
-    m_servedAt = std::max(m_servedAt.value_or(sentAt), sentAt);
+    // The latest evidence, not an age of contents: other entries hear of the time at which the store composed an answer, which is later
+    // than when a long poll was sent.
+    m_servedAt = now;
     m_answeredAt = now;
     m_suspectedSince.reset();
     if (m_isLost) {
@@ -108,6 +112,14 @@
     }
 }
 
+void store_watch::onEntriesKnown(instant now)
+{
+    if (m_isLost || !m_regainedAt || now - *m_regainedAt > returnNoticeTime)
+        return;
+    m_servedNotices = servedNotices;
+    m_nextNoticeAt = now;
+}
+
 bool store_watch::hasNewerEvidence(instant now, const store_notice& notice) const
 {
     return m_servedAt && servedAge(now) + evidenceMargin < notice.servedAge;
@@ -122,7 +134,7 @@
     if (m_isLost)
         decideWhileLost(now, others, decision);
     else
-        decideWhileServed(now, isReader, decision);
+        decideWhileServed(now, others.size() + 1, isReader, decision);
     decision.change = std::exchange(m_change, std::nullopt);
     return decision;
 }
@@ -137,7 +149,7 @@
     m_decidedAt = now;
 }
 
-void store_watch::decideWhileServed(instant now, bool isReader, store_watch_decision& decision)
+void store_watch::decideWhileServed(instant now, std::size_t entries, bool isReader, store_watch_decision& decision)
 {
     const duration lateness = std::max(m_settings.lateness, m_answerDelay * slownessFactor);
     if (!m_suspectedSince && m_answerDue && now > *m_answerDue + lateness) {
@@ -155,6 +167,9 @@
             ++m_turn;
             m_prober = m_self;
             m_probesInTurn = 0;
+            // A probe was sent when the suspicion began.
+            if (m_symptom == store_symptom::Silent)
+                m_nextProbeAt = std::max(m_nextProbeAt, now - patience + probeInterval(entries));
             decision.notice = notice(now, false);
             m_nextNoticeAt = now + noticeInterval;
             return;
@@ -162,7 +177,7 @@
         const bool isReadersTurn = !isReader && now - *m_suspectedSince < readerNoticeTime;
         if (now >= m_nextProbeAt && !isReadersTurn) {
             decision.probe = true;
-            m_nextProbeAt = now + (isOverdue ? patience : m_settings.probeInterval);
+            m_nextProbeAt = now + (isOverdue || m_symptom == store_symptom::Silent ? patience : m_settings.probeInterval);
         }
     }
     if (m_servedNotices > 0 && now >= m_nextNoticeAt) {
@@ -210,7 +225,7 @@
     duration longest = entries > 1 ? m_settings.probeInterval : m_settings.loneProbeInterval;
     const auto count = static_cast<duration::rep>(entries);
     if (m_symptom == store_symptom::Silent)
-        longest = std::max(longest, m_servedAt ? m_settings.silentProbeInterval * 3 / (count * 3 - 1) : m_settings.startingProbeInterval / count);
+        longest = std::max(longest, m_servedAt ? m_settings.silentProbeInterval * 2 / (count * 2 - 1) : m_settings.startingProbeInterval / count);
     const double earlier = std::uniform_real_distribution<double>(0, intervalSpread)(m_random);
     return longest - duration(static_cast<duration::rep>(static_cast<double>(longest.count()) * earlier));
 }
--- a/packages/storefeed/store_watch.h
+++ b/packages/storefeed/store_watch.h
@@ -4,6 +4,7 @@
 #include "model/time.h"
 #include "ports/row_store.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <random>
@@ -24,7 +25,7 @@
     duration probeInterval = std::chrono::milliseconds(150);
     // As probeInterval, for an entry that hears no other: each of the four followers would call every 0.8 s.
     duration loneProbeInterval = std::chrono::milliseconds(200);
-    // A store that does not answer is probed at most once in this time for each entry of the zone, less a third of one for the probes
+    // A store that does not answer is probed at most once in this time for each entry of the zone, less half of one for the probes
     // at the loss: without probes each entry would make 0.6 calls per second.
     duration silentProbeInterval = std::chrono::milliseconds(1670);
     // As silentProbeInterval, for an entry that started during the outage: its reads of whole tables would time out earlier.
@@ -65,8 +66,8 @@
 public:
     store_watch(std::string self, store_watch_settings settings, std::uint64_t seed);
 
-    // The store answered a call of this entry that was sent at that time.
-    void onAnswered(instant now, instant sentAt, duration lateness);
+    // The store answered a call of this entry, that much later than the call waited.
+    void onAnswered(instant now, duration lateness);
     void onFailed(instant now, instant sentAt, store_failure failure);
     // Another entry confirmed contents that the store held at that time.
     void onHeardServed(instant servedAt);
@@ -74,6 +75,10 @@
     // The time by which the next answer is due; none without a call in progress.
     void expectAnswer(std::optional<instant> due) { m_answerDue = due; }
 
+    // Entries of the zone became known. Those that started during the outage know no other entry, so that the first one that finds the
+    // store back tells the others as soon as it has read of them.
+    void onEntriesKnown(instant now);
+
     // To be asked at each tick and after each input. `others` are the names of the zone's entries that are heard, sorted.
     store_watch_decision decide(instant now, std::span<const std::string> others, bool isReader);
 
@@ -85,7 +90,7 @@
 
 private:
     void noteStandstill(instant now);
-    void decideWhileServed(instant now, bool isReader, store_watch_decision& decision);
+    void decideWhileServed(instant now, std::size_t entries, bool isReader, store_watch_decision& decision);
     void decideWhileLost(instant now, std::span<const std::string> others, store_watch_decision& decision);
     void probe(instant now, std::size_t entries, store_watch_decision& decision);
     void lose(instant now, const store_access_change& change);
--- a/packages/storefeed/watched_store.cpp
+++ b/packages/storefeed/watched_store.cpp
@@ -40,7 +40,7 @@
         const bool isFromStore = rows == nullptr || !rows->age;
         if (isAnswer && isFromStore) {
             forgetOverdue();
-            m_observers.onAnswered(sentAt, std::max(m_observers.now() - sentAt - wait, duration::zero()));
+            m_observers.onAnswered(std::max(m_observers.now() - sentAt - wait, duration::zero()));
         } else if (!isAnswer && isExpected)
             m_observers.onFailed(sentAt, *failure);
         done(std::move(result));
--- a/packages/storefeed/watched_store.h
+++ b/packages/storefeed/watched_store.h
@@ -18,7 +18,7 @@
     struct observers {
         std::function<instant()> now;
         // `lateness` is the time that the answer took beyond the wait of the call.
-        std::function<void(instant sentAt, duration lateness)> onAnswered;
+        std::function<void(duration lateness)> onAnswered;
         std::function<void(instant sentAt, store_failure failure)> onFailed;
     };
 
--- a/tests/directentry/fake_store.cpp
+++ b/tests/directentry/fake_store.cpp
@@ -64,6 +64,10 @@
 {
     if (modeFor(call.machine) != store_mode::Up)
         return false;
+    if (!call.whole && call.after > m_version) {
+        m_events.runAfter(networkDelay + m_answerDelay, [done = std::move(call.done)] { done(store_failure::HistoryTruncated); });
+        return true;
+    }
     store_rows answer { .version = m_version, .generation = m_generation, .storeTime = m_events.now().time_since_epoch() + m_clockOffset };
     for (const auto& [key, row] : m_rows[call.table]) {
         if (call.whole || row.version > call.after)
--- a/tests/processes/platform_stand_in.py
+++ b/tests/processes/platform_stand_in.py
@@ -85,6 +85,9 @@
     def leave(self):
         self.is_away = True
 
+    def come_back(self):
+        self.is_away = False
+
     def restore(self, backup):
         with self.lock:
             self.rows, self.version = copy.deepcopy(backup)
