Store feed: changes of a later generation are not applied to rows of an earlier one

Cause: after a return from an older copy the whole table is read again; where that read failed, the next one asked for changes from the old version and applied them to the old rows, which confirmed these: what differs before that version, a withdrawn key among it, was missing. The probes and early reads of fast_return made this more likely. Change: table_follower remembers the generation of its rows and reads whole tables until they fit, with and without fast_return; digests use that generation.

--- a/packages/directentry/store_followers.cpp
+++ b/packages/directentry/store_followers.cpp
@@ -41,9 +41,7 @@
     , m_platform(platform)
     , m_services(std::move(services))
     , m_platformStore(store)
-    , m_store(store, { .now = m_services.now,
-                  .onAnswered = [this](duration lateness) { m_watch.onAnswered(now(), lateness); },
-                  .onFailed = [this](instant sentAt, store_failure failure) { m_watch.onFailed(now(), sentAt, failure); } })
+    , m_store(store, { .now = m_services.now, .onAnswered = [this](duration lateness) { m_watch.onAnswered(now(), lateness); }, .onFailed = [this](instant sentAt, store_failure failure) { m_watch.onFailed(now(), sentAt, failure); } })
     , m_watch(settings.process.instance.str(), {}, std::hash<std::string> {}(settings.process.instance.str()))
     , m_relay(settings.process.instance.str())
 {
@@ -55,7 +53,7 @@
     settings.longPollTimeout = m_settings.store.poll;
     settings.readInterval = configurationGap;
     const auto confirmed = [this](std::size_t table) {
-        return [this, table](std::uint64_t digest) { 
+        return [this, table](std::uint64_t digest) {
             // The relay knows digests with the generation of the store.
             const std::uint64_t known = isFast() ? digestOf(*followers().at(table)) : digest;
             return m_relay.currentAsOf(now(), table, known).has_value();
@@ -96,8 +94,7 @@
     m_members = follower(membersPlace, std::string(membersTable), settings, seed + 2,
         { .onSnapshot = [this](auto rows, instant) {
               m_services.onMemberRows(rows, !std::exchange(m_membersRestored, false));
-              m_watch.onEntriesKnown(now());
-          },
+              m_watch.onEntriesKnown(now()); },
             .onChanges = [this](auto rows, instant) { m_services.onMemberRows(rows, false); },
             .onReachability = [](bool) {},
             .onRestored = [this] { onMembersRestored(); },
--- a/packages/directentry/store_followers_watch.cpp
+++ b/packages/directentry/store_followers_watch.cpp
@@ -28,7 +28,7 @@
 // generations must not have equal digests.
 std::uint64_t store_followers::digestOf(const table_follower& follower) const
 {
-    return isFast() ? follower.digest() + follower.generation() * generationFactor : follower.digest();
+    return isFast() ? follower.digest() + follower.rowsGeneration() * generationFactor : follower.digest();
 }
 
 std::optional<duration> store_followers::nextReadWait(std::size_t place, duration longestWait) const
--- a/packages/storefeed/table_follower.cpp
+++ b/packages/storefeed/table_follower.cpp
@@ -128,12 +128,14 @@
     // Without a whole read the changes are no table; after another answer they may be older than what is known.
     if (m_version == 0 || afterVersion != m_version)
         return;
-    if (changed.generation != m_generation) {
-        isOtherGeneration(changed);
+    if (isOtherGeneration(changed)) {
         ++m_call;
         m_answerDue.reset();
-        return scheduleNext(randomDuration(m_settings.restoreSpread), &table_follower::readSnapshot);
+        return scheduleRead(randomDuration(m_settings.restoreSpread));
     }
+    // A whole read of this generation is due.
+    if (needsWholeRead())
+        return;
     m_version = std::max(m_version, changed.version);
     m_digest.apply(changed.rows);
     m_log.append(changed.rows, m_version);
@@ -159,7 +161,7 @@
 
 void table_follower::scheduleRead(duration pause)
 {
-    scheduleNext(pause, m_version == 0 ? &table_follower::readSnapshot : &table_follower::readChanges);
+    scheduleNext(pause, needsWholeRead() ? &table_follower::readSnapshot : &table_follower::readChanges);
 }
 
 void table_follower::onChanges(store_result result, std::uint64_t afterVersion)
--- a/packages/storefeed/table_follower.h
+++ b/packages/storefeed/table_follower.h
@@ -84,8 +84,10 @@
     const std::string& table() const { return m_table; }
     // Digest of the known rows.
     std::uint64_t digest() const { return m_digest.value(); }
-    // Generation of the store in which the known rows were read; zero before the first answer.
+    // Generation of the store that answered last; zero before the first answer.
     std::uint64_t generation() const { return m_generation; }
+    // Generation of the store in which the known rows were read; zero before the first whole read.
+    std::uint64_t rowsGeneration() const { return m_log.generation(); }
     // The latest changes, for processes that take them from this one.
     const change_log& latestChanges() const { return m_log; }
     // A time at which the known rows were certainly current by this follower's own reads; none before the first.
@@ -107,6 +109,8 @@
     instant estimateComposedAt(duration storeTime);
     duration currentReadInterval() const;
     duration randomDuration(duration longest);
+    // The known rows are none of a table of the store's present generation: changes must not be applied to them.
+    bool needsWholeRead() const { return m_version == 0 || m_log.generation() != m_generation; }
     void scheduleRead(duration pause);
     void scheduleNext(duration pause, void (table_follower::*next)());
 
--- a/tests/directentry/store_world.cpp
+++ b/tests/directentry/store_world.cpp
@@ -1,9 +1,5 @@
-#include "store_world.h"
+#include "store_world_state.h"
 
-#include "decisions/forwarding/forwarding_reducer.h"
-#include "directentry/store_followers.h"
-
-#include <algorithm>
 #include <utility>
 
 namespace appleramp::tests {
@@ -19,29 +15,6 @@
 constexpr duration maxReaderAge = std::chrono::milliseconds(1500);
 constexpr std::size_t endpoints = 8;
 
-} // namespace
-
-struct store_world::entry {
-    std::string name;
-    availability_zone_id zone;
-    duration clockOffset {};
-    // Number of starts, by which callbacks of an earlier one are dropped.
-    unsigned life = 0;
-    bool alive = true;
-    instant frozenUntil;
-    instant cutUntil;
-    process_settings settings;
-    std::map<std::string, member_row> members;
-    std::unique_ptr<row_store> store;
-    std::unique_ptr<forwarding_reducer> reducer;
-    std::unique_ptr<store_followers> followers;
-    request_number lastRequest = 0;
-    instant presenceTold;
-    bool unannounced = true;
-};
-
-namespace {
-
 class queued_call : public delayed_call {
 public:
     using scheduler = std::function<void(duration, std::function<void()>)>;
@@ -372,71 +345,4 @@
     runAfter(self, requestInterval, [this, &self, key] { request(self, key); });
 }
 
-double store_world::served(duration from, duration until) const
-{
-    std::size_t all = 0;
-    std::size_t sent = 0;
-    for (const outcome& each : m_outcomes) {
-        if (each.when < instant(from) || each.when >= instant(until))
-            continue;
-        ++all;
-        sent += each.sent ? 1 : 0;
-    }
-    return all == 0 ? 1 : static_cast<double>(sent) / static_cast<double>(all);
-}
-
-std::optional<duration> store_world::lastUseAfterRevocation() const
-{
-    return m_revokedAt && m_lastOldUse && *m_lastOldUse > *m_revokedAt ? std::optional(*m_lastOldUse - *m_revokedAt) : std::nullopt;
-}
-
-std::optional<duration> store_world::lastLogged(const std::string& what, duration from) const
-{
-    duration last {};
-    for (const auto& [name, self] : m_entries) {
-        if (!self->alive)
-            continue;
-        const auto kind = m_logged.find(what);
-        const auto lines = kind == m_logged.end() ? decltype(kind->second.begin()) {} : kind->second.find(name);
-        if (kind == m_logged.end() || lines == kind->second.end())
-            return std::nullopt;
-        const auto first = std::lower_bound(lines->second.begin(), lines->second.end(), instant(from));
-        if (first == lines->second.end())
-            return std::nullopt;
-        last = std::max(last, first->time_since_epoch());
-    }
-    return last;
-}
-
-std::size_t store_world::logged(const std::string& what) const
-{
-    std::size_t count = 0;
-    if (const auto kind = m_logged.find(what); kind != m_logged.end()) {
-        for (const auto& [name, lines] : kind->second)
-            count += lines.size();
-    }
-    return count;
-}
-
-std::vector<duration> store_world::confirmationDelays(duration from) const
-{
-    std::vector<duration> delays;
-    for (const auto& [name, confirmations] : m_confirmations) {
-        const auto first = std::find_if(confirmations.begin(), confirmations.end(), [from](const auto& each) { return each.currentAsOf >= instant(from); });
-        delays.push_back(first == confirmations.end() ? duration::max() : first->when - instant(from));
-    }
-    std::sort(delays.begin(), delays.end());
-    return delays;
-}
-
-std::vector<duration> store_world::retryAfters(duration from, duration until) const
-{
-    std::vector<duration> values;
-    for (const outcome& each : m_outcomes) {
-        if (each.when >= instant(from) && each.when < instant(until) && !each.sent && each.retryAfter)
-            values.push_back(*each.retryAfter);
-    }
-    return values;
-}
-
 } // namespace appleramp::tests
--- a/tests/storefeed/table_follower_test.cpp
+++ b/tests/storefeed/table_follower_test.cpp
@@ -229,6 +229,66 @@
     cr_assert_eq(f.store.next().afterVersion, 22);
 }
 
+// The whole read after a return from an older copy fails once. Changes of the new generation must not be applied to rows of the old
+// one: what differs before the known version would be confirmed as current, a withdrawn key among it.
+Test(table_follower, rows_of_an_earlier_generation_take_no_changes)
+{
+    fixture f;
+    store_rows first = rowsOf({ "a", "b" }, 20);
+    first.generation = 3;
+    f.store.answer(std::move(first));
+    const instant confirmed = f.confirmedAt;
+    f.now += std::chrono::seconds(1);
+    store_rows later = rowsOf({}, 22);
+    later.generation = 4;
+    f.store.answer(std::move(later));
+    f.untilCall();
+    f.store.answer(store_failure::NoResponse);
+    f.untilCall();
+    cr_assert_eq(f.store.next().what, "read op");
+    bool probed = false;
+    f.follower->probe([&probed](instant, const store_result&) { probed = true; });
+    f.store.answer(store_failure::NoResponse);
+    store_rows changes = rowsOf({}, 22);
+    changes.generation = 4;
+    f.store.answer(std::move(changes));
+    cr_assert(probed);
+    cr_assert(f.confirmedAt == confirmed);
+    cr_assert_eq(f.follower->rowsGeneration(), 3);
+}
+
+// A connection that broke without a sign holds a read for its whole timeout.
+Test(table_follower, an_overdue_read_gives_way)
+{
+    fixture f;
+    f.store.answer(rowsOf({ "a" }, 3));
+    cr_assert(f.store.hasCall());
+    f.now += std::chrono::seconds(1);
+    f.follower->readNow();
+    // The answer to the read that was given up is dropped.
+    f.store.answer(rowsOf({ "old" }, 4));
+    cr_assert_eq(f.changed, 0);
+    f.untilCall();
+    cr_assert_eq(f.store.next().afterVersion, 3);
+    f.store.answer(rowsOf({ "b" }, 5));
+    cr_assert_eq(f.changed, 1);
+}
+
+// A probe and the read in progress may be answered in any order. Rows that are older than the known ones must not replace them.
+Test(table_follower, a_probe_that_a_read_overtook_changes_nothing)
+{
+    fixture f;
+    f.store.answer(rowsOf({ "a" }, 3));
+    bool probed = false;
+    f.follower->probe([&probed](instant, const store_result&) { probed = true; });
+    f.store.answer(rowsOf({ "a" }, 5));
+    const std::uint64_t digest = f.follower->digest();
+    f.store.answer(rowsOf({ "a" }, 4));
+    cr_assert(probed);
+    cr_assert_eq(f.changed, 1);
+    cr_assert_eq(f.follower->digest(), digest);
+}
+
 // Two pages of different generations are not one table.
 Test(table_follower, a_table_that_changes_its_generation_between_pages_is_read_from_the_start)
 {
