--- a/packages/storefeed/table_follower.h
+++ b/packages/storefeed/table_follower.h
@@ -3,10 +3,10 @@
 #include "model/time.h"
 #include "ports/row_store.h"
 #include "storefeed/change_log.h"
+#include "storefeed/delayed_call.h"
 #include "storefeed/table_digest.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -31,6 +31,9 @@
     std::function<void()> onRestored;
     // Optional: whether another reader of the store confirms the contents with this digest, which makes a read unnecessary.
     std::function<bool(std::uint64_t digest)> isDigestConfirmed;
+    // Optional: whether the follower may read now, and how long a read for changes may wait; nothing if it may not. Without it the
+    // follower backs off by itself.
+    std::function<std::optional<duration>()> nextReadWait;
 };
 
 struct follower_settings {
@@ -61,15 +64,30 @@
 
     table_follower(boost::asio::io_context& loop, row_store& store, std::string table, follower_settings settings, clock now,
         follower_handlers handlers, std::uint64_t seed);
+    table_follower(std::unique_ptr<delayed_call> timer, row_store& store, std::string table, follower_settings settings, clock now,
+        follower_handlers handlers, std::uint64_t seed);
 
     void start();
     void stop();
 
+    // Reads the changes at once, also while another read is in progress, and applies them if none were applied meanwhile. The handler
+    // is called first and gets the time at which the call was sent.
+    using probe_handler = std::function<void(instant sentAt, const store_result& result)>;
+    void probe(probe_handler done);
+    // Gives up a read that is overdue, for example since its connection broke without a sign.
+    void giveUpOverdue();
+    // Reads at once unless a read is in progress that is not overdue.
+    void readNow();
+    // By then the read in progress is answered, unless the answer is late; none without one.
+    std::optional<instant> answerDue() const { return m_answerDue; }
+
     const std::string& table() const { return m_table; }
     // Digest of the known rows.
     std::uint64_t digest() const { return m_digest.value(); }
-    // Generation of the store in which the known rows were read; zero before the first answer.
+    // Generation of the store that answered last; zero before the first answer.
     std::uint64_t generation() const { return m_generation; }
+    // Generation of the store in which the known rows were read; zero before the first whole read.
+    std::uint64_t rowsGeneration() const { return m_log.generation(); }
     // The latest changes, for processes that take them from this one.
     const change_log& latestChanges() const { return m_log; }
     // A time at which the known rows were certainly current by this follower's own reads; none before the first.
@@ -77,9 +95,13 @@
 
 private:
     void readSnapshot();
+    void readPage(const std::string& fromKey);
     void onSnapshotPage(store_result result);
+    void onProbed(store_rows changed, std::uint64_t afterVersion, instant sentAt);
+    // Whether the call with this number was given up.
+    bool isGivenUp(std::uint64_t call) const { return m_stopped || call != m_call; }
     void readChanges();
-    void onChanges(store_result result);
+    void onChanges(store_result result, std::uint64_t afterVersion);
     void onFailure(store_failure failure);
     void markReachable();
     // Notes the generation of an answer. Returns true if it is not the one of the known rows.
@@ -87,9 +109,12 @@
     instant estimateComposedAt(duration storeTime);
     duration currentReadInterval() const;
     duration randomDuration(duration longest);
+    // The known rows are none of a table of the store's present generation: changes must not be applied to them.
+    bool needsWholeRead() const { return m_version == 0 || m_log.generation() != m_generation; }
+    void scheduleRead(duration pause);
     void scheduleNext(duration pause, void (table_follower::*next)());
 
-    boost::asio::steady_timer m_timer;
+    std::unique_ptr<delayed_call> m_timer;
     row_store& m_store;
     std::string m_table;
     follower_settings m_settings;
@@ -106,6 +131,9 @@
     // Generation of the store to which the known version belongs; zero before the first answer.
     std::uint64_t m_generation = 0;
     instant m_readSentAt;
+    std::optional<instant> m_answerDue;
+    // Number of the read in progress; answers to those before it are dropped.
+    std::uint64_t m_call = 0;
     // Lower bound of this process's clock minus the store's clock.
     std::optional<duration> m_minClockOffset;
     instant m_startedAt;
