--- a/tests/decisions/sharing/sharing_world.cpp
+++ b/tests/decisions/sharing/sharing_world.cpp
@@ -1,9 +1,9 @@
 #include "decisions/sharing/sharing_world.h"
 
 #include "datagrams/datagram_codec.h"
+#include "decisions/sharing/sharing_world_state.h"
 
 #include <algorithm>
-#include <numeric>
 #include <utility>
 
 namespace appleramp::tests {
@@ -14,53 +14,15 @@
 
 constexpr duration tickInterval = 100ms;
 constexpr duration presenceInterval = 700ms;
-constexpr duration reportInterval = 100ms;
-constexpr duration eventInterval = 300ms;
 const service_id engines("engines");
 
 std::string nameOfEntry(std::size_t entry) { return "entry-" + std::to_string(100 + entry); }
 std::size_t numberOf(const instance_id& entry) { return static_cast<std::size_t>(std::stoul(entry.str().substr(6))) - 100; }
-std::string addressOf(std::size_t engine) { return "10.0.0." + std::to_string(engine) + ":80"; }
 std::string pathOf(std::size_t kind) { return "/kind-" + std::to_string(kind) + "/"; }
 availability_zone_id zoneOf(std::size_t number, std::size_t zones) { return availability_zone_id("zone-" + std::to_string(number % zones)); }
-duration scaledBy(duration time, double factor) { return duration(static_cast<duration::rep>(static_cast<double>(time.count()) * factor)); }
 
 } // namespace
 
-struct sharing_world::entry_state {
-    std::unique_ptr<forwarding_reducer> reducer;
-    std::uint64_t life = 0;
-    instant cutUntil;
-    instant frozenUntil;
-    instant presenceToldAt;
-    std::size_t datagrams = 0;
-    std::size_t bytes = 0;
-    // When the requests that wait here began to.
-    std::map<request_number, instant> waitingSince;
-};
-
-struct sharing_world::caller_state {
-    std::size_t kind = 0;
-    std::size_t team = 0;
-    std::size_t entry = 0;
-    instant arrivedAt;
-    instant firstEventAt;
-    request_number send = 0;
-    int sends = 0;
-    bool isImpatient = false;
-    bool isOver = false;
-    bool isServed = false;
-    bool hasLeft = false;
-};
-
-struct sharing_world::engine_state {
-    bool isGone = false;
-    std::set<request_number> running;
-    // By rank and order of arrival.
-    std::map<std::pair<std::uint32_t, std::uint64_t>, request_number> queue;
-    std::uint64_t arrivals = 0;
-};
-
 sharing_world::sharing_world(sharing_world_settings settings)
     : m_settings(std::move(settings))
     , m_random(m_settings.seed)
@@ -211,26 +173,6 @@
     });
 }
 
-void sharing_world::reportLoads()
-{
-    for (std::size_t engine = 0; engine < m_engines.size(); ++engine) {
-        engine_state& state = *m_engines[engine];
-        if (state.isGone)
-            continue;
-        endpoint_load load { addressOf(engine), static_cast<std::uint32_t>(state.running.size()), static_cast<std::uint32_t>(state.queue.size()), 1.0, true };
-        load.startedAtMs = engine + 1;
-        load.subscribers = static_cast<std::uint32_t>(m_entries.size());
-        // Reports of one engine do not overtake each other.
-        const double reportAge = static_cast<double>(engine + 1) / static_cast<double>(m_engines.size());
-        for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
-            schedule(scaledBy(m_settings.reportDelay, reportAge), [this, entry, load, life = m_entries[entry]->life] {
-                whenAwake(entry, life, [this, entry, load] { post(entry, endpoint_load_received { now(), load }); });
-            });
-        }
-    }
-    schedule(reportInterval, [this] { reportLoads(); });
-}
-
 void sharing_world::nextCaller(std::size_t kind)
 {
     const caller_kind& each = m_settings.kinds[kind];
@@ -351,82 +293,6 @@
     }
 }
 
-void sharing_world::reachEngine(std::size_t entry, const send_attempt& attempt)
-{
-    checkInvariants(entry, attempt.request);
-    const auto number = static_cast<std::size_t>(std::stoul(attempt.endpoint.str().substr(2)));
-    schedule(1ms, [this, entry, life = m_entries[entry]->life, number, attempt] {
-        engine_state& engine = *m_engines[number];
-        const caller_state& caller = m_callers[m_sends.at(attempt.request)];
-        if (caller.hasLeft)
-            return;
-        if (engine.isGone || now() < m_closedUntil || engine.queue.size() >= m_settings.queuePlaces) {
-            whenAwake(entry, life, [this, entry, attempt] { post(entry, attempt_ended { now(), attempt.request, attempt_ending::Rejected, false, {} }); });
-            return;
-        }
-        engine.queue.emplace(std::pair(attempt.urgencyRank, ++engine.arrivals), attempt.request);
-        startRunning(number);
-    });
-}
-
-void sharing_world::startRunning(std::size_t number)
-{
-    engine_state& engine = *m_engines[number];
-    while (engine.running.size() < m_settings.slots && !engine.queue.empty()) {
-        const request_number request = engine.queue.begin()->second;
-        engine.queue.erase(engine.queue.begin());
-        engine.running.insert(request);
-        schedule(m_settings.promptTime, [this, number, request] { sendEvent(number, request); });
-        schedule(scaledBy(m_settings.slotTime, 0.8 + 0.4 * fraction()), [this, number, request] { endOnEngine(number, request); });
-    }
-}
-
-void sharing_world::sendEvent(std::size_t number, request_number request)
-{
-    const caller_state& caller = m_callers[m_sends.at(request)];
-    if (!m_engines[number]->running.contains(request) || caller.send != request)
-        return;
-    whenAwake(caller.entry, m_entries[caller.entry]->life, [this, request, entry = caller.entry, index = m_sends.at(request)] {
-        if (!m_callers[index].isOver && m_callers[index].firstEventAt == instant {})
-            m_callers[index].firstEventAt = now();
-        post(entry, stream_advanced { now(), request, std::nullopt });
-    });
-    schedule(eventInterval, [this, number, request] { sendEvent(number, request); });
-}
-
-void sharing_world::endOnEngine(std::size_t number, request_number request)
-{
-    if (m_engines[number]->running.erase(request) == 0)
-        return;
-    caller_state& caller = m_callers[m_sends.at(request)];
-    if (caller.send == request)
-        whenAwake(caller.entry, m_entries[caller.entry]->life, [this, request, entry = caller.entry, index = m_sends.at(request)] {
-            if (!m_callers[index].isOver)
-                m_callers[index].isServed = m_callers[index].isOver = true;
-            post(entry, attempt_succeeded { now(), request });
-        });
-    startRunning(number);
-}
-
-void sharing_world::leaveEngine(request_number number)
-{
-    for (std::size_t engine = 0; engine < m_engines.size(); ++engine) {
-        std::erase_if(m_engines[engine]->queue, [number](const auto& each) { return each.second == number; });
-        if (m_engines[engine]->running.erase(number) > 0)
-            startRunning(engine);
-    }
-}
-
-std::size_t sharing_world::running() const
-{
-    return std::accumulate(m_engines.begin(), m_engines.end(), std::size_t { 0 }, [](std::size_t sum, const auto& engine) { return sum + engine->running.size(); });
-}
-
-std::size_t sharing_world::queued() const
-{
-    return std::accumulate(m_engines.begin(), m_engines.end(), std::size_t { 0 }, [](std::size_t sum, const auto& engine) { return sum + engine->queue.size(); });
-}
-
 std::size_t sharing_world::waitingNow() const
 {
     std::size_t waiting = 0;
@@ -437,47 +303,4 @@
     return waiting;
 }
 
-caller_results sharing_world::results(duration from, duration until, int kind, int team, int impatient) const
-{
-    caller_results results;
-    for (const caller_state& caller : m_callers) {
-        const bool isCounted = caller.arrivedAt >= instant(from) && caller.arrivedAt < instant(until) && (kind < 0 || caller.kind == static_cast<std::size_t>(kind))
-            && (team < 0 || caller.team == static_cast<std::size_t>(team)) && (impatient < 0 || caller.isImpatient == (impatient > 0));
-        if (!isCounted)
-            continue;
-        const caller_kind& each = m_settings.kinds[caller.kind];
-        ++results.callers;
-        results.mostWorth += each.worth;
-        if (caller.hasLeft)
-            ++results.left;
-        else if (!caller.isServed)
-            ++results.refused;
-        else if (caller.firstEventAt - caller.arrivedAt <= each.latencyTarget) {
-            ++results.onTime;
-            results.worth += each.worth;
-        } else {
-            ++results.late;
-            results.worth += each.worthLate;
-        }
-    }
-    return results;
-}
-
-double sharing_world::possibleWorth(duration from, duration until) const
-{
-    double capacity = static_cast<double>(m_engines.size() * m_settings.slots) / std::chrono::duration<double>(m_settings.slotTime).count()
-        * std::chrono::duration<double>(until - from).count();
-    std::vector<std::pair<double, double>> byWorth;
-    for (std::size_t kind = 0; kind < m_settings.kinds.size(); ++kind)
-        byWorth.emplace_back(m_settings.kinds[kind].worth, static_cast<double>(results(from, until, static_cast<int>(kind)).callers));
-    std::sort(byWorth.rbegin(), byWorth.rend());
-    double worth = 0;
-    for (const auto& [each, callers] : byWorth) {
-        const double served = std::min(callers, capacity);
-        worth += each * served;
-        capacity -= served;
-    }
-    return worth;
-}
-
 } // namespace appleramp::tests
