--- a/tests/decisions/sharing/team_shares.h
+++ b/tests/decisions/sharing/team_shares.h
@@ -25,6 +25,7 @@
 inline std::vector<double> teamsOfVeryDifferentSize()
 {
     std::vector<double> teams;
+    teams.reserve(24);
     for (int team = 0; team < 24; ++team)
         teams.push_back(1.0 / (team + 1));
     return teams;
