Groups: a group that forms anew is proposed its last map

Cause: in a new epoch the ranks have map 0, and the next map waited for new choice counts. Change: every agent keeps the map that was in force; the coordinator proposes it once all ranks report in the new epoch.

--- a/packages/decisions/groups/group_agent.cpp
+++ b/packages/decisions/groups/group_agent.cpp
@@ -56,6 +56,7 @@
 
 void group_agent::on(const rank_state_read& event)
 {
+    keepPreviousMap(event.state);
     m_state = event.state;
     m_isOrderPending = false;
     if (!expertListsAreCurrent())
@@ -63,6 +64,16 @@
     advance(event.now);
 }
 
+// Every agent keeps the map, as any may lead in the new epoch.
+void group_agent::keepPreviousMap(const rank_state& next)
+{
+    const bool isNewEpoch = m_state && m_state->epoch < next.epoch;
+    if (!isNewEpoch || m_state->mapVersion == 0)
+        return;
+    if (auto map = m_switch.knownMap(m_state->mapVersion))
+        m_coordinator.setPreviousMap(std::move(map));
+}
+
 void group_agent::on(const expert_lists_read& event)
 {
     m_expertLists = event;
--- a/packages/decisions/groups/group_agent.h
+++ b/packages/decisions/groups/group_agent.h
@@ -131,6 +131,8 @@
     // Whether the expert lists belong to the latest reading of the engine.
     bool expertListsAreCurrent() const;
     void updatePlaceholderMap();
+    // Keeps the map that was in force if the reading shows a new epoch.
+    void keepPreviousMap(const rank_state& next);
 
     std::string m_zone;
     map_switch m_switch;
--- a/packages/decisions/groups/map_switch.cpp
+++ b/packages/decisions/groups/map_switch.cpp
@@ -80,6 +80,12 @@
         m_knownMaps.erase(m_knownMaps.begin());
 }
 
+std::shared_ptr<const group_map> map_switch::knownMap(group_map_version version) const
+{
+    const auto found = m_knownMaps.find(version);
+    return found == m_knownMaps.end() ? nullptr : found->second;
+}
+
 void map_switch::setInitialMap(const group_map& map)
 {
     if (!m_knownMaps.contains(0))
--- a/packages/decisions/groups/map_switch.h
+++ b/packages/decisions/groups/map_switch.h
@@ -41,6 +41,8 @@
     // The latest passes at which this rank will never switch.
     const std::vector<pass_number>& declinedPasses() const { return m_declinedPasses; }
     bool hasDeclined(pass_number pass) const;
+    // The map of that version; null if it is not known.
+    std::shared_ptr<const group_map> knownMap(group_map_version version) const;
     group_map_version proposedVersion() const { return m_proposedVersion; }
     const std::shared_ptr<const group_map>& proposedMap() const { return m_proposedMap; }
     // The switch without an outcome yet, if any. Its version is 0 if the map is not known for certain.
--- a/packages/decisions/groups/switch_coordinator.h
+++ b/packages/decisions/groups/switch_coordinator.h
@@ -78,6 +78,10 @@
     // of the one that is being switched to.
     void adopt(instant now, const switch_id& name, std::uint32_t ranks, std::shared_ptr<const group_map> fallbackMap);
 
+    // Sets the map that was in force in the epoch that ended. It is proposed as soon as all ranks report in the new epoch, as the
+    // group would otherwise keep the initial map until new choices are counted.
+    void setPreviousMap(std::shared_ptr<const group_map> map) { m_previousMap = std::move(map); }
+
     // Returns the messages that are due now. Only a leading coordinator proposes new maps.
     std::vector<outgoing_message> advance(instant now, bool leads, std::uint32_t ownRank);
     std::vector<coordinator_log_event> takeLogEvents();
@@ -119,6 +123,8 @@
     // The pass at which the next switch takes place: far enough ahead for every rank to be held and armed before it.
     pass_number chooseSwitchPass(instant now) const;
     void planNext(instant now, std::vector<outgoing_message>& out);
+    // Proposes the map of the previous epoch if the group has the initial map. Returns whether it did.
+    bool proposePreviousMap(instant now, std::vector<outgoing_message>& out);
     // Sends the proposal until every rank has prepared the map, and then begins the switch.
     void awaitPrepared(instant now, std::vector<outgoing_message>& out);
     // Finds out from the statuses which map an adopted switch is for.
@@ -190,6 +196,7 @@
     // A map that every rank can prepare in place of the proposed one: the map in force when the proposal was made, or one
     // that was proposed to the agent that took over the switch.
     std::shared_ptr<const group_map> m_fallbackMap;
+    std::shared_ptr<const group_map> m_previousMap;
     std::vector<coordinator_log_event> m_logEvents;
     std::vector<silent_rank_action> m_silentRankActions;
 
--- a/packages/decisions/groups/switch_coordinator_planning.cpp
+++ b/packages/decisions/groups/switch_coordinator_planning.cpp
@@ -79,6 +79,8 @@
 
 void switch_coordinator::planNext(instant now, std::vector<outgoing_message>& out)
 {
+    if (proposePreviousMap(now, out))
+        return;
     const std::size_t loadCount = m_popularity.loads().size();
     if (now < m_nextPlanAt || m_limits.planning.experts == 0 || m_popularity.weight() < m_limits.minChoices)
         return;
@@ -105,6 +107,23 @@
     awaitPrepared(now, out);
 }
 
+// The map is proposed once: if it can't be prepared or the switch is aborted, the next map comes from new choices.
+bool switch_coordinator::proposePreviousMap(instant now, std::vector<outgoing_message>& out)
+{
+    if (!m_previousMap || !isComplete(now) || !noRankHeldOrArmed())
+        return false;
+    const auto previous = std::exchange(m_previousMap, nullptr);
+    const group_map current = currentMap();
+    const bool fits = previous->sets() == current.sets() && previous->ranks() == current.ranks();
+    if (!fits || m_statuses.begin()->second.status.mapVersion != 0 || *previous == current)
+        return false;
+    logEvent("map_proposed", "the map of the previous epoch");
+    propose(current, { .map = *previous });
+    enterPhase(now, phase::Preparing);
+    awaitPrepared(now, out);
+    return true;
+}
+
 void switch_coordinator::propose(const group_map& current, group_map_plan plan)
 {
     const rank_status& anyStatus = m_statuses.begin()->second.status;
--- a/tests/decisions/groups/switch_coordinator_test.cpp
+++ b/tests/decisions/groups/switch_coordinator_test.cpp
@@ -312,3 +312,26 @@
     cr_assert_gt(*after, *before);
     cr_assert(now <= shiftAt + 150ms);
 }
+
+// A group that forms anew begins with the initial map. Without this rule it kept it until enough choices were counted again.
+Test(switch_coordinator, the_map_of_the_previous_epoch_is_proposed_at_the_first_contact)
+{
+    constexpr std::uint32_t ranks = 3;
+    const auto initial = group_map::roundRobin(1, 6, ranks);
+    auto previous = std::make_shared<group_map>(initial);
+    previous->at(0, 1).push_back(0);
+    previous->normalize();
+    switch_coordinator coordinator({});
+    coordinator.setPreviousMap(previous);
+    std::vector<outgoing_message> sent;
+    for (std::uint32_t rank = 0; rank < ranks; ++rank) {
+        rank_status status { .rank = rank, .ranks = ranks, .epoch = 2, .groupOpen = true, .pass = 1 };
+        status.experts = { initial.at(0, rank) };
+        coordinator.recordStatus(instant(1s), status);
+        cr_assert_eq(proposedVersion(sent).has_value(), false);
+        sent = coordinator.advance(instant(1s), true, 0);
+    }
+    const auto* const changes = sent.empty() ? nullptr : std::get_if<map_changes>(&sent.front().message);
+    cr_assert(changes != nullptr && changes->epoch == 2);
+    cr_assert(changes->changes == (std::vector<rank_experts> { { 0, 1, previous->at(0, 1) } }));
+}
