Groups: switches with a single hold, not yet set by agents

Cause: each rank's own agent holds its rank; an agent that freezes as it gave its hold stops the group until it wakes, as its engine can't be reached meanwhile. Change: the coordinator gives one hold at another rank; that rank's agent (hold_keeper) confirms it, asks all, permits all to arm, and releases on the outcome. Used where every rank's status names it. The schedules' fake engines lose, delay and double orders of other agents and can't be reached beside a frozen agent.

--- a/packages/decisions/groups/group_agent.cpp
+++ b/packages/decisions/groups/group_agent.cpp
@@ -29,7 +29,8 @@
     return reported.epoch != current.epoch || reported.proposedVersion != current.proposedVersion || reported.groupOpen != current.groupOpen || reported.mapVersion != current.mapVersion
         || reported.experts != current.experts || reported.preparedVersion != current.preparedVersion
         || reported.preparedDigest != current.preparedDigest || reported.armedPass != current.armedPass || reported.heldPass != current.heldPass
-        || reported.declinedPasses != current.declinedPasses;
+        || reported.declinedPasses != current.declinedPasses || reported.unsettledArmPass != current.unsettledArmPass
+        || reported.singleHoldFromPass != current.singleHoldFromPass;
 }
 
 } // namespace
@@ -59,6 +60,7 @@
     keepPreviousMap(event.state);
     m_state = event.state;
     m_isOrderPending = false;
+    m_switch.observe(event.state);
     if (!expertListsAreCurrent())
         m_effects.emplace_back(read_expert_lists {});
     advance(event.now);
@@ -128,6 +130,8 @@
 void group_agent::on(const silent_rank_read& event)
 {
     m_coordinator.recordSilentRankState(event.now, event.state);
+    m_holdKeeper.recordSilentRankState(event.state);
+    runHoldKeeper(event.now);
     runCoordinator(event.now);
 }
 
@@ -157,6 +161,8 @@
 void group_agent::onMessage(instant now, const rank_status& message)
 {
     m_coordinator.recordStatus(now, message);
+    m_holdKeeper.recordStatus(now, message);
+    runHoldKeeper(now);
     runCoordinator(now);
 }
 
@@ -184,6 +190,7 @@
 void group_agent::onMessage(instant now, const switch_request& message)
 {
     m_switch.request(message);
+    noteHolder(message);
     m_statusDue = true;
     advance(now);
 }
@@ -192,6 +199,7 @@
 {
     m_switch.recordOutcome(message);
     m_coordinator.recordOutcome(now, message);
+    m_holdKeeper.recordOutcome(message);
     m_statusDue = true;
     advance(now);
 }
@@ -217,6 +225,7 @@
 {
     if (!m_state)
         return;
+    runHoldKeeper(now);
     issueDueOrder(now);
     reportStatus(now);
     runCoordinator(now);
@@ -246,7 +255,9 @@
         .armedPass = m_state->armedPass,
         .heldPass = m_state->heldPass,
         .declinedPasses = m_switch.declinedPasses(),
-        .slowdownFactor = m_state->slowdownFactor };
+        .slowdownFactor = m_state->slowdownFactor,
+        .singleHoldFromPass = m_switch.singleHoldFromPass(),
+        .unsettledArmPass = m_usesSingleHold ? m_switch.unsettledArmPass() : std::nullopt };
     // Lists that were read for another state would describe other maps than the versions reported here.
     if (expertListsAreCurrent()) {
         reported.experts = m_expertLists.experts;
@@ -265,6 +276,8 @@
     m_statusReportedAt = now;
     m_lastReportedStatus = reported;
     m_coordinator.recordStatus(now, reported);
+    if (!requester)
+        reportToHolder(reported);
     const std::uint32_t target = requester.value_or(m_leaderRank);
     if (target != m_state->rank)
         m_effects.emplace_back(outgoing_message { target, std::move(reported) });
@@ -301,27 +314,8 @@
 {
     if (!m_state)
         return;
-    for (outgoing_message& message : m_coordinator.advance(now, m_leads, m_state->rank)) {
-        // A broadcast, or a message to this rank, does not come back over the network, so it is applied here.
-        const bool isForThisRank = m_state && (!message.rank || *message.rank == m_state->rank);
-        if (isForThisRank) {
-            if (const auto* const proposal = std::get_if<map_proposal>(&message.message))
-                m_switch.propose(*proposal);
-            else if (const auto* const changes = std::get_if<map_changes>(&message.message))
-                applyProposedChanges(*changes);
-            else if (const auto* const request = std::get_if<switch_request>(&message.message))
-                m_switch.request(*request);
-            else if (const auto* const outcome = std::get_if<switch_outcome>(&message.message))
-                m_switch.recordOutcome(*outcome);
-            else if (std::holds_alternative<status_request>(message.message))
-                m_statusDue = true;
-            else if (const auto* const query = std::get_if<status_query>(&message.message))
-                m_switch.handleQuery(query->name, *m_state);
-            m_hasSelfMessage = true;
-        }
-        if (!message.rank || !m_state || *message.rank != m_state->rank)
-            m_effects.emplace_back(std::move(message));
-    }
+    for (outgoing_message& message : m_coordinator.advance(now, m_leads, m_state->rank))
+        sendAndApply(now, std::move(message));
     for (silent_rank_action& action : m_coordinator.takeSilentRankActions())
         std::visit([this](auto& concrete) { m_effects.emplace_back(std::move(concrete)); }, action);
     for (coordinator_log_event& event : m_coordinator.takeLogEvents())
--- a/packages/decisions/groups/group_agent.h
+++ b/packages/decisions/groups/group_agent.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decisions/groups/expert_popularity.h"
+#include "decisions/groups/hold_keeper.h"
 #include "decisions/groups/map_switch.h"
 #include "decisions/groups/switch_coordinator.h"
 #include "model/time.h"
@@ -66,13 +67,15 @@
 };
 // Read the expert lists of the engine; the answer comes as expert_lists_read.
 struct read_expert_lists { };
+// Read the state of this rank's engine at once, and often.
+struct read_rank_state { };
 // A log event.
 struct group_log_event {
     std::string what;
     std::string detail;
 };
 
-using group_effect = std::variant<send_order, read_expert_lists, outgoing_message, read_silent_rank, send_silent_rank_order, group_log_event>;
+using group_effect = std::variant<send_order, read_expert_lists, read_rank_state, outgoing_message, read_silent_rank, send_silent_rank_order, group_log_event>;
 using group_effects = std::vector<group_effect>;
 
 // The reducer of the agent beside one rank: takes that rank's engine through the map switches of its group and, if it
@@ -84,6 +87,8 @@
 public:
     group_agent(coordinator_limits limits, std::string zone);
 
+    // Whether this agent takes part in switches with a single hold; see hold_keeper.
+    void setSingleHold(bool uses);
     void setLimits(coordinator_limits limits) { m_coordinator.setLimits(std::move(limits)); }
     group_effects handle(const group_event& event);
 
@@ -114,6 +119,16 @@
     void onMessage(instant now, const switch_outcome& message);
     void onMessage(instant now, const status_query& message);
     void onMessage(instant now, const status_request& message);
+    void onMessage(instant now, const arm_readiness_request& message);
+    void onMessage(instant now, const arm_readiness& message);
+    void onMessage(instant now, const arm_permission& message);
+    // Runs the part of the holder's agent in a switch with a single hold.
+    void runHoldKeeper(instant now);
+    void noteHolder(const switch_request& request);
+    // Sends the status without the experts to the holder of the switch.
+    void reportToHolder(const rank_status& reported);
+    // Applies a message of this agent's own to this rank, and sends it to the others.
+    void sendAndApply(instant now, outgoing_message message);
 
     // Issues a due order, reports the status and runs the coordinator.
     void advance(instant now);
@@ -137,6 +152,8 @@
     std::string m_zone;
     map_switch m_switch;
     switch_coordinator m_coordinator;
+    hold_keeper m_holdKeeper;
+    bool m_usesSingleHold = false;
     choice_counter m_choices;
     std::optional<rank_state> m_state;
     expert_lists_read m_expertLists;
--- a/packages/decisions/groups/group_messages.h
+++ b/packages/decisions/groups/group_messages.h
@@ -58,8 +58,15 @@
     std::vector<pass_number> declinedPasses;
     // Time that the rank takes for its work, as a multiple of the usual time.
     double slowdownFactor = 1;
+    // The pass from which on the agent takes part in switches with a single hold; none if it does not know them. See hold_keeper.
+    std::optional<pass_number> singleHoldFromPass;
+    // Pass of an arm order that was sent and may still be carried out. 0: the pass is not known, as an earlier process sent it.
+    std::optional<pass_number> unsettledArmPass;
 };
 
+// Whether the rank is not armed for the pass and never will be.
+bool canNeverBeArmed(const rank_status& status, pass_number pass);
+
 // How often one rank's requests chose each expert since its last message, by set and expert.
 struct expert_choice_counts {
     std::uint32_t rank = 0;
@@ -93,6 +100,29 @@
 // Asks every rank to hold before the pass, and then to arm the map for it.
 struct switch_request {
     switch_id name;
+    // With a single hold: the only rank that is held. The other ranks arm when its agent permits it.
+    std::optional<std::uint32_t> holder = std::nullopt;
+};
+
+// The sender's rank is held for the switch. Asks every agent whether its rank can arm.
+struct arm_readiness_request {
+    switch_id name;
+    std::uint32_t holder = 0;
+    // Where the holder's agent receives datagrams, set by its process.
+    std::string address;
+};
+
+// Answer to arm_readiness_request.
+struct arm_readiness {
+    switch_id name;
+    std::uint32_t rank = 0;
+    bool isReady = false;
+};
+
+// Every rank is ready and the holder is still held: asks every rank to arm.
+struct arm_permission {
+    switch_id name;
+    std::uint32_t holder = 0;
 };
 
 // The final outcome of a switch: committed, as all ranks are armed, or aborted, as some rank never will be.
@@ -116,6 +146,6 @@
 };
 
 using group_message = std::variant<coordinator_heartbeat, rank_status, expert_choice_counts, map_proposal, map_changes, switch_request, switch_outcome,
-    status_query, status_request>;
+    status_query, status_request, arm_readiness_request, arm_readiness, arm_permission>;
 
 } // namespace appleramp
--- a/packages/decisions/groups/map_switch.cpp
+++ b/packages/decisions/groups/map_switch.cpp
@@ -45,6 +45,12 @@
     m_holdOrderedPass.reset();
     m_heldSince.reset();
     m_outcomes.clear();
+    m_barredUntil = 0;
+    m_unsettledVersion.reset();
+    m_holder.reset();
+    m_isReady = false;
+    m_isPermitted = false;
+    m_releasablePass.reset();
 }
 
 // Takes over a hold that this agent ordered before a restart. It may have sent the arm order as well, which may still be
@@ -114,6 +120,8 @@
         m_isInferred = false;
         return;
     }
+    if (request.holder && !m_usesSingleHold)
+        return;
     if (request.name.epoch != m_epoch || hasDeclined(request.name.pass) || decisionAt(request.name.pass))
         return;
     if (m_switch && *m_switch != request.name && !decisionAt(m_switch->pass))
@@ -121,6 +129,9 @@
     if (m_switch == request.name)
         return;
     m_switch = request.name;
+    m_holder = request.holder;
+    m_isReady = false;
+    m_isPermitted = false;
     m_isInferred = false;
     m_holdRefused = false;
     m_holdRefusedOrderCount.reset();
@@ -130,6 +141,10 @@
 {
     if (outcome.name.epoch != m_epoch || decisionAt(outcome.name.pass))
         return;
+    // With a single hold, two switches to different maps at one pass may have different outcomes.
+    const bool isForOtherMap = m_switch && m_switch->pass == outcome.name.pass && outcome.name.version != 0 && m_switch->version != outcome.name.version;
+    if (m_usesSingleHold && isForOtherMap)
+        return;
     m_outcomes.push_back(outcome);
     if (m_outcomes.size() > maxRememberedOutcomes)
         m_outcomes.pop_front();
@@ -161,16 +176,28 @@
     return m_isInferred ? switch_id { m_switch->epoch, 0, m_switch->pass } : *m_switch;
 }
 
-std::optional<rank_order> map_switch::advance(instant now, const rank_state& state)
+void map_switch::observe(const rank_state& state)
 {
     if (state.epoch != m_epoch)
         enterEpoch(state.epoch);
+    if (m_usesSingleHold)
+        inspectFirstReading(state);
+}
+
+std::optional<rank_order> map_switch::advance(instant now, const rank_state& state)
+{
+    observe(state);
     if (!state.heldPass)
         m_heldSince.reset();
     else if (!m_heldSince)
         m_heldSince = now;
-    adoptPreviousHold(state);
+    if (!m_usesSingleHold)
+        adoptPreviousHold(state);
     clearSettledArm(state);
+    if (auto replace = replaceUnsettledMapOrder(now, state))
+        return replace;
+    if (m_usesSingleHold && ((state.heldPass && !isOwnHold(state)) || (m_switch && m_holder)))
+        return singleHoldOrder(now, state);
     if (state.heldPass) {
         if (const auto outcome = decisionAt(*state.heldPass))
             return orderAfterOutcome(now, state, *state.heldPass, *outcome);
@@ -250,8 +277,9 @@
     }
     // Before a restart this agent may have armed the rank and released it on an outcome that it no longer knows.
     const bool isArmed = state.armedPass && *state.armedPass <= pass;
-    const bool takesPart = isArmed || (m_switch && m_switch->pass == pass) || m_armSentPass == pass;
-    if (!takesPart && state.pass < pass && !decisionAt(pass))
+    const bool isWithdrawable = m_holder && m_armSentPass != pass;
+    const bool takesPart = isArmed || (m_switch && m_switch->pass == pass && !isWithdrawable) || m_armSentPass == pass || m_unsettledVersion;
+    if (!takesPart && state.pass < pass && (m_usesSingleHold ? decisionAt(pass) != true : !decisionAt(pass)))
         decline(pass);
 }
 
@@ -273,6 +301,8 @@
     const switch_id& name = *m_switch;
     if (const auto outcome = decisionAt(name.pass)) {
         // After an abort, a rank that is armed but no longer held would switch alone at the pass, so it is disarmed.
+        if (!*outcome && m_usesSingleHold && !state.heldPass)
+            return undoArmOrder(now, state);
         if (!*outcome && state.armedPass == name.pass)
             return orderAfterOutcome(now, state, name.pass, false);
         if (!state.heldPass)
--- a/packages/decisions/groups/map_switch.h
+++ b/packages/decisions/groups/map_switch.h
@@ -12,6 +12,10 @@
 
 namespace appleramp {
 
+// A switch with a single hold takes place at most this many passes ahead, which bounds how long an order of an earlier
+// process can matter. A switch is requested 0.9 s ahead at most, and passes take 10 ms or longer.
+constexpr pass_number singleHoldHorizon = 128;
+
 // The part of one rank in the map switches of its group: a two-phase commit without a durable coordinator.
 //
 // The rank holds the group before the pass, arms the map for it, and is released only on a final outcome: committed, when
@@ -20,7 +24,9 @@
 // reading of the engine. Each order carries the expected count of orders begun, so that a delayed copy has no effect.
 class map_switch {
 public:
-    // Takes a new reading of the engine. Returns the order that is due, if any.
+    // Takes a new reading of the engine, before anything else is decided on it.
+    void observe(const rank_state& state);
+    // Returns the order that is due after that reading, if any.
     std::optional<rank_order> advance(instant now, const rank_state& state);
 
     void propose(const map_proposal& proposal);
@@ -31,6 +37,26 @@
     // Sets a map under which this rank keeps the experts that it holds now. It replaces a prepared map after an abort.
     void setPlaceholderMap(std::shared_ptr<const group_map> map) { m_placeholderMap = std::move(map); }
     void request(const switch_request& request);
+
+    // Switches with a single hold: the rank arms without a hold of its own, once the agent of the held rank permits it.
+
+    void setSingleHold(bool uses) { m_usesSingleHold = uses; }
+    // Whether this agent takes part in them. A restarted agent does not until every pass has begun that its predecessor may
+    // have been asked about, so that what the predecessor declined stays declined.
+    bool mayUseSingleHold(const rank_state& state) const { return m_usesSingleHold && m_hasFirstReading && state.epoch == m_epoch && state.pass >= m_barredUntil; }
+    std::optional<pass_number> singleHoldFromPass() const { return m_usesSingleHold && m_hasFirstReading ? std::optional(m_barredUntil) : std::nullopt; }
+    // Whether the rank can arm for that switch as soon as it is permitted.
+    bool isReady(const arm_readiness_request& request, const rank_state& state);
+    void permit(const arm_permission& permission);
+    // Declines the pass unless the rank may be armed for it. Returns whether it is declined.
+    bool withdraw(pass_number pass, const rank_state& state);
+    // The hold before that pass protects no arm order any more, so the rank may be released.
+    void allowRelease(std::optional<pass_number> pass) { m_releasablePass = pass; }
+    // Whether the rank is held by an order of this process.
+    bool isOwnHold(const rank_state& state) const { return state.heldPass && m_holdOrderedPass == state.heldPass; }
+    // The held rank of the single-hold switch that the rank takes part in.
+    std::optional<std::uint32_t> holder() const { return m_switch ? m_holder : std::nullopt; }
+    std::optional<pass_number> unsettledArmPass() const { return m_unsettledVersion ? std::optional<pass_number>(0) : m_armSentPass; }
     void recordOutcome(const switch_outcome& outcome);
     // Another rank is held at that pass. Declines the pass for good if this rank takes no part in a switch there.
     void handleQuery(const switch_id& name, const rank_state& state);
@@ -69,6 +95,16 @@
     // Whether the rank is held for a pass that it has declined and can be released without an outcome.
     bool mayReleaseDeclined(const rank_state& state) const;
     rank_order makeOrder(const rank_state& state, rank_order_kind kind) const;
+    // After a start: takes over what the engine shows of the predecessor's switch.
+    void inspectFirstReading(const rank_state& state);
+    std::optional<rank_order> replaceUnsettledMapOrder(instant now, const rank_state& state);
+    // The order that is due in a switch with a single hold.
+    std::optional<rank_order> singleHoldOrder(instant now, const rank_state& state);
+    // Undoes the arm order of an aborted switch, or makes it void, and then declines the pass.
+    std::optional<rank_order> undoArmOrder(instant now, const rank_state& state);
+    bool isReleasable(const rank_state& state) const;
+    // Whether an arm order for the pass may have been or may still be carried out.
+    bool mayBeArmed(pass_number pass, const rank_state& state) const;
 
     group_epoch m_epoch = 0;
     std::shared_ptr<const group_map> m_proposedMap;
@@ -82,6 +118,17 @@
     // The order count that this order expected; a higher count in a reading shows that the engine has begun it.
     std::uint64_t m_prepareExpectedCount = 0;
 
+    bool m_usesSingleHold = false;
+    bool m_hasFirstReading = false;
+    pass_number m_barredUntil = 0;
+    // The map that the predecessor of this process had prepared, and may have ordered to be armed.
+    std::optional<group_map_version> m_unsettledVersion;
+    std::optional<std::uint32_t> m_holder;
+    // This process answered that the rank can arm for m_switch.
+    bool m_isReady = false;
+    bool m_isPermitted = false;
+    std::optional<pass_number> m_releasablePass;
+
     std::optional<switch_id> m_switch;
     // The switch was inferred from a hold that this agent ordered before a restart, so its map is not known for certain.
     bool m_isInferred = false;
--- a/packages/decisions/groups/switch_coordinator.cpp
+++ b/packages/decisions/groups/switch_coordinator.cpp
@@ -83,6 +83,7 @@
         m_proposal = { name.epoch, name.version, {} };
     m_switch = name;
     m_isAdopted = true;
+    m_holder.reset();
     addMissingRanks(now, ranks);
     logEvent("switch_adopted", "pass " + std::to_string(name.pass));
     enterPhase(now, phase::Switching);
@@ -159,6 +160,8 @@
         found->second.status.rank = rank;
         found->second.status.ranks = ranks;
         found->second.status.epoch = m_switch.epoch;
+        if (m_usesSingleHold)
+            found->second.status.singleHoldFromPass = 0;
         found->second.receivedAt = now - silentRankTimeout;
     }
 }
@@ -235,6 +238,7 @@
 {
     m_switch = { m_proposal.epoch, m_proposal.version, chooseSwitchPass(now) };
     m_isAdopted = false;
+    m_holder = chooseHolder();
     m_switchBeganAt = now;
     enterPhase(now, phase::Switching);
     awaitArmed(now, out);
@@ -286,8 +290,10 @@
     // ranks that still take no part decline, so that the others are not held for long.
     if (m_isAdopted || now - m_phaseEnteredAt >= declineTimeout)
         out.push_back({ std::nullopt, status_query { m_switch, m_ownRank } });
-    else
-        out.push_back({ std::nullopt, switch_request { m_switch } });
+    else {
+        out.push_back({ std::nullopt, switch_request { m_switch, m_holder } });
+        orderSingleHold();
+    }
 }
 
 void switch_coordinator::conclude(instant now, bool committed, std::vector<outgoing_message>& out)
--- a/packages/decisions/groups/switch_coordinator.h
+++ b/packages/decisions/groups/switch_coordinator.h
@@ -18,6 +18,9 @@
 
 namespace appleramp {
 
+// Agents of ranks below this number know the addresses of the other agents, and can send to all of them.
+constexpr std::uint32_t coordinatorCandidates = 4;
+
 struct coordinator_limits {
     planning_limits planning;
     // Relative reduction of the imbalance from which a new map is worth its copies.
@@ -70,6 +73,8 @@
     }
 
     void setLimits(coordinator_limits limits) { m_limits = std::move(limits); }
+    // Whether switches have a single hold if every rank's agent knows it; see hold_keeper.
+    void setSingleHold(bool uses) { m_usesSingleHold = uses; }
     void recordStatus(instant now, const rank_status& status);
     void recordChoices(instant now, const expert_choice_counts& choices);
     // Another agent sent the outcome of a switch.
@@ -143,6 +148,12 @@
     bool hasConflictingArms() const;
     bool hasDeclined(const rank_status& status) const;
     bool isReleased(const rank_status& status) const;
+    // The rank to hold in a switch with a single hold; none if some agent does not know it.
+    std::optional<std::uint32_t> chooseHolder();
+    // Gives the single hold, again if the holder has not reported it.
+    void orderSingleHold();
+    // Whether a hold of an aborted switch protects no arm order any more.
+    bool mayReleaseAborted() const;
     void enterPhase(instant now, phase next);
     // Sent to all ranks at first, and later to those in `unaware`, which have not reported that they received it.
     void sendProposal(std::span<const std::uint32_t> unaware, std::vector<outgoing_message>& out);
@@ -197,6 +208,10 @@
     // that was proposed to the agent that took over the switch.
     std::shared_ptr<const group_map> m_fallbackMap;
     std::shared_ptr<const group_map> m_previousMap;
+    bool m_usesSingleHold = false;
+    // The held rank of the switch if it has a single hold.
+    std::optional<std::uint32_t> m_holder;
+    std::uint32_t m_lastHolder = 0;
     std::vector<coordinator_log_event> m_logEvents;
     std::vector<silent_rank_action> m_silentRankActions;
 
--- a/packages/decisions/groups/switch_coordinator_planning.cpp
+++ b/packages/decisions/groups/switch_coordinator_planning.cpp
@@ -161,6 +161,14 @@
         logEvent("map_given_up", "version " + std::to_string(m_proposal.version) + " was not prepared by every rank in time");
         return enterPhase(now, phase::Idle);
     }
+    // A restarted agent replaced the map that its predecessor had prepared, and can't prepare it again.
+    const bool isReplaced = std::any_of(m_statuses.begin(), m_statuses.end(), [this](const auto& entry) {
+        return entry.second.status.preparedVersion.value_or(0) > m_proposal.version;
+    });
+    if (m_usesSingleHold && isReplaced) {
+        logEvent("map_given_up", "version " + std::to_string(m_proposal.version) + " was replaced");
+        return enterPhase(now, phase::Idle);
+    }
     std::size_t prepared = 0;
     std::vector<std::uint32_t> unaware;
     for (const auto& [rank, known] : m_statuses) {
--- a/packages/decisions/groups/switch_coordinator_silent.cpp
+++ b/packages/decisions/groups/switch_coordinator_silent.cpp
@@ -82,6 +82,8 @@
         order.version = m_switch.version;
         return order;
     }
+    if (!m_isCommitted && !mayReleaseAborted())
+        return std::nullopt;
     order.kind = rank_order_kind::Release;
     order.pass = m_switch.pass;
     return order;
--- a/tests/decisions/groups/group_schedule.cpp
+++ b/tests/decisions/groups/group_schedule.cpp
@@ -22,8 +22,14 @@
 // Longest freeze of an agent; it may begin at the end of the fault period.
 constexpr duration maxFreeze = std::chrono::seconds(5);
 constexpr duration readInterval = std::chrono::milliseconds(40);
+// A reading that the agent asks for at once.
+constexpr duration promptReadDelay = std::chrono::milliseconds(8);
 constexpr duration passInterval = std::chrono::milliseconds(35);
 constexpr duration orderTimeout = std::chrono::milliseconds(100);
+// Before a giver of a hold is frozen or killed, the agents have found their leader and begun to use single holds.
+constexpr duration quietStart = std::chrono::seconds(8);
+constexpr duration giverFaultTime = std::chrono::seconds(4);
+constexpr double undeliveredOrderSurvives = 0.5;
 constexpr duration choicesInterval = std::chrono::milliseconds(150);
 constexpr duration demandShiftInterval = std::chrono::milliseconds(2500);
 
@@ -80,6 +86,8 @@
         instant frozenUntil;
         instant disconnectedUntil;
         bool busy = false;
+        // Identifies the latest planned reading of the engine; earlier ones are dropped.
+        std::uint64_t plannedReading = 0;
         std::optional<rank_order> order;
         bool listsDue = false;
     };
@@ -113,6 +121,7 @@
         self = agent {};
         self.incarnation = life;
         self.running = true;
+        self.reducer.setSingleHold(static_cast<double>(rank) < m_faults.singleHold * ranks);
         runForAgent(rank, between(1, 40), [this, rank] { readEngine(rank); });
     }
 
@@ -153,12 +162,22 @@
                 continueAgent(rank, readInterval);
             });
         }
-        runForAgent(rank, pause, [this, rank] { readEngine(rank); });
+        planReading(rank, pause);
+    }
+
+    void planReading(std::size_t rank, duration pause)
+    {
+        const std::uint64_t planned = ++m_agents[rank].plannedReading;
+        runForAgent(rank, pause, [this, rank, planned] {
+            if (m_agents[rank].plannedReading == planned)
+                readEngine(rank);
+        });
     }
 
     void sendOrder(std::size_t rank, const rank_order& order)
     {
         m_agents[rank].busy = true;
+        countOrder(rank, order, false);
         const bool faulty = m_now < instant {} + faultPeriod;
         const auto apply = [this, rank, order] { return m_group.apply(rank, order); };
         const auto done = [this, rank, order](bool refused) {
@@ -192,16 +211,24 @@
                 readSilentRank(rank, foreign->rank);
             else if (const auto* const order = std::get_if<send_silent_rank_order>(&effect))
                 orderSilentRank(rank, *order);
+            else if (std::holds_alternative<read_rank_state>(effect) && !m_agents[rank].busy)
+                planReading(rank, promptReadDelay);
         }
         if (m_agents[rank].order)
             continueAgent(rank, readInterval);
     }
 
+    bool isReachable(std::size_t from, std::size_t engine) const
+    {
+        const bool isFrozen = m_faults.frozenEnginesAreUnreachable && m_agents[engine].frozenUntil > m_now;
+        return m_agents[from].disconnectedUntil <= m_now && !isFrozen;
+    }
+
     // A reading of another rank's engine is 100 to 300 ms old when it arrives. An engine can be reached even if its own agent
     // is cut off.
     void readSilentRank(std::size_t rank, std::size_t other)
     {
-        if (m_agents[rank].disconnectedUntil > m_now)
+        if (!isReachable(rank, other))
             return;
         const rank_state state = m_group.read(other);
         runForAgent(rank, between(100, 300), [this, rank, state] { handle(rank, silent_rank_read { m_now, state }); });
@@ -209,10 +236,48 @@
 
     void orderSilentRank(std::size_t rank, const send_silent_rank_order& effect)
     {
+        countOrder(rank, effect.order, true);
+        const auto apply = [this, effect] { m_group.apply(effect.rank, effect.order); };
         const bool faulty = m_now < instant {} + faultPeriod;
+        if (!isReachable(rank, effect.rank)) {
+            const instant wakes = m_agents[effect.rank].frozenUntil;
+            if (wakes > m_now && chance(undeliveredOrderSurvives))
+                runAfter(wakes - m_now + between(1, 50), apply);
+            return;
+        }
+        if (faulty && chance(m_faults.foreignOrderFaults)) {
+            const bool isLost = chance(undeliveredOrderSurvives);
+            if (!isLost)
+                runAfter(between(200, 12000), apply);
+            if (isLost || chance(undeliveredOrderSurvives))
+                return;
+        }
         const bool isLate = faulty && chance(m_faults.lateOrders);
-        if (m_agents[rank].disconnectedUntil <= m_now)
-            runAfter(isLate ? between(2000, 12000) : between(1, 6), [this, effect] { m_group.apply(effect.rank, effect.order); });
+        runAfter(isLate ? between(2000, 12000) : between(1, 6), apply);
+    }
+
+    void countOrder(std::size_t rank, const rank_order& order, bool isForeign)
+    {
+        ++m_result.orders;
+        m_result.foreignOrders += isForeign ? 1 : 0;
+        const bool hitsGiver = (m_faults.freezeAtHold || m_faults.killAtHold) && order.kind == rank_order_kind::Hold && m_now > instant {} + quietStart;
+        if (!hitsGiver || std::exchange(m_giverWasHit, true))
+            return;
+        if (m_faults.freezeAtHold)
+            m_agents[rank].frozenUntil = m_now + giverFaultTime;
+        else
+            // The order is sent before the agent ends.
+            runAfter(duration(1), [this, rank] { killAgent(rank, giverFaultTime); });
+    }
+
+    void killAgent(std::size_t rank, duration downTime)
+    {
+        m_agents[rank].running = false;
+        ++m_agents[rank].incarnation;
+        runAfter(downTime, [this, rank] {
+            if (!m_agents[rank].running)
+                startAgent(rank);
+        });
     }
 
     void send(std::size_t from, const outgoing_message& message)
@@ -284,12 +349,7 @@
         const auto drawTime = [this] { return between(1000, static_cast<int>(faultPeriod / std::chrono::milliseconds(1))); };
         for (int count = 0; count < m_faults.agentKills; ++count)
             runAfter(drawTime(), [this, rank = drawRank()] {
-                m_agents[rank].running = false;
-                ++m_agents[rank].incarnation;
-                runAfter(between(200, 4000), [this, rank] {
-                    if (!m_agents[rank].running)
-                        startAgent(rank);
-                });
+                killAgent(rank, between(200, 4000));
             });
         for (int count = 0; count < m_faults.agentFreezes; ++count)
             runAfter(drawTime(), [this, rank = drawRank()] { m_agents[rank].frozenUntil = m_now + between(200, 5000); });
@@ -308,6 +368,7 @@
     std::uint64_t m_sequence = 0;
     instant m_now;
     instant m_lastPass;
+    bool m_giverWasHit = false;
     group_schedule_result m_result;
 };
 
@@ -330,7 +391,9 @@
         .agentKills = upTo(5),
         .agentFreezes = upTo(5),
         .regroupings = upTo(2),
-        .disconnections = upTo(4) };
+        .disconnections = upTo(4),
+        .foreignOrderFaults = sometimes(0.3),
+        .frozenEnginesAreUnreachable = random() % 4 != 0 };
 }
 
 } // namespace appleramp
