--- a/tests/datagrams/datagram_codec_test.cpp
+++ b/tests/datagrams/datagram_codec_test.cpp
@@ -109,6 +109,17 @@
     cr_assert(roundTrip<map_proposal>(proposal).map == proposal.map);
     cr_assert(roundTrip<switch_outcome>(switch_outcome { { 1, 2, 3 }, true }).name == (switch_id { 1, 2, 3 }));
     cr_assert(roundTrip<status_query>(status_query { { 4, 5, 6 }, 2 }).name == (switch_id { 4, 5, 6 }));
+    cr_assert(roundTrip<switch_request>(switch_request { { 4, 5, 6 }, 2 }).holder == 2);
+    cr_assert_not(roundTrip<switch_request>(switch_request { { 4, 5, 6 } }).holder);
+    const auto question = roundTrip<arm_readiness_request>(arm_readiness_request { { 4, 5, 6 }, 3, "10.0.0.1:1" });
+    cr_assert(question.name == (switch_id { 4, 5, 6 }) && question.holder == 3 && question.address == "10.0.0.1:1");
+    const auto readiness = roundTrip<arm_readiness>(arm_readiness { { 4, 5, 6 }, 2, true });
+    cr_assert(readiness.rank == 2 && readiness.isReady);
+    cr_assert(roundTrip<arm_permission>(arm_permission { { 4, 5, 6 }, 2 }).holder == 2);
+    // Older agents leave the member out.
+    cr_assert_not(roundTrip<rank_status>(rank_status {}).singleHoldFromPass);
+    const auto knowing = roundTrip<rank_status>(rank_status { .singleHoldFromPass = 130, .unsettledArmPass = 0 });
+    cr_assert(knowing.singleHoldFromPass == 130 && knowing.unsettledArmPass == 0);
     const map_changes changes { 2, 9, 8, { { 11, 71, { 143, 2 } }, { 0, 3, {} } } };
     cr_assert(roundTrip<map_changes>(changes).changes == changes.changes);
     // The one-byte encoding changes counts by a few percent.
--- a/tests/decisions/groups/switch_coordinator_test.cpp
+++ b/tests/decisions/groups/switch_coordinator_test.cpp
@@ -335,3 +335,60 @@
     cr_assert(changes != nullptr && changes->epoch == 2);
     cr_assert(changes->changes == (std::vector<rank_experts> { { 0, 1, previous->at(0, 1) } }));
 }
+
+namespace {
+
+// The request that a coordinator of the rank sends in a group of four, of which all agents know single holds but perhaps one.
+switch_request requestOf(std::uint32_t ownRank, bool allKnow)
+{
+    constexpr std::uint32_t ranks = 4;
+    const auto initial = group_map::roundRobin(1, 8, ranks);
+    auto next = initial;
+    next.at(0, 1).push_back(0);
+    next.normalize();
+    switch_coordinator coordinator({});
+    coordinator.setSingleHold(true);
+    coordinator.setPreviousMap(std::make_shared<group_map>(next));
+    group_map_version version = 0;
+    for (instant now(1s); now < instant(3s); now += 20ms) {
+        for (std::uint32_t rank = 0; rank < ranks; ++rank) {
+            rank_status status { .rank = rank, .ranks = ranks, .epoch = 2, .groupOpen = true, .pass = 200 };
+            status.experts = { initial.at(0, rank) };
+            if (allKnow || rank != 3)
+                status.singleHoldFromPass = 130;
+            if (version != 0) {
+                status.proposedVersion = version;
+                status.preparedVersion = version;
+                status.preparedDigest = next.rankDigest(rank);
+            }
+            coordinator.recordStatus(now, status);
+        }
+        for (const outgoing_message& message : coordinator.advance(now, true, ownRank)) {
+            if (const auto* const changes = std::get_if<map_changes>(&message.message))
+                version = changes->version;
+            if (const auto* const request = std::get_if<switch_request>(&message.message))
+                return *request;
+        }
+    }
+    return {};
+}
+
+} // namespace
+
+// Found by check_single_hold: a late order of one coordinator released the hold of another one's switch at the same pass.
+Test(switch_coordinator, no_two_coordinators_use_a_single_hold_at_one_pass)
+{
+    for (std::uint32_t rank = 0; rank < 4; ++rank) {
+        const switch_request request = requestOf(rank, true);
+        cr_assert(request.holder && *request.holder != rank);
+        cr_assert_eq(request.name.pass % 4, rank);
+    }
+}
+
+// Failure: an agent of an older build arms under a hold of its own rank only, and would never take part.
+Test(switch_coordinator, every_rank_is_held_if_one_agent_does_not_know_single_holds)
+{
+    const switch_request request = requestOf(0, false);
+    cr_assert_gt(request.name.pass, 200);
+    cr_assert_not(request.holder);
+}
