Groups: an aborted switch with a single hold is undone before another is taken

Cause: a request replaced a switch whose order to arm was still to be undone; a coordinator that did not know the map of a switch took another prepared map as proof that a rank never arms; an abort of one map counted for another; a second holder's question took readiness back, and a second request an earlier one. Change: the rank takes no other switch while an order to arm is unsettled, whose version is kept with it; a coordinator that is not certain of the version trusts only replacements of its own; outcomes are compared by version; requests are kept.

--- a/packages/decisions/groups/hold_keeper.cpp
+++ b/packages/decisions/groups/hold_keeper.cpp
@@ -18,6 +18,9 @@
 constexpr duration silentRankTimeout = std::chrono::milliseconds(450);
 constexpr duration silentRankReadInterval = std::chrono::milliseconds(120);
 
+// Requests whose hold was not read yet.
+constexpr std::size_t maxRememberedRequests = 4;
+
 } // namespace
 
 void hold_keeper::logEvent(std::string what)
@@ -86,16 +89,22 @@
 
 void hold_keeper::askIfRequested(const rank_state& state, const map_switch& rank)
 {
-    const bool isAsked = m_phase == phase::Held && m_request && m_request->epoch == state.epoch && m_request->pass == m_heldPass;
-    if (!isAsked)
+    if (m_phase != phase::Held)
+        return;
+    const auto asked = std::find_if(m_requests.begin(), m_requests.end(), [&](const switch_id& name) { return name.epoch == state.epoch && name.pass == m_heldPass; });
+    if (asked == m_requests.end())
         return;
-    m_name = *m_request;
+    m_name = *asked;
     enterPhase(rank.hasDeclined(m_name.pass) ? phase::Releasable : phase::Asking);
 }
 
 void hold_keeper::recordRequest(const switch_request& request)
 {
-    m_request = request.name;
+    if (std::find(m_requests.begin(), m_requests.end(), request.name) != m_requests.end())
+        return;
+    m_requests.push_back(request.name);
+    if (m_requests.size() > maxRememberedRequests)
+        m_requests.erase(m_requests.begin());
 }
 
 void hold_keeper::recordReadiness(const arm_readiness& answer)
@@ -154,10 +163,10 @@
 {
     if (outcome.committed || outcome.name.epoch != m_epoch || outcome.name.pass != m_name.pass)
         return;
-    const bool isSame = m_name.version == 0 || outcome.name.version == m_name.version;
+    // In other phases the statuses show what became of the switch.
     if (m_phase == phase::Asking || m_phase == phase::Held)
         abandon();
-    else if ((m_phase == phase::Permitted || m_phase == phase::Resolving) && isSame)
+    else if (m_phase == phase::Permitted && outcome.name.version == m_name.version)
         m_isDeclined = true;
 }
 
@@ -244,8 +253,10 @@
         print.add(number);
     for (const bool flag : { m_hasReading, m_isWithdrawalDue, m_isDeclined, m_sentAt.has_value() })
         print.add(static_cast<std::uint64_t>(flag));
-    print.add(m_request ? std::optional(m_request->version) : std::nullopt);
-    print.add(m_request ? std::optional(m_request->pass) : std::nullopt);
+    print.addAll(m_requests, [](state_fingerprint& to, const switch_id& name) {
+        to.add(name.version);
+        to.add(name.pass);
+    });
     print.add(m_heldPass);
     const auto addRank = [](state_fingerprint& to, std::uint32_t rank) { to.add(std::uint64_t(rank)); };
     print.addAll(m_ready, addRank);
--- a/packages/decisions/groups/hold_keeper.h
+++ b/packages/decisions/groups/hold_keeper.h
@@ -78,8 +78,8 @@
     std::uint32_t m_rank = 0;
     std::uint32_t m_ranks = 0;
     bool m_hasReading = false;
-    // The latest request that names this rank as the holder.
-    std::optional<switch_id> m_request;
+    // The latest requests that name this rank as the holder.
+    std::vector<switch_id> m_requests;
     // The switch that the hold is for; version 0 if it is not known.
     switch_id m_name;
     std::optional<pass_number> m_heldPass;
--- a/packages/decisions/groups/map_switch.cpp
+++ b/packages/decisions/groups/map_switch.cpp
@@ -67,6 +67,7 @@
     m_switch = switch_id { state.epoch, *state.preparedVersion, *state.heldPass };
     m_isInferred = true;
     m_armSentPass = state.heldPass;
+    m_armSentVersion = *state.preparedVersion;
     m_holdOrderedPass = state.heldPass;
 }
 
@@ -122,6 +123,9 @@
     }
     if (request.holder && !m_usesSingleHold)
         return;
+    // The order to arm for the other pass is still to be undone, made void or brought into force.
+    if (m_usesSingleHold && m_armSentPass && *m_armSentPass != request.name.pass)
+        return;
     if (request.name.epoch != m_epoch || hasDeclined(request.name.pass) || decisionAt(request.name.pass))
         return;
     if (m_switch && *m_switch != request.name && !decisionAt(m_switch->pass))
@@ -212,9 +216,9 @@
 // Once the pass has begun or another map is prepared, the engine refuses any copy of the arm order.
 void map_switch::clearSettledArm(const rank_state& state)
 {
-    if (!m_armSentPass || !m_switch)
+    if (!m_armSentPass)
         return;
-    const bool isReplaced = state.armedPass != m_armSentPass && state.preparedVersion && *state.preparedVersion > m_switch->version;
+    const bool isReplaced = state.armedPass != m_armSentPass && state.preparedVersion && *state.preparedVersion > m_armSentVersion;
     if (state.pass >= *m_armSentPass || isReplaced) {
         m_armSentPass.reset();
         m_replaceOrderedAt.reset();
@@ -345,6 +349,7 @@
     arm.version = name.version;
     arm.pass = name.pass;
     m_armSentPass = name.pass;
+    m_armSentVersion = name.version;
     return arm;
 }
 
--- a/packages/decisions/groups/map_switch.h
+++ b/packages/decisions/groups/map_switch.h
@@ -138,6 +138,7 @@
     // The pass of an arm order that was sent. Copies of it may still be carried out until the pass begins or the prepared map
     // is replaced.
     std::optional<pass_number> m_armSentPass;
+    group_map_version m_armSentVersion = 0;
     std::vector<pass_number> m_declinedPasses;
     // The order count that a refused hold expected. A second refusal at the same count means that the hold itself does not
     // fit, rather than that another order was begun in between.
--- a/packages/decisions/groups/map_switch_single_hold.cpp
+++ b/packages/decisions/groups/map_switch_single_hold.cpp
@@ -23,6 +23,7 @@
         m_isReady = false;
         m_isPermitted = false;
         m_armSentPass = state.armedPass;
+        m_armSentVersion = *state.armedVersion;
         m_unsettledVersion.reset();
     } else if (state.preparedVersion != m_unsettledVersion) {
         m_unsettledVersion.reset();
@@ -45,10 +46,12 @@
     if (request.name.epoch != m_epoch || !mayUseSingleHold(state))
         return false;
     this->request({ request.name, request.holder });
-    m_isReady = m_switch == request.name && m_holder == request.holder && !decisionAt(request.name.pass) && !hasDeclined(request.name.pass)
+    const bool isReadyNow = m_switch == request.name && m_holder == request.holder && !decisionAt(request.name.pass) && !hasDeclined(request.name.pass)
         && state.pass < request.name.pass && state.preparedVersion == request.name.version && !m_unsettledVersion
         && (!state.armedVersion || state.armedPass == request.name.pass);
-    return m_isReady;
+    // The answer to another holder does not take back an earlier one.
+    m_isReady = m_isReady || isReadyNow;
+    return isReadyNow;
 }
 
 void map_switch::permit(const arm_permission& permission)
@@ -111,7 +114,7 @@
 
 void map_switch::addTo(state_fingerprint& print) const
 {
-    for (const std::uint64_t number : { m_epoch, m_proposedVersion, m_refusedVersion, m_barredUntil })
+    for (const std::uint64_t number : { m_epoch, m_armSentPass ? m_armSentVersion : 0, m_proposedVersion, m_refusedVersion, m_barredUntil })
         print.add(number);
     for (const bool flag : { m_isInferred, m_holdRefused, m_hasFirstReading, m_isReady, m_isPermitted, m_replaceOrderedAt.has_value(), m_prepareOrderedAt.has_value() })
         print.add(static_cast<std::uint64_t>(flag));
--- a/packages/decisions/groups/switch_coordinator.cpp
+++ b/packages/decisions/groups/switch_coordinator.cpp
@@ -68,6 +68,10 @@
 {
     if (m_phase != phase::Switching || !isHandling(outcome.name))
         return;
+    // With a single hold, an outcome is that of one map.
+    const bool isOther = outcome.name.version != 0 && m_switch.version != 0 && outcome.name.version != m_switch.version;
+    if (m_usesSingleHold && isOther)
+        return;
     m_isCommitted = outcome.committed;
     enterPhase(now, phase::Concluding);
 }
@@ -83,6 +87,8 @@
         m_proposal = { name.epoch, name.version, {} };
     m_switch = name;
     m_isAdopted = true;
+    m_isVersionCertain = true;
+    m_replacements.clear();
     m_holder.reset();
     addMissingRanks(now, ranks);
     logEvent("switch_adopted", "pass " + std::to_string(name.pass));
@@ -148,6 +154,7 @@
     const rank_status& status = stranded->second.status;
     const group_map_version version = status.armedVersion ? *status.armedVersion : status.preparedVersion.value_or(0);
     adopt(now, { status.epoch, version, *status.heldPass }, status.ranks, nullptr);
+    m_isVersionCertain = status.armedVersion.has_value();
 }
 
 // A rank that never reported to this agent is treated like one whose agent fell silent.
@@ -238,6 +245,8 @@
 {
     m_switch = { m_proposal.epoch, m_proposal.version, chooseSwitchPass(now) };
     m_isAdopted = false;
+    m_isVersionCertain = true;
+    m_replacements.clear();
     m_holder = chooseHolder();
     m_switchBeganAt = now;
     enterPhase(now, phase::Switching);
@@ -248,6 +257,7 @@
 // map, or they have it prepared.
 void switch_coordinator::inferMapVersion()
 {
+    m_isVersionCertain = false;
     for (const auto& [rank, known] : m_statuses) {
         const rank_status& status = known.status;
         if (status.epoch != m_switch.epoch || status.heldPass != m_switch.pass)
--- a/packages/decisions/groups/switch_coordinator.h
+++ b/packages/decisions/groups/switch_coordinator.h
@@ -163,6 +163,8 @@
     void logEvent(std::string what, std::string detail);
     // Requests readings of the engines whose agents are silent during a switch.
     void readSilentRanks(instant now, bool leads);
+    // Whether no order to arm the rank for the switch can succeed any more, by a reading of its engine.
+    bool isMapReplaced(const rank_state& state) const;
     // The order, if any, that a silent rank needs in the present phase.
     std::optional<rank_order> orderForSilentRank(const rank_state& state);
     // An order that replaces the prepared map of a silent rank, so that it can no longer be armed.
@@ -216,6 +218,10 @@
     std::uint32_t m_lastHolder = 0;
     // The latest pass of a switch with a single hold, and its epoch.
     pass_number m_singleHoldPass = 0;
+    // Whether m_switch names the map for certain. Otherwise it is that of a rank that was held.
+    bool m_isVersionCertain = true;
+    // Versions that this coordinator ordered in place of the map of the switch.
+    std::vector<group_map_version> m_replacements;
     group_epoch m_singleHoldEpoch = 0;
     std::vector<coordinator_log_event> m_logEvents;
     std::vector<silent_rank_action> m_silentRankActions;
--- a/packages/decisions/groups/switch_coordinator_planning.cpp
+++ b/packages/decisions/groups/switch_coordinator_planning.cpp
@@ -186,6 +186,8 @@
         return;
     // Ask for a fresh status first: a rank whose agent froze or died since it prepared the map would hold the group until the
     // agent is back.
+    if (m_usesSingleHold && !noRankHeldOrArmed())
+        return;
     if (m_statusRequestedAt && allReportedSince(*m_statusRequestedAt))
         return beginSwitch(now, out);
     if (m_statusRequestedAt && now - m_sentAt < switchResendInterval)
--- a/packages/decisions/groups/switch_coordinator_silent.cpp
+++ b/packages/decisions/groups/switch_coordinator_silent.cpp
@@ -47,7 +47,7 @@
     status.armedPass = state.armedPass;
     status.heldPass = state.heldPass;
     // The rank is not armed and the map of the switch is no longer prepared there, so it will never be armed.
-    const bool canNeverArm = state.armedPass != m_switch.pass && state.preparedVersion != m_switch.version && state.pass < m_switch.pass;
+    const bool canNeverArm = state.armedPass != m_switch.pass && isMapReplaced(state) && state.pass < m_switch.pass;
     if (canNeverArm && !hasDeclined(status))
         status.declinedPasses.push_back(m_switch.pass);
     if (auto order = orderForSilentRank(state)) {
@@ -56,11 +56,19 @@
     }
 }
 
+bool switch_coordinator::isMapReplaced(const rank_state& state) const
+{
+    if (!m_usesSingleHold || m_isVersionCertain)
+        return state.preparedVersion != m_switch.version;
+    return state.preparedVersion && std::find(m_replacements.begin(), m_replacements.end(), *state.preparedVersion) != m_replacements.end();
+}
+
 // A map with a higher version replaces the prepared one, so that the engine refuses an arm order that the silent agent has
 // sent or sends when it resumes. The map in force is used because the engine need not copy any experts for it.
 rank_order switch_coordinator::replacePreparedMapOrder(const rank_state& state)
 {
-    m_highestUsedVersion = nextMapVersion(std::max(highestVersion(), m_switch.version), *m_fallbackMap);
+    m_highestUsedVersion = nextMapVersion(std::max({ highestVersion(), m_switch.version, state.preparedVersion.value_or(0) }), *m_fallbackMap);
+    m_replacements.push_back(m_highestUsedVersion);
     return { .kind = rank_order_kind::Prepare,
         .epoch = state.epoch,
         .expectedOrderCount = state.orderCount,
@@ -73,7 +81,7 @@
     rank_order order { .epoch = state.epoch, .expectedOrderCount = state.orderCount };
     const bool isArmed = state.armedPass == m_switch.pass;
     const bool isUndecided = m_phase == phase::Switching;
-    if (!isArmed && state.preparedVersion == m_switch.version && (isUndecided || !m_isCommitted) && state.pass < m_switch.pass)
+    if (!isArmed && !isMapReplaced(state) && (isUndecided || !m_isCommitted) && state.pass < m_switch.pass)
         return m_fallbackMap ? std::optional(replacePreparedMapOrder(state)) : std::nullopt;
     if (isUndecided || state.heldPass != m_switch.pass)
         return std::nullopt;
--- a/tests/decisions/groups/map_switch_test.cpp
+++ b/tests/decisions/groups/map_switch_test.cpp
@@ -214,3 +214,63 @@
     state.orderCount = 12;
     cr_assert(!rank.advance(instant(std::chrono::milliseconds(900)), state));
 }
+
+namespace {
+
+// A rank that was permitted to arm in a switch with a single hold at rank 1, and has ordered it.
+map_switch rankThatOrderedToArm()
+{
+    map_switch rank;
+    rank.setSingleHold(true);
+    rank_state first = reading();
+    first.pass = 1;
+    first.preparedVersion.reset();
+    rank.observe(first);
+    rank_state later = reading();
+    later.pass = 140;
+    const arm_readiness_request question { { epoch, 7, 150 }, 1, {} };
+    rank.observe(later);
+    cr_assert(rank.isReady(question, later));
+    rank.permit({ question.name, 1 });
+    cr_assert(rank.advance(instant {}, later)->kind == rank_order_kind::Arm);
+    return rank;
+}
+
+} // namespace
+
+// Failure: a request for another pass replaced an aborted switch whose order to arm could still be carried out, so that the rank
+// switched alone, or stayed armed and its group held for good.
+Test(map_switch, an_aborted_switch_is_undone_before_another_is_taken)
+{
+    map_switch rank = rankThatOrderedToArm();
+    rank_state state = reading();
+    state.pass = 141;
+    rank.recordOutcome({ { epoch, 7, 150 }, false });
+    rank.request({ { epoch, 6, 152 }, 1 });
+    rank.advance(instant {}, state);
+    cr_assert_not(rank.hasDeclined(150));
+    cr_assert(rank.unsettledArmPass() == 150);
+    state.armedVersion = 7;
+    state.armedPass = 150;
+    const auto disarm = rank.advance(instant {}, state);
+    cr_assert(disarm.has_value());
+    cr_assert_eq(disarm->kind, rank_order_kind::Disarm);
+}
+
+// Failure: the answer to another holder's question took the readiness back, and the group waited for the rank to arm.
+Test(map_switch, another_holders_question_leaves_the_rank_ready)
+{
+    map_switch rank;
+    rank.setSingleHold(true);
+    rank_state state = reading();
+    state.pass = 1;
+    state.preparedVersion.reset();
+    rank.observe(state);
+    state = reading();
+    state.pass = 140;
+    const switch_id asked { epoch, 7, 150 };
+    cr_assert(rank.isReady({ asked, 1, {} }, state));
+    cr_assert_not(rank.isReady({ { epoch, 7, 151 }, 0, {} }, state));
+    rank.permit({ asked, 1 });
+    cr_assert(rank.advance(instant {}, state)->kind == rank_order_kind::Arm);
+}
