--- a/packages/decisions/groups/group_messages.h
+++ b/packages/decisions/groups/group_messages.h
@@ -97,7 +97,7 @@
     std::vector<rank_experts> changes;
 };
 
-// Asks every rank to hold before the pass, and then to arm the map for it.
+// Asks every rank to hold before the pass, and then to arm the map for it; with a holder, only that rank is held.
 struct switch_request {
     switch_id name;
     // With a single hold: the only rank that is held. The other ranks arm when its agent permits it.
--- a/packages/decisions/groups/map_switch.h
+++ b/packages/decisions/groups/map_switch.h
@@ -22,7 +22,8 @@
 // The rank holds the group before the pass, arms the map for it, and is released only on a final outcome: committed, when
 // every rank was read back as armed with the same map, or aborted, when some rank will never arm. So no pass begins
 // with two maps whichever process fails, and safety does not depend on a coordinator. Every step is decided from a
-// reading of the engine. Each order carries the expected count of orders begun, so that a delayed copy has no effect.
+// reading of the engine. Each order carries the expected count of orders begun; where engines do not count orders, a delayed copy
+// is made void by epoch, pass and version. With a single hold another rank is held in place of this one; see hold_keeper.
 class map_switch {
 public:
     // Takes a new reading of the engine, before anything else is decided on it.
--- a/packages/decisions/groups/switch_coordinator.h
+++ b/packages/decisions/groups/switch_coordinator.h
@@ -91,7 +91,7 @@
     std::vector<outgoing_message> advance(instant now, bool leads, std::uint32_t ownRank);
     std::vector<coordinator_log_event> takeLogEvents();
     // Returns the readings and orders that are due at the engines of ranks whose agents were killed, frozen or cut off in
-    // the middle of a switch. Orders are limited to those that can't conflict with such an agent when it resumes: the rank
+    // the middle of a switch, and the order to hold the holder of a switch with a single hold. Other orders are limited to those that can't conflict with such an agent when it resumes: the rank
     // is made unable to arm, or it is disarmed or released according to the outcome.
     std::vector<silent_rank_action> takeSilentRankActions();
     // A reading of the engine of a rank whose agent is silent.
