--- a/packages/decisions/groups/switch_coordinator.h
+++ b/packages/decisions/groups/switch_coordinator.h
@@ -90,9 +90,10 @@
     // Returns the messages that are due now. Only a leading coordinator proposes new maps.
     std::vector<outgoing_message> advance(instant now, bool leads, std::uint32_t ownRank);
     std::vector<coordinator_log_event> takeLogEvents();
-    // Returns the readings and orders that are due at the engines of ranks whose agents were killed, frozen or cut off in
-    // the middle of a switch, and the order to hold the holder of a switch with a single hold. Other orders are limited to those that can't conflict with such an agent when it resumes: the rank
-    // is made unable to arm, or it is disarmed or released according to the outcome.
+    // Returns the readings and orders that are due at the engines of other ranks: the order to hold the holder of a switch with
+    // a single hold, and those for ranks whose agents were killed, frozen or cut off in the middle of a switch. The latter are
+    // limited to orders that can't conflict with such an agent when it resumes: the rank is made unable to arm, or it is
+    // disarmed or released according to the outcome.
     std::vector<silent_rank_action> takeSilentRankActions();
     // A reading of the engine of a rank whose agent is silent.
     void recordSilentRankState(instant now, const rank_state& state);
