--- a/packages/decisions/groups/switch_coordinator.cpp
+++ b/packages/decisions/groups/switch_coordinator.cpp
@@ -68,6 +68,10 @@
 {
     if (m_phase != phase::Switching || !isHandling(outcome.name))
         return;
+    // With a single hold, an outcome is that of one map.
+    const bool isOther = outcome.name.version != 0 && m_switch.version != 0 && outcome.name.version != m_switch.version;
+    if (m_usesSingleHold && isOther)
+        return;
     m_isCommitted = outcome.committed;
     enterPhase(now, phase::Concluding);
 }
@@ -83,6 +87,9 @@
         m_proposal = { name.epoch, name.version, {} };
     m_switch = name;
     m_isAdopted = true;
+    m_isVersionCertain = true;
+    m_replacements.clear();
+    m_holder.reset();
     addMissingRanks(now, ranks);
     logEvent("switch_adopted", "pass " + std::to_string(name.pass));
     enterPhase(now, phase::Switching);
@@ -147,6 +154,7 @@
     const rank_status& status = stranded->second.status;
     const group_map_version version = status.armedVersion ? *status.armedVersion : status.preparedVersion.value_or(0);
     adopt(now, { status.epoch, version, *status.heldPass }, status.ranks, nullptr);
+    m_isVersionCertain = status.armedVersion.has_value();
 }
 
 // A rank that never reported to this agent is treated like one whose agent fell silent.
@@ -159,6 +167,8 @@
         found->second.status.rank = rank;
         found->second.status.ranks = ranks;
         found->second.status.epoch = m_switch.epoch;
+        if (m_usesSingleHold)
+            found->second.status.singleHoldFromPass = 0;
         found->second.receivedAt = now - silentRankTimeout;
     }
 }
@@ -235,6 +245,9 @@
 {
     m_switch = { m_proposal.epoch, m_proposal.version, chooseSwitchPass(now) };
     m_isAdopted = false;
+    m_isVersionCertain = true;
+    m_replacements.clear();
+    m_holder = chooseHolder();
     m_switchBeganAt = now;
     enterPhase(now, phase::Switching);
     awaitArmed(now, out);
@@ -244,6 +257,7 @@
 // map, or they have it prepared.
 void switch_coordinator::inferMapVersion()
 {
+    m_isVersionCertain = false;
     for (const auto& [rank, known] : m_statuses) {
         const rank_status& status = known.status;
         if (status.epoch != m_switch.epoch || status.heldPass != m_switch.pass)
@@ -286,8 +300,10 @@
     // ranks that still take no part decline, so that the others are not held for long.
     if (m_isAdopted || now - m_phaseEnteredAt >= declineTimeout)
         out.push_back({ std::nullopt, status_query { m_switch, m_ownRank } });
-    else
-        out.push_back({ std::nullopt, switch_request { m_switch } });
+    else {
+        out.push_back({ std::nullopt, switch_request { m_switch, m_holder } });
+        orderSingleHold();
+    }
 }
 
 void switch_coordinator::conclude(instant now, bool committed, std::vector<outgoing_message>& out)
--- a/packages/decisions/groups/switch_coordinator.h
+++ b/packages/decisions/groups/switch_coordinator.h
@@ -18,6 +18,9 @@
 
 namespace appleramp {
 
+// Agents of ranks below this number know the addresses of the other agents, and can send to all of them.
+constexpr std::uint32_t coordinatorCandidates = 4;
+
 struct coordinator_limits {
     planning_limits planning;
     // Relative reduction of the imbalance from which a new map is worth its copies.
@@ -70,6 +73,8 @@
     }
 
     void setLimits(coordinator_limits limits) { m_limits = std::move(limits); }
+    // Whether switches have a single hold if every rank's agent knows it; see hold_keeper.
+    void setSingleHold(bool uses) { m_usesSingleHold = uses; }
     void recordStatus(instant now, const rank_status& status);
     void recordChoices(instant now, const expert_choice_counts& choices);
     // Another agent sent the outcome of a switch.
@@ -78,12 +83,17 @@
     // of the one that is being switched to.
     void adopt(instant now, const switch_id& name, std::uint32_t ranks, std::shared_ptr<const group_map> fallbackMap);
 
+    // Sets the map that was in force in the epoch that ended. It is proposed as soon as all ranks report in the new epoch, as the
+    // group would otherwise keep the initial map until new choices are counted.
+    void setPreviousMap(std::shared_ptr<const group_map> map) { m_previousMap = std::move(map); }
+
     // Returns the messages that are due now. Only a leading coordinator proposes new maps.
     std::vector<outgoing_message> advance(instant now, bool leads, std::uint32_t ownRank);
     std::vector<coordinator_log_event> takeLogEvents();
-    // Returns the readings and orders that are due at the engines of ranks whose agents were killed, frozen or cut off in
-    // the middle of a switch. Orders are limited to those that can't conflict with such an agent when it resumes: the rank
-    // is made unable to arm, or it is disarmed or released according to the outcome.
+    // Returns the readings and orders that are due at the engines of other ranks: the order to hold the holder of a switch with
+    // a single hold, and those for ranks whose agents were killed, frozen or cut off in the middle of a switch. The latter are
+    // limited to orders that can't conflict with such an agent when it resumes: the rank is made unable to arm, or it is
+    // disarmed or released according to the outcome.
     std::vector<silent_rank_action> takeSilentRankActions();
     // A reading of the engine of a rank whose agent is silent.
     void recordSilentRankState(instant now, const rank_state& state);
@@ -119,6 +129,8 @@
     // The pass at which the next switch takes place: far enough ahead for every rank to be held and armed before it.
     pass_number chooseSwitchPass(instant now) const;
     void planNext(instant now, std::vector<outgoing_message>& out);
+    // Proposes the map of the previous epoch if the group has the initial map. Returns whether it did.
+    bool proposePreviousMap(instant now, std::vector<outgoing_message>& out);
     // Sends the proposal until every rank has prepared the map, and then begins the switch.
     void awaitPrepared(instant now, std::vector<outgoing_message>& out);
     // Finds out from the statuses which map an adopted switch is for.
@@ -137,6 +149,14 @@
     bool hasConflictingArms() const;
     bool hasDeclined(const rank_status& status) const;
     bool isReleased(const rank_status& status) const;
+    // The first pass, from the given one on, that a switch of this coordinator with a single hold may take place at.
+    pass_number chooseSingleHoldPass(pass_number earliest) const;
+    // The rank to hold in a switch with a single hold, whose pass is then adjusted; none if some agent does not know it.
+    std::optional<std::uint32_t> chooseHolder();
+    // Gives the single hold, again if the holder has not reported it.
+    void orderSingleHold();
+    // Whether a hold of an aborted switch protects no arm order any more.
+    bool mayReleaseAborted() const;
     void enterPhase(instant now, phase next);
     // Sent to all ranks at first, and later to those in `unaware`, which have not reported that they received it.
     void sendProposal(std::span<const std::uint32_t> unaware, std::vector<outgoing_message>& out);
@@ -144,6 +164,8 @@
     void logEvent(std::string what, std::string detail);
     // Requests readings of the engines whose agents are silent during a switch.
     void readSilentRanks(instant now, bool leads);
+    // Whether no order to arm the rank for the switch can succeed any more, by a reading of its engine.
+    bool isMapReplaced(const rank_state& state) const;
     // The order, if any, that a silent rank needs in the present phase.
     std::optional<rank_order> orderForSilentRank(const rank_state& state);
     // An order that replaces the prepared map of a silent rank, so that it can no longer be armed.
@@ -190,6 +212,18 @@
     // A map that every rank can prepare in place of the proposed one: the map in force when the proposal was made, or one
     // that was proposed to the agent that took over the switch.
     std::shared_ptr<const group_map> m_fallbackMap;
+    std::shared_ptr<const group_map> m_previousMap;
+    bool m_usesSingleHold = false;
+    // The held rank of the switch if it has a single hold.
+    std::optional<std::uint32_t> m_holder;
+    std::uint32_t m_lastHolder = 0;
+    // The latest pass of a switch with a single hold, and its epoch.
+    pass_number m_singleHoldPass = 0;
+    // Whether m_switch names the map for certain. Otherwise it is that of a rank that was held.
+    bool m_isVersionCertain = true;
+    // Versions that this coordinator ordered in place of the map of the switch.
+    std::vector<group_map_version> m_replacements;
+    group_epoch m_singleHoldEpoch = 0;
     std::vector<coordinator_log_event> m_logEvents;
     std::vector<silent_rank_action> m_silentRankActions;
 
