--- a/packages/settings/setting_descriptor.cpp
+++ b/packages/settings/setting_descriptor.cpp
@@ -452,10 +452,9 @@
 std::vector<setting_descriptor> allDescriptors()
 {
     std::vector<setting_descriptor> all;
-    for (auto* const section : { processDescriptors, listenDescriptors, platformDescriptors, storeDescriptors,
-             boundsDescriptors, admissionDescriptors, linkDescriptors, endpointDescriptors,
-             boundsDescriptors, linkDescriptors, groupsDescriptors, endpointDescriptors,
-             observeDescriptors, limitsDescriptors, entryDescriptors }) {
+    for (auto* const section : { processDescriptors, listenDescriptors, platformDescriptors, storeDescriptors, boundsDescriptors,
+             admissionDescriptors, linkDescriptors, groupsDescriptors, endpointDescriptors, observeDescriptors, limitsDescriptors,
+             entryDescriptors }) {
         const auto descriptors = section();
         all.insert(all.end(), descriptors.begin(), descriptors.end());
     }
