--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -114,6 +114,7 @@
             on(concrete);
         },
         event);
+    sendRoomWaiting(m_latestTime);
     return std::exchange(m_effects, {});
 }
 
@@ -131,6 +132,12 @@
 
 duration forwarding_reducer::longRetryAfter() { return longRetryAfterMin + scaled(longRetryAfterJitter, randomFraction()); }
 
+duration forwarding_reducer::confirmationRetryAfter(instant now, const caller_request& caller, duration usual)
+{
+    const auto spread = m_settings.spreadOutageRetries ? m_storeOutage.retryAfter(now, caller.timeout.value_or(defaultTimeout), randomFraction()) : std::nullopt;
+    return spread.value_or(usual);
+}
+
 // When every endpoint of the service asked for a pause, callers come back after the first of them ends.
 duration forwarding_reducer::retryAfterPause(instant now, const service_id& service)
 {
@@ -143,6 +150,7 @@
     if (!admit(now, number, request))
         return;
     m_retryBudget.recordRequest(now, request.service);
+    recordRoomArrival(now, request);
     const auto [inserted, isNew] = m_requests.emplace(number, std::move(request));
     place(now, number, inserted->second);
 }
@@ -154,7 +162,7 @@
         return false;
     };
     if (!request.routes || !areConvictionsKnown(now))
-        return refuseWith(refusal_reason::NotReady, shortRetryAfter());
+        return refuseWith(refusal_reason::NotReady, confirmationRetryAfter(now, request.caller, shortRetryAfter()));
     request.matchedRoute = request.routes->find(request.caller.host, request.caller.path);
     const bool allowsDefiniteRefusal = m_freshness.allowsDefiniteRefusal(now);
     if (request.matchedRoute == nullptr || request.matchedRoute->services.empty())
@@ -162,7 +170,7 @@
     request.urgencyRank = request.matchedRoute->urgencyRank;
     if (request.routes->requiresKeys() && !request.matchedRoute->isPublic) {
         if (!m_freshness.allowsKeyUse(now))
-            return refuseWith(refusal_reason::NotReady, longRetryAfter());
+            return refuseWith(refusal_reason::NotReady, confirmationRetryAfter(now, request.caller, longRetryAfter()));
         const team* const callerTeam = request.routes->teamForKey(request.caller.apiKey);
         if (callerTeam == nullptr)
             return allowsDefiniteRefusal ? refuseWith(refusal_reason::UnknownKey, {}) : refuseWith(refusal_reason::NotReady, shortRetryAfter());
@@ -187,7 +195,10 @@
         return refusePlacement(number, request, request.mayHaveRun ? refusal_reason::OutcomeUnknown : suspicion->reason, suspicion->retryAfter);
     if (deferDuringOutage(now, number, request))
         return;
-    if (const auto retryAfter = request.attempts == 0 ? overloadRetryAfter(now, request) : std::nullopt)
+    room_gate* const room = sharedRoom(request.service);
+    if (room != nullptr && !passRoom(now, number, request, *room))
+        return;
+    if (const auto retryAfter = room == nullptr && request.attempts == 0 ? overloadRetryAfter(now, request) : std::nullopt)
         return refusePlacement(number, request, refusal_reason::NoCapacity, retryAfter);
     const service_description* const service = request.routes->service(request.service);
     const placement_query query { .now = now,
@@ -224,7 +235,7 @@
                                                       .timeLeft = request.deadline - now,
                                                       .urgencyRank = request.urgencyRank },
         randomFraction());
-    if (!admission.admitted && !request.mayHaveRun)
+    if (room == nullptr && !admission.admitted && !request.mayHaveRun)
         return refusePlacement(number, request, refusal_reason::NoCapacity, admission.retryAfter);
     send(now, number, request, *found);
 }
@@ -267,13 +278,21 @@
         place(event.now, event.request, found->second);
 }
 
+std::optional<duration> forwarding_reducer::stallRetryAfter(instant now, const request_state& request)
+{
+    const auto pace = m_streamPaces.find(request.service);
+    if (request.matchedRoute->kind != route_kind::Stream || pace == m_streamPaces.end() || !pace->second.isStalled(now, m_fleet.inFlight(request.service)))
+        return std::nullopt;
+    return stallRetryAfterMin + scaled(stallRetryAfterJitter, randomFraction());
+}
+
 std::optional<duration> forwarding_reducer::overloadRetryAfter(instant now, const request_state& request)
 {
+    if (const auto retryAfter = stallRetryAfter(now, request))
+        return retryAfter;
     const auto pace = m_streamPaces.find(request.service);
     if (request.matchedRoute->kind != route_kind::Stream || pace == m_streamPaces.end())
         return std::nullopt;
-    if (pace->second.isStalled(now, m_fleet.inFlight(request.service)))
-        return stallRetryAfterMin + scaled(stallRetryAfterJitter, randomFraction());
     const duration pauseTarget = request.matchedRoute->pauseTarget > duration::zero() ? request.matchedRoute->pauseTarget : m_settings.defaultPauseTarget;
     const double utilizationLimit = pace->second.utilizationLimit(pauseTarget);
     const double excess = (m_fleet.slotUtilization(now, request.service) - utilizationLimit) / utilizationLimit;
--- a/packages/settings/setting_descriptor.cpp
+++ b/packages/settings/setting_descriptor.cpp
@@ -167,6 +167,14 @@
             .roles = directFleetRoles,
             .doc = "Longest wait of a read for changes; one entry of each zone asks a quiet store this often.",
             .assign = [](settings& s, const value& v) { s.store.poll = milliseconds(v); } },
+        { .section = "store",
+            .key = "fast_return",
+            .type = setting_type::Choice,
+            .defaultValue = "false",
+            .choices = { "true", "false" },
+            .roles = directEntryRole,
+            .doc = "One entry of each zone probes an unavailable store for all and tells them when it answers again.",
+            .assign = [](settings& s, const value& v) { s.store.fastReturn = text(v) == "true"; } },
     };
 }
 
@@ -225,6 +233,20 @@
     };
 }
 
+std::vector<setting_descriptor> admissionDescriptors()
+{
+    return {
+        { .section = "admission",
+            .key = "shared_room",
+            .type = setting_type::Choice,
+            .defaultValue = "false",
+            .choices = { "false", "true" },
+            .roles = directEntryRole,
+            .doc = "Whether the capacity of a service is shared by urgency rank and team, where routes of several ranks lead to it.",
+            .assign = [](settings& s, const value& v) { s.admission.sharedRoom = text(v) == "true"; } },
+    };
+}
+
 std::vector<setting_descriptor> linkDescriptors()
 {
     return {
@@ -250,6 +272,20 @@
     };
 }
 
+std::vector<setting_descriptor> groupsDescriptors()
+{
+    return {
+        { .section = "groups",
+            .key = "single_hold",
+            .type = setting_type::Choice,
+            .defaultValue = "false",
+            .choices = { "false", "true" },
+            .roles = directAgentRole,
+            .doc = "Whether the agent takes part in switches of expert maps with one hold for the whole group. They are used where all agents of a group do.",
+            .assign = [](settings& s, const value& v) { s.groups.singleHold = text(v) == "true"; } },
+    };
+}
+
 std::vector<setting_descriptor> endpointDescriptors()
 {
     const roles agent { process_role::Agent };
@@ -416,9 +452,9 @@
 std::vector<setting_descriptor> allDescriptors()
 {
     std::vector<setting_descriptor> all;
-    for (auto* const section : { processDescriptors, listenDescriptors, platformDescriptors, storeDescriptors,
-             boundsDescriptors, linkDescriptors, endpointDescriptors,
-             observeDescriptors, limitsDescriptors, entryDescriptors }) {
+    for (auto* const section : { processDescriptors, listenDescriptors, platformDescriptors, storeDescriptors, boundsDescriptors,
+             admissionDescriptors, linkDescriptors, groupsDescriptors, endpointDescriptors, observeDescriptors, limitsDescriptors,
+             entryDescriptors }) {
         const auto descriptors = section();
         all.insert(all.end(), descriptors.begin(), descriptors.end());
     }
