Forwarding: shares of an endpoint are whole requests, and can be lent

Cause: a share below one request was a spacing between the sends of one entry, and entries that were silent may all send in the same second.

Change: entry_shares divides half of the limit into whole requests over a ring of the entries; what is left over goes to consecutive entries, from another place for each endpoint. At a half the limit holds for any two lists of entries, and across restarts. Where only its shares keep a request from an endpoint, an entry asks another one for a request of its share (the datagrams of named limits; entries that do not know the question refuse it), or waits for its own for at most 1 s and a fifth of the time left, 32 requests a service. Backoff, pauses and limits move to endpoint_fleet_restrictions.cpp.

endpoint_fleet::many_entries_space_their_sends_to_a_cold_endpoint stated the spacing itself; it now plays all 100 entries, and bounds each second and the average.

--- a/packages/decisions/forwarding/endpoint_fleet.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet.cpp
@@ -23,11 +23,11 @@
         if (const auto formerAddress = m_byAddress.find(state.record.address); formerAddress != m_byAddress.end())
             formerAddress->second.erase(record.id);
         m_byAddress[record.address].insert(record.id);
+        m_changedServices.insert(record.service);
     }
     const bool isNew = state.record.id.empty() || state.record.startedAtMs != record.startedAtMs;
     if (isNew) {
         state.pausedUntil = {};
-        state.availableSince = now;
         m_limits.forget(record.id);
     }
     if (record.leaving)
@@ -49,6 +49,7 @@
             m_byAddress.erase(atAddress);
     }
     m_limits.forget(endpoint);
+    m_changedServices.insert(found->second.record.service);
     m_endpoints.erase(found);
 }
 
@@ -126,38 +127,8 @@
     return m_limits.recordTold(now, record);
 }
 
-void endpoint_fleet::pause(const endpoint_id& endpoint, instant until)
+void endpoint_fleet::setZonesOutOfService(instant, std::set<availability_zone_id> zones)
 {
-    if (endpoint_state* const state = find(endpoint))
-        state->pausedUntil = std::max(state->pausedUntil, until);
-}
-
-std::optional<instant> endpoint_fleet::allPausedUntil(instant now, const service_id& service) const
-{
-    std::optional<instant> earliest;
-    for (const auto& [id, state] : m_endpoints) {
-        if (state.record.service != service || !isInService(state, now))
-            continue;
-        if (state.pausedUntil <= now)
-            return std::nullopt;
-        earliest = earliest ? std::min(*earliest, state.pausedUntil) : state.pausedUntil;
-    }
-    return earliest;
-}
-
-std::size_t endpoint_fleet::pausedCount(instant now) const
-{
-    return static_cast<std::size_t>(
-        std::count_if(m_endpoints.begin(), m_endpoints.end(), [now](const auto& entry) { return entry.second.pausedUntil > now; }));
-}
-
-void endpoint_fleet::setZonesOutOfService(instant now, std::set<availability_zone_id> zones)
-{
-    for (auto& [id, state] : m_endpoints) {
-        const bool isBack = m_zonesOutOfService.contains(state.record.zone) && !zones.contains(state.record.zone);
-        if (isBack)
-            state.availableSince = now;
-    }
     m_zonesOutOfService = std::move(zones);
 }
 
--- a/packages/decisions/forwarding/endpoint_fleet.h
+++ b/packages/decisions/forwarding/endpoint_fleet.h
@@ -2,8 +2,10 @@
 
 #include "decisions/forwarding/attempt_ending.h"
 #include "decisions/forwarding/departed_endpoints.h"
-#include "decisions/forwarding/sliding_window_counter.h"
 #include "decisions/limits/endpoint_limits.h"
+#include "decisions/pace/endpoint_restriction.h"
+#include "decisions/pace/entry_shares.h"
+#include "decisions/pace/share_account.h"
 #include "model/endpoint_news.h"
 #include "model/routing.h"
 #include "model/time.h"
@@ -24,8 +26,9 @@
     // coldRateFactor, plus coldRateAllowance.
     double coldRateFactor = 1.5;
     double coldRateAllowance = 5;
-    // Fraction of that limit that is used, since the one-second windows of the entries are not aligned.
-    double usableColdFraction = 0.6;
+    // Fraction of that limit that is used. At a half, the limit holds also while entries know two different lists of the entries,
+    // and while entries have restarted and do not know what they have sent in the last second.
+    double usableColdFraction = 0.5;
     // Endpoints that one placement compares, sampled at random. If every entry compared all endpoints, by load reports of
     // the same age, all would choose the same one.
     std::size_t sampleSize = 6;
@@ -96,7 +99,11 @@
     std::size_t pausedCount(instant now) const;
 
     // The names of all entries, which share the limits of endpoints.
-    void setEntries(std::string_view self, std::span<const std::string> names) { m_limits.setEntries(self, names); }
+    void setEntries(std::string_view self, std::span<const std::string> names)
+    {
+        m_limits.setEntries(self, names);
+        m_shares.setEntries(self, names);
+    }
     // An answer to a request that was sent at that time states something of the endpoint's limit. Returns true if the other
     // entries should be told.
     bool recordLimit(instant now, const endpoint_id& endpoint, instant sentAt, const limit_statement& statement);
@@ -113,14 +120,21 @@
     // As in endpoint_limits.
     bool lendRequest(instant now, const permit_question& question) { return m_limits.lend(now, question); }
     void borrowRequest(instant now, const permit_question& question) { m_limits.borrow(now, question); }
+    // When this entry's share next allows a request to an endpoint of the query that is only closed to it by its share.
+    std::optional<instant> shareOpensAt(const placement_query& query);
+    // The best of these endpoints, and another entry to ask for a request to it.
+    std::optional<endpoint_limits::borrowable_request> borrowableShare(const placement_query& query, double randomFraction);
+    // Gives another entry a request of this one's share. The query is for the endpoint's service.
+    bool lendShare(const placement_query& query, const permit_question& question);
+    void borrowShare(const permit_question& question, instant askedAt);
     // Empty if the endpoint is not known.
     service_id serviceOf(const endpoint_id& endpoint) const;
 
     // Stores a load report for the endpoint that was started last at its address.
     void recordLoad(instant now, const endpoint_load& load);
 
-    // Position of this entry among all, as a fraction in [0, 1). Spreads the entries' first sends to an endpoint over time.
-    void setEntryPosition(double position) { m_entryPosition = position; }
+    // Position of this entry among all, as a fraction in [0, 1), while their names are unknown.
+    void setEntryPosition(double position) { m_shares.setPosition(position); }
     // Sets the addresses of the endpoints that report their load, and of those whose reports come to this entry. Endpoints
     // that report, but not here, are used only if none of the others is usable.
     void setSubset(std::set<std::string> reporting, std::set<std::string> subscribed);
@@ -168,10 +182,10 @@
         instant recordReceivedAt;
         std::optional<instant> lapsedAt;
         std::uint32_t inFlight = 0;
-        sliding_window_counter recentSends { std::chrono::seconds(1) };
-        instant lastSend;
-        // Since when the endpoint has been listed, or its zone back in service.
-        instant availableSince;
+        // What this entry used of its share of the requests that the endpoint gets in a second.
+        share_account shares;
+        // Where the shares of the endpoint begin in the ring of entries.
+        double ringStart = 0;
         instant avoidUntil;
         // The endpoint asked for a pause until then.
         instant pausedUntil;
@@ -198,16 +212,17 @@
     bool isInService(const endpoint_state& state, instant now) const;
     // The query may choose the endpoint, now or later.
     bool isEligible(const endpoint_state& state, const placement_query& query) const;
-    // The endpoint takes a request of this entry now: it is not in backoff, asked for no pause, and neither the limit of cold
-    // endpoints nor one that it names is reached.
-    bool takesRequestNow(endpoint_state& state, const placement_query& query);
+    // Whether the endpoint takes a request of this entry now: it is not in backoff, asked for no pause, and neither the share of
+    // this entry nor a limit that the endpoint names is used up.
+    send_permission permissionFor(endpoint_state& state, const placement_query& query);
     bool isWithinNamedLimit(const endpoint_state& state, const placement_query& query);
-    bool isWithinColdRate(endpoint_state& state, const placement_query& query) const;
+    // Requests that all entries together may send the endpoint in any second; nothing if they are not limited.
+    std::optional<std::uint32_t> fleetRequestsPerSecond(const endpoint_state& state, const placement_query& query) const;
+    // The endpoint takes requests, but this entry's share of them is used up or empty.
+    bool isOutsideShare(endpoint_state& state, const placement_query& query);
+    // Takes changes of the service's endpoints into account.
+    void updateRingStarts(const service_id& service);
     load_source loadSourceOf(const std::string& address) const;
-    // Fraction in [0, 1), evenly spread over the entries for one endpoint.
-    double phaseOf(const endpoint_id& endpoint) const;
-    // Fraction of the limit of a cold endpoint that this entry may use.
-    double coldRateShare(const endpoint_state& state, const placement_query& query) const;
     std::vector<endpoint_state*> candidates(const placement_query& query, bool onlySubset);
     std::vector<endpoint_state*> sampleCandidates(const placement_query& query);
     // Mean load of the service's endpoints that report it.
@@ -228,7 +243,9 @@
     std::set<std::string> m_subscribed;
     departed_endpoints m_departed;
     endpoint_limits m_limits;
-    double m_entryPosition = 0;
+    entry_shares m_shares;
+    // Services whose addresses have changed since their last placement.
+    std::set<service_id> m_changedServices;
     bool m_registryLost = false;
     std::optional<instant> m_registryRegainedAt;
 };
--- a/packages/decisions/forwarding/endpoint_fleet_placement.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet_placement.cpp
@@ -1,7 +1,5 @@
 #include "decisions/forwarding/endpoint_fleet.h"
 
-#include "decisions/membership/rendezvous.h"
-
 #include <algorithm>
 #include <cmath>
 #include <random>
@@ -26,13 +24,6 @@
 constexpr double answerTimeSmoothing = 0.15;
 // Failure rate up to which an endpoint is not penalized.
 constexpr double toleratedFailureRate = 0.05;
-// Backoff after a failed connection; doubles each time.
-constexpr duration initialConnectBackoff = std::chrono::milliseconds(250);
-constexpr duration maxConnectBackoff = std::chrono::seconds(2);
-// Backoff after the endpoint rejected a request.
-constexpr duration rejectionBackoff = std::chrono::milliseconds(120);
-// Backoff after another endpoint answered at the address, until the registry lists the change.
-constexpr duration wrongEndpointBackoff = std::chrono::seconds(2);
 // Mean answer time relative to the service's mean, from which an endpoint without a load report counts as slow.
 constexpr double minSlowdown = 1.3;
 constexpr double maxSlowdown = 20.0;
@@ -41,10 +32,6 @@
 // variation.
 constexpr double slowRankCost = 4.0;
 constexpr double slowRankPaceThreshold = 1.25;
-// Fractions of a cold endpoint's limit for the entries that subscribe to its reports, which share it by their number, and
-// for all others together.
-constexpr double subscribersColdShare = 0.75;
-constexpr double othersColdShare = 0.25;
 // Number of seeds to which the caller's random fraction is mapped.
 constexpr double sampleSeedRange = 2'000'000'000.0;
 
@@ -118,109 +105,13 @@
     return std::find(query.excludedEndpoints.begin(), query.excludedEndpoints.end(), state.record.id) == query.excludedEndpoints.end();
 }
 
-bool endpoint_fleet::takesRequestNow(endpoint_state& state, const placement_query& query)
-{
-    return query.now >= std::max(state.avoidUntil, state.pausedUntil) && isWithinColdRate(state, query) && isWithinNamedLimit(state, query);
-}
-
-bool endpoint_fleet::isWithinNamedLimit(const endpoint_state& state, const placement_query& query)
-{
-    const auto rate = m_limits.currentRate(query.now, state.record.id);
-    if (!rate)
-        return true;
-    // The reports of its agent show when such a limit ends, so no request has to find out.
-    if (*rate <= endpoint_limits::leastRate && hasFreshReport(state, query.now))
-        return false;
-    return query.allowsLimited && m_limits.allowsSend(query.now, state.record.id);
-}
-
-std::optional<instant> endpoint_fleet::limitOpensAt(const placement_query& query, std::size_t requestsAhead, instant until)
-{
-    std::vector<instant> times;
-    for (const auto& [id, state] : m_endpoints) {
-        if (!isEligible(state, query))
-            continue;
-        if (!m_limits.isLimited(query.now, id))
-            return std::nullopt;
-        const auto own = m_limits.sendTimes(query.now, id, until);
-        std::transform(own.begin(), own.end(), std::back_inserter(times),
-            [&state = state](instant time) { return std::max({ time, state.avoidUntil, state.pausedUntil }); });
-    }
-    if (times.size() <= requestsAhead)
-        return std::nullopt;
-    std::nth_element(times.begin(), times.begin() + static_cast<std::ptrdiff_t>(requestsAhead), times.end());
-    const instant opensAt = times[requestsAhead];
-    return opensAt < until ? std::optional(opensAt) : std::nullopt;
-}
-
-std::optional<endpoint_limits::borrowable_request> endpoint_fleet::borrowableRequest(const placement_query& query, instant until, double randomFraction)
-{
-    std::vector<endpoint_id> limited;
-    for (const auto& [id, state] : m_endpoints) {
-        if (isEligible(state, query) && m_limits.isLimited(query.now, id))
-            limited.push_back(id);
-    }
-    if (limited.empty())
-        return std::nullopt;
-    const double position = randomFraction * static_cast<double>(limited.size());
-    const auto index = static_cast<std::size_t>(position);
-    return m_limits.borrowableRequest(query.now, limited[index], until, position - static_cast<double>(index));
-}
-
-bool endpoint_fleet::areAllLimited(const placement_query& query) const
-{
-    bool hasEligible = false;
-    for (const auto& [id, state] : m_endpoints) {
-        if (!isEligible(state, query))
-            continue;
-        if (!m_limits.isLimited(query.now, id))
-            return false;
-        hasEligible = true;
-    }
-    return hasEligible;
-}
-
-// Any endpoint may have turned cold unnoticed, so a limit derived from the cold rate applies to all endpoints.
-bool endpoint_fleet::isWithinColdRate(endpoint_state& state, const placement_query& query) const
-{
-    if (query.coldRequestsPerSecond <= 0)
-        return true;
-    const bool isCold = query.now < state.recordReceivedAt + state.record.coldFor;
-    const double rateLimit = isCold
-        ? query.coldRequestsPerSecond
-        : m_settings.usableColdFraction * (query.coldRequestsPerSecond * m_settings.coldRateFactor + m_settings.coldRateAllowance);
-    const double share = rateLimit * coldRateShare(state, query);
-    if (share >= 1)
-        return static_cast<double>(state.recentSends.count(query.now)) + 1 <= share;
-    const double spacing = 1e6 / share;
-    // An endpoint that just came looks idle to all entries at once, so their first sends are spread over the spacing.
-    if (state.lastSend < state.availableSince)
-        return query.now >= state.availableSince + duration(static_cast<duration::rep>(spacing * phaseOf(state.record.id)));
-    return query.now - state.lastSend >= duration(static_cast<duration::rep>(spacing));
-}
-
-double endpoint_fleet::phaseOf(const endpoint_id& endpoint) const
-{
-    const double shift = static_cast<double>(rendezvousScore({}, endpoint.str()) >> 11U) * 0x1p-53;
-    return std::fmod(m_entryPosition + shift, 1.0);
-}
-
-double endpoint_fleet::coldRateShare(const endpoint_state& state, const placement_query& query) const
-{
-    const auto entries = static_cast<double>(std::max<std::size_t>(query.entryCount, 1));
-    if (state.source == load_source::OwnRequests)
-        return 1 / entries;
-    const bool isCounted = hasFreshReport(state, query.now) && state.report->subscribers > 0;
-    return isCounted ? subscribersColdShare / state.report->subscribers : othersColdShare / entries;
-}
-
 std::vector<endpoint_fleet::endpoint_state*> endpoint_fleet::candidates(const placement_query& query, bool onlySubset)
 {
     std::vector<endpoint_state*> found;
     for (auto& [id, state] : m_endpoints) {
         if (onlySubset && state.source == load_source::None)
             continue;
-        if (isEligible(state, query) && takesRequestNow(state, query))
+        if (isEligible(state, query) && permissionFor(state, query).isAllowed)
             found.push_back(&state);
     }
     return found;
@@ -230,6 +121,7 @@
 // more than sampleSize.
 std::vector<endpoint_fleet::endpoint_state*> endpoint_fleet::sampleCandidates(const placement_query& query)
 {
+    updateRingStarts(query.service);
     auto found = candidates(query, true);
     if (found.empty())
         found = candidates(query, false);
@@ -270,9 +162,8 @@
         return;
     ++state->inFlight;
     ++state->sentSinceReport;
-    state->recentSends.record(now);
+    state->shares.recordSend(now);
     m_limits.recordSend(now, endpoint);
-    state->lastSend = now;
 }
 
 void endpoint_fleet::recordOutcome(endpoint_state& state, instant now, double failure)
@@ -293,33 +184,6 @@
     updateMovingAverage(m_services[state->record.service].meanAnswerSeconds, seconds(answerTime), answerTimeSmoothing);
 }
 
-void endpoint_fleet::recordEnding(instant now, const endpoint_id& endpoint, attempt_ending ending)
-{
-    endpoint_state* const state = find(endpoint);
-    if (state == nullptr)
-        return;
-    state->inFlight -= std::min(state->inFlight, 1U);
-    switch (ending) {
-    case attempt_ending::NotSent:
-        state->avoidUntil = now + std::min(initialConnectBackoff * (1U << std::min(state->refusedConnections, 4U)), maxConnectBackoff);
-        ++state->refusedConnections;
-        recordOutcome(*state, now, 1);
-        break;
-    case attempt_ending::Rejected:
-        state->avoidUntil = now + rejectionBackoff;
-        break;
-    case attempt_ending::WrongEndpoint:
-        state->avoidUntil = now + wrongEndpointBackoff;
-        break;
-    case attempt_ending::FailureAnswer:
-        recordOutcome(*state, now, 0.5);
-        break;
-    default:
-        recordOutcome(*state, now, 1);
-        break;
-    }
-}
-
 void endpoint_fleet::recordCancellation(const endpoint_id& endpoint)
 {
     if (endpoint_state* const state = find(endpoint))
--- /dev/null
+++ b/packages/decisions/forwarding/endpoint_fleet_restrictions.cpp
@@ -0,0 +1,232 @@
+#include "decisions/forwarding/endpoint_fleet.h"
+
+#include "decisions/membership/rendezvous.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <utility>
+
+// The part of the fleet that decides whether this entry may send an endpoint a request now, and if not, when and why.
+
+namespace appleramp {
+
+namespace {
+
+// Backoff after a failed connection; doubles each time.
+constexpr duration initialConnectBackoff = std::chrono::milliseconds(250);
+constexpr duration maxConnectBackoff = std::chrono::seconds(2);
+// Backoff after the endpoint rejected a request.
+constexpr duration rejectionBackoff = std::chrono::milliseconds(120);
+// Backoff after another endpoint answered at the address, until the registry lists the change.
+constexpr duration wrongEndpointBackoff = std::chrono::seconds(2);
+// Services with at most this many addresses spread the entries' shares evenly over them. With more, each entry has shares of some
+// by chance, and a change of the addresses must not move the shares of the others.
+constexpr std::size_t maxEvenlySpread = 32;
+
+} // namespace
+
+send_permission endpoint_fleet::permissionFor(endpoint_state& state, const placement_query& query)
+{
+    const instant resumesAt = std::max(state.avoidUntil, state.pausedUntil);
+    if (query.now < resumesAt)
+        return { false, resumesAt };
+    if (const auto requests = fleetRequestsPerSecond(state, query)) {
+        const std::uint32_t share = m_shares.share(*requests, query.entryCount, state.ringStart);
+        if (!state.shares.allows(query.now, share))
+            return { false, state.shares.opensAt(query.now, share) };
+    }
+    return { isWithinNamedLimit(state, query), std::nullopt };
+}
+
+std::optional<std::uint32_t> endpoint_fleet::fleetRequestsPerSecond(const endpoint_state& state, const placement_query& query) const
+{
+    // Any endpoint may have turned cold unnoticed, so the limit of cold ones holds for all.
+    if (query.coldRequestsPerSecond <= 0)
+        return std::nullopt;
+    const bool isCold = query.now < state.recordReceivedAt + state.record.coldFor;
+    const double usable = m_settings.usableColdFraction * (query.coldRequestsPerSecond * m_settings.coldRateFactor + m_settings.coldRateAllowance);
+    return static_cast<std::uint32_t>(std::max(1.0, isCold ? std::min(usable, query.coldRequestsPerSecond) : usable));
+}
+
+void endpoint_fleet::updateRingStarts(const service_id& service)
+{
+    if (m_changedServices.erase(service) == 0)
+        return;
+    std::map<std::pair<std::uint64_t, std::string_view>, std::vector<endpoint_state*>> byAddress;
+    for (auto& [id, state] : m_endpoints) {
+        if (state.record.service == service)
+            byAddress[{ rendezvousScore({}, state.record.address), state.record.address }].push_back(&state);
+    }
+    std::size_t index = 0;
+    for (const auto& [address, states] : byAddress) {
+        const double start = byAddress.size() > maxEvenlySpread ? entry_shares::ringStart(address.second) : entry_shares::ringStart(index, byAddress.size());
+        for (endpoint_state* const state : states)
+            state->ringStart = start;
+        ++index;
+    }
+}
+
+bool endpoint_fleet::isOutsideShare(endpoint_state& state, const placement_query& query)
+{
+    const auto requests = fleetRequestsPerSecond(state, query);
+    return requests && query.now >= std::max(state.avoidUntil, state.pausedUntil) && !m_limits.isLimited(query.now, state.record.id)
+        && !state.shares.allows(query.now, m_shares.share(*requests, query.entryCount, state.ringStart));
+}
+
+std::optional<instant> endpoint_fleet::shareOpensAt(const placement_query& query)
+{
+    std::optional<instant> earliest;
+    for (auto& [id, state] : m_endpoints) {
+        if (!isEligible(state, query) || !isOutsideShare(state, query))
+            continue;
+        if (const auto opensAt = permissionFor(state, query).opensAt)
+            earliest = earliest ? std::min(*earliest, *opensAt) : *opensAt;
+    }
+    return earliest;
+}
+
+std::optional<endpoint_limits::borrowable_request> endpoint_fleet::borrowableShare(const placement_query& query, double randomFraction)
+{
+    std::vector<endpoint_state*> closed;
+    for (auto& [id, state] : m_endpoints) {
+        if (isEligible(state, query) && isOutsideShare(state, query))
+            closed.push_back(&state);
+    }
+    if (closed.empty())
+        return std::nullopt;
+    const endpoint_state& state = **std::min_element(closed.begin(), closed.end(),
+        [&](const auto* left, const auto* right) { return cost(*left, query) < cost(*right, query); });
+    const std::uint32_t requests = fleetRequestsPerSecond(state, query).value_or(0);
+    const auto owner = m_shares.otherOwner(requests, query.entryCount, state.ringStart, randomFraction);
+    if (!owner)
+        return std::nullopt;
+    return endpoint_limits::borrowable_request { { .endpoint = state.record.id, .startedAtMs = state.record.startedAtMs, .turn = sharedTurn }, *owner };
+}
+
+bool endpoint_fleet::lendShare(const placement_query& query, const permit_question& question)
+{
+    endpoint_state* const state = find(question.endpoint);
+    if (state == nullptr || state->record.startedAtMs != question.startedAtMs || !isEligible(*state, query))
+        return false;
+    updateRingStarts(query.service);
+    const auto requests = fleetRequestsPerSecond(*state, query);
+    return requests && permissionFor(*state, query).isAllowed && state->shares.lend(query.now, m_shares.share(*requests, query.entryCount, state->ringStart));
+}
+
+void endpoint_fleet::borrowShare(const permit_question& question, instant askedAt)
+{
+    if (endpoint_state* const state = find(question.endpoint))
+        state->shares.borrow(askedAt);
+}
+
+bool endpoint_fleet::isWithinNamedLimit(const endpoint_state& state, const placement_query& query)
+{
+    const auto rate = m_limits.currentRate(query.now, state.record.id);
+    if (!rate)
+        return true;
+    // The reports of its agent show when such a limit ends, so no request has to find out.
+    if (*rate <= endpoint_limits::leastRate && hasFreshReport(state, query.now))
+        return false;
+    return query.allowsLimited && m_limits.allowsSend(query.now, state.record.id);
+}
+
+std::optional<instant> endpoint_fleet::limitOpensAt(const placement_query& query, std::size_t requestsAhead, instant until)
+{
+    std::vector<instant> times;
+    for (const auto& [id, state] : m_endpoints) {
+        if (!isEligible(state, query))
+            continue;
+        if (!m_limits.isLimited(query.now, id))
+            return std::nullopt;
+        const auto own = m_limits.sendTimes(query.now, id, until);
+        std::transform(own.begin(), own.end(), std::back_inserter(times),
+            [&state = state](instant time) { return std::max({ time, state.avoidUntil, state.pausedUntil }); });
+    }
+    if (times.size() <= requestsAhead)
+        return std::nullopt;
+    std::nth_element(times.begin(), times.begin() + static_cast<std::ptrdiff_t>(requestsAhead), times.end());
+    const instant opensAt = times[requestsAhead];
+    return opensAt < until ? std::optional(opensAt) : std::nullopt;
+}
+
+std::optional<endpoint_limits::borrowable_request> endpoint_fleet::borrowableRequest(const placement_query& query, instant until, double randomFraction)
+{
+    std::vector<endpoint_id> limited;
+    for (const auto& [id, state] : m_endpoints) {
+        if (isEligible(state, query) && m_limits.isLimited(query.now, id))
+            limited.push_back(id);
+    }
+    if (limited.empty())
+        return std::nullopt;
+    const double position = randomFraction * static_cast<double>(limited.size());
+    const auto index = static_cast<std::size_t>(position);
+    return m_limits.borrowableRequest(query.now, limited[index], until, position - static_cast<double>(index));
+}
+
+bool endpoint_fleet::areAllLimited(const placement_query& query) const
+{
+    bool hasEligible = false;
+    for (const auto& [id, state] : m_endpoints) {
+        if (!isEligible(state, query))
+            continue;
+        if (!m_limits.isLimited(query.now, id))
+            return false;
+        hasEligible = true;
+    }
+    return hasEligible;
+}
+
+void endpoint_fleet::pause(const endpoint_id& endpoint, instant until)
+{
+    if (endpoint_state* const state = find(endpoint))
+        state->pausedUntil = std::max(state->pausedUntil, until);
+}
+
+std::optional<instant> endpoint_fleet::allPausedUntil(instant now, const service_id& service) const
+{
+    std::optional<instant> earliest;
+    for (const auto& [id, state] : m_endpoints) {
+        if (state.record.service != service || !isInService(state, now))
+            continue;
+        if (state.pausedUntil <= now)
+            return std::nullopt;
+        earliest = earliest ? std::min(*earliest, state.pausedUntil) : state.pausedUntil;
+    }
+    return earliest;
+}
+
+std::size_t endpoint_fleet::pausedCount(instant now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_endpoints.begin(), m_endpoints.end(), [now](const auto& entry) { return entry.second.pausedUntil > now; }));
+}
+
+void endpoint_fleet::recordEnding(instant now, const endpoint_id& endpoint, attempt_ending ending)
+{
+    endpoint_state* const state = find(endpoint);
+    if (state == nullptr)
+        return;
+    state->inFlight -= std::min(state->inFlight, 1U);
+    switch (ending) {
+    case attempt_ending::NotSent:
+        state->avoidUntil = now + std::min(initialConnectBackoff * (1U << std::min(state->refusedConnections, 4U)), maxConnectBackoff);
+        ++state->refusedConnections;
+        recordOutcome(*state, now, 1);
+        break;
+    case attempt_ending::Rejected:
+        state->avoidUntil = now + rejectionBackoff;
+        break;
+    case attempt_ending::WrongEndpoint:
+        state->avoidUntil = now + wrongEndpointBackoff;
+        break;
+    case attempt_ending::FailureAnswer:
+        recordOutcome(*state, now, 0.5);
+        break;
+    default:
+        recordOutcome(*state, now, 1);
+        break;
+    }
+}
+
+} // namespace appleramp
--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -199,7 +199,7 @@
         .allowsLimited = requestsAhead(number, request) == 0,
         .randomFraction = randomFraction() };
     const auto found = m_fleet.choose(query);
-    if (!found && waitForPermit(now, number, request, query))
+    if (!found && (waitForPermit(now, number, request, query) || waitForShare(now, number, request, query)))
         return;
     leavePermitQueue(number, request);
     if (!found) {
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -89,6 +89,11 @@
         std::uint32_t permitQuestions = 0;
         // The one that has not been answered.
         std::optional<permit_question> openPermitQuestion;
+        // As the two above, while the shares of this entry are used up.
+        instant shareWaitEnd;
+        std::uint32_t shareQuestions = 0;
+        instant shareAskedAt;
+        bool waitsForShare = false;
         // An earlier attempt may have been executed.
         bool mayHaveRun = false;
         // The latest attempt brought a whole answer that says that the request failed.
@@ -138,6 +143,13 @@
     bool waitForPermit(instant now, request_number number, request_state& request, const placement_query& query);
     // Asks another entry for a request that it may not need. Returns false if there is none to ask for.
     bool askForPermit(instant now, request_number number, request_state& request, const placement_query& query);
+    // If only the shares of this entry keep the request from an endpoint, waits for one or asks another entry, and returns true.
+    bool waitForShare(instant now, request_number number, request_state& request, const placement_query& query);
+    bool askForShare(instant now, request_number number, request_state& request, const placement_query& query);
+    void lendShare(const permit_asked& event);
+    void onShareAnswered(const permit_answered& event, request_state& request);
+    placement_query queryFor(instant now, const service_id& service) const;
+    // The request no longer waits for a limit or a share.
     void leavePermitQueue(request_number number, request_state& request);
     // Requests of the service that wait for its limits and are served before this one.
     std::size_t requestsAhead(request_number number, const request_state& request) const;
@@ -240,6 +252,8 @@
     permit_queue m_permitQueue;
     // The other entries need their requests themselves: none is asked until then.
     std::map<service_id, instant> m_noPermitsUntil;
+    // Requests that wait for a share.
+    std::map<service_id, std::size_t> m_shareWaiters;
     std::map<service_id, stream_pace> m_streamPaces;
     std::map<service_id, brief_outage> m_outages;
     std::map<request_number, request_state> m_requests;
--- a/packages/decisions/forwarding/forwarding_reducer_limits.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_limits.cpp
@@ -198,6 +198,8 @@
 // A request that waits here goes first; without one, the turn would pass unused.
 void forwarding_reducer::on(const permit_asked& event)
 {
+    if (event.question.turn == sharedTurn)
+        return lendShare(event);
     const service_id service = m_fleet.serviceOf(event.question.endpoint);
     const bool isGranted = !m_permitQueue.isWaiting(service) && m_fleet.lendRequest(event.now, event.question);
     m_effects.emplace_back(answer_permit { event.asker, { event.question, isGranted } });
@@ -215,6 +217,8 @@
         return;
     request_state& request = found->second;
     request.openPermitQuestion.reset();
+    if (question.turn == sharedTurn)
+        return onShareAnswered(event, request);
     if (event.answer.isGranted) {
         m_fleet.borrowRequest(event.now, question);
         request.permitQuestions = maxPermitQuestions;
@@ -230,6 +234,8 @@
 {
     if (std::exchange(request.waitsForPermit, false))
         m_permitQueue.remove(request.service, request.urgencyRank, number);
+    if (std::exchange(request.waitsForShare, false))
+        --m_shareWaiters[request.service];
 }
 
 void forwarding_reducer::forget(request_number number)
--- a/packages/model/endpoint_limit.h
+++ b/packages/model/endpoint_limit.h
@@ -4,6 +4,7 @@
 #include "model/time.h"
 
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <variant>
 
@@ -56,6 +57,10 @@
     bool operator==(const permit_question&) const = default;
 };
 
+// The turn in questions for a request of the owner's share of an endpoint that names no limit. Entries that do not know such
+// questions refuse them, as no limit has that many turns.
+constexpr std::uint64_t sharedTurn = std::numeric_limits<std::uint64_t>::max();
+
 // The owner's answer: a granted request is the asker's, and the owner no longer sends it.
 struct permit_answer {
     permit_question question;
--- a/tests/decisions/forwarding/endpoint_fleet_test.cpp
+++ b/tests/decisions/forwarding/endpoint_fleet_test.cpp
@@ -133,18 +133,32 @@
     }
 }
 
+// Guards against shares below one request: 100 entries that each send one in some seconds may all send it in the same second.
 Test(endpoint_fleet, many_entries_space_their_sends_to_a_cold_endpoint)
 {
-    endpoint_fleet fleet = fleetOf({ "e1" });
-    placement_query cold = query(10s);
-    cold.entryCount = 100;
-    cold.coldRequestsPerSecond = 15;
-    cr_assert(fleet.choose(cold));
-    fleet.recordSend(cold.now, endpoint_id("e1"));
-    cold.now = instant(12s);
-    cr_assert(!fleet.choose(cold));
-    cold.now = instant(17s);
-    cr_assert(fleet.choose(cold));
+    constexpr std::size_t entries = 100;
+    std::vector<endpoint_fleet> fleets;
+    for (std::size_t entry = 0; entry < entries; ++entry) {
+        fleets.push_back(fleetOf({ "e1" }));
+        fleets.back().setEntryPosition(static_cast<double>(entry) / entries);
+    }
+    std::vector<duration> sends;
+    for (duration now = 10s; now < 20s; now += 50ms) {
+        for (endpoint_fleet& fleet : fleets) {
+            placement_query cold = query(now);
+            cold.entryCount = entries;
+            cold.coldRequestsPerSecond = 15;
+            if (!fleet.choose(cold))
+                continue;
+            fleet.recordSend(cold.now, endpoint_id("e1"));
+            sends.push_back(now);
+        }
+    }
+    for (const duration begin : sends)
+        cr_assert_leq(std::count_if(sends.begin(), sends.end(), [&](duration at) { return at >= begin && at < begin + 1s; }), 27);
+    // On average, no more than the entries together sent before: 0.6 of the limit.
+    cr_assert_leq(sends.size(), 165);
+    cr_assert_geq(sends.size(), 100);
 }
 
 // Guards against sending to a zone that operators take out of service at short notice.
