Forwarding: one state per endpoint says why it takes less, and the pace of started ones

Cause: backoff, pauses, limits and cold shares were asked one by one, nothing said which of them held, and an endpoint that had just started or recovered was sent as much as any.

Change: permissionFor answers whether this entry may send there now, and if not, when; endpoint_restriction states the reason, logged as it begins and ends. endpoint_pace lets the rate of a started endpoint double each 0.25 s while it answers like its peers. It is off (fleet_settings::isPaced) and has no setting yet.

--- a/packages/decisions/forwarding/endpoint_fleet.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet.cpp
@@ -5,6 +5,13 @@
 
 namespace appleramp {
 
+namespace {
+
+// A process that starts reads the whole registry in this time. The endpoints that it learns then have not all started just now.
+constexpr duration initialReadTime = std::chrono::seconds(1);
+
+} // namespace
+
 endpoint_fleet::endpoint_fleet(fleet_settings settings)
     : m_settings(settings)
 {
@@ -25,9 +32,13 @@
         m_byAddress[record.address].insert(record.id);
         m_changedServices.insert(record.service);
     }
+    if (!m_firstListedAt)
+        m_firstListedAt = now;
+    const bool wasCold = now < state.recordReceivedAt + state.record.coldFor;
     const bool isNew = state.record.id.empty() || state.record.startedAtMs != record.startedAtMs;
     if (isNew) {
         state.pausedUntil = {};
+        state.outlierUntil = {};
         m_limits.forget(record.id);
     }
     if (record.leaving)
@@ -36,6 +47,9 @@
     state.source = loadSourceOf(record.address);
     state.recordReceivedAt = now;
     state.lapsedAt.reset();
+    const bool turnedCold = record.coldFor > duration::zero() && (isNew || !wasCold);
+    if (turnedCold || (isNew && now - *m_firstListedAt >= initialReadTime))
+        beginPace(state, now);
 }
 
 void endpoint_fleet::erase(const endpoint_id& endpoint)
@@ -127,8 +141,12 @@
     return m_limits.recordTold(now, record);
 }
 
-void endpoint_fleet::setZonesOutOfService(instant, std::set<availability_zone_id> zones)
+void endpoint_fleet::setZonesOutOfService(instant now, std::set<availability_zone_id> zones)
 {
+    for (auto& [id, state] : m_endpoints) {
+        if (m_zonesOutOfService.contains(state.record.zone) && !zones.contains(state.record.zone))
+            beginPace(state, now);
+    }
     m_zonesOutOfService = std::move(zones);
 }
 
--- a/packages/decisions/forwarding/endpoint_fleet.h
+++ b/packages/decisions/forwarding/endpoint_fleet.h
@@ -3,6 +3,7 @@
 #include "decisions/forwarding/attempt_ending.h"
 #include "decisions/forwarding/departed_endpoints.h"
 #include "decisions/limits/endpoint_limits.h"
+#include "decisions/pace/endpoint_pace.h"
 #include "decisions/pace/endpoint_restriction.h"
 #include "decisions/pace/entry_shares.h"
 #include "decisions/pace/share_account.h"
@@ -10,6 +11,7 @@
 #include "model/routing.h"
 #include "model/time.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <map>
 #include <optional>
@@ -34,6 +36,8 @@
     std::size_t sampleSize = 6;
     // Endpoints whose records lapsed while the registry was unreachable are removed only this long after it is back.
     duration lapseGracePeriod = std::chrono::milliseconds(1900);
+    // Endpoints that started or recovered get as much as they can take, by how they answer.
+    bool isPaced = false;
 };
 
 struct placement_query {
@@ -120,6 +124,21 @@
     // As in endpoint_limits.
     bool lendRequest(instant now, const permit_question& question) { return m_limits.lend(now, question); }
     void borrowRequest(instant now, const permit_question& question) { m_limits.borrow(now, question); }
+    // A request of this entry for the service arrived.
+    void recordDemand(instant now, const service_id& service);
+    // The endpoint is left out until then, as it does worse than its peers.
+    void markOutlier(const endpoint_id& endpoint, instant until);
+    // Lets time pass for the endpoints that started or recovered. Returns the restrictions that began or ended since the last call.
+    std::vector<restriction_change> updateRestrictions(instant now);
+    // The restrictions in force at the last update.
+    std::vector<restriction_view> restrictions() const;
+    struct pace_totals {
+        // Endpoints that started or recovered, those of them that reached 0.8 of their usual rate, and the time that these took.
+        std::uint64_t starts = 0;
+        std::uint64_t reached = 0;
+        duration time {};
+    };
+    const pace_totals& paceTotals() const { return m_paceTotals; }
     // When this entry's share next allows a request to an endpoint of the query that is only closed to it by its share.
     std::optional<instant> shareOpensAt(const placement_query& query);
     // The best of these endpoints, and another entry to ask for a request to it.
@@ -144,6 +163,8 @@
     void recordSend(instant now, const endpoint_id& endpoint);
     // An attempt is over, with a whole answer or without one.
     void recordAnswer(instant now, const endpoint_id& endpoint, duration answerTime);
+    // The first event of a stream has come.
+    void recordFirstEvent(instant now, const endpoint_id& endpoint, duration time);
     void recordEnding(instant now, const endpoint_id& endpoint, attempt_ending ending);
     // An attempt was cancelled because the caller left or its stream moves to another endpoint.
     void recordCancellation(const endpoint_id& endpoint);
@@ -184,6 +205,14 @@
         std::uint32_t inFlight = 0;
         // What this entry used of its share of the requests that the endpoint gets in a second.
         share_account shares;
+        endpoint_pace pace;
+        // The rate of a fully recovered endpoint, as last used; zero if it is not known yet.
+        double usualRate = 0;
+        // The endpoint recovers at that time, at the end of a pause or a backoff.
+        std::optional<instant> recoversAt;
+        bool wasLimited = false;
+        instant outlierUntil;
+        std::optional<endpoint_restriction> restriction;
         // Where the shares of the endpoint begin in the ring of entries.
         double ringStart = 0;
         instant avoidUntil;
@@ -202,6 +231,12 @@
     struct service_state {
         double meanAnswerSeconds = 0;
         double failures = 0;
+        // Moving averages of the times to the first events of streams, and of the slowdown factors in reports.
+        double meanFirstEventSeconds = 0;
+        double meanSlowdown = 0;
+        // Moving average of this entry's requests per second, as of lastDemand.
+        double demandRate = 0;
+        std::optional<instant> lastDemand;
     };
 
     endpoint_state* find(const endpoint_id& endpoint);
@@ -217,7 +252,18 @@
     send_permission permissionFor(endpoint_state& state, const placement_query& query);
     bool isWithinNamedLimit(const endpoint_state& state, const placement_query& query);
     // Requests that all entries together may send the endpoint in any second; nothing if they are not limited.
-    std::optional<std::uint32_t> fleetRequestsPerSecond(const endpoint_state& state, const placement_query& query) const;
+    std::optional<std::uint32_t> fleetRequestsPerSecond(endpoint_state& state, const placement_query& query);
+    // Requests per second of all entries that a cold endpoint of the service bears; nothing if that is not limited.
+    std::optional<double> coldRequestsPerSecond(const endpoint_state& state, const placement_query& query) const;
+    // The endpoint started or recovered.
+    void beginPace(endpoint_state& state, instant now);
+    void updatePace(endpoint_state& state, instant now);
+    void recordReportForPace(endpoint_state& state, instant now, const endpoint_load& load);
+    // Requests per second of all entries with which an endpoint of the service begins.
+    double firstRate(const service_id& service, instant now) const;
+    duration usualBeginTime(const service_id& service) const;
+    instant resumesAt(const endpoint_state& state) const { return std::max({ state.avoidUntil, state.pausedUntil, state.outlierUntil }); }
+    std::optional<endpoint_restriction> restrictionOf(const endpoint_state& state, instant now) const;
     // The endpoint takes requests, but this entry's share of them is used up or empty.
     bool isOutsideShare(endpoint_state& state, const placement_query& query);
     // Takes changes of the service's endpoints into account.
@@ -244,6 +290,10 @@
     departed_endpoints m_departed;
     endpoint_limits m_limits;
     entry_shares m_shares;
+    // When the first endpoint was listed: those that are listed by then have not just started.
+    std::optional<instant> m_firstListedAt;
+    instant m_restrictionsUpdatedAt;
+    pace_totals m_paceTotals;
     // Services whose addresses have changed since their last placement.
     std::set<service_id> m_changedServices;
     bool m_registryLost = false;
--- a/packages/decisions/forwarding/endpoint_fleet_placement.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet_placement.cpp
@@ -47,6 +47,7 @@
     if (!endpoint)
         return;
     endpoint_state& state = m_endpoints.at(*endpoint);
+    recordReportForPace(state, now, load);
     state.report = load;
     state.reportedAt = now;
     state.sentSinceReport = 0;
@@ -127,6 +128,9 @@
         found = candidates(query, false);
     std::minstd_rand random(static_cast<std::minstd_rand::result_type>(query.randomFraction * sampleSeedRange) + 1);
     std::shuffle(found.begin(), found.end(), random);
+    const auto awaitsFirst = [&](const endpoint_state* state) { return state->pace.awaitsFirstSend(query.now) && slowdown(*state, query.now) < slowRankPaceThreshold; };
+    if (const auto first = std::find_if(found.begin(), found.end(), awaitsFirst); first != found.end())
+        return { *first };
     found.resize(std::min(found.size(), m_settings.sampleSize));
     return found;
 }
@@ -163,6 +167,7 @@
     ++state->inFlight;
     ++state->sentSinceReport;
     state->shares.recordSend(now);
+    state->pace.recordSend(now);
     m_limits.recordSend(now, endpoint);
 }
 
@@ -181,7 +186,21 @@
     state->refusedConnections = 0;
     recordOutcome(*state, now, 0);
     updateMovingAverage(state->meanAnswerSeconds, seconds(answerTime), answerTimeSmoothing);
-    updateMovingAverage(m_services[state->record.service].meanAnswerSeconds, seconds(answerTime), answerTimeSmoothing);
+    service_state& service = m_services[state->record.service];
+    // How long a whole stream takes depends on its length; its first event has been counted.
+    if (service.meanFirstEventSeconds == 0 && service.meanAnswerSeconds > 0)
+        state->pace.recordAnswer(now, seconds(answerTime) / service.meanAnswerSeconds);
+    updateMovingAverage(service.meanAnswerSeconds, seconds(answerTime), answerTimeSmoothing);
+}
+
+void endpoint_fleet::recordFirstEvent(instant now, const endpoint_id& endpoint, duration time)
+{
+    endpoint_state* const state = find(endpoint);
+    if (state == nullptr)
+        return;
+    double& mean = m_services[state->record.service].meanFirstEventSeconds;
+    state->pace.recordAnswer(now, mean > 0 ? seconds(time) / mean : 1);
+    updateMovingAverage(mean, seconds(time), answerTimeSmoothing);
 }
 
 void endpoint_fleet::recordCancellation(const endpoint_id& endpoint)
@@ -195,7 +214,7 @@
     return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& entry) {
         const endpoint_state& state = entry.second;
         return state.record.service == service && isInService(state, now) && entry.first != endpoint && !m_limits.isLimited(now, entry.first) && hasFreshReport(state, now) && state.report->slowdownFactor < slowRankPaceThreshold
-            && now >= std::max(state.avoidUntil, state.pausedUntil);
+            && now >= resumesAt(state);
     });
 }
 
--- a/packages/decisions/forwarding/endpoint_fleet_restrictions.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet_restrictions.cpp
@@ -23,30 +23,121 @@
 // Services with at most this many addresses spread the entries' shares evenly over them. With more, each entry has shares of some
 // by chance, and a change of the addresses must not move the shares of the others.
 constexpr std::size_t maxEvenlySpread = 32;
+// Usual requests per second of an endpoint without a cold rate: what its slots serve, with a margin, and at least minUsualRate.
+constexpr double capacityMargin = 2;
+constexpr double minUsualRate = 16;
+constexpr double minAnswerSeconds = 0.001;
+// Restrictions are updated this often, less often in large fleets.
+constexpr duration updateInterval = std::chrono::milliseconds(25);
+constexpr duration longUpdateInterval = std::chrono::milliseconds(250);
+constexpr std::size_t manyEndpoints = 256;
+
+double seconds(duration time) { return std::chrono::duration<double>(time).count(); }
 
 } // namespace
 
 send_permission endpoint_fleet::permissionFor(endpoint_state& state, const placement_query& query)
 {
-    const instant resumesAt = std::max(state.avoidUntil, state.pausedUntil);
-    if (query.now < resumesAt)
-        return { false, resumesAt };
+    if (query.now < resumesAt(state))
+        return { false, resumesAt(state) };
     if (const auto requests = fleetRequestsPerSecond(state, query)) {
         const std::uint32_t share = m_shares.share(*requests, query.entryCount, state.ringStart);
-        if (!state.shares.allows(query.now, share))
-            return { false, state.shares.opensAt(query.now, share) };
+        const bool isRamping = state.pace.isRamping();
+        if (!state.shares.allows(query.now, share)) {
+            const auto opensAt = state.shares.opensAt(query.now, share);
+            return { false, opensAt || !isRamping ? opensAt : query.now + endpoint_pace::stepLength };
+        }
+        // While its rate grows, an endpoint gets the next request of this entry after it has answered one.
+        if (isRamping && state.inFlight >= std::max(share, 1U))
+            return { false, std::nullopt };
     }
     return { isWithinNamedLimit(state, query), std::nullopt };
 }
 
-std::optional<std::uint32_t> endpoint_fleet::fleetRequestsPerSecond(const endpoint_state& state, const placement_query& query) const
+std::optional<double> endpoint_fleet::coldRequestsPerSecond(const endpoint_state& state, const placement_query& query) const
 {
     // Any endpoint may have turned cold unnoticed, so the limit of cold ones holds for all.
     if (query.coldRequestsPerSecond <= 0)
         return std::nullopt;
     const bool isCold = query.now < state.recordReceivedAt + state.record.coldFor;
     const double usable = m_settings.usableColdFraction * (query.coldRequestsPerSecond * m_settings.coldRateFactor + m_settings.coldRateAllowance);
-    return static_cast<std::uint32_t>(std::max(1.0, isCold ? std::min(usable, query.coldRequestsPerSecond) : usable));
+    return std::max(1.0, isCold ? std::min(usable, query.coldRequestsPerSecond) : usable);
+}
+
+std::optional<std::uint32_t> endpoint_fleet::fleetRequestsPerSecond(endpoint_state& state, const placement_query& query)
+{
+    auto rate = coldRequestsPerSecond(state, query);
+    if (m_settings.isPaced) {
+        const double answerTime = std::max(seconds(meanAnswerTime(query.service)), minAnswerSeconds);
+        state.usualRate = rate.value_or(std::max(minUsualRate, capacityMargin * state.record.slots / answerTime));
+        updatePace(state, query.now);
+        if (state.pace.isRamping())
+            rate = std::min(state.pace.rate(), state.usualRate);
+    }
+    return rate ? std::optional(static_cast<std::uint32_t>(*rate)) : std::nullopt;
+}
+
+void endpoint_fleet::markOutlier(const endpoint_id& endpoint, instant until)
+{
+    if (endpoint_state* const state = find(endpoint)) {
+        state->outlierUntil = until;
+        state->recoversAt = until;
+    }
+}
+
+std::optional<endpoint_restriction> endpoint_fleet::restrictionOf(const endpoint_state& state, instant now) const
+{
+    const auto closed = [&](restriction_reason reason, std::optional<instant> until) { return endpoint_restriction { reason, now, until, 0 }; };
+    if (m_zonesOutOfService.contains(state.record.zone) && !state.record.leaving)
+        return closed(restriction_reason::ZoneOut, {});
+    if (!isInService(state, now))
+        return closed(restriction_reason::Leaving, {});
+    if (now < state.pausedUntil)
+        return closed(restriction_reason::Paused, state.pausedUntil);
+    if (now < state.avoidUntil)
+        return closed(restriction_reason::Backoff, state.avoidUntil);
+    if (now < state.outlierUntil)
+        return closed(restriction_reason::Outlier, state.outlierUntil);
+    const auto shareOf = [&](double rate) { return state.usualRate > 0 ? std::min(1.0, rate / state.usualRate) : 0; };
+    if (const auto rate = m_limits.currentRate(now, state.record.id))
+        return endpoint_restriction { restriction_reason::NamedLimit, now, {}, shareOf(*rate) };
+    if (state.pace.isRamping())
+        return endpoint_restriction { restriction_reason::Ramp, now, {}, shareOf(state.pace.rate()) };
+    const instant coldUntil = state.recordReceivedAt + state.record.coldFor;
+    return now < coldUntil ? std::optional(endpoint_restriction { restriction_reason::Cold, now, coldUntil, 1 }) : std::nullopt;
+}
+
+std::vector<restriction_change> endpoint_fleet::updateRestrictions(instant now)
+{
+    std::vector<restriction_change> changes;
+    if (now - m_restrictionsUpdatedAt < (m_endpoints.size() > manyEndpoints ? longUpdateInterval : updateInterval))
+        return changes;
+    m_restrictionsUpdatedAt = now;
+    for (auto& [id, state] : m_endpoints) {
+        if (m_settings.isPaced)
+            updatePace(state, now);
+        auto current = restrictionOf(state, now);
+        if (current && state.restriction && current->reason == state.restriction->reason)
+            current->since = state.restriction->since;
+        else {
+            if (state.restriction)
+                changes.push_back({ id, *state.restriction, true });
+            if (current)
+                changes.push_back({ id, *current, false });
+        }
+        state.restriction = current;
+    }
+    return changes;
+}
+
+std::vector<restriction_view> endpoint_fleet::restrictions() const
+{
+    std::vector<restriction_view> views;
+    for (const auto& [id, state] : m_endpoints) {
+        if (state.restriction)
+            views.push_back({ id, state.record.service, *state.restriction });
+    }
+    return views;
 }
 
 void endpoint_fleet::updateRingStarts(const service_id& service)
@@ -70,7 +161,7 @@
 bool endpoint_fleet::isOutsideShare(endpoint_state& state, const placement_query& query)
 {
     const auto requests = fleetRequestsPerSecond(state, query);
-    return requests && query.now >= std::max(state.avoidUntil, state.pausedUntil) && !m_limits.isLimited(query.now, state.record.id)
+    return requests && query.now >= resumesAt(state) && !m_limits.isLimited(query.now, state.record.id)
         && !state.shares.allows(query.now, m_shares.share(*requests, query.entryCount, state.ringStart));
 }
 
@@ -95,7 +186,7 @@
     }
     if (closed.empty())
         return std::nullopt;
-    const endpoint_state& state = **std::min_element(closed.begin(), closed.end(),
+    endpoint_state& state = **std::min_element(closed.begin(), closed.end(),
         [&](const auto* left, const auto* right) { return cost(*left, query) < cost(*right, query); });
     const std::uint32_t requests = fleetRequestsPerSecond(state, query).value_or(0);
     const auto owner = m_shares.otherOwner(requests, query.entryCount, state.ringStart, randomFraction);
@@ -141,7 +232,7 @@
             return std::nullopt;
         const auto own = m_limits.sendTimes(query.now, id, until);
         std::transform(own.begin(), own.end(), std::back_inserter(times),
-            [&state = state](instant time) { return std::max({ time, state.avoidUntil, state.pausedUntil }); });
+            [&, &state = state](instant time) { return std::max(time, resumesAt(state)); });
     }
     if (times.size() <= requestsAhead)
         return std::nullopt;
@@ -179,8 +270,10 @@
 
 void endpoint_fleet::pause(const endpoint_id& endpoint, instant until)
 {
-    if (endpoint_state* const state = find(endpoint))
+    if (endpoint_state* const state = find(endpoint)) {
         state->pausedUntil = std::max(state->pausedUntil, until);
+        state->recoversAt = state->pausedUntil;
+    }
 }
 
 std::optional<instant> endpoint_fleet::allPausedUntil(instant now, const service_id& service) const
@@ -208,9 +301,11 @@
     if (state == nullptr)
         return;
     state->inFlight -= std::min(state->inFlight, 1U);
+    state->pace.recordFailure(now);
     switch (ending) {
     case attempt_ending::NotSent:
         state->avoidUntil = now + std::min(initialConnectBackoff * (1U << std::min(state->refusedConnections, 4U)), maxConnectBackoff);
+        state->recoversAt = state->avoidUntil;
         ++state->refusedConnections;
         recordOutcome(*state, now, 1);
         break;
@@ -219,6 +314,7 @@
         break;
     case attempt_ending::WrongEndpoint:
         state->avoidUntil = now + wrongEndpointBackoff;
+        state->recoversAt = state->avoidUntil;
         break;
     case attempt_ending::FailureAnswer:
         recordOutcome(*state, now, 0.5);
--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -143,6 +143,7 @@
     if (!admit(event.now, event.request, request))
         return;
     m_retryBudget.recordRequest(event.now, request.service);
+    m_fleet.recordDemand(event.now, request.service);
     const auto [inserted, isNew] = m_requests.emplace(event.request, std::move(request));
     place(event.now, event.request, inserted->second);
 }
@@ -435,6 +436,8 @@
     const auto found = m_requests.find(event.request);
     if (found == m_requests.end())
         return;
+    if (found->second.answerPieces == 0)
+        m_fleet.recordFirstEvent(event.now, found->second.currentEndpoint, event.now - found->second.sentAt);
     recordAnswerPiece(event.now, found->second);
     m_outages[found->second.service].recordProgress();
     m_streamPaces[found->second.service].recordEvent(event.now, event.pause);
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -148,6 +148,8 @@
     bool askForShare(instant now, request_number number, request_state& request, const placement_query& query);
     void lendShare(const permit_asked& event);
     void onShareAnswered(const permit_answered& event, request_state& request);
+    // Updates the restrictions of endpoints, and logs which began and ended.
+    void logRestrictions(instant now);
     placement_query queryFor(instant now, const service_id& service) const;
     // The request no longer waits for a limit or a share.
     void leavePermitQueue(request_number number, request_state& request);
--- a/packages/decisions/forwarding/forwarding_reducer_news.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_news.cpp
@@ -180,6 +180,7 @@
     shareCrashRecords(event.now);
     storeSuspects(event.now);
     shareLimits(event.now);
+    logRestrictions(event.now);
     for (const endpoint_id& gone : m_fleet.removeLapsed(event.now))
         m_effects.emplace_back(log_decision { "endpoint_gone", {}, { { "endpoint", gone.str() } } });
 }
--- a/packages/decisions/forwarding/forwarding_reducer_shares.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_shares.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <utility>
 
-// The part of the reducer that waits for this entry's shares of endpoints, and passes them between entries.
+// The part of the reducer that waits for this entry's shares of endpoints, passes them between entries, and logs restrictions.
 
 namespace appleramp {
 
@@ -22,6 +22,8 @@
 constexpr duration shareAnswerWait = std::chrono::milliseconds(40);
 // Requests of a service that wait at the same time; each looks for endpoints whenever it wakes.
 constexpr std::size_t maxShareWaiters = 32;
+// Backoffs that are shorter are not logged: an endpoint that is full rejects many requests.
+constexpr duration minLoggedBackoff = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -95,4 +97,20 @@
         place(event.now, question.request, request);
 }
 
+void forwarding_reducer::logRestrictions(instant now)
+{
+    for (const restriction_change& change : m_fleet.updateRestrictions(now)) {
+        const endpoint_restriction& restriction = change.restriction;
+        if (restriction.reason == restriction_reason::Backoff && restriction.until && *restriction.until - restriction.since < minLoggedBackoff)
+            continue;
+        log_decision line { change.hasEnded ? "restriction_ended" : "restriction_began", {},
+            { { "endpoint", change.endpoint.str() }, { "reason", std::string(nameOf(restriction.reason)) }, { "share", std::to_string(restriction.share) } } };
+        if (change.hasEnded)
+            line.inputs.emplace_back("after_ms", millisecondsText(now - restriction.since));
+        else if (restriction.until)
+            line.inputs.emplace_back("for_ms", millisecondsText(*restriction.until - now));
+        m_effects.emplace_back(std::move(line));
+    }
+}
+
 } // namespace appleramp
--- /dev/null
+++ b/packages/decisions/pace/endpoint_pace.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "model/time.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace appleramp {
+
+// The rate that an endpoint which has started or recovered can take, for all entries together, found from how it answers this entry.
+//
+// The rate doubles step by step while answers come about as fast as those of its peers, stays while they are slower or overdue, and
+// halves at once when the endpoint rejects or breaks off a request. An entry that has sent it nothing has seen nothing against it, so
+// its rate grows as well: most entries of a large fleet send one endpoint less than a request per second. Without requests for the
+// service the rate stays, so that a burst after silence meets the first rate.
+class endpoint_pace {
+public:
+    // Begins at that rate, in requests per second, as of that time.
+    void begin(instant since, double firstRate);
+    // The endpoint is as its peers are again.
+    void end() { m_isRamping = false; }
+    bool isRamping() const { return m_isRamping; }
+    instant since() const { return m_since; }
+    double rate() const { return m_rate; }
+    // Nothing was sent since it began, and that is short ago: a request should go there first.
+    bool awaitsFirstSend(instant now) const { return m_isRamping && !m_hasSent && now - m_since < firstSendPeriod; }
+
+    void recordSend(instant now);
+    // The first event of a stream, or the whole answer, came after this many times the time that peers take.
+    void recordAnswer(instant now, double slowness);
+    // What the endpoint's agent reports: true if the endpoint is as fast as its peers and has no queue.
+    void recordReport(instant now, bool isGood);
+    // Rejected, broken off, or without an answer.
+    void recordFailure(instant now);
+    // Time passes. `ceiling` is the usual rate, `hasDemand` tells whether there were requests for the service lately, and
+    // `usualTime` how long peers take to begin their answers; zero if that is not known. Returns true if the ramp ends with this.
+    bool update(instant now, double ceiling, bool hasDemand, duration usualTime);
+
+    static constexpr duration stepLength = std::chrono::milliseconds(250);
+    // Relative to peers, up to which answers count as good.
+    static constexpr double goodSlowness = 1.5;
+    // For how long a slow answer or report keeps the rate from growing, if nothing better follows.
+    static constexpr duration slownessMemory = std::chrono::milliseconds(500);
+    static constexpr duration firstSendPeriod = std::chrono::milliseconds(500);
+    // The ramp ends at this fraction of the usual rate, and lasts at least this long.
+    static constexpr double reachedFraction = 0.8;
+    static constexpr duration minLength = stepLength;
+    // Below this rate an endpoint would not show soon that it has recovered.
+    static constexpr double leastRate = 2;
+
+private:
+    bool isHeld(instant now, duration usualTime) const;
+
+    bool m_isRamping = false;
+    bool m_hasSent = false;
+    instant m_since;
+    double m_rate = 0;
+    instant m_stepFrom;
+    instant m_updatedAt;
+    std::optional<instant> m_slowAt;
+    // The earliest send without an answer since.
+    std::optional<instant> m_awaitsSince;
+};
+
+} // namespace appleramp
