--- a/packages/decisions/forwarding/endpoint_fleet.h
+++ b/packages/decisions/forwarding/endpoint_fleet.h
@@ -63,6 +63,8 @@
     double load = 0;
     // Age of the load report, even if it is too old to be used; negative if there is none.
     duration reportAge {};
+    // As far as this entry knows, the first request since the endpoint started or recovered.
+    bool isFirstRequest = false;
 };
 
 // Why no endpoint was found.
@@ -143,6 +145,8 @@
     std::optional<instant> shareOpensAt(const placement_query& query);
     // The best of these endpoints, and another entry to ask for a request to it.
     std::optional<endpoint_limits::borrowable_request> borrowableShare(const placement_query& query, double randomFraction);
+    // The same for an endpoint that has just started or recovered and has had no request yet, as far as this entry knows.
+    std::optional<endpoint_limits::borrowable_request> firstRequestToBorrow(const placement_query& query, double randomFraction);
     // Gives another entry a request of this one's share. The query is for the endpoint's service.
     bool lendShare(const placement_query& query, const permit_question& question);
     void borrowShare(const permit_question& question, instant askedAt);
@@ -224,6 +228,7 @@
         instant failureRateUpdatedAt;
         // Moving average of the answer times.
         double meanAnswerSeconds = 0;
+        instant lastAnswerAt;
         std::optional<endpoint_load> report;
         instant reportedAt;
         std::uint32_t sentSinceReport = 0;
@@ -234,8 +239,7 @@
         // Moving averages of the times to the first events of streams, and of the slowdown factors in reports.
         double meanFirstEventSeconds = 0;
         double meanSlowdown = 0;
-        // Moving average of this entry's requests per second, as of lastDemand.
-        double demandRate = 0;
+        // The latest request of this entry.
         std::optional<instant> lastDemand;
     };
 
@@ -259,13 +263,14 @@
     void beginPace(endpoint_state& state, instant now);
     void updatePace(endpoint_state& state, instant now);
     void recordReportForPace(endpoint_state& state, instant now, const endpoint_load& load);
-    // Requests per second of all entries with which an endpoint of the service begins.
-    double firstRate(const service_id& service, instant now) const;
     duration usualBeginTime(const service_id& service) const;
     instant resumesAt(const endpoint_state& state) const { return std::max({ state.avoidUntil, state.pausedUntil, state.outlierUntil }); }
     std::optional<endpoint_restriction> restrictionOf(const endpoint_state& state, instant now) const;
     // The endpoint takes requests, but this entry's share of them is used up or empty.
     bool isOutsideShare(endpoint_state& state, const placement_query& query);
+    std::optional<endpoint_limits::borrowable_request> shareToBorrow(endpoint_state& state, const placement_query& query, double randomFraction);
+    // The endpoint started or recovered just now, is no slower than others, and has had no request yet, as far as this entry knows.
+    bool awaitsFirstRequest(const endpoint_state& state, instant now) const;
     // Takes changes of the service's endpoints into account.
     void updateRingStarts(const service_id& service);
     load_source loadSourceOf(const std::string& address) const;
--- a/packages/decisions/forwarding/endpoint_fleet_pace.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet_pace.cpp
@@ -1,6 +1,6 @@
 #include "decisions/forwarding/endpoint_fleet.h"
 
-#include <cmath>
+#include <algorithm>
 #include <utility>
 
 // The part of the fleet that finds out what endpoints can take that have started or recovered.
@@ -9,32 +9,15 @@
 
 namespace {
 
-// While the rate of a started endpoint grows: so many requests are expected to reach it in its first firstRequestsTime, but its first
-// rate is at least minFirstRate.
-constexpr double firstRequests = 8;
-constexpr duration firstRequestsTime = std::chrono::milliseconds(300);
-constexpr double minFirstRate = 8;
-// Time over which an entry averages its requests for a service.
-constexpr duration demandMemory = std::chrono::seconds(5);
+// First rate of an endpoint that has started or recovered, in requests per second of all entries.
+constexpr double firstRate = 8;
 // After this long without a request for the service, rates no longer grow.
 constexpr duration demandPause = std::chrono::seconds(1);
 // Weight of a report in the mean slowdown of a service.
 constexpr double slowdownSmoothing = 0.05;
 
-double seconds(duration time) { return std::chrono::duration<double>(time).count(); }
-
 } // namespace
 
-double endpoint_fleet::firstRate(const service_id& service, instant now) const
-{
-    const auto found = m_services.find(service);
-    if (found == m_services.end() || !found->second.lastDemand)
-        return minFirstRate;
-    // The other entries are assumed to have about as many requests as this one.
-    const double demand = found->second.demandRate * std::exp(-seconds(now - *found->second.lastDemand) / seconds(demandMemory));
-    return demand <= 0 ? minFirstRate : std::max(minFirstRate, firstRequests / (demand * seconds(firstRequestsTime)));
-}
-
 void endpoint_fleet::beginPace(endpoint_state& state, instant now)
 {
     state.recoversAt.reset();
@@ -42,7 +25,9 @@
         return;
     // What runs at an endpoint already shows that it can take as much.
     const double load = hasFreshReport(state, now) && state.report->startedAtMs == state.record.startedAtMs ? state.report->running : 0;
-    state.pace.begin(now, std::max(load, firstRate(state.record.service, now)));
+    state.pace.begin(now, std::max(load, firstRate));
+    // Failures from before would leave it idle; if it still fails, the rate falls.
+    state.failureRate = 0;
     ++m_paceTotals.starts;
 }
 
@@ -84,12 +69,6 @@
     state.pace.recordReport(now, load.groupOpen && load.slowdownFactor <= endpoint_pace::goodSlowness * peers && load.waiting <= state.record.slots);
 }
 
-void endpoint_fleet::recordDemand(instant now, const service_id& service)
-{
-    service_state& state = m_services[service];
-    const double decay = state.lastDemand ? std::exp(-seconds(now - *state.lastDemand) / seconds(demandMemory)) : 0;
-    state.demandRate = state.demandRate * decay + 1 / seconds(demandMemory);
-    state.lastDemand = now;
-}
+void endpoint_fleet::recordDemand(instant now, const service_id& service) { m_services[service].lastDemand = now; }
 
 } // namespace appleramp
--- a/packages/decisions/forwarding/endpoint_fleet_placement.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet_placement.cpp
@@ -27,6 +27,9 @@
 // Mean answer time relative to the service's mean, from which an endpoint without a load report counts as slow.
 constexpr double minSlowdown = 1.3;
 constexpr double maxSlowdown = 20.0;
+// For this long after a start or recovery, slowness is forgotten with this half-life while no answer shows more of it.
+constexpr duration startedPeriod = std::chrono::seconds(10);
+constexpr duration startSlownessHalfLife = std::chrono::milliseconds(500);
 // Additional cost of a slow rank, in requests for each multiple of the published time by which it is slower. The ranks of a
 // group step together, so whatever runs at a slow rank slows the streams of all ranks. Paces below the threshold are normal
 // variation.
@@ -80,7 +83,10 @@
     const auto service = m_services.find(state.record.service);
     if (service == m_services.end() || service->second.meanAnswerSeconds <= 0 || state.meanAnswerSeconds <= 0)
         return 1;
-    const double ratio = state.meanAnswerSeconds / service->second.meanAnswerSeconds;
+    double ratio = state.meanAnswerSeconds / service->second.meanAnswerSeconds;
+    // An endpoint that was slow right after its start soon is no longer, but would get no request that shows it.
+    if (state.pace.hasBegunSince(now - startedPeriod))
+        ratio = 1 + (ratio - 1) * std::exp2(-seconds(now - state.lastAnswerAt) / seconds(startSlownessHalfLife));
     return ratio < minSlowdown ? 1 : std::min(ratio, maxSlowdown);
 }
 
@@ -128,13 +134,20 @@
         found = candidates(query, false);
     std::minstd_rand random(static_cast<std::minstd_rand::result_type>(query.randomFraction * sampleSeedRange) + 1);
     std::shuffle(found.begin(), found.end(), random);
-    const auto awaitsFirst = [&](const endpoint_state* state) { return state->pace.awaitsFirstSend(query.now) && slowdown(*state, query.now) < slowRankPaceThreshold; };
-    if (const auto first = std::find_if(found.begin(), found.end(), awaitsFirst); first != found.end())
+    if (const auto first = std::find_if(found.begin(), found.end(), [&](const auto* state) { return awaitsFirstRequest(*state, query.now); }); first != found.end())
         return { *first };
     found.resize(std::min(found.size(), m_settings.sampleSize));
     return found;
 }
 
+bool endpoint_fleet::awaitsFirstRequest(const endpoint_state& state, instant now) const
+{
+    if (!state.pace.awaitsFirstSend(now) || slowdown(state, now) >= slowRankPaceThreshold)
+        return false;
+    // Another entry may have sent it one.
+    return !hasFreshReport(state, now) || (state.report->groupOpen && state.report->running + state.report->waiting == 0);
+}
+
 std::optional<placement> endpoint_fleet::choose(const placement_query& query)
 {
     const auto found = sampleCandidates(query);
@@ -143,7 +156,7 @@
     const auto best = *std::min_element(found.begin(), found.end(),
         [&](const auto* left, const auto* right) { return cost(*left, query) < cost(*right, query); });
     const duration age = best->report ? query.now - best->reportedAt : duration(-1);
-    return placement { best->record.id, best->record.address, best->record.slots, estimatedLoad(*best, query.now, query.entryCount), age };
+    return placement { best->record.id, best->record.address, best->record.slots, estimatedLoad(*best, query.now, query.entryCount), age, awaitsFirstRequest(*best, query.now) };
 }
 
 placement_failure endpoint_fleet::failureReason(instant now, const service_id& service) const
@@ -186,6 +199,7 @@
     state->refusedConnections = 0;
     recordOutcome(*state, now, 0);
     updateMovingAverage(state->meanAnswerSeconds, seconds(answerTime), answerTimeSmoothing);
+    state->lastAnswerAt = now;
     service_state& service = m_services[state->record.service];
     // How long a whole stream takes depends on its length; its first event has been counted.
     if (service.meanFirstEventSeconds == 0 && service.meanAnswerSeconds > 0)
--- a/packages/decisions/forwarding/endpoint_fleet_restrictions.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet_restrictions.cpp
@@ -179,17 +179,34 @@
 
 std::optional<endpoint_limits::borrowable_request> endpoint_fleet::borrowableShare(const placement_query& query, double randomFraction)
 {
+    const auto byCost = [&](const auto* left, const auto* right) { return cost(*left, query) < cost(*right, query); };
     std::vector<endpoint_state*> closed;
     for (auto& [id, state] : m_endpoints) {
         if (isEligible(state, query) && isOutsideShare(state, query))
             closed.push_back(&state);
     }
-    if (closed.empty())
+    return closed.empty() ? std::nullopt : shareToBorrow(**std::min_element(closed.begin(), closed.end(), byCost), query, randomFraction);
+}
+
+std::optional<endpoint_limits::borrowable_request> endpoint_fleet::firstRequestToBorrow(const placement_query& query, double randomFraction)
+{
+    std::vector<endpoint_state*> waiting;
+    for (auto& [id, state] : m_endpoints) {
+        // Without its reports, the entry does not see whether another one has sent it a request.
+        const bool isObserved = state.source != load_source::None;
+        if (isObserved && awaitsFirstRequest(state, query.now) && isEligible(state, query) && isOutsideShare(state, query))
+            waiting.push_back(&state);
+    }
+    if (waiting.empty())
         return std::nullopt;
-    endpoint_state& state = **std::min_element(closed.begin(), closed.end(),
-        [&](const auto* left, const auto* right) { return cost(*left, query) < cost(*right, query); });
-    const std::uint32_t requests = fleetRequestsPerSecond(state, query).value_or(0);
-    const auto owner = m_shares.otherOwner(requests, query.entryCount, state.ringStart, randomFraction);
+    const double position = randomFraction * static_cast<double>(waiting.size());
+    const auto index = static_cast<std::size_t>(position);
+    return shareToBorrow(*waiting[index], query, position - static_cast<double>(index));
+}
+
+std::optional<endpoint_limits::borrowable_request> endpoint_fleet::shareToBorrow(endpoint_state& state, const placement_query& query, double randomFraction)
+{
+    const auto owner = m_shares.otherOwner(fleetRequestsPerSecond(state, query).value_or(0), query.entryCount, state.ringStart, randomFraction);
     if (!owner)
         return std::nullopt;
     return endpoint_limits::borrowable_request { { .endpoint = state.record.id, .startedAtMs = state.record.startedAtMs, .turn = sharedTurn }, *owner };
--- a/packages/decisions/forwarding/endpoint_subset.cpp
+++ b/packages/decisions/forwarding/endpoint_subset.cpp
@@ -1,6 +1,6 @@
 #include "decisions/forwarding/endpoint_subset.h"
 
-#include "decisions/membership/rendezvous.h"
+#include "decisions/pace/entry_shares.h"
 
 #include <algorithm>
 #include <cmath>
@@ -15,6 +15,12 @@
 
 using scored_addresses = std::vector<std::pair<std::uint64_t, const std::string*>>;
 
+// Entries have shares of the endpoints that are close to them in the ring, and prefer these.
+std::uint64_t closeness(std::string_view entry, std::string_view address)
+{
+    return static_cast<std::uint64_t>((1 - entry_shares::ringDistance(entry, address)) * 0x1p53);
+}
+
 void insertHighest(scored_addresses& candidates, std::size_t count, std::set<std::string>& subset)
 {
     const std::size_t taken = std::min(count, candidates.size());
@@ -35,7 +41,7 @@
         if (takesAll)
             subset.insert(endpoint.address);
         else
-            byZone[endpoint.zone].emplace_back(rendezvousScore(entry, endpoint.address), &endpoint.address);
+            byZone[endpoint.zone].emplace_back(closeness(entry, endpoint.address), &endpoint.address);
     }
     if (takesAll)
         return subset;
--- a/packages/decisions/forwarding/endpoint_subset.h
+++ b/packages/decisions/forwarding/endpoint_subset.h
@@ -26,8 +26,8 @@
     double entriesPerEndpoint = 6;
 };
 
-// Addresses of the endpoints to which the entry subscribes and which it prefers. Each entry draws its own subset by
-// rendezvous hashing, so that the subsets together load the endpoints evenly and a change of members moves few of them.
+// Addresses of the endpoints to which the entry subscribes and which it prefers: the closest ones in the ring of `entry_shares`, by
+// hashes, so that the subsets together load the endpoints evenly and a change of members moves few of them.
 std::set<std::string> chooseSubset(std::string_view entry, const availability_zone_id& zone, std::size_t entryCount,
     std::span<const reporting_endpoint> endpoints, const subset_settings& settings);
 
--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -200,7 +200,7 @@
         .allowsLimited = requestsAhead(number, request) == 0,
         .randomFraction = randomFraction() };
     const auto found = m_fleet.choose(query);
-    if (!found && (waitForPermit(now, number, request, query) || waitForShare(now, number, request, query)))
+    if (found ? !found->isFirstRequest && borrowFirstRequest(now, number, request, query) : waitForPermit(now, number, request, query) || waitForShare(now, number, request, query))
         return;
     leavePermitQueue(number, request);
     if (!found) {
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -145,7 +145,11 @@
     bool askForPermit(instant now, request_number number, request_state& request, const placement_query& query);
     // If only the shares of this entry keep the request from an endpoint, waits for one or asks another entry, and returns true.
     bool waitForShare(instant now, request_number number, request_state& request, const placement_query& query);
-    bool askForShare(instant now, request_number number, request_state& request, const placement_query& query);
+    // If an endpoint that has just started lacks its first request and only this entry's share keeps the request from it, asks another
+    // entry for one and returns true.
+    bool borrowFirstRequest(instant now, request_number number, request_state& request, const placement_query& query);
+    bool askForShare(instant now, request_number number, request_state& request, std::optional<endpoint_limits::borrowable_request> found);
+    void waitUntil(instant now, request_number number, request_state& request, instant until);
     void lendShare(const permit_asked& event);
     void onShareAnswered(const permit_answered& event, request_state& request);
     // Updates the restrictions of endpoints, and logs which began and ended.
--- a/packages/decisions/forwarding/forwarding_reducer_shares.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_shares.cpp
@@ -18,8 +18,10 @@
 // A share that opens sooner is waited for; otherwise another entry is asked, which takes about as long.
 constexpr duration shortShareWait = std::chrono::milliseconds(10);
 // Questions of one request, and the time within which the answer to one is expected.
-constexpr std::uint32_t maxShareQuestions = 4;
+constexpr std::uint32_t maxShareQuestions = 8;
 constexpr duration shareAnswerWait = std::chrono::milliseconds(40);
+// As long a request that could go elsewhere is kept for an endpoint that has just started.
+constexpr duration firstShareAnswerWait = std::chrono::milliseconds(10);
 // Requests of a service that wait at the same time; each looks for endpoints whenever it wakes.
 constexpr std::size_t maxShareWaiters = 32;
 // Backoffs that are shorter are not logged: an endpoint that is full rejects many requests.
@@ -49,26 +51,35 @@
         return false;
     const auto opensAt = m_fleet.shareOpensAt(query);
     const bool isSoon = opensAt && *opensAt - now < shortShareWait;
-    const bool isAsked = !isSoon && askForShare(now, number, request, query);
+    const bool isAsked = !isSoon && askForShare(now, number, request, m_fleet.borrowableShare(query, randomFraction()));
     if (!isAsked && (!opensAt || *opensAt > request.shareWaitEnd))
         return false;
     const instant answered = now + shareAnswerWait;
-    const instant until = isAsked ? std::min(answered, opensAt.value_or(answered)) : *opensAt;
-    m_effects.emplace_back(wait_for_service { number, until });
-    if (!std::exchange(request.waitsForShare, true)) {
-        ++m_shareWaiters[request.service];
-        m_effects.emplace_back(log_decision { "waits_for_share", request.caller.sendId,
-            { { "service", request.service.str() }, { "for_ms", millisecondsText(until - now) }, { "asked", isAsked ? "true" : "false" } } });
-    }
+    waitUntil(now, number, request, isAsked ? std::min(answered, opensAt.value_or(answered)) : *opensAt);
     return true;
 }
 
-bool forwarding_reducer::askForShare(instant now, request_number number, request_state& request, const placement_query& query)
+bool forwarding_reducer::borrowFirstRequest(instant now, request_number number, request_state& request, const placement_query& query)
 {
-    if (request.shareQuestions == maxShareQuestions)
+    if (request.attempts > 0 || request.shareQuestions > 0 || !askForShare(now, number, request, m_fleet.firstRequestToBorrow(query, randomFraction())))
         return false;
-    auto found = m_fleet.borrowableShare(query, randomFraction());
-    if (!found)
+    waitUntil(now, number, request, now + firstShareAnswerWait);
+    return true;
+}
+
+void forwarding_reducer::waitUntil(instant now, request_number number, request_state& request, instant until)
+{
+    m_effects.emplace_back(wait_for_service { number, until });
+    if (std::exchange(request.waitsForShare, true))
+        return;
+    ++m_shareWaiters[request.service];
+    m_effects.emplace_back(log_decision { "waits_for_share", request.caller.sendId,
+        { { "service", request.service.str() }, { "for_ms", millisecondsText(until - now) }, { "asked", request.openPermitQuestion ? "true" : "false" } } });
+}
+
+bool forwarding_reducer::askForShare(instant now, request_number number, request_state& request, std::optional<endpoint_limits::borrowable_request> found)
+{
+    if (!found || request.shareQuestions == maxShareQuestions)
         return false;
     ++request.shareQuestions;
     found->question.request = number;
--- a/packages/decisions/pace/endpoint_pace.cpp
+++ b/packages/decisions/pace/endpoint_pace.cpp
@@ -7,7 +7,7 @@
 void endpoint_pace::begin(instant since, double firstRate)
 {
     *this = {};
-    m_isRamping = true;
+    m_hasBegun = m_isRamping = true;
     m_since = m_stepFrom = m_updatedAt = since;
     m_rate = std::max(firstRate, leastRate);
 }
@@ -22,14 +22,12 @@
 void endpoint_pace::recordAnswer(instant now, double slowness)
 {
     m_awaitsSince.reset();
-    if (slowness > goodSlowness)
-        m_slowAt = now;
-    else
-        m_slowAt.reset();
+    recordReport(now, slowness <= goodSlowness);
 }
 
 void endpoint_pace::recordReport(instant now, bool isGood)
 {
+    m_isSeenGood = isGood;
     if (isGood)
         m_slowAt.reset();
     else
@@ -39,6 +37,7 @@
 void endpoint_pace::recordFailure(instant now)
 {
     m_awaitsSince.reset();
+    m_isSeenGood = false;
     m_rate = std::max(m_rate / 2, leastRate);
     m_stepFrom = now;
 }
@@ -62,8 +61,9 @@
         return false;
     }
     // One step at a time, also after a standstill of the process.
-    if (now - m_stepFrom >= stepLength) {
+    if (now - m_stepFrom >= (m_isSeenGood ? stepLength : blindStepLength)) {
         m_rate *= 2;
+        m_isSeenGood = false;
         m_stepFrom = now;
     }
     m_isRamping = m_rate < reachedFraction * ceiling || now - m_since < minLength;
--- a/packages/decisions/pace/endpoint_pace.h
+++ b/packages/decisions/pace/endpoint_pace.h
@@ -10,8 +10,8 @@
 // The rate that an endpoint which has started or recovered can take, for all entries together, found from how it answers this entry.
 //
 // The rate doubles step by step while answers come about as fast as those of its peers, stays while they are slower or overdue, and
-// halves at once when the endpoint rejects or breaks off a request. An entry that has sent it nothing has seen nothing against it, so
-// its rate grows as well: most entries of a large fleet send one endpoint less than a request per second. Without requests for the
+// halves at once when the endpoint rejects or breaks off a request. An entry that has seen nothing of it lets its rate grow half as
+// fast: most entries of a large fleet send one endpoint less than a request per second. Without requests for the
 // service the rate stays, so that a burst after silence meets the first rate.
 class endpoint_pace {
 public:
@@ -21,6 +21,8 @@
     void end() { m_isRamping = false; }
     bool isRamping() const { return m_isRamping; }
     instant since() const { return m_since; }
+    // The latest ramp began after that time, whether it has ended or not.
+    bool hasBegunSince(instant time) const { return m_hasBegun && m_since > time; }
     double rate() const { return m_rate; }
     // Nothing was sent since it began, and that is short ago: a request should go there first.
     bool awaitsFirstSend(instant now) const { return m_isRamping && !m_hasSent && now - m_since < firstSendPeriod; }
@@ -37,6 +39,8 @@
     bool update(instant now, double ceiling, bool hasDemand, duration usualTime);
 
     static constexpr duration stepLength = std::chrono::milliseconds(250);
+    // Without an answer or a report since the last step.
+    static constexpr duration blindStepLength = 2 * stepLength;
     // Relative to peers, up to which answers count as good.
     static constexpr double goodSlowness = 1.5;
     // For how long a slow answer or report keeps the rate from growing, if nothing better follows.
@@ -51,8 +55,11 @@
 private:
     bool isHeld(instant now, duration usualTime) const;
 
+    bool m_hasBegun = false;
     bool m_isRamping = false;
     bool m_hasSent = false;
+    // A good answer or report has come since the last step.
+    bool m_isSeenGood = false;
     instant m_since;
     double m_rate = 0;
     instant m_stepFrom;
--- a/packages/decisions/pace/entry_shares.cpp
+++ b/packages/decisions/pace/entry_shares.cpp
@@ -3,6 +3,7 @@
 #include "decisions/membership/rendezvous.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace appleramp {
@@ -14,6 +15,14 @@
     return std::min(static_cast<std::size_t>(fraction * static_cast<double>(size)), size - 1);
 }
 
+// The remainder goes to the entries around the place where it begins, so that those with a share of few requests have one of more.
+std::uint32_t shareOf(std::size_t rank, std::size_t requests, std::size_t size, double ringStart)
+{
+    const std::size_t remainder = requests % size;
+    const std::size_t place = (rank + scaledDown(ringStart, size) + remainder / 2) % size;
+    return static_cast<std::uint32_t>(requests / size + (place < remainder ? 1 : 0));
+}
+
 } // namespace
 
 void entry_shares::setEntries(std::string_view self, std::span<const std::string> names)
@@ -34,7 +43,14 @@
     }
 }
 
-double entry_shares::ringStart(std::string_view address) { return static_cast<double>(rendezvousScore({}, address) >> 11U) * 0x1p-53; }
+double entry_shares::ringPosition(std::string_view name) { return static_cast<double>(rendezvousScore({}, name) >> 11U) * 0x1p-53; }
+
+double entry_shares::ringDistance(std::string_view entry, std::string_view address)
+{
+    const double position = ringPosition(entry) + ringPosition(address);
+    const double fraction = position - std::floor(position);
+    return std::min(fraction, 1 - fraction);
+}
 
 std::size_t entry_shares::ringSize(std::size_t entryCount) const { return std::max({ entryCount, m_names.size(), std::size_t { 1 } }); }
 
@@ -42,8 +58,7 @@
 {
     const std::size_t size = ringSize(entryCount);
     const std::size_t rank = m_names.empty() ? scaledDown(m_position + 0.5 / static_cast<double>(size), size) : m_rank;
-    const std::size_t place = (rank + scaledDown(ringStart, size)) % size;
-    return static_cast<std::uint32_t>(requests / size + (place < requests % size ? 1 : 0));
+    return shareOf(rank, requests, size, ringStart);
 }
 
 std::optional<std::string> entry_shares::otherOwner(std::uint32_t requests, std::size_t entryCount, double ringStart, double randomFraction) const
@@ -52,8 +67,7 @@
     // Entries that are counted, but not listed, can't be asked.
     std::vector<std::size_t> owners;
     for (std::size_t rank = 0; rank < m_names.size(); ++rank) {
-        const std::size_t place = (rank + scaledDown(ringStart, size)) % size;
-        if (rank != m_rank && (requests >= size || place < requests % size))
+        if (rank != m_rank && shareOf(rank, requests, size, ringStart) > 0)
             owners.push_back(rank);
     }
     return owners.empty() ? std::nullopt : std::optional(m_names[owners[scaledDown(randomFraction, owners.size())]]);
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -9,6 +9,7 @@
 #include "directentry/crash_record_writer.h"
 #include "directentry/entry_metrics.h"
 #include "directentry/limits_page.h"
+#include "directentry/restriction_gauges.h"
 #include "http/client_pool.h"
 #include "http/connection_probe.h"
 #include "http/http_acceptor.h"
@@ -173,6 +174,7 @@
             .window = settings.bounds.repeatWindow };
         result.fleet.coldRateFactor = settings.bounds.coldFactor;
         result.fleet.coldRateAllowance = settings.bounds.coldConstant;
+        result.fleet.isPaced = settings.placement.pace;
         result.zone = settings.process.zone;
         result.instance = settings.process.instance.str();
         result.defaultPauseTarget = settings.bounds.pause;
@@ -380,7 +382,7 @@
             response.head.status = 200;
             response.head.headers.add("Content-Type", "application/json");
             const instant moment = now();
-            response.body = limitsPage(moment, m_reducer.limitViews(moment), m_reducer.fleet().limits().entryCount());
+            response.body = limitsPage(moment, m_reducer.limitViews(moment), m_reducer.fleet().restrictions(), m_reducer.fleet().limits().entryCount());
             return connection->respond(std::move(response));
         }
         const bool asked = request.head.method == "GET" && request.head.path() == "/v1/metrics";
@@ -431,9 +433,7 @@
         m_metrics.set(entry_metrics::requestsInFlight, static_cast<double>(m_exchanges.size()));
         m_metrics.set(entry_metrics::endpoints, static_cast<double>(m_reducer.fleet().size()));
         m_metrics.set(entry_metrics::linesLeftOut, static_cast<double>(m_log.leftOut()));
-        m_metrics.set(entry_metrics::endpointsPaused, static_cast<double>(m_reducer.fleet().pausedCount(now())));
-        m_metrics.set(entry_metrics::endpointsLimited, static_cast<double>(m_reducer.fleet().limits().limitedCount(now())));
-        m_metrics.set(entry_metrics::requestsAwaitingPermit, static_cast<double>(m_reducer.requestsAwaitingPermit()));
+        setRestrictionGauges(m_metrics, now(), m_reducer);
         m_metrics.set(entry_metrics::storeCalls, static_cast<double>(m_store.storeCalls()));
         m_metrics.set(entry_metrics::readerAnswers, static_cast<double>(m_store.readerAnswers()));
         m_metrics.set(entry_metrics::suspects, static_cast<double>(m_reducer.crashes().size()));
--- a/packages/directentry/entry_metrics.cpp
+++ b/packages/directentry/entry_metrics.cpp
@@ -15,6 +15,10 @@
 const metric_descriptor loopDelay { "appleramp_loop_delay_seconds", metric_kind::Summary, "How late the loop's timer fired." };
 const metric_descriptor endpointsPaused { "appleramp_endpoints_paused", metric_kind::Gauge, "Endpoints that asked for a pause." };
 const metric_descriptor endpointsLimited { "appleramp_endpoints_limited", metric_kind::Gauge, "Endpoints whose requests are limited." };
+const metric_descriptor endpointsRestricted { "appleramp_endpoints_restricted", metric_kind::Gauge, "Endpoints that take less than their peers, by reason." };
+const metric_descriptor endpointStarts { "appleramp_endpoint_starts", metric_kind::Gauge, "Starts and recoveries of endpoints since the start." };
+const metric_descriptor endpointRampsEnded { "appleramp_endpoint_ramps_ended", metric_kind::Gauge, "Starts and recoveries after which an endpoint reached 0.8 of its usual rate." };
+const metric_descriptor endpointRampTime { "appleramp_endpoint_ramp_seconds", metric_kind::Gauge, "From these starts and recoveries to 0.8 of the usual rate, in sum." };
 const metric_descriptor requestsAwaitingPermit { "appleramp_requests_awaiting_limit", metric_kind::Gauge, "Requests that wait for the limits of endpoints." };
 const metric_descriptor storeCalls { "appleramp_store_calls", metric_kind::Gauge, "Calls to the store since the start." };
 const metric_descriptor readerAnswers { "appleramp_reader_answers", metric_kind::Gauge, "Reads that the zone's reader answered in place of the store." };
--- a/packages/settings/process_settings.h
+++ b/packages/settings/process_settings.h
@@ -102,6 +102,12 @@
     duration requestReadTimeout {};
 };
 
+// Direct entry only.
+struct placement_section {
+    // Endpoints that started or recovered get as much as they can take, by how they answer.
+    bool pace = false;
+};
+
 // Entry only.
 struct entry_section {
     // Number of threads that serve callers; each serves one connection at a time.
@@ -120,6 +126,7 @@
     observe_section observe;
     limits_section limits;
     entry_section entry;
+    placement_section placement;
 };
 
 } // namespace appleramp
--- a/packages/settings/setting_descriptor.cpp
+++ b/packages/settings/setting_descriptor.cpp
@@ -403,12 +403,26 @@
     };
 }
 
+std::vector<setting_descriptor> placementDescriptors()
+{
+    return {
+        { .section = "placement",
+            .key = "pace",
+            .type = setting_type::Choice,
+            .defaultValue = "false",
+            .choices = { "false", "true" },
+            .roles = directEntryRole,
+            .doc = "Whether endpoints that started or recovered get as much as they can take, by how they answer.",
+            .assign = [](settings& s, const value& v) { s.placement.pace = text(v) == "true"; } },
+    };
+}
+
 std::vector<setting_descriptor> allDescriptors()
 {
     std::vector<setting_descriptor> all;
     for (auto* const section : { processDescriptors, listenDescriptors, platformDescriptors, storeDescriptors,
              boundsDescriptors, linkDescriptors, endpointDescriptors,
-             observeDescriptors, limitsDescriptors, entryDescriptors }) {
+             observeDescriptors, limitsDescriptors, entryDescriptors, placementDescriptors }) {
         const auto descriptors = section();
         all.insert(all.end(), descriptors.begin(), descriptors.end());
     }
