Pace: no request is sought for an endpoint whose backoff ends

Cause: an endpoint that refused connections may still be gone when its backoff ends.

Change: its rate begins anew, but the first request is not sent there before others.

--- a/packages/decisions/forwarding/endpoint_fleet_pace.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet_pace.cpp
@@ -35,8 +35,13 @@
 {
     const bool isLimited = m_limits.isLimited(now, state.record.id);
     const bool limitEnded = std::exchange(state.wasLimited, isLimited) && !isLimited;
-    if (limitEnded || (state.recoversAt && now >= *state.recoversAt))
+    const bool recovers = state.recoversAt && now >= *state.recoversAt;
+    // The end of a backoff does not show that the endpoint is back, so no request is sought for it.
+    const bool mayBeGone = recovers && *state.recoversAt == state.avoidUntil;
+    if (limitEnded || recovers)
         beginPace(state, now);
+    if (mayBeGone)
+        state.pace.recordUsedElsewhere();
     if (!state.pace.isRamping() || state.usualRate <= 0)
         return;
     const auto service = m_services.find(state.record.service);
