--- a/tests/decisions/pace/pace_world.cpp
+++ b/tests/decisions/pace/pace_world.cpp
@@ -172,7 +172,7 @@
 void pace_world::restartEntry(std::size_t entry) { startEntry(entry); }
 void pace_world::setRequestsPerSecond(double rate) { m_settings.requestsPerSecond = rate; }
 
-void pace_world::setZonesOut(std::set<availability_zone_id> zones)
+void pace_world::setZonesOut(const std::set<availability_zone_id>& zones)
 {
     for (std::size_t entry = 0; entry < m_entries.size(); ++entry)
         post(entry, out_of_service_zones_changed { now(), zones });
--- a/tests/decisions/pace/pace_world.h
+++ b/tests/decisions/pace/pace_world.h
@@ -52,7 +52,7 @@
     void setSlowness(std::size_t endpoint, double slowness);
     // It refuses connections, or accepts them again, without any news.
     void setReachable(std::size_t endpoint, bool isReachable);
-    void setZonesOut(std::set<availability_zone_id> zones);
+    void setZonesOut(const std::set<availability_zone_id>& zones);
     void restartEntry(std::size_t entry);
     void setRequestsPerSecond(double rate);
 
