--- a/packages/datagrams/datagram_class.cpp
+++ b/packages/datagrams/datagram_class.cpp
@@ -12,6 +12,9 @@
     datagram_class operator()(const map_proposal&) const { return { datagram_priority::Proposal, "map" }; }
     datagram_class operator()(const map_changes&) const { return { datagram_priority::Proposal, "map" }; }
     datagram_class operator()(const switch_request&) const { return { datagram_priority::Switch, {} }; }
+    datagram_class operator()(const arm_readiness_request&) const { return { datagram_priority::Switch, {} }; }
+    datagram_class operator()(const arm_readiness&) const { return { datagram_priority::Switch, {} }; }
+    datagram_class operator()(const arm_permission&) const { return { datagram_priority::Switch, {} }; }
     datagram_class operator()(const switch_outcome&) const { return { datagram_priority::Switch, {} }; }
     datagram_class operator()(const status_query&) const { return { datagram_priority::Switch, {} }; }
     datagram_class operator()(const status_request&) const { return { datagram_priority::Switch, {} }; }
@@ -33,6 +36,7 @@
     datagram_class operator()(const relay_request&) const { return { datagram_priority::Bulk, {} }; }
     datagram_class operator()(const freshness_question&) const { return { datagram_priority::Status, "question" }; }
     datagram_class operator()(const freshness_answer&) const { return { datagram_priority::Status, {} }; }
+    datagram_class operator()(const store_notice&) const { return { datagram_priority::Switch, {} }; }
 };
 
 } // namespace
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -13,6 +13,7 @@
 #include "decisions/forwarding/route_table.h"
 #include "decisions/forwarding/shared_retry_budget.h"
 #include "decisions/forwarding/starting_requests.h"
+#include "decisions/forwarding/store_outage.h"
 #include "decisions/forwarding/stream_pace.h"
 #include "decisions/limits/permit_queue.h"
 #include "decisions/sharing/room_gate.h"
@@ -40,6 +41,8 @@
     duration longestStartWait {};
     // Requests of several urgency ranks share a service's capacity by room_gate.
     bool sharesRoom = false;
+    // Spread the Retry-After of callers that are refused during an outage of the store over the time in which it may be back.
+    bool spreadOutageRetries = false;
     std::uint64_t seed = 1;
 };
 
@@ -241,11 +244,14 @@
     double randomFraction();
     duration shortRetryAfter();
     duration longRetryAfter();
+    // Until the store confirms the configuration, or `usual` where the store is available.
+    duration confirmationRetryAfter(instant now, const caller_request& caller, duration usual);
     duration retryAfterPause(instant now, const service_id& service);
 
     forwarding_settings m_settings;
     std::shared_ptr<const route_table> m_routes;
     freshness_lease m_freshness;
+    store_outage m_storeOutage;
     configuration_trust m_trust;
     // When the last read that has confirmed nothing yet was sent.
     std::optional<instant> m_unconfirmedReadAt;
--- a/packages/settings/process_settings.h
+++ b/packages/settings/process_settings.h
@@ -56,6 +56,8 @@
 struct store_section {
     socket_address address;
     duration poll {};
+    // Direct entries only.
+    bool fastReturn = false;
 };
 
 // Time bounds, retry budgets and rates of cold endpoints that the deployment guarantees. Direct entries and direct agents
@@ -87,6 +89,12 @@
     double controlShare = 0;
 };
 
+// Switches of the expert maps of a group. Direct agents only.
+struct groups_section {
+    // Whether this agent takes part in switches with one hold for the whole group.
+    bool singleHold = false;
+};
+
 enum class log_level {
     Info,
     Warning,
@@ -124,6 +132,7 @@
     bounds_section bounds;
     admission_section admission;
     link_section link;
+    groups_section groups;
     endpoint_section endpoint;
     observe_section observe;
     limits_section limits;
