Placement: requests are placed by their expected work

Cause: engines were compared by the number of their requests, so that small requests waited behind large prompts. Change: a model of a request's prompt time, slot time and memory from published figures, token counts, length hints and an online estimator of answer lengths; placement by the least expected time to the first event plus the delay added to running streams, drawn so that entries with the same reports do not choose the same engine; load reports carry the engine's memory; [placement] by_work.

--- a/packages/datagrams/datagram_codec.cpp
+++ b/packages/datagrams/datagram_codec.cpp
@@ -33,8 +33,13 @@
     }
     json operator()(const endpoint_load& load) const
     {
-        return { { "k", "l" }, { "a", load.address }, { "r", load.running }, { "w", load.waiting },
+        json encoded { { "k", "l" }, { "a", load.address }, { "r", load.running }, { "w", load.waiting },
             { "p", std::lround(load.slowdownFactor * paceScale) }, { "o", load.groupOpen }, { "n", load.subscribers }, { "x", load.leaving }, { "t", load.startedAtMs }, { "q", limitStatementToJson(load.limit) } };
+        if (load.memoryTotal > 0) {
+            encoded["f"] = load.memoryUsed;
+            encoded["m"] = load.memoryTotal;
+        }
+        return encoded;
     }
     json operator()(const endpoint_death& death) const { return { { "k", "d" }, { "a", death.address }, { "t", death.startedAtMs } }; }
     json operator()(const load_subscription& subscription) const { return { { "k", "u" }, { "z", subscription.zone.str() }, { "g", subscription.storeGeneration } }; }
@@ -87,7 +92,8 @@
 endpoint_load loadFromJson(const json& body)
 {
     return { body.at("a").get<std::string>(), body.at("r").get<std::uint32_t>(), body.at("w").get<std::uint32_t>(),
-        body.at("p").get<double>() / paceScale, body.at("o").get<bool>(), body.value("n", 0U), body.value("x", false), body.value("t", std::uint64_t { 0 }), limitStatementFromJson(body.value("q", json())) };
+        body.at("p").get<double>() / paceScale, body.at("o").get<bool>(), body.value("n", 0U), body.value("x", false), body.value("t", std::uint64_t { 0 }), limitStatementFromJson(body.value("q", json())),
+        body.value("f", std::uint64_t { 0 }), body.value("m", std::uint64_t { 0 }) };
 }
 
 instant askedAtFromJson(const json& body) { return instant(duration(body.at("t").get<duration::rep>())); }
--- a/packages/decisions/forwarding/endpoint_fleet.h
+++ b/packages/decisions/forwarding/endpoint_fleet.h
@@ -4,6 +4,10 @@
 #include "decisions/forwarding/departed_endpoints.h"
 #include "decisions/forwarding/sliding_window_counter.h"
 #include "decisions/limits/endpoint_limits.h"
+#include "decisions/work/arrival_rate.h"
+#include "decisions/work/placed_work.h"
+#include "decisions/work/unread_prompts.h"
+#include "decisions/work/work_model.h"
 #include "model/endpoint_news.h"
 #include "model/routing.h"
 #include "model/time.h"
@@ -29,6 +33,8 @@
     // Endpoints that one placement compares, sampled at random. If every entry compared all endpoints, by load reports of
     // the same age, all would choose the same one.
     std::size_t sampleSize = 6;
+    // As sampleSize, for requests that are placed by their work.
+    std::size_t workSampleSize = 8;
     // Endpoints whose records lapsed while the registry was unreachable are removed only this long after it is back.
     duration lapseGracePeriod = std::chrono::milliseconds(1900);
 };
@@ -46,6 +52,13 @@
     bool allowsLimited = true;
     // In [0, 1): selects the random sample of endpoints, and so breaks ties.
     double randomFraction = 0;
+    // Published figures of the service by which the request is placed; none to place it by the number of requests.
+    const engine_speed* engine = nullptr;
+    request_size size;
+    // Measured time between two events of the service's streams; zero if not known.
+    duration measuredPause {};
+    // Factor by which first events came later than predicted lately.
+    double forecastCorrection = 1;
 };
 
 struct placement {
@@ -56,6 +69,9 @@
     double load = 0;
     // Age of the load report, even if it is too old to be used; negative if there is none.
     duration reportAge {};
+    // Set if the request is placed by its work.
+    std::optional<request_work> work;
+    work_forecast forecast;
 };
 
 // Why no endpoint was found.
@@ -128,6 +144,8 @@
     std::optional<placement> choose(const placement_query& query);
     placement_failure failureReason(instant now, const service_id& service) const;
     void recordSend(instant now, const endpoint_id& endpoint);
+    // The expected work of this entry's requests in flight, which the caller keeps up to date.
+    placed_work& work() { return m_work; }
     // An attempt is over, with a whole answer or without one.
     void recordAnswer(instant now, const endpoint_id& endpoint, duration answerTime);
     void recordEnding(instant now, const endpoint_id& endpoint, attempt_ending ending);
@@ -183,11 +201,16 @@
         double meanAnswerSeconds = 0;
         std::optional<endpoint_load> report;
         instant reportedAt;
+        unread_prompts unread;
         std::uint32_t sentSinceReport = 0;
     };
     struct service_state {
         double meanAnswerSeconds = 0;
         double failures = 0;
+        // Rate at which an engine reads prompts; zero until a request was placed by its work.
+        double readTokensPerSecond = 0;
+        // Of this entry's requests that were placed by their work.
+        arrival_rate arrivals;
     };
 
     endpoint_state* find(const endpoint_id& endpoint);
@@ -214,6 +237,27 @@
     double meanReportedLoad(const service_id& service, instant now) const;
     double estimatedLoad(const endpoint_state& state, instant now, std::size_t entryCount) const;
     double cost(const endpoint_state& state, const placement_query& query) const;
+    struct work_option {
+        endpoint_state* state = nullptr;
+        request_work work;
+        work_forecast forecast;
+        // Seconds.
+        double cost = 0;
+        // The endpoint reports enough memory for the request.
+        bool hasMemory = true;
+    };
+    std::optional<placement> chooseByWork(const placement_query& query);
+    // Chooses among the options by their cost, and by what other entries that read the same reports are likely to choose.
+    const work_option& draw(const std::vector<work_option>& options, const placement_query& query);
+    work_option evaluate(endpoint_state& state, const placement_query& query) const;
+    engine_load engineLoad(const endpoint_state& state, const placement_query& query, const endpoint_work& own) const;
+    // The requests that this entry sent fit into the endpoint's memory together with this one.
+    bool fitsOwnShare(const endpoint_state& state, const placement_query& query) const;
+    // The memory that the endpoint reports as free, as far as it is this entry's, suffices.
+    bool fitsReportedMemory(const endpoint_state& state, const endpoint_work& own, const request_work& work, instant now) const;
+    // Time for the prompts that the endpoint's report shows as not yet read.
+    duration reportedPromptTime(const endpoint_state& state, const placement_query& query, const engine_load& load) const;
+    double failurePenaltySeconds(const endpoint_state& state, instant now) const;
     double slowdown(const endpoint_state& state, instant now) const;
     double currentFailureRate(const endpoint_state& state, instant now) const;
     void recordOutcome(endpoint_state& state, instant now, double failure);
@@ -228,6 +272,7 @@
     std::set<std::string> m_subscribed;
     departed_endpoints m_departed;
     endpoint_limits m_limits;
+    placed_work m_work;
     double m_entryPosition = 0;
     bool m_registryLost = false;
     std::optional<instant> m_registryRegainedAt;
--- a/packages/decisions/forwarding/endpoint_fleet_placement.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet_placement.cpp
@@ -63,6 +63,9 @@
     state.report = load;
     state.reportedAt = now;
     state.sentSinceReport = 0;
+    m_work.recordReport(*endpoint);
+    if (const auto service = m_services.find(state.record.service); service != m_services.end() && load.memoryTotal > 0)
+        state.unread.recordReport(now, load.memoryUsed, service->second.readTokensPerSecond);
 }
 
 bool endpoint_fleet::hasFreshReport(const endpoint_state& state, instant now) const
@@ -241,13 +244,15 @@
 
 std::optional<placement> endpoint_fleet::choose(const placement_query& query)
 {
+    if (query.engine != nullptr)
+        return chooseByWork(query);
     const auto found = sampleCandidates(query);
     if (found.empty())
         return std::nullopt;
     const auto best = *std::min_element(found.begin(), found.end(),
         [&](const auto* left, const auto* right) { return cost(*left, query) < cost(*right, query); });
     const duration age = best->report ? query.now - best->reportedAt : duration(-1);
-    return placement { best->record.id, best->record.address, best->record.slots, estimatedLoad(*best, query.now, query.entryCount), age };
+    return placement { best->record.id, best->record.address, best->record.slots, estimatedLoad(*best, query.now, query.entryCount), age, {}, {} };
 }
 
 placement_failure endpoint_fleet::failureReason(instant now, const service_id& service) const
--- a/packages/decisions/forwarding/forwarding_events.h
+++ b/packages/decisions/forwarding/forwarding_events.h
@@ -32,7 +32,10 @@
     // Identifies the parts of the prompt that other requests may share, in their order.
     std::vector<std::uint64_t> sharedPromptParts;
     std::uint32_t promptTokens = 0;
+    // Most tokens that the answer may have.
     std::uint32_t answerTokens = 0;
+    // Tokens of the answer that the caller expects; zero if it does not say. Often far off.
+    std::uint32_t expectedAnswerTokens = 0;
 };
 
 struct request_arrived {
--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -33,6 +33,8 @@
 constexpr duration minTimeLeft = std::chrono::milliseconds(20);
 // Timeout for a stream's first event, after which another endpoint is tried, in latency targets.
 constexpr double firstEventTimeoutFactor = 2.4;
+// Timeout for the first event of a request that is placed by its work, in expected times.
+constexpr int expectedFirstEventTimeoutFactor = 3;
 // Timeout between two events of a stream, after which another endpoint is tried, in pause targets.
 constexpr double eventGapTimeoutFactor = 6.0;
 // Timeout for the answer to an idempotent request that is no stream, after which another endpoint is tried, in latency
@@ -190,7 +192,7 @@
     if (const auto retryAfter = request.attempts == 0 ? overloadRetryAfter(now, request) : std::nullopt)
         return refusePlacement(number, request, refusal_reason::NoCapacity, retryAfter);
     const service_description* const service = request.routes->service(request.service);
-    const placement_query query { .now = now,
+    placement_query query { .now = now,
         .service = request.service,
         .zone = m_settings.zone,
         .entryCount = m_peers.entryCount(now),
@@ -198,6 +200,7 @@
         .coldRequestsPerSecond = service == nullptr ? 0 : service->coldRequestsPerSecond,
         .allowsLimited = requestsAhead(number, request) == 0,
         .randomFraction = randomFraction() };
+    describeWork(request, query);
     const auto found = m_fleet.choose(query);
     if (!found && waitForPermit(now, number, request, query))
         return;
@@ -302,15 +305,19 @@
         attempt.loadReportAge = chosen.reportAge;
     if (matchedRoute.repeatable() && request.attempts < matchedRoute.maxAttempts) {
         attempt.answerStartTimeout = scaled(matchedRoute.latencyTarget, isStream ? firstEventTimeoutFactor : plainAnswerTimeoutFactor);
+        // Long prompts take longer at any endpoint, so that a repeat would only be more work.
+        attempt.answerStartTimeout = std::max(attempt.answerStartTimeout, chosen.forecast.firstEvent * expectedFirstEventTimeoutFactor);
         const duration pauseTarget = matchedRoute.pauseTarget > duration::zero() ? matchedRoute.pauseTarget : m_settings.defaultPauseTarget;
         attempt.eventGapTimeout = isStream ? scaled(pauseTarget, eventGapTimeoutFactor) : duration::zero();
     }
     m_effects.emplace_back(std::move(attempt));
-    m_effects.emplace_back(log_decision { "placed", request.caller.sendId,
+    log_decision line { "placed", request.caller.sendId,
         { { "endpoint", chosen.endpoint.str() }, { "service", request.service.str() },
             { "load", std::to_string(chosen.load) }, { "load_age_ms", millisecondsText(chosen.reportAge) },
             { "send", std::to_string(request.attempts) },
-            { "configuration", std::to_string(request.routes->version()) } } });
+            { "configuration", std::to_string(request.routes->version()) } } };
+    recordPlacedWork(number, request, chosen, line);
+    m_effects.emplace_back(std::move(line));
 }
 
 void forwarding_reducer::on(const attempt_ended& event)
@@ -331,6 +338,7 @@
             { "after_ms", millisecondsText(event.now - request.sentAt) }, { "begun", event.answerBegun ? "true" : "false" } } });
     // The request is at no endpoint while it waits for its next attempt.
     request.currentEndpoint = {};
+    m_fleet.work().recordEnd(event.request);
     if (tryTakeRetry(event.now, request, event)) {
         place(event.now, event.request, request);
         return;
@@ -424,9 +432,11 @@
     recordSound(event.now, request);
     m_outages[request.service].recordProgress();
     m_fleet.recordAnswer(event.now, request.currentEndpoint, event.now - request.sentAt);
-    m_effects.emplace_back(log_decision { "answered", request.caller.sendId,
+    log_decision line { "answered", request.caller.sendId,
         { { "endpoint", request.currentEndpoint.str() }, { "took_ms", millisecondsText(event.now - request.arrivedAt) },
-            { "sends", std::to_string(request.attempts) } } });
+            { "sends", std::to_string(request.attempts) } } };
+    recordAnsweredWork(event.now, request, line);
+    m_effects.emplace_back(std::move(line));
     forget(event.request);
 }
 
@@ -436,6 +446,8 @@
     if (found == m_requests.end())
         return;
     recordAnswerPiece(event.now, found->second);
+    if (!event.pause)
+        recordFirstEvent(event.now, event.request, found->second);
     m_outages[found->second.service].recordProgress();
     m_streamPaces[found->second.service].recordEvent(event.now, event.pause);
 }
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -14,6 +14,8 @@
 #include "decisions/forwarding/shared_retry_budget.h"
 #include "decisions/forwarding/stream_pace.h"
 #include "decisions/limits/permit_queue.h"
+#include "decisions/work/answer_length_estimator.h"
+#include "decisions/work/forecast_error.h"
 
 #include <map>
 #include <memory>
@@ -35,6 +37,8 @@
     // Longest pause between two events of a stream that is still on time, for routes that set no pause target.
     duration defaultPauseTarget = std::chrono::milliseconds(200);
     std::uint64_t seed = 1;
+    // As placement_section::byWork.
+    bool placeByWork = false;
 };
 
 // Forwarding logic of an entry that sends requests to endpoints directly: matches routes, authenticates callers, admits or
@@ -63,6 +67,8 @@
     // What it is told of endpoints' limits.
     std::vector<endpoint_limit_record> limitsForStartingEntry(instant now) const;
     std::vector<endpoint_limits::limit_view> limitViews(instant now) { return m_fleet.limitViews(now); }
+    // By service: how predicted times to the first event compare with actual ones.
+    const std::map<service_id, forecast_error>& forecasts() const { return m_forecasts; }
     std::size_t requestsAwaitingPermit() const { return m_permitQueue.size(); }
 
 private:
@@ -97,6 +103,10 @@
         std::vector<suspect_key> suspects;
         // Pieces of an answer that the current attempt has brought.
         std::uint32_t answerPieces = 0;
+        // Set if the current attempt was placed by its work.
+        std::optional<request_work> work;
+        duration expectedFirstEvent {};
+        duration firstEventTime {};
     };
 
     void on(const request_arrived& event);
@@ -145,6 +155,12 @@
     void forget(request_number number);
     // Retry-After for a new stream that is refused because its service's streams are stalled or already too slow.
     std::optional<duration> overloadRetryAfter(instant now, const request_state& request);
+    // Adds the request's size and the figures of its service to the query, if it is to be placed by its work.
+    void describeWork(const request_state& request, placement_query& query) const;
+    answer_length_query answerLengthQuery(const request_state& request) const;
+    void recordPlacedWork(request_number number, request_state& request, const placement& chosen, log_decision& line);
+    void recordFirstEvent(instant now, request_number number, request_state& request);
+    void recordAnsweredWork(instant now, const request_state& request, log_decision& line);
     void send(instant now, request_number number, request_state& request, const placement& chosen);
     // Returns true if the request may be sent again, and takes the retry from the budget.
     bool tryTakeRetry(instant now, request_state& request, const attempt_ended& event);
@@ -242,6 +258,8 @@
     std::map<service_id, instant> m_noPermitsUntil;
     std::map<service_id, stream_pace> m_streamPaces;
     std::map<service_id, brief_outage> m_outages;
+    answer_length_estimator m_answerLengths;
+    std::map<service_id, forecast_error> m_forecasts;
     std::map<request_number, request_state> m_requests;
     std::mt19937_64 m_random;
     // Time of the event that is being handled.
--- a/packages/decisions/forwarding/forwarding_reducer_limits.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_limits.cpp
@@ -238,6 +238,7 @@
     if (found == m_requests.end())
         return;
     leavePermitQueue(number, found->second);
+    m_fleet.work().recordEnd(number);
     m_requests.erase(found);
 }
 
--- a/packages/directagent/direct_agent_process.cpp
+++ b/packages/directagent/direct_agent_process.cpp
@@ -451,7 +451,7 @@
         m_loadTold = moment;
         m_loadRound = (m_loadRound + 1) % otherZonesEvery;
         const bool isOpen = m_report->group.empty() || m_report->rank.groupOpen;
-        const endpoint_load load { m_engine.address(), m_report->running, m_report->waiting, m_report->pace, isOpen, subscriberCount(moment), m_isLeaving, m_report->startedAtMs, limitStatement() };
+        const endpoint_load load { m_engine.address(), m_report->running, m_report->waiting, m_report->pace, isOpen, subscriberCount(moment), m_isLeaving, m_report->startedAtMs, limitStatement(), m_report->memoryUsed, m_report->memoryTotal };
         for (const auto& [entry, known] : m_subscribers) {
             if (known.zone == m_settings.process.zone || m_loadRound == 0)
                 m_sender.send(load, entry);
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -9,6 +9,8 @@
 #include "directentry/crash_record_writer.h"
 #include "directentry/entry_metrics.h"
 #include "directentry/limits_page.h"
+#include "directentry/reducer_settings.h"
+#include "directentry/work_metrics.h"
 #include "http/client_pool.h"
 #include "http/connection_probe.h"
 #include "http/http_acceptor.h"
@@ -164,23 +166,6 @@
     }
 
 private:
-    static forwarding_settings reducerSettings(const process_settings& settings, incarnation life)
-    {
-        forwarding_settings result;
-        result.freshness.revocationBound = settings.bounds.revocation;
-        result.retryBudget = { .requestFraction = settings.bounds.repeatRatio,
-            .baseRetries = settings.bounds.repeatConstant,
-            .window = settings.bounds.repeatWindow };
-        result.fleet.coldRateFactor = settings.bounds.coldFactor;
-        result.fleet.coldRateAllowance = settings.bounds.coldConstant;
-        result.zone = settings.process.zone;
-        result.instance = settings.process.instance.str();
-        result.defaultPauseTarget = settings.bounds.pause;
-        // Processes that start at the same moment must not draw the same random numbers.
-        result.seed = life ^ std::hash<std::string> {}(settings.process.instance.str());
-        return result;
-    }
-
     static instant now() { return suspendAwareNow(); }
 
     server_limits callerLimits() const
@@ -438,6 +423,7 @@
         m_metrics.set(entry_metrics::readerAnswers, static_cast<double>(m_store.readerAnswers()));
         m_metrics.set(entry_metrics::suspects, static_cast<double>(m_reducer.crashes().size()));
         m_metrics.set(entry_metrics::convictedSuspects, static_cast<double>(m_reducer.crashes().convicted().size()));
+        setWorkGauges(m_metrics, m_reducer);
         m_metrics.set(entry_metrics::datagramsDropped, static_cast<double>(m_news.droppedCount()));
     }
 
--- a/packages/model/endpoint_news.h
+++ b/packages/model/endpoint_news.h
@@ -44,6 +44,9 @@
     std::uint64_t startedAtMs = 0;
     // What the engine's report says of the requests that it takes.
     limit_statement limit;
+    // Tokens that the engine's requests hold in its memory, and how many fit; zero if the agent does not report them.
+    std::uint64_t memoryUsed = 0;
+    std::uint64_t memoryTotal = 0;
 };
 
 // An agent's report that its endpoint, started at that time, has ended.
--- a/packages/model/routing.h
+++ b/packages/model/routing.h
@@ -64,6 +64,15 @@
     std::uint32_t chunkTokens = 0;
     // Steps per pass while requests are generating; each pass yields one event.
     std::uint32_t stepsPerPass = 1;
+    // Additional step time for each generating request, in milliseconds per thousand tokens of its context.
+    double contextMillisecondsPerThousand = 0;
+    // Additional time to read a prompt, in milliseconds per million pairs of its tokens.
+    double pairMillisecondsPerMillion = 0;
+    // Tokens of all running requests that fit into the engine's memory; zero if not published.
+    std::uint64_t memoryTokens = 0;
+    // Mean sizes of the requests that the engine was planned for; zero if not published.
+    std::uint32_t usualPromptTokens = 0;
+    std::uint32_t usualAnswerTokens = 0;
 };
 
 // How the experts of a service's model are distributed over the ranks of a group.
--- a/packages/ports/platform_adapter.h
+++ b/packages/ports/platform_adapter.h
@@ -78,6 +78,9 @@
     // Name of the group that the engine is a rank of; empty if it is in none.
     std::string group;
     rank_state rank;
+    // As endpoint_load::memoryUsed and memoryTotal.
+    std::uint64_t memoryUsed = 0;
+    std::uint64_t memoryTotal = 0;
 };
 
 // The experts of one rank by set, in the map in force and in the prepared map.
--- a/packages/settings/process_settings.h
+++ b/packages/settings/process_settings.h
@@ -73,6 +73,12 @@
     double coldConstant = 0;
 };
 
+// Direct entries only.
+struct placement_section {
+    // Places requests by their expected work where a service publishes engine figures, not by the number of requests.
+    bool byWork = false;
+};
+
 // The process's own network link. Direct agents only.
 struct link_section {
     // Rate of the link in megabits per second.
@@ -116,6 +122,7 @@
     store_section store;
     bounds_section bounds;
     link_section link;
+    placement_section placement;
     endpoint_section endpoint;
     observe_section observe;
     limits_section limits;
--- a/packages/settings/setting_descriptor.cpp
+++ b/packages/settings/setting_descriptor.cpp
@@ -250,6 +250,20 @@
     };
 }
 
+std::vector<setting_descriptor> placementDescriptors()
+{
+    return {
+        { .section = "placement",
+            .key = "by_work",
+            .type = setting_type::Choice,
+            .defaultValue = "false",
+            .choices = { "false", "true" },
+            .roles = directEntryRole,
+            .doc = "Places requests of services that publish engine figures by their expected work.",
+            .assign = [](settings& s, const value& v) { s.placement.byWork = text(v) == "true"; } },
+    };
+}
+
 std::vector<setting_descriptor> endpointDescriptors()
 {
     const roles agent { process_role::Agent };
@@ -407,7 +421,7 @@
 {
     std::vector<setting_descriptor> all;
     for (auto* const section : { processDescriptors, listenDescriptors, platformDescriptors, storeDescriptors,
-             boundsDescriptors, linkDescriptors, endpointDescriptors,
+             boundsDescriptors, linkDescriptors, placementDescriptors, endpointDescriptors,
              observeDescriptors, limitsDescriptors, entryDescriptors }) {
         const auto descriptors = section();
         all.insert(all.end(), descriptors.begin(), descriptors.end());
--- a/tests/datagrams/datagram_codec_test.cpp
+++ b/tests/datagrams/datagram_codec_test.cpp
@@ -50,6 +50,17 @@
     cr_assert_float_eq(load.slowdownFactor, 1.5, 1e-9);
 }
 
+// Guards against load reports of agents of an older build being dropped: they name no memory.
+Test(datagram_codec, memory_of_load_reports_is_optional)
+{
+    const endpoint_load sent { .address = "10.0.0.1:81", .running = 3, .memoryUsed = 50'000, .memoryTotal = 233'333 };
+    const auto load = std::get<endpoint_load>(*decodeDatagram(encodeDatagram(sent)));
+    cr_assert(load.memoryUsed == 50'000 && load.memoryTotal == 233'333);
+    const auto bytes = nlohmann::json::to_cbor({ { "k", "l" }, { "a", "10.0.0.1:81" }, { "r", 3 }, { "w", 4 }, { "p", 150 }, { "o", true } });
+    const auto older = std::get<endpoint_load>(*decodeDatagram(std::string(bytes.begin(), bytes.end())));
+    cr_assert(older.running == 3 && older.memoryTotal == 0);
+}
+
 Test(datagram_codec, crash_records_pass_as_datagrams_and_as_rows)
 {
     const crash_record sent { .key = { suspect_kind::Request, ~0ULL }, .deaths = { { 5, 2s }, { 6, 1s } }, .soundAge = 3s, .convictedAge = 1ms, .seenAge = 4s };
--- a/tests/users_platform/decoders_test.cpp
+++ b/tests/users_platform/decoders_test.cpp
@@ -137,3 +137,27 @@
     cr_assert_eq(answer.at("addresses").size(), 2);
     cr_assert_eq(answer.at("ttl_s").get<int>(), 2);
 }
+
+// Guards against figures that engines publish being taken for others, and against ones of another type.
+Test(configuration_decoder, engine_figures_are_read)
+{
+    const auto figures = [](const std::string& engine) {
+        const store_row row { .key = "config", .value = R"({"version":1,"services":[{"name":"m","engine":)" + engine + "}]}" };
+        return *std::get<routing_configuration>(decodeConfigurationRow(row)).services.at(0).engine;
+    };
+    const engine_speed speed = figures(R"({"step_ms":4.84,"context_per_k":0.02,"pairs_per_m":0.5,"kv_capacity_tokens":411666,"usual":{"prompt":714.3,"answer":95}})");
+    cr_assert_float_eq(speed.contextMillisecondsPerThousand, 0.02, 1e-9);
+    cr_assert_float_eq(speed.pairMillisecondsPerMillion, 0.5, 1e-9);
+    cr_assert(speed.memoryTokens == 411'666 && speed.usualPromptTokens == 714 && speed.usualAnswerTokens == 95);
+    const engine_speed odd = figures(R"({"kv_capacity_tokens":"many","usual":[1],"pairs_per_m":null})");
+    cr_assert(odd.memoryTokens == 0 && odd.usualPromptTokens == 0 && odd.pairMillisecondsPerMillion == 0);
+    cr_assert_eq(figures(R"({"usual":{"prompt":-4,"answer":1e300}})").usualPromptTokens, 0);
+}
+
+// Guards against reports without memory figures being refused, as engines of another version send them.
+Test(engine_codec, memory_of_an_engine_is_read)
+{
+    const auto report = decodeReport(R"({"num_running":2,"kv_used":1200,"kv_total":233333})").value();
+    cr_assert(report.memoryUsed == 1200 && report.memoryTotal == 233'333);
+    cr_assert_eq(decodeReport(samples::report)->memoryTotal, 0);
+}
--- a/tests/users_platform/header_codec_test.cpp
+++ b/tests/users_platform/header_codec_test.cpp
@@ -87,6 +87,18 @@
     cr_assert(!open.headers.has("X-Tenant"));
 }
 
+// Guards against hints that callers make up: absurd ones must not overflow, unreadable ones count as missing.
+Test(header_codec, length_hints_are_read)
+{
+    http_request request = callersRequest();
+    cr_assert_eq(decodeCallerRequest(request).expectedAnswerTokens, 0);
+    const std::pair<const char*, std::uint32_t> hints[] { { "150", 150 }, { "1e300", 1'000'000'000 }, { "-5", 0 }, { "long", 0 }, { "nan", 0 } };
+    for (const auto& [text, tokens] : hints) {
+        request.head.headers.set("X-Length-Hint", text);
+        cr_assert_eq(decodeCallerRequest(request).expectedAnswerTokens, tokens);
+    }
+}
+
 Test(header_codec, a_resumed_stream_names_the_last_event)
 {
     const auto head = encodeEndpointHead(callersRequest().head, { endpoint_id("i-7"), {}, 1s, 2, "12" });
