Placement: work stays in its zone, outliers are avoided, retries go where they are likely to succeed

Cause: a fixed price of one request let a quarter of the requests cross zones without need; endpoints that fail or are slow without saying so attracted requests, since they look idle; a retry could meet the same fault again. Change: shares of requests by pair of zones from expected times, with hysteresis; endpoints that fail more often than their peers are out for a while and on probation then; retries take the endpoint with the least expected time and risk.

--- a/packages/decisions/forwarding/endpoint_fleet.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet.cpp
@@ -27,6 +27,7 @@
     const bool isNew = state.record.id.empty() || state.record.startedAtMs != record.startedAtMs;
     if (isNew) {
         state.pausedUntil = {};
+        m_services[record.service].outliers.forget(record.id);
         state.availableSince = now;
         m_limits.forget(record.id);
     }
@@ -49,6 +50,7 @@
             m_byAddress.erase(atAddress);
     }
     m_limits.forget(endpoint);
+    m_services[found->second.record.service].outliers.forget(endpoint);
     m_endpoints.erase(found);
 }
 
--- a/packages/decisions/forwarding/endpoint_fleet.h
+++ b/packages/decisions/forwarding/endpoint_fleet.h
@@ -5,9 +5,11 @@
 #include "decisions/forwarding/sliding_window_counter.h"
 #include "decisions/limits/endpoint_limits.h"
 #include "decisions/work/arrival_rate.h"
+#include "decisions/work/outlier_detector.h"
 #include "decisions/work/placed_work.h"
 #include "decisions/work/unread_prompts.h"
 #include "decisions/work/work_model.h"
+#include "decisions/work/work_news.h"
 #include "model/endpoint_news.h"
 #include "model/routing.h"
 #include "model/time.h"
@@ -19,6 +21,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace appleramp {
@@ -55,8 +58,13 @@
     // Published figures of the service by which the request is placed; none to place it by the number of requests.
     const engine_speed* engine = nullptr;
     request_size size;
+    duration latencyTarget {};
+    duration pauseTarget {};
     // Measured time between two events of the service's streams; zero if not known.
     duration measuredPause {};
+    bool isRepeatable = true;
+    // The request failed elsewhere before.
+    bool isRetry = false;
     // Factor by which first events came later than predicted lately.
     double forecastCorrection = 1;
 };
@@ -69,6 +77,7 @@
     double load = 0;
     // Age of the load report, even if it is too old to be used; negative if there is none.
     duration reportAge {};
+    availability_zone_id zone;
     // Set if the request is placed by its work.
     std::optional<request_work> work;
     work_forecast forecast;
@@ -146,6 +155,12 @@
     void recordSend(instant now, const endpoint_id& endpoint);
     // The expected work of this entry's requests in flight, which the caller keeps up to date.
     placed_work& work() { return m_work; }
+    // How an attempt went that was placed by its work.
+    void recordOutcome(instant now, const endpoint_id& endpoint, attempt_outcome outcome);
+    // Endpoints of all services that are out, or on probation, because they failed more often than their peers.
+    std::size_t outlierCount() const;
+    // What has changed in the placement by work since the last call.
+    std::vector<work_news> takeWorkNews() { return std::exchange(m_workNews, {}); }
     // An attempt is over, with a whole answer or without one.
     void recordAnswer(instant now, const endpoint_id& endpoint, duration answerTime);
     void recordEnding(instant now, const endpoint_id& endpoint, attempt_ending ending);
@@ -211,6 +226,9 @@
         double readTokensPerSecond = 0;
         // Of this entry's requests that were placed by their work.
         arrival_rate arrivals;
+        zone_spill spill;
+        outlier_detector outliers;
+        instant zonesComparedAt;
     };
 
     endpoint_state* find(const endpoint_id& endpoint);
@@ -247,6 +265,11 @@
         bool hasMemory = true;
     };
     std::optional<placement> chooseByWork(const placement_query& query);
+    // Keeps the endpoints of the own zone, and of the one to which the request may go; all if none of these take requests.
+    void keepZones(std::vector<endpoint_state*>& found, const placement_query& query);
+    void compareZones(const std::vector<endpoint_state*>& found, const placement_query& query);
+    // Expected times of a usual request relative to the targets, whichever is closer to being missed.
+    double pressure(endpoint_state& state, const placement_query& query) const;
     // Chooses among the options by their cost, and by what other entries that read the same reports are likely to choose.
     const work_option& draw(const std::vector<work_option>& options, const placement_query& query);
     work_option evaluate(endpoint_state& state, const placement_query& query) const;
@@ -258,6 +281,10 @@
     // Time for the prompts that the endpoint's report shows as not yet read.
     duration reportedPromptTime(const endpoint_state& state, const placement_query& query, const engine_load& load) const;
     double failurePenaltySeconds(const endpoint_state& state, instant now) const;
+    // The query's request could not reach an endpoint of the zone.
+    bool wasUnreachable(const availability_zone_id& zone, const placement_query& query) const;
+    // Removes outliers, unless nothing else is left.
+    void keepSound(std::vector<endpoint_state*>& found, const placement_query& query);
     double slowdown(const endpoint_state& state, instant now) const;
     double currentFailureRate(const endpoint_state& state, instant now) const;
     void recordOutcome(endpoint_state& state, instant now, double failure);
@@ -273,6 +300,7 @@
     departed_endpoints m_departed;
     endpoint_limits m_limits;
     placed_work m_work;
+    std::vector<work_news> m_workNews;
     double m_entryPosition = 0;
     bool m_registryLost = false;
     std::optional<instant> m_registryRegainedAt;
--- a/packages/decisions/forwarding/endpoint_fleet_placement.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet_placement.cpp
@@ -252,7 +252,7 @@
     const auto best = *std::min_element(found.begin(), found.end(),
         [&](const auto* left, const auto* right) { return cost(*left, query) < cost(*right, query); });
     const duration age = best->report ? query.now - best->reportedAt : duration(-1);
-    return placement { best->record.id, best->record.address, best->record.slots, estimatedLoad(*best, query.now, query.entryCount), age, {}, {} };
+    return placement { best->record.id, best->record.address, best->record.slots, estimatedLoad(*best, query.now, query.entryCount), age, best->record.zone, {}, {} };
 }
 
 placement_failure endpoint_fleet::failureReason(instant now, const service_id& service) const
--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -202,6 +202,7 @@
         .randomFraction = randomFraction() };
     describeWork(request, query);
     const auto found = m_fleet.choose(query);
+    logWorkNews();
     if (!found && waitForPermit(now, number, request, query))
         return;
     leavePermitQueue(number, request);
@@ -384,6 +385,7 @@
 void forwarding_reducer::recordEnding(instant now, const request_state& request, const attempt_ended& event)
 {
     recordSuspiciousEnding(now, request, event);
+    recordOutcome(now, request, event.ending);
     if (event.ending == attempt_ending::Rejected)
         m_outages[request.service].recordRejection(now);
     else if (executionStatusAfter(event.ending) != execution_status::NotRun)
@@ -473,6 +475,7 @@
         return;
     recordCancelledAttempt(event.now, found->second);
     m_fleet.recordEnding(event.now, found->second.currentEndpoint, attempt_ending::TimedOut);
+    recordOutcome(event.now, found->second, attempt_ending::TimedOut);
     m_effects.emplace_back(cancel_forwarded_request { event.request });
     if (event.answerBegun)
         m_effects.emplace_back(abort_answer { event.request });
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -68,6 +68,7 @@
     std::vector<endpoint_limit_record> limitsForStartingEntry(instant now) const;
     std::vector<endpoint_limits::limit_view> limitViews(instant now) { return m_fleet.limitViews(now); }
     // By service: how predicted times to the first event compare with actual ones.
+    const std::map<availability_zone_id, std::uint64_t>& sendsByZone() const { return m_sendsByZone; }
     const std::map<service_id, forecast_error>& forecasts() const { return m_forecasts; }
     std::size_t requestsAwaitingPermit() const { return m_permitQueue.size(); }
 
@@ -107,6 +108,7 @@
         std::optional<request_work> work;
         duration expectedFirstEvent {};
         duration firstEventTime {};
+        bool isLate = false;
     };
 
     void on(const request_arrived& event);
@@ -159,6 +161,8 @@
     void describeWork(const request_state& request, placement_query& query) const;
     answer_length_query answerLengthQuery(const request_state& request) const;
     void recordPlacedWork(request_number number, request_state& request, const placement& chosen, log_decision& line);
+    void logWorkNews();
+    void recordOutcome(instant now, const request_state& request, attempt_ending ending);
     void recordFirstEvent(instant now, request_number number, request_state& request);
     void recordAnsweredWork(instant now, const request_state& request, log_decision& line);
     void send(instant now, request_number number, request_state& request, const placement& chosen);
@@ -260,6 +264,8 @@
     std::map<service_id, brief_outage> m_outages;
     answer_length_estimator m_answerLengths;
     std::map<service_id, forecast_error> m_forecasts;
+    // Sends that were placed by their work.
+    std::map<availability_zone_id, std::uint64_t> m_sendsByZone;
     std::map<request_number, request_state> m_requests;
     std::mt19937_64 m_random;
     // Time of the event that is being handled.
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -423,7 +423,7 @@
         m_metrics.set(entry_metrics::readerAnswers, static_cast<double>(m_store.readerAnswers()));
         m_metrics.set(entry_metrics::suspects, static_cast<double>(m_reducer.crashes().size()));
         m_metrics.set(entry_metrics::convictedSuspects, static_cast<double>(m_reducer.crashes().convicted().size()));
-        setWorkGauges(m_metrics, m_reducer);
+        setWorkGauges(m_metrics, m_reducer, m_settings.process.zone);
         m_metrics.set(entry_metrics::datagramsDropped, static_cast<double>(m_news.droppedCount()));
     }
 
--- a/packages/directentry/work_metrics.h
+++ b/packages/directentry/work_metrics.h
@@ -6,6 +6,6 @@
 namespace appleramp {
 
 // Sets the gauges of the placement by work from the state of the entry's decisions.
-void setWorkGauges(metrics_registry& metrics, const forwarding_reducer& reducer);
+void setWorkGauges(metrics_registry& metrics, const forwarding_reducer& reducer, const availability_zone_id& ownZone);
 
 } // namespace appleramp
--- a/tests/decisions/work/work_world.cpp
+++ b/tests/decisions/work/work_world.cpp
@@ -1,6 +1,7 @@
 #include "decisions/work/work_world.h"
 
 #include "decisions/forwarding/endpoint_subset.h"
+#include "decisions/work/work_world_state.h"
 
 #include <algorithm>
 #include <cmath>
@@ -45,18 +46,6 @@
 
 } // namespace
 
-struct work_world::attempt {
-    std::uint64_t number = 0;
-    std::size_t entry = 0;
-    std::size_t engine = 0;
-    double unreadTokens = 0;
-    std::uint32_t eventsLeft = 0;
-    std::uint32_t contextTokens = 0;
-    bool hasBegun = false;
-    bool isOver = false;
-    instant lastEvent;
-};
-
 engine_speed work_world::speed()
 {
     return { .step = 4840us, .stepPerRequest = 600us, .promptTokensPerSecond = 74'800, .chunkTokens = 256, .stepsPerPass = 7, .contextMillisecondsPerThousand = 0.02, .pairMillisecondsPerMillion = 0.1, .memoryTokens = 411'666, .usualPromptTokens = 1000, .usualAnswerTokens = events * 7 };
@@ -125,17 +114,25 @@
     post(entry, configuration_read { now(), now(), configuration() });
     post(entry, crash_table_read { now(), true, {}, {} });
     std::vector<endpoint_record> records;
+    for (const auto& engine : m_engines) {
+        if (engine->isAlive)
+            records.push_back(record(engine->number));
+    }
+    post(entry, registry_read { now(), records });
+    subscribe(entry);
+}
+
+void work_world::subscribe(std::size_t entry)
+{
     std::vector<reporting_endpoint> reporting;
     std::set<std::string> addresses;
     for (const auto& engine : m_engines) {
         if (!engine->isAlive)
             continue;
-        records.push_back(record(engine->number));
-        reporting.push_back({ records.back().address, records.back().zone });
-        addresses.insert(records.back().address);
+        reporting.push_back({ record(engine->number).address, zoneName(engine->zone) });
+        addresses.insert(record(engine->number).address);
     }
-    post(entry, registry_read { now(), records });
-    m_subsets[entry] = chooseSubset(entryName(entry), settings.zone, m_settings.entries, reporting, {});
+    m_subsets[entry] = chooseSubset(entryName(entry), zoneName(entryZone(entry)), m_settings.entries, reporting, {});
     post(entry, load_subset_changed { now(), addresses, m_subsets[entry] });
 }
 
@@ -147,8 +144,10 @@
         for (const auto& attempt : std::exchange(*held, {}))
             end(attempt, attempt_ending::NoAnswer);
     }
-    for (std::size_t entry = 0; entry < m_reducers.size(); ++entry)
+    for (std::size_t entry = 0; entry < m_reducers.size(); ++entry) {
         post(entry, endpoint_unlisted { now(), record(number).id });
+        subscribe(entry);
+    }
 }
 
 void work_world::runUntil(duration time)
@@ -175,7 +174,7 @@
     caller.answerTokens = events * 7 * 4;
     const double wrong = m_settings.hintFactor > 1 && fraction() < 0.5 ? 1 / m_settings.hintFactor : m_settings.hintFactor;
     caller.expectedAnswerTokens = static_cast<std::uint32_t>(events * 7 * wrong);
-    m_outcomes[m_lastRequest] = { .arrivedAt = now(), .zone = zone, .promptTokens = caller.promptTokens };
+    m_outcomes[m_lastRequest] = { .arrivedAt = now(), .zone = zone, .entry = entry, .promptTokens = caller.promptTokens };
     const std::uint64_t number = m_lastRequest;
     const std::uint64_t life = m_lives[entry];
     m_events.runAfter(callerTimeout, [this, entry, number, life] {
@@ -255,119 +254,6 @@
     post(ended->entry, attempt_ended { now(), ended->number, ending, ended->hasBegun, {} });
 }
 
-void work_world::reach(const std::shared_ptr<attempt>& arriving)
-{
-    engine_state& engine = *m_engines[arriving->engine];
-    ++engine.arrivals;
-    if (!engine.isAlive)
-        return end(arriving, attempt_ending::NotSent);
-    if (fraction() < engine.failing)
-        return m_events.runAfter(5ms, [this, arriving] { end(arriving, attempt_ending::NoAnswer); });
-    engine.waiting.push_back(arriving);
-}
-
-// Requests take free slots at the start of a pass, and prompts are read in the order of arrival.
-duration work_world::passTime(engine_state& engine)
-{
-    const engine_speed figures = speed();
-    for (auto* const held : { &engine.running, &engine.waiting })
-        std::erase_if(*held, [](const auto& each) { return each->isOver; });
-    while (!engine.waiting.empty() && engine.running.size() < m_settings.slots) {
-        engine.running.push_back(engine.waiting.front());
-        request_outcome& outcome = m_outcomes[engine.running.back()->number];
-        outcome.slotWait = now() - outcome.arrivedAt;
-        engine.waiting.erase(engine.waiting.begin());
-    }
-    double writers = 0;
-    double context = 0;
-    double budget = figures.chunkTokens * figures.stepsPerPass;
-    double reading = 0;
-    for (const auto& each : engine.running) {
-        if (each->unreadTokens <= 0) {
-            ++writers;
-            context += each->contextTokens;
-            continue;
-        }
-        const double tokens = std::min(each->unreadTokens, budget);
-        each->unreadTokens -= tokens;
-        // Marks prompts that this pass finishes; they generate from the next one on.
-        if (each->unreadTokens <= 0)
-            each->unreadTokens = 1e-9;
-        budget -= tokens;
-        reading += tokens / figures.promptTokensPerSecond * 1e3 + figures.pairMillisecondsPerMillion * tokens * each->contextTokens / 1e6;
-    }
-    const double step = 4.84 + 0.6 * writers + figures.contextMillisecondsPerThousand * context / 1e3;
-    return duration(static_cast<duration::rep>((figures.stepsPerPass * step + reading) * engine.slowdown * 1e3));
-}
-
-void work_world::beginPass(const std::vector<std::size_t>& group)
-{
-    duration longest {};
-    for (const std::size_t engine : group) {
-        if (m_engines[engine]->isAlive)
-            longest = std::max(longest, passTime(*m_engines[engine]));
-    }
-    m_events.runAfter(std::max(longest, duration(1ms)), [this, group] { endPass(group); });
-}
-
-void work_world::endPass(const std::vector<std::size_t>& group)
-{
-    for (const std::size_t number : group) {
-        const auto running = m_engines[number]->running;
-        for (const auto& each : running) {
-            if (each->isOver)
-                continue;
-            if (each->unreadTokens > 0) {
-                if (each->unreadTokens < 1e-6)
-                    each->unreadTokens = 0;
-                continue;
-            }
-            request_outcome& outcome = m_outcomes[each->number];
-            const bool isFirst = !std::exchange(each->hasBegun, true);
-            const duration pause = now() - each->lastEvent;
-            each->lastEvent = now();
-            each->contextTokens += 7;
-            if (!outcome.firstEvent)
-                outcome.firstEvent = now() - outcome.arrivedAt;
-            if (!isFirst)
-                outcome.longestPause = std::max(outcome.longestPause, pause);
-            post(each->entry, stream_advanced { now(), each->number, isFirst ? std::nullopt : std::optional(pause) });
-            if (--each->eventsLeft > 0 || each->isOver)
-                continue;
-            each->isOver = true;
-            outcome.isServed = true;
-            post(each->entry, attempt_succeeded { now(), each->number });
-            m_attempts.erase(each->number);
-        }
-    }
-    beginPass(group);
-}
-
-void work_world::report(std::size_t number)
-{
-    const engine_state& engine = *m_engines[number];
-    if (!engine.isAlive)
-        return;
-    m_events.runAfter(m_settings.reportInterval, [this, number] { report(number); });
-    endpoint_load load;
-    load.address = record(number).address;
-    load.running = static_cast<std::uint32_t>(engine.running.size());
-    load.waiting = static_cast<std::uint32_t>(engine.waiting.size());
-    load.slowdownFactor = engine.reportsSlowdown ? engine.slowdown : 1;
-    load.subscribers = static_cast<std::uint32_t>(std::count_if(m_subsets.begin(), m_subsets.end(), [&](const auto& subset) { return subset.contains(load.address); }));
-    for (const auto& each : engine.running)
-        load.memoryUsed += each->contextTokens;
-    load.memoryTotal = speed().memoryTokens;
-    m_events.runAfter(m_settings.reportDelay, [this, load, zone = engine.zone] {
-        for (std::size_t entry = 0; entry < m_reducers.size(); ++entry) {
-            const auto cut = m_cuts.find(entry);
-            const bool isCut = cut != m_cuts.end() && cut->second == zone;
-            if (m_subsets[entry].contains(load.address) && m_silentZone != zone && !isCut)
-                post(entry, endpoint_load_received { now(), load });
-        }
-    });
-}
-
 void work_world::tick()
 {
     m_events.runAfter(sampleInterval, [this] { tick(); });
--- a/tests/decisions/work/work_world.h
+++ b/tests/decisions/work/work_world.h
@@ -37,6 +37,7 @@
 struct request_outcome {
     instant arrivedAt;
     std::size_t zone = 0;
+    std::size_t entry = 0;
     std::uint32_t promptTokens = 0;
     std::optional<duration> firstEvent;
     bool isServed = false;
@@ -94,6 +95,7 @@
     instant now() const { return m_events.now(); }
     double fraction() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
     endpoint_record record(std::size_t engine) const;
+    void subscribe(std::size_t entry);
     void arrive(std::size_t zone);
     void post(std::size_t entry, const forwarding_event& event);
     void carryOut(std::size_t entry, const forwarding_effect& effect);
