--- a/packages/decisions/forwarding/endpoint_fleet.h
+++ b/packages/decisions/forwarding/endpoint_fleet.h
@@ -229,6 +229,9 @@
         zone_spill spill;
         outlier_detector outliers;
         instant zonesComparedAt;
+        // Endpoints that requests may choose, counted at intervals.
+        std::size_t endpoints = 0;
+        instant countedAt;
     };
 
     endpoint_state* find(const endpoint_id& endpoint);
--- a/packages/decisions/forwarding/endpoint_fleet_work.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet_work.cpp
@@ -201,8 +201,12 @@
         costs.push_back(option.cost);
         age += hasFreshReport(*option.state, query.now) ? query.now - option.state->reportedAt + reportDelay : duration::zero();
     }
-    const auto endpoints = std::count_if(m_endpoints.begin(), m_endpoints.end(), [&](const auto& entry) { return isEligible(entry.second, query); });
-    const double rate = m_services[query.service].arrivals.perSecond(query.now) * static_cast<double>(query.entryCount) / static_cast<double>(std::max<std::ptrdiff_t>(endpoints, 1));
+    service_state& service = m_services[query.service];
+    if (query.now - service.countedAt >= zoneComparisonInterval) {
+        service.countedAt = query.now;
+        service.endpoints = static_cast<std::size_t>(std::count_if(m_endpoints.begin(), m_endpoints.end(), [&](const auto& entry) { return isEligible(entry.second, query); }));
+    }
+    const double rate = service.arrivals.perSecond(query.now) * static_cast<double>(query.entryCount) / static_cast<double>(std::max<std::size_t>(service.endpoints, 1));
     // The age is a sum over the options, each of which gets this rate.
     const double unseen = rate * seconds(age);
     const work_model model(*query.engine);
