--- a/packages/decisions/forwarding/forwarding_reducer_limits.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_limits.cpp
@@ -240,6 +240,7 @@
     leavePermitQueue(number, found->second);
     if (room_gate* const room = sharedRoom(found->second.service))
         room->leave(number);
+    m_fleet.work().recordEnd(number);
     m_requests.erase(found);
 }
 
--- a/packages/settings/process_settings.h
+++ b/packages/settings/process_settings.h
@@ -81,6 +81,11 @@
     bool sharedRoom = false;
 };
 
+struct placement_section {
+    // Places requests by their expected work where a service publishes engine figures, not by the number of requests.
+    bool byWork = false;
+};
+
 // The process's own network link. Direct agents only.
 struct link_section {
     // Rate of the link in megabits per second.
@@ -133,6 +138,7 @@
     admission_section admission;
     link_section link;
     groups_section groups;
+    placement_section placement;
     endpoint_section endpoint;
     observe_section observe;
     limits_section limits;
