--- a/packages/datagrams/datagram_class.cpp
+++ b/packages/datagrams/datagram_class.cpp
@@ -12,6 +12,9 @@
     datagram_class operator()(const map_proposal&) const { return { datagram_priority::Proposal, "map" }; }
     datagram_class operator()(const map_changes&) const { return { datagram_priority::Proposal, "map" }; }
     datagram_class operator()(const switch_request&) const { return { datagram_priority::Switch, {} }; }
+    datagram_class operator()(const arm_readiness_request&) const { return { datagram_priority::Switch, {} }; }
+    datagram_class operator()(const arm_readiness&) const { return { datagram_priority::Switch, {} }; }
+    datagram_class operator()(const arm_permission&) const { return { datagram_priority::Switch, {} }; }
     datagram_class operator()(const switch_outcome&) const { return { datagram_priority::Switch, {} }; }
     datagram_class operator()(const status_query&) const { return { datagram_priority::Switch, {} }; }
     datagram_class operator()(const status_request&) const { return { datagram_priority::Switch, {} }; }
@@ -27,11 +30,13 @@
     datagram_class operator()(const endpoint_limit_records&) const { return { datagram_priority::Switch, {} }; }
     datagram_class operator()(const permit_question&) const { return { datagram_priority::Switch, {} }; }
     datagram_class operator()(const permit_answer&) const { return { datagram_priority::Switch, {} }; }
+    datagram_class operator()(const demand_report&) const { return { datagram_priority::Status, {} }; }
     datagram_class operator()(const group_datagram& message) const { return std::visit(group_classifier {}, message.message); }
     // The sender classifies the message inside, which it has decoded.
     datagram_class operator()(const relay_request&) const { return { datagram_priority::Bulk, {} }; }
     datagram_class operator()(const freshness_question&) const { return { datagram_priority::Status, "question" }; }
     datagram_class operator()(const freshness_answer&) const { return { datagram_priority::Status, {} }; }
+    datagram_class operator()(const store_notice&) const { return { datagram_priority::Switch, {} }; }
 };
 
 } // namespace
--- a/packages/datagrams/datagram_codec.cpp
+++ b/packages/datagrams/datagram_codec.cpp
@@ -1,6 +1,7 @@
 #include "datagrams/datagram_codec.h"
 
 #include "datagrams/crash_codec.h"
+#include "datagrams/demand_codec.h"
 #include "datagrams/group_codec.h"
 #include "datagrams/limit_codec.h"
 
@@ -33,8 +34,13 @@
     }
     json operator()(const endpoint_load& load) const
     {
-        return { { "k", "l" }, { "a", load.address }, { "r", load.running }, { "w", load.waiting },
+        json encoded { { "k", "l" }, { "a", load.address }, { "r", load.running }, { "w", load.waiting },
             { "p", std::lround(load.slowdownFactor * paceScale) }, { "o", load.groupOpen }, { "n", load.subscribers }, { "x", load.leaving }, { "t", load.startedAtMs }, { "q", limitStatementToJson(load.limit) } };
+        if (load.memoryTotal > 0) {
+            encoded["f"] = load.memoryUsed;
+            encoded["m"] = load.memoryTotal;
+        }
+        return encoded;
     }
     json operator()(const endpoint_death& death) const { return { { "k", "d" }, { "a", death.address }, { "t", death.startedAtMs } }; }
     json operator()(const load_subscription& subscription) const { return { { "k", "u" }, { "z", subscription.zone.str() }, { "g", subscription.storeGeneration } }; }
@@ -48,6 +54,7 @@
     json operator()(const endpoint_limit_records& told) const { return { { "k", "m" }, { "r", limitRecordsToJson(told.records) } }; }
     json operator()(const permit_question& question) const { return { { "k", "b" }, { "q", permitQuestionToJson(question) } }; }
     json operator()(const permit_answer& answer) const { return { { "k", "p" }, { "q", permitQuestionToJson(answer.question) }, { "g", answer.isGranted } }; }
+    json operator()(const demand_report& report) const { return demandReportToJson(report); }
     json operator()(const relay_request& relayed) const
     {
         return { { "k", "r" }, { "t", relayed.targets },
@@ -61,6 +68,11 @@
             tables.push_back({ table.digest, table.age.count() });
         return { { "k", "a" }, { "t", answer.askedAt.time_since_epoch().count() }, { "c", std::move(tables) } };
     }
+    json operator()(const store_notice& notice) const
+    {
+        return { { "k", "s" }, { "i", notice.sender }, { "s", notice.isServed }, { "t", notice.turn }, { "p", notice.prober },
+            { "a", notice.servedAge.count() }, { "f", notice.failures }, { "y", static_cast<int>(notice.symptom) } };
+    }
     json operator()(const group_datagram& group) const
     {
         return { { "k", "g" }, { "g", group.group }, { "m", groupMessageToJson(group.message) } };
@@ -87,7 +99,8 @@
 endpoint_load loadFromJson(const json& body)
 {
     return { body.at("a").get<std::string>(), body.at("r").get<std::uint32_t>(), body.at("w").get<std::uint32_t>(),
-        body.at("p").get<double>() / paceScale, body.at("o").get<bool>(), body.value("n", 0U), body.value("x", false), body.value("t", std::uint64_t { 0 }), limitStatementFromJson(body.value("q", json())) };
+        body.at("p").get<double>() / paceScale, body.at("o").get<bool>(), body.value("n", 0U), body.value("x", false), body.value("t", std::uint64_t { 0 }), limitStatementFromJson(body.value("q", json())),
+        body.value("f", std::uint64_t { 0 }), body.value("m", std::uint64_t { 0 }) };
 }
 
 instant askedAtFromJson(const json& body) { return instant(duration(body.at("t").get<duration::rep>())); }
@@ -100,6 +113,17 @@
     return answer;
 }
 
+std::optional<datagram_message> storeNoticeFromJson(const json& body)
+{
+    store_notice notice { body.at("i").get<std::string>(), body.at("s").get<bool>(), body.at("t").get<std::uint32_t>(),
+        body.at("p").get<std::string>(), duration(body.at("a").get<duration::rep>()), body.at("f").get<std::uint32_t>() };
+    const int symptom = body.at("y").get<int>();
+    if (notice.servedAge < duration::zero() || symptom < 0 || symptom > static_cast<int>(store_symptom::Refused))
+        return std::nullopt;
+    notice.symptom = static_cast<store_symptom>(symptom);
+    return notice;
+}
+
 crash_records crashRecordsFromJson(const json& records)
 {
     crash_records told;
@@ -150,12 +174,16 @@
             return freshness_question { askedAtFromJson(body) };
         if (kind == "a")
             return freshnessAnswerFromJson(body);
+        if (kind == "s")
+            return storeNoticeFromJson(body);
         if (kind == "m")
             return endpoint_limit_records { limitRecordsFromJson(body.at("r")) };
         if (kind == "b")
             return permitQuestionFromJson(body.at("q"));
         if (kind == "p")
             return permit_answer { permitQuestionFromJson(body.at("q")), body.at("g").get<bool>() };
+        if (kind == "o")
+            return demandReportFromJson(body);
         if (kind == "c")
             return crashRecordsFromJson(body.at("r"));
     } catch (const json::exception&) {
--- a/packages/decisions/forwarding/endpoint_fleet.h
+++ b/packages/decisions/forwarding/endpoint_fleet.h
@@ -7,6 +7,13 @@
 #include "decisions/pace/endpoint_restriction.h"
 #include "decisions/pace/entry_shares.h"
 #include "decisions/pace/share_account.h"
+#include "decisions/sharing/service_room.h"
+#include "decisions/work/arrival_rate.h"
+#include "decisions/work/outlier_detector.h"
+#include "decisions/work/placed_work.h"
+#include "decisions/work/unread_prompts.h"
+#include "decisions/work/work_model.h"
+#include "decisions/work/work_news.h"
 #include "model/endpoint_news.h"
 #include "model/routing.h"
 #include "model/time.h"
@@ -19,6 +26,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace appleramp {
@@ -34,6 +42,8 @@
     // Endpoints that one placement compares, sampled at random. If every entry compared all endpoints, by load reports of
     // the same age, all would choose the same one.
     std::size_t sampleSize = 6;
+    // As sampleSize, for requests that are placed by their work.
+    std::size_t workSampleSize = 8;
     // Endpoints whose records lapsed while the registry was unreachable are removed only this long after it is back.
     duration lapseGracePeriod = std::chrono::milliseconds(1900);
     // Endpoints that started or recovered get as much as they can take, by how they answer.
@@ -53,6 +63,18 @@
     bool allowsLimited = true;
     // In [0, 1): selects the random sample of endpoints, and so breaks ties.
     double randomFraction = 0;
+    // Published figures of the service by which the request is placed; none to place it by the number of requests.
+    const engine_speed* engine = nullptr;
+    request_size size;
+    duration latencyTarget {};
+    duration pauseTarget {};
+    // Measured time between two events of the service's streams; zero if not known.
+    duration measuredPause {};
+    bool isRepeatable = true;
+    // The request failed elsewhere before.
+    bool isRetry = false;
+    // Factor by which first events came later than predicted lately.
+    double forecastCorrection = 1;
 };
 
 struct placement {
@@ -65,6 +87,10 @@
     duration reportAge {};
     // As far as this entry knows, the first request since the endpoint started or recovered.
     bool isFirstRequest = false;
+    availability_zone_id zone;
+    // Set if the request is placed by its work.
+    std::optional<request_work> work;
+    work_forecast forecast;
 };
 
 // Why no endpoint was found.
@@ -167,6 +193,14 @@
     std::optional<placement> choose(const placement_query& query);
     placement_failure failureReason(instant now, const service_id& service) const;
     void recordSend(instant now, const endpoint_id& endpoint);
+    // The expected work of this entry's requests in flight, which the caller keeps up to date.
+    placed_work& work() { return m_work; }
+    // How an attempt went that was placed by its work.
+    void recordOutcome(instant now, const endpoint_id& endpoint, attempt_outcome outcome);
+    // Endpoints of all services that are out, or on probation, because they failed more often than their peers.
+    std::size_t outlierCount() const;
+    // What has changed in the placement by work since the last call.
+    std::vector<work_news> takeWorkNews() { return std::exchange(m_workNews, {}); }
     // An attempt is over, with a whole answer or without one.
     void recordAnswer(instant now, const endpoint_id& endpoint, duration answerTime);
     // The first event of a stream has come.
@@ -181,6 +215,9 @@
     bool hasOtherFastEndpoint(instant now, const service_id& service, const endpoint_id& endpoint) const;
     // Requests running and waiting, relative to the slots, over the endpoints with a fresh report; zero if there is none.
     double slotUtilization(instant now, const service_id& service) const;
+    // Slots of the service's endpoints in service and what their reports say of them; requests at those that do not report are
+    // taken to be as many.
+    service_load loadOf(instant now, const service_id& service) const;
     // Requests that this entry has in flight at the service's endpoints.
     std::size_t inFlight(const service_id& service) const;
     bool contains(const endpoint_id& endpoint) const { return m_endpoints.contains(endpoint); }
@@ -233,6 +270,7 @@
         instant lastAnswerAt;
         std::optional<endpoint_load> report;
         instant reportedAt;
+        unread_prompts unread;
         std::uint32_t sentSinceReport = 0;
     };
     struct service_state {
@@ -243,6 +281,16 @@
         double meanSlowdown = 0;
         // The latest request of this entry.
         std::optional<instant> lastDemand;
+        // Rate at which an engine reads prompts; zero until a request was placed by its work.
+        double readTokensPerSecond = 0;
+        // Of this entry's requests that were placed by their work.
+        arrival_rate arrivals;
+        zone_spill spill;
+        outlier_detector outliers;
+        instant zonesComparedAt;
+        // Endpoints that requests may choose, counted at intervals.
+        std::size_t endpoints = 0;
+        instant countedAt;
     };
 
     endpoint_state* find(const endpoint_id& endpoint);
@@ -284,6 +332,36 @@
     double meanReportedLoad(const service_id& service, instant now) const;
     double estimatedLoad(const endpoint_state& state, instant now, std::size_t entryCount) const;
     double cost(const endpoint_state& state, const placement_query& query) const;
+    struct work_option {
+        endpoint_state* state = nullptr;
+        request_work work;
+        work_forecast forecast;
+        // Seconds.
+        double cost = 0;
+        // The endpoint reports enough memory for the request.
+        bool hasMemory = true;
+    };
+    std::optional<placement> chooseByWork(const placement_query& query);
+    // Keeps the endpoints of the own zone, and of the one to which the request may go; all if none of these take requests.
+    void keepZones(std::vector<endpoint_state*>& found, const placement_query& query);
+    void compareZones(const std::vector<endpoint_state*>& found, const placement_query& query);
+    // Expected times of a usual request relative to the targets, whichever is closer to being missed.
+    double pressure(endpoint_state& state, const placement_query& query) const;
+    // Chooses among the options by their cost, and by what other entries that read the same reports are likely to choose.
+    const work_option& draw(const std::vector<work_option>& options, const placement_query& query);
+    work_option evaluate(endpoint_state& state, const placement_query& query) const;
+    engine_load engineLoad(const endpoint_state& state, const placement_query& query, const endpoint_work& own) const;
+    // The requests that this entry sent fit into the endpoint's memory together with this one.
+    bool fitsOwnShare(const endpoint_state& state, const placement_query& query) const;
+    // The memory that the endpoint reports as free, as far as it is this entry's, suffices.
+    bool fitsReportedMemory(const endpoint_state& state, const endpoint_work& own, const request_work& work, instant now) const;
+    // Time for the prompts that the endpoint's report shows as not yet read.
+    duration reportedPromptTime(const endpoint_state& state, const placement_query& query, const engine_load& load) const;
+    double failurePenaltySeconds(const endpoint_state& state, instant now) const;
+    // The query's request could not reach an endpoint of the zone.
+    bool wasUnreachable(const availability_zone_id& zone, const placement_query& query) const;
+    // Removes outliers, unless nothing else is left.
+    void keepSound(std::vector<endpoint_state*>& found, const placement_query& query);
     double slowdown(const endpoint_state& state, instant now) const;
     double currentFailureRate(const endpoint_state& state, instant now) const;
     void recordOutcome(endpoint_state& state, instant now, double failure);
@@ -305,6 +383,8 @@
     pace_totals m_paceTotals;
     // Services whose addresses have changed since their last placement.
     std::set<service_id> m_changedServices;
+    placed_work m_work;
+    std::vector<work_news> m_workNews;
     bool m_registryLost = false;
     std::optional<instant> m_registryRegainedAt;
 };
--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -33,6 +33,8 @@
 constexpr duration minTimeLeft = std::chrono::milliseconds(20);
 // Timeout for a stream's first event, after which another endpoint is tried, in latency targets.
 constexpr double firstEventTimeoutFactor = 2.4;
+// Timeout for the first event of a request that is placed by its work, in expected times.
+constexpr int expectedFirstEventTimeoutFactor = 3;
 // Timeout between two events of a stream, after which another endpoint is tried, in pause targets.
 constexpr double eventGapTimeoutFactor = 6.0;
 // Timeout for the answer to an idempotent request that is no stream, after which another endpoint is tried, in latency
@@ -86,6 +88,7 @@
     , m_startedAt(startedAt)
     , m_fleet(m_settings.fleet)
     , m_peers(startedAt, m_settings.peers)
+    , m_startingRequests(startedAt, m_settings.longestStartWait)
     , m_random(m_settings.seed)
     , m_latestTime(startedAt)
 {
@@ -113,6 +116,7 @@
             on(concrete);
         },
         event);
+    sendRoomWaiting(m_latestTime);
     return std::exchange(m_effects, {});
 }
 
@@ -130,6 +134,12 @@
 
 duration forwarding_reducer::longRetryAfter() { return longRetryAfterMin + scaled(longRetryAfterJitter, randomFraction()); }
 
+duration forwarding_reducer::confirmationRetryAfter(instant now, const caller_request& caller, duration usual)
+{
+    const auto spread = m_settings.spreadOutageRetries ? m_storeOutage.retryAfter(now, caller.timeout.value_or(defaultTimeout), randomFraction()) : std::nullopt;
+    return spread.value_or(usual);
+}
+
 // When every endpoint of the service asked for a pause, callers come back after the first of them ends.
 duration forwarding_reducer::retryAfterPause(instant now, const service_id& service)
 {
@@ -137,15 +147,15 @@
     return shortRetryAfter() + (resumed ? *resumed - now : duration::zero());
 }
 
-void forwarding_reducer::on(const request_arrived& event)
+void forwarding_reducer::accept(instant now, request_number number, request_state request)
 {
-    request_state request { .caller = event.caller, .routes = m_routes, .arrivedAt = event.now };
-    if (!admit(event.now, event.request, request))
+    if (!admit(now, number, request))
         return;
-    m_retryBudget.recordRequest(event.now, request.service);
-    m_fleet.recordDemand(event.now, request.service);
-    const auto [inserted, isNew] = m_requests.emplace(event.request, std::move(request));
-    place(event.now, event.request, inserted->second);
+    m_retryBudget.recordRequest(now, request.service);
+    m_fleet.recordDemand(now, request.service);
+    recordRoomArrival(now, request);
+    const auto [inserted, isNew] = m_requests.emplace(number, std::move(request));
+    place(now, number, inserted->second);
 }
 
 bool forwarding_reducer::admit(instant now, request_number number, request_state& request)
@@ -155,7 +165,7 @@
         return false;
     };
     if (!request.routes || !areConvictionsKnown(now))
-        return refuseWith(refusal_reason::NotReady, shortRetryAfter());
+        return refuseWith(refusal_reason::NotReady, confirmationRetryAfter(now, request.caller, shortRetryAfter()));
     request.matchedRoute = request.routes->find(request.caller.host, request.caller.path);
     const bool allowsDefiniteRefusal = m_freshness.allowsDefiniteRefusal(now);
     if (request.matchedRoute == nullptr || request.matchedRoute->services.empty())
@@ -163,7 +173,7 @@
     request.urgencyRank = request.matchedRoute->urgencyRank;
     if (request.routes->requiresKeys() && !request.matchedRoute->isPublic) {
         if (!m_freshness.allowsKeyUse(now))
-            return refuseWith(refusal_reason::NotReady, longRetryAfter());
+            return refuseWith(refusal_reason::NotReady, confirmationRetryAfter(now, request.caller, longRetryAfter()));
         const team* const callerTeam = request.routes->teamForKey(request.caller.apiKey);
         if (callerTeam == nullptr)
             return allowsDefiniteRefusal ? refuseWith(refusal_reason::UnknownKey, {}) : refuseWith(refusal_reason::NotReady, shortRetryAfter());
@@ -176,7 +186,7 @@
     request.service = pickServiceByWeight(*request.matchedRoute, randomFraction());
     const duration callerTimeout = request.caller.timeout.value_or(defaultTimeout);
     const duration routeTimeout = request.matchedRoute->timeout > duration::zero() ? request.matchedRoute->timeout : defaultTimeout;
-    request.deadline = now + std::min(callerTimeout, routeTimeout);
+    request.deadline = request.arrivedAt + std::min(callerTimeout, routeTimeout);
     return true;
 }
 
@@ -188,10 +198,13 @@
         return refusePlacement(number, request, request.mayHaveRun ? refusal_reason::OutcomeUnknown : suspicion->reason, suspicion->retryAfter);
     if (deferDuringOutage(now, number, request))
         return;
-    if (const auto retryAfter = request.attempts == 0 ? overloadRetryAfter(now, request) : std::nullopt)
+    room_gate* const room = sharedRoom(request.service);
+    if (room != nullptr && !passRoom(now, number, request, *room))
+        return;
+    if (const auto retryAfter = room == nullptr && request.attempts == 0 ? overloadRetryAfter(now, request) : std::nullopt)
         return refusePlacement(number, request, refusal_reason::NoCapacity, retryAfter);
     const service_description* const service = request.routes->service(request.service);
-    const placement_query query { .now = now,
+    placement_query query { .now = now,
         .service = request.service,
         .zone = m_settings.zone,
         .entryCount = m_peers.entryCount(now),
@@ -199,7 +212,9 @@
         .coldRequestsPerSecond = service == nullptr ? 0 : service->coldRequestsPerSecond,
         .allowsLimited = requestsAhead(number, request) == 0,
         .randomFraction = randomFraction() };
+    describeWork(request, query);
     const auto found = m_fleet.choose(query);
+    logWorkNews();
     if (found ? !found->isFirstRequest && borrowFirstRequest(now, number, request, query) : waitForPermit(now, number, request, query) || waitForShare(now, number, request, query))
         return;
     leavePermitQueue(number, request);
@@ -211,6 +226,8 @@
             if (deferDuringOutage(now, number, request))
                 return;
         }
+        if (isTemporary && waitForOpenEndpoint(now, number, request))
+            return;
         duration retryAfter = isTemporary ? retryAfterPause(now, request.service) : longRetryAfter();
         if (m_fleet.areAllLimited(query))
             retryAfter = std::max(retryAfter, longRetryAfter());
@@ -223,7 +240,7 @@
                                                       .timeLeft = request.deadline - now,
                                                       .urgencyRank = request.urgencyRank },
         randomFraction());
-    if (!admission.admitted && !request.mayHaveRun)
+    if (room == nullptr && !admission.admitted && !request.mayHaveRun)
         return refusePlacement(number, request, refusal_reason::NoCapacity, admission.retryAfter);
     send(now, number, request, *found);
 }
@@ -258,19 +275,29 @@
 
 void forwarding_reducer::on(const service_wait_ended& event)
 {
+    if (m_startingRequests.contains(event.request))
+        return retryStartingRequest(event.now, event.request);
     const auto found = m_requests.find(event.request);
     // A wake-up that was scheduled before the request was sent must not send it again.
     if (found != m_requests.end() && found->second.currentEndpoint.empty())
         place(event.now, event.request, found->second);
 }
 
+std::optional<duration> forwarding_reducer::stallRetryAfter(instant now, const request_state& request)
+{
+    const auto pace = m_streamPaces.find(request.service);
+    if (request.matchedRoute->kind != route_kind::Stream || pace == m_streamPaces.end() || !pace->second.isStalled(now, m_fleet.inFlight(request.service)))
+        return std::nullopt;
+    return stallRetryAfterMin + scaled(stallRetryAfterJitter, randomFraction());
+}
+
 std::optional<duration> forwarding_reducer::overloadRetryAfter(instant now, const request_state& request)
 {
+    if (const auto retryAfter = stallRetryAfter(now, request))
+        return retryAfter;
     const auto pace = m_streamPaces.find(request.service);
     if (request.matchedRoute->kind != route_kind::Stream || pace == m_streamPaces.end())
         return std::nullopt;
-    if (pace->second.isStalled(now, m_fleet.inFlight(request.service)))
-        return stallRetryAfterMin + scaled(stallRetryAfterJitter, randomFraction());
     const duration pauseTarget = request.matchedRoute->pauseTarget > duration::zero() ? request.matchedRoute->pauseTarget : m_settings.defaultPauseTarget;
     const double utilizationLimit = pace->second.utilizationLimit(pauseTarget);
     const double excess = (m_fleet.slotUtilization(now, request.service) - utilizationLimit) / utilizationLimit;
@@ -303,15 +330,19 @@
         attempt.loadReportAge = chosen.reportAge;
     if (matchedRoute.repeatable() && request.attempts < matchedRoute.maxAttempts) {
         attempt.answerStartTimeout = scaled(matchedRoute.latencyTarget, isStream ? firstEventTimeoutFactor : plainAnswerTimeoutFactor);
+        // Long prompts take longer at any endpoint, so that a repeat would only be more work.
+        attempt.answerStartTimeout = std::max(attempt.answerStartTimeout, chosen.forecast.firstEvent * expectedFirstEventTimeoutFactor);
         const duration pauseTarget = matchedRoute.pauseTarget > duration::zero() ? matchedRoute.pauseTarget : m_settings.defaultPauseTarget;
         attempt.eventGapTimeout = isStream ? scaled(pauseTarget, eventGapTimeoutFactor) : duration::zero();
     }
     m_effects.emplace_back(std::move(attempt));
-    m_effects.emplace_back(log_decision { "placed", request.caller.sendId,
+    log_decision line { "placed", request.caller.sendId,
         { { "endpoint", chosen.endpoint.str() }, { "service", request.service.str() },
             { "load", std::to_string(chosen.load) }, { "load_age_ms", millisecondsText(chosen.reportAge) },
             { "send", std::to_string(request.attempts) },
-            { "configuration", std::to_string(request.routes->version()) } } });
+            { "configuration", std::to_string(request.routes->version()) } } };
+    recordPlacedWork(number, request, chosen, line);
+    m_effects.emplace_back(std::move(line));
 }
 
 void forwarding_reducer::on(const attempt_ended& event)
@@ -332,6 +363,7 @@
             { "after_ms", millisecondsText(event.now - request.sentAt) }, { "begun", event.answerBegun ? "true" : "false" } } });
     // The request is at no endpoint while it waits for its next attempt.
     request.currentEndpoint = {};
+    m_fleet.work().recordEnd(event.request);
     if (tryTakeRetry(event.now, request, event)) {
         place(event.now, event.request, request);
         return;
@@ -377,6 +409,7 @@
 void forwarding_reducer::recordEnding(instant now, const request_state& request, const attempt_ended& event)
 {
     recordSuspiciousEnding(now, request, event);
+    recordOutcome(now, request, event.ending);
     if (event.ending == attempt_ending::Rejected)
         m_outages[request.service].recordRejection(now);
     else if (executionStatusAfter(event.ending) != execution_status::NotRun)
@@ -425,9 +458,11 @@
     recordSound(event.now, request);
     m_outages[request.service].recordProgress();
     m_fleet.recordAnswer(event.now, request.currentEndpoint, event.now - request.sentAt);
-    m_effects.emplace_back(log_decision { "answered", request.caller.sendId,
+    log_decision line { "answered", request.caller.sendId,
         { { "endpoint", request.currentEndpoint.str() }, { "took_ms", millisecondsText(event.now - request.arrivedAt) },
-            { "sends", std::to_string(request.attempts) } } });
+            { "sends", std::to_string(request.attempts) } } };
+    recordAnsweredWork(event.now, request, line);
+    m_effects.emplace_back(std::move(line));
     forget(event.request);
 }
 
@@ -439,12 +474,16 @@
     if (found->second.answerPieces == 0)
         m_fleet.recordFirstEvent(event.now, found->second.currentEndpoint, event.now - found->second.sentAt);
     recordAnswerPiece(event.now, found->second);
+    if (!event.pause)
+        recordFirstEvent(event.now, event.request, found->second);
     m_outages[found->second.service].recordProgress();
     m_streamPaces[found->second.service].recordEvent(event.now, event.pause);
 }
 
 void forwarding_reducer::on(const caller_disconnected& event)
 {
+    if (forgetStartingRequest(event.now, event.request))
+        return;
     const auto found = m_requests.find(event.request);
     if (found == m_requests.end())
         return;
@@ -464,6 +503,7 @@
         return;
     recordCancelledAttempt(event.now, found->second);
     m_fleet.recordEnding(event.now, found->second.currentEndpoint, attempt_ending::TimedOut);
+    recordOutcome(event.now, found->second, attempt_ending::TimedOut);
     m_effects.emplace_back(cancel_forwarded_request { event.request });
     if (event.answerBegun)
         m_effects.emplace_back(abort_answer { event.request });
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -12,8 +12,13 @@
 #include "decisions/forwarding/freshness_lease.h"
 #include "decisions/forwarding/route_table.h"
 #include "decisions/forwarding/shared_retry_budget.h"
+#include "decisions/forwarding/starting_requests.h"
+#include "decisions/forwarding/store_outage.h"
 #include "decisions/forwarding/stream_pace.h"
 #include "decisions/limits/permit_queue.h"
+#include "decisions/sharing/room_gate.h"
+#include "decisions/work/answer_length_estimator.h"
+#include "decisions/work/forecast_error.h"
 
 #include <map>
 #include <memory>
@@ -34,7 +39,15 @@
     std::string instance;
     // Longest pause between two events of a stream that is still on time, for routes that set no pause target.
     duration defaultPauseTarget = std::chrono::milliseconds(200);
+    // Longest time for which a request that arrives while the process starts waits until it is ready; zero: it is refused.
+    duration longestStartWait {};
+    // Requests of several urgency ranks share a service's capacity by room_gate.
+    bool sharesRoom = false;
+    // Spread the Retry-After of callers that are refused during an outage of the store over the time in which it may be back.
+    bool spreadOutageRetries = false;
     std::uint64_t seed = 1;
+    // As placement_section::byWork.
+    bool placeByWork = false;
 };
 
 // Forwarding logic of an entry that sends requests to endpoints directly: matches routes, authenticates callers, admits or
@@ -56,14 +69,20 @@
     const route_table* routes() const { return m_routes.get(); }
     const entry_peers& peers() const { return m_peers; }
     const endpoint_fleet& fleet() const { return m_fleet; }
-    std::size_t requestsInFlight() const { return m_requests.size(); }
+    std::size_t requestsInFlight() const { return m_requests.size() + m_startingRequests.size(); }
     const crash_ledger& crashes() const { return m_crashes; }
     // What an entry that has just started is told of suspects.
     std::vector<crash_record> recordsForStartingEntry(instant now) const;
     // What it is told of endpoints' limits.
     std::vector<endpoint_limit_record> limitsForStartingEntry(instant now) const;
     std::vector<endpoint_limits::limit_view> limitViews(instant now) { return m_fleet.limitViews(now); }
+    // By service: how predicted times to the first event compare with actual ones.
+    const std::map<availability_zone_id, std::uint64_t>& sendsByZone() const { return m_sendsByZone; }
+    const std::map<service_id, forecast_error>& forecasts() const { return m_forecasts; }
     std::size_t requestsAwaitingPermit() const { return m_permitQueue.size(); }
+    // The services whose capacity several urgency ranks share.
+    const std::map<service_id, room_gate>& rooms() const { return m_rooms; }
+    const std::map<room_refusal_cause, std::uint64_t>& roomRefusals() const { return m_roomRefusals; }
 
 private:
     struct request_state {
@@ -85,6 +104,10 @@
         // As outageWaitEnd, while all endpoints of the service are at their limits.
         instant permitWaitEnd;
         bool waitsForPermit = false;
+        // The wait of this request while the process starts was logged.
+        bool waitsForOpenEndpoint = false;
+        // The request's rank has room for it at its service.
+        bool hasRoom = false;
         // Questions to other entries for a request of theirs.
         std::uint32_t permitQuestions = 0;
         // The one that has not been answered.
@@ -102,6 +125,11 @@
         std::vector<suspect_key> suspects;
         // Pieces of an answer that the current attempt has brought.
         std::uint32_t answerPieces = 0;
+        // Set if the current attempt was placed by its work.
+        std::optional<request_work> work;
+        duration expectedFirstEvent {};
+        duration firstEventTime {};
+        bool isLate = false;
     };
 
     void on(const request_arrived& event);
@@ -123,6 +151,7 @@
     void on(const endpoint_limits_told& event);
     void on(const permit_asked& event);
     void on(const permit_answered& event);
+    void on(const demand_reported& event);
     void on(const endpoint_load_received& event);
     void on(const endpoint_death_reported& event);
     void on(const endpoint_probed& event);
@@ -133,6 +162,14 @@
     void on(const entry_count_read& event);
     void on(const timer_ticked& event);
 
+    // Admits a request and places it, or refuses it.
+    void accept(instant now, request_number number, request_state request);
+    // Requests that arrived while the process starts: schedules the first try, tries again, and forgets one whose caller left.
+    void waitForStart(instant now, request_number number, const std::string& sendId);
+    void retryStartingRequest(instant now, request_number number);
+    bool forgetStartingRequest(instant now, request_number number);
+    // If the process has just started and all endpoints open to it only later, schedules another placement and returns true.
+    bool waitForOpenEndpoint(instant now, request_number number, request_state& request);
     // Matches the route, authenticates the caller, and sets service and deadline; refuses the request if that fails.
     bool admit(instant now, request_number number, request_state& request);
     // Chooses an endpoint and sends the request there, or defers or refuses it.
@@ -161,8 +198,33 @@
     std::size_t requestsAhead(request_number number, const request_state& request) const;
     // The request is over.
     void forget(request_number number);
+    // Creates the rooms of the services to which routes of several urgency ranks lead.
+    void findSharedServices();
+    // Nothing if the service's capacity is not shared by urgency rank.
+    room_gate* sharedRoom(const service_id& service);
+    void updateRoom(instant now, const service_id& service, room_gate& room);
+    void recordRoomArrival(instant now, const request_state& request);
+    // True if the request may be sent now; otherwise it waits, or was refused.
+    bool passRoom(instant now, request_number number, request_state& request, room_gate& room);
+    room_query roomQuery(instant now, request_number number, const request_state& request);
+    void refuseForRoom(request_number number, const request_state& request, const room_gate& room, const room_refusal& refusal);
+    void refuseDisplaced(instant now, room_gate& room, const std::vector<request_number>& displaced);
+    void sendRoomWaiting(instant now);
+    // Tells other entries the demand for services that are near their limits.
+    void shareDemand(instant now);
+    void logRooms(instant now);
+    // Retry-After for a new stream of a service whose streams are all stalled.
+    std::optional<duration> stallRetryAfter(instant now, const request_state& request);
     // Retry-After for a new stream that is refused because its service's streams are stalled or already too slow.
     std::optional<duration> overloadRetryAfter(instant now, const request_state& request);
+    // Adds the request's size and the figures of its service to the query, if it is to be placed by its work.
+    void describeWork(const request_state& request, placement_query& query) const;
+    answer_length_query answerLengthQuery(const request_state& request) const;
+    void recordPlacedWork(request_number number, request_state& request, const placement& chosen, log_decision& line);
+    void logWorkNews();
+    void recordOutcome(instant now, const request_state& request, attempt_ending ending);
+    void recordFirstEvent(instant now, request_number number, request_state& request);
+    void recordAnsweredWork(instant now, const request_state& request, log_decision& line);
     void send(instant now, request_number number, request_state& request, const placement& chosen);
     // Returns true if the request may be sent again, and takes the retry from the budget.
     bool tryTakeRetry(instant now, request_state& request, const attempt_ended& event);
@@ -220,11 +282,14 @@
     double randomFraction();
     duration shortRetryAfter();
     duration longRetryAfter();
+    // Until the store confirms the configuration, or `usual` where the store is available.
+    duration confirmationRetryAfter(instant now, const caller_request& caller, duration usual);
     duration retryAfterPause(instant now, const service_id& service);
 
     forwarding_settings m_settings;
     std::shared_ptr<const route_table> m_routes;
     freshness_lease m_freshness;
+    store_outage m_storeOutage;
     configuration_trust m_trust;
     // When the last read that has confirmed nothing yet was sent.
     std::optional<instant> m_unconfirmedReadAt;
@@ -260,9 +325,20 @@
     std::map<service_id, instant> m_noPermitsUntil;
     // Requests that wait for a share.
     std::map<service_id, std::size_t> m_shareWaiters;
+    std::map<service_id, room_gate> m_rooms;
+    // Shortest pause targets of the streams of these services.
+    std::map<service_id, duration> m_roomPauseTargets;
+    std::map<room_refusal_cause, std::uint64_t> m_roomRefusals;
+    instant m_demandSharedAt;
+    instant m_roomsLoggedAt;
     std::map<service_id, stream_pace> m_streamPaces;
     std::map<service_id, brief_outage> m_outages;
+    answer_length_estimator m_answerLengths;
+    std::map<service_id, forecast_error> m_forecasts;
+    // Sends that were placed by their work.
+    std::map<availability_zone_id, std::uint64_t> m_sendsByZone;
     std::map<request_number, request_state> m_requests;
+    starting_requests m_startingRequests;
     std::mt19937_64 m_random;
     // Time of the event that is being handled.
     instant m_now;
--- a/packages/decisions/groups/switch_coordinator_planning.cpp
+++ b/packages/decisions/groups/switch_coordinator_planning.cpp
@@ -79,6 +79,8 @@
 
 void switch_coordinator::planNext(instant now, std::vector<outgoing_message>& out)
 {
+    if (proposePreviousMap(now, out))
+        return;
     const std::size_t loadCount = m_popularity.loads().size();
     if (now < m_nextPlanAt || m_limits.planning.experts == 0 || m_popularity.weight() < m_limits.minChoices)
         return;
@@ -105,6 +107,23 @@
     awaitPrepared(now, out);
 }
 
+// The map is proposed once: if it can't be prepared or the switch is aborted, the next map comes from new choices.
+bool switch_coordinator::proposePreviousMap(instant now, std::vector<outgoing_message>& out)
+{
+    if (!m_previousMap || !isComplete(now) || !noRankHeldOrArmed())
+        return false;
+    const auto previous = std::exchange(m_previousMap, nullptr);
+    const group_map current = currentMap();
+    const bool fits = previous->sets() == current.sets() && previous->ranks() == current.ranks();
+    if (!fits || m_statuses.begin()->second.status.mapVersion != 0 || *previous == current)
+        return false;
+    logEvent("map_proposed", "the map of the previous epoch");
+    propose(current, { .map = *previous });
+    enterPhase(now, phase::Preparing);
+    awaitPrepared(now, out);
+    return true;
+}
+
 void switch_coordinator::propose(const group_map& current, group_map_plan plan)
 {
     const rank_status& anyStatus = m_statuses.begin()->second.status;
@@ -142,6 +161,14 @@
         logEvent("map_given_up", "version " + std::to_string(m_proposal.version) + " was not prepared by every rank in time");
         return enterPhase(now, phase::Idle);
     }
+    // A restarted agent replaced the map that its predecessor had prepared, and can't prepare it again.
+    const bool isReplaced = std::any_of(m_statuses.begin(), m_statuses.end(), [this](const auto& entry) {
+        return entry.second.status.preparedVersion.value_or(0) > m_proposal.version;
+    });
+    if (m_usesSingleHold && isReplaced) {
+        logEvent("map_given_up", "version " + std::to_string(m_proposal.version) + " was replaced");
+        return enterPhase(now, phase::Idle);
+    }
     std::size_t prepared = 0;
     std::vector<std::uint32_t> unaware;
     for (const auto& [rank, known] : m_statuses) {
@@ -159,6 +186,8 @@
         return;
     // Ask for a fresh status first: a rank whose agent froze or died since it prepared the map would hold the group until the
     // agent is back.
+    if (m_usesSingleHold && !noRankHeldOrArmed())
+        return;
     if (m_statusRequestedAt && allReportedSince(*m_statusRequestedAt))
         return beginSwitch(now, out);
     if (m_statusRequestedAt && now - m_sentAt < switchResendInterval)
--- a/packages/settings/process_settings.h
+++ b/packages/settings/process_settings.h
@@ -56,6 +56,8 @@
 struct store_section {
     socket_address address;
     duration poll {};
+    // Direct entries only.
+    bool fastReturn = false;
 };
 
 // Time bounds, retry budgets and rates of cold endpoints that the deployment guarantees. Direct entries and direct agents
@@ -73,6 +75,19 @@
     double coldConstant = 0;
 };
 
+// Direct entries only.
+struct admission_section {
+    // Requests of several urgency ranks share the capacity of a service by their urgency.
+    bool sharedRoom = false;
+};
+
+struct placement_section {
+    // Places requests by their expected work where a service publishes engine figures, not by the number of requests.
+    bool byWork = false;
+    // Endpoints that started or recovered get as much as they can take, by how they answer.
+    bool pace = false;
+};
+
 // The process's own network link. Direct agents only.
 struct link_section {
     // Rate of the link in megabits per second.
@@ -81,6 +96,12 @@
     double controlShare = 0;
 };
 
+// Switches of the expert maps of a group. Direct agents only.
+struct groups_section {
+    // Whether this agent takes part in switches with one hold for the whole group.
+    bool singleHold = false;
+};
+
 enum class log_level {
     Info,
     Warning,
@@ -102,16 +123,11 @@
     duration requestReadTimeout {};
 };
 
-// Direct entry only.
-struct placement_section {
-    // Endpoints that started or recovered get as much as they can take, by how they answer.
-    bool pace = false;
-};
-
-// Entry only.
 struct entry_section {
-    // Number of threads that serve callers; each serves one connection at a time.
+    // Entry only: number of threads that serve callers; each serves one connection at a time.
     std::uint32_t maxCallers = 0;
+    // Direct entry only: longest wait of a request that arrives while the process starts.
+    duration startWait {};
 };
 
 // The parsed settings file of a process, with one member for each section.
@@ -121,12 +137,14 @@
     platform_section platform;
     store_section store;
     bounds_section bounds;
+    admission_section admission;
     link_section link;
+    groups_section groups;
+    placement_section placement;
     endpoint_section endpoint;
     observe_section observe;
     limits_section limits;
     entry_section entry;
-    placement_section placement;
 };
 
 } // namespace appleramp
--- a/tests/datagrams/datagram_codec_test.cpp
+++ b/tests/datagrams/datagram_codec_test.cpp
@@ -1,6 +1,7 @@
 #include "datagrams/datagram_codec.h"
 
 #include "datagrams/crash_codec.h"
+#include "datagrams/demand_codec.h"
 
 #include <criterion/criterion.h>
 #include <nlohmann/json.hpp>
@@ -34,7 +35,7 @@
         endpoint_load { "10.0.0.1:81", 3, 4, 1.5, true }, crash_records { { crash_record { { suspect_kind::Request, 7 }, { { 1, 2s } }, {}, 3s, {}, 4s } } }, group_datagram { "g", status },
         group_datagram { "g", map_proposal { 2, 9, group_map::roundRobin(2, 8, 4) } },
         relay_request { { "10.0.0.1:1" }, "x" }, group_datagram { "g", switch_outcome { { 1, 2, 3 }, true } },
-        endpoint_death { "10.0.0.1:81", 5 } };
+        endpoint_death { "10.0.0.1:81", 5 }, demand_report { instance_id("i"), availability_zone_id("z"), false, 1, 3, service_id("s"), { { 0, 1, 2, 3 } }, { { 1, 7, 9 } } } };
 }
 
 } // namespace
@@ -50,6 +51,17 @@
     cr_assert_float_eq(load.slowdownFactor, 1.5, 1e-9);
 }
 
+// Guards against load reports of agents of an older build being dropped: they name no memory.
+Test(datagram_codec, memory_of_load_reports_is_optional)
+{
+    const endpoint_load sent { .address = "10.0.0.1:81", .running = 3, .memoryUsed = 50'000, .memoryTotal = 233'333 };
+    const auto load = std::get<endpoint_load>(*decodeDatagram(encodeDatagram(sent)));
+    cr_assert(load.memoryUsed == 50'000 && load.memoryTotal == 233'333);
+    const auto bytes = nlohmann::json::to_cbor({ { "k", "l" }, { "a", "10.0.0.1:81" }, { "r", 3 }, { "w", 4 }, { "p", 150 }, { "o", true } });
+    const auto older = std::get<endpoint_load>(*decodeDatagram(std::string(bytes.begin(), bytes.end())));
+    cr_assert(older.running == 3 && older.memoryTotal == 0);
+}
+
 Test(datagram_codec, crash_records_pass_as_datagrams_and_as_rows)
 {
     const crash_record sent { .key = { suspect_kind::Request, ~0ULL }, .deaths = { { 5, 2s }, { 6, 1s } }, .soundAge = 3s, .convictedAge = 1ms, .seenAge = 4s };
@@ -109,6 +121,17 @@
     cr_assert(roundTrip<map_proposal>(proposal).map == proposal.map);
     cr_assert(roundTrip<switch_outcome>(switch_outcome { { 1, 2, 3 }, true }).name == (switch_id { 1, 2, 3 }));
     cr_assert(roundTrip<status_query>(status_query { { 4, 5, 6 }, 2 }).name == (switch_id { 4, 5, 6 }));
+    cr_assert(roundTrip<switch_request>(switch_request { { 4, 5, 6 }, 2 }).holder == 2);
+    cr_assert_not(roundTrip<switch_request>(switch_request { { 4, 5, 6 } }).holder);
+    const auto question = roundTrip<arm_readiness_request>(arm_readiness_request { { 4, 5, 6 }, 3, "10.0.0.1:1" });
+    cr_assert(question.name == (switch_id { 4, 5, 6 }) && question.holder == 3 && question.address == "10.0.0.1:1");
+    const auto readiness = roundTrip<arm_readiness>(arm_readiness { { 4, 5, 6 }, 2, true });
+    cr_assert(readiness.rank == 2 && readiness.isReady);
+    cr_assert(roundTrip<arm_permission>(arm_permission { { 4, 5, 6 }, 2 }).holder == 2);
+    // Older agents leave the member out.
+    cr_assert_not(roundTrip<rank_status>(rank_status {}).singleHoldFromPass);
+    const auto knowing = roundTrip<rank_status>(rank_status { .singleHoldFromPass = 130, .unsettledArmPass = 0 });
+    cr_assert(knowing.singleHoldFromPass == 130 && knowing.unsettledArmPass == 0);
     const map_changes changes { 2, 9, 8, { { 11, 71, { 143, 2 } }, { 0, 3, {} } } };
     cr_assert(roundTrip<map_changes>(changes).changes == changes.changes);
     // The one-byte encoding changes counts by a few percent.
@@ -118,6 +141,18 @@
     cr_assert_eq(counts[3], 0);
 }
 
+Test(datagram_codec, notices_about_the_store_pass)
+{
+    const store_notice notice { "entry-1", false, 7, "entry-2", std::chrono::milliseconds(1300), 4, store_symptom::Refused };
+    const auto decoded = std::get<store_notice>(*decodeDatagram(encodeDatagram(notice)));
+    cr_assert_eq(decoded.sender, "entry-1");
+    cr_assert(!decoded.isServed && decoded.turn == 7 && decoded.failures == 4);
+    cr_assert_eq(decoded.prober, "entry-2");
+    cr_assert(decoded.servedAge == std::chrono::milliseconds(1300) && decoded.symptom == store_symptom::Refused);
+    // A negative age would count as evidence of the future.
+    cr_assert(!decodeDatagram(encodeDatagram(store_notice { "entry-1", false, 7, "entry-2", duration(-1) })));
+}
+
 Test(datagram_codec, questions_and_answers_about_freshness_pass)
 {
     const instant askedAt(std::chrono::microseconds(123456789));
@@ -201,3 +236,18 @@
     cr_assert_eq(answered.question.request, 42);
     cr_assert_eq(answered.question.startedAtMs, sent.startedAtMs);
 }
+
+// Guards against demand reports that lose a member or outgrow their bound: they are sent to a whole zone five times a second.
+Test(datagram_codec, a_full_demand_report_comes_through_within_its_bound)
+{
+    demand_report report { instance_id(std::string(64, 'i')), availability_zone_id(std::string(32, 'z')), true, 4'000'000'000, ~0ULL, service_id(std::string(64, 's')), {}, {} };
+    for (std::uint8_t index = 0; index < sharedRanks; ++index) {
+        report.ranks.push_back({ index, 4'000'000'000U + index, 3'000'000'000U, 2'000'000'000U });
+        report.teams.push_back({ index, 0xfedcba98U + index, 4'000'000'000U });
+    }
+    const std::string bytes = encodeDatagram(report);
+    cr_assert_leq(bytes.size(), maxDemandBytes, "%zu bytes", bytes.size());
+    const auto decoded = decodeDatagram(bytes);
+    cr_assert(decoded.has_value());
+    cr_assert(std::get<demand_report>(*decoded) == report);
+}
