--- a/packages/decisions/forwarding/endpoint_fleet.h
+++ b/packages/decisions/forwarding/endpoint_fleet.h
@@ -2,13 +2,23 @@
 
 #include "decisions/forwarding/attempt_ending.h"
 #include "decisions/forwarding/departed_endpoints.h"
-#include "decisions/forwarding/sliding_window_counter.h"
 #include "decisions/limits/endpoint_limits.h"
+#include "decisions/pace/endpoint_pace.h"
+#include "decisions/pace/endpoint_restriction.h"
+#include "decisions/pace/entry_shares.h"
+#include "decisions/pace/share_account.h"
 #include "decisions/sharing/service_room.h"
+#include "decisions/work/arrival_rate.h"
+#include "decisions/work/outlier_detector.h"
+#include "decisions/work/placed_work.h"
+#include "decisions/work/unread_prompts.h"
+#include "decisions/work/work_model.h"
+#include "decisions/work/work_news.h"
 #include "model/endpoint_news.h"
 #include "model/routing.h"
 #include "model/time.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <map>
 #include <optional>
@@ -16,6 +26,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace appleramp {
@@ -25,13 +36,18 @@
     // coldRateFactor, plus coldRateAllowance.
     double coldRateFactor = 1.5;
     double coldRateAllowance = 5;
-    // Fraction of that limit that is used, since the one-second windows of the entries are not aligned.
-    double usableColdFraction = 0.6;
+    // Fraction of that limit that is used. At a half, the limit holds also while entries know two different lists of the entries,
+    // and while entries have restarted and do not know what they have sent in the last second.
+    double usableColdFraction = 0.5;
     // Endpoints that one placement compares, sampled at random. If every entry compared all endpoints, by load reports of
     // the same age, all would choose the same one.
     std::size_t sampleSize = 6;
+    // As sampleSize, for requests that are placed by their work.
+    std::size_t workSampleSize = 8;
     // Endpoints whose records lapsed while the registry was unreachable are removed only this long after it is back.
     duration lapseGracePeriod = std::chrono::milliseconds(1900);
+    // Endpoints that started or recovered get as much as they can take, by how they answer.
+    bool isPaced = false;
 };
 
 struct placement_query {
@@ -47,6 +63,18 @@
     bool allowsLimited = true;
     // In [0, 1): selects the random sample of endpoints, and so breaks ties.
     double randomFraction = 0;
+    // Published figures of the service by which the request is placed; none to place it by the number of requests.
+    const engine_speed* engine = nullptr;
+    request_size size;
+    duration latencyTarget {};
+    duration pauseTarget {};
+    // Measured time between two events of the service's streams; zero if not known.
+    duration measuredPause {};
+    bool isRepeatable = true;
+    // The request failed elsewhere before.
+    bool isRetry = false;
+    // Factor by which first events came later than predicted lately.
+    double forecastCorrection = 1;
 };
 
 struct placement {
@@ -57,6 +85,12 @@
     double load = 0;
     // Age of the load report, even if it is too old to be used; negative if there is none.
     duration reportAge {};
+    // As far as this entry knows, the first request since the endpoint started or recovered.
+    bool isFirstRequest = false;
+    availability_zone_id zone;
+    // Set if the request is placed by its work.
+    std::optional<request_work> work;
+    work_forecast forecast;
 };
 
 // Why no endpoint was found.
@@ -97,7 +131,11 @@
     std::size_t pausedCount(instant now) const;
 
     // The names of all entries, which share the limits of endpoints.
-    void setEntries(std::string_view self, std::span<const std::string> names) { m_limits.setEntries(self, names); }
+    void setEntries(std::string_view self, std::span<const std::string> names)
+    {
+        m_limits.setEntries(self, names);
+        m_shares.setEntries(self, names);
+    }
     // An answer to a request that was sent at that time states something of the endpoint's limit. Returns true if the other
     // entries should be told.
     bool recordLimit(instant now, const endpoint_id& endpoint, instant sentAt, const limit_statement& statement);
@@ -114,14 +152,40 @@
     // As in endpoint_limits.
     bool lendRequest(instant now, const permit_question& question) { return m_limits.lend(now, question); }
     void borrowRequest(instant now, const permit_question& question) { m_limits.borrow(now, question); }
+    // A request of this entry for the service arrived.
+    void recordDemand(instant now, const service_id& service);
+    // The endpoint is left out until then, as it does worse than its peers.
+    void markOutlier(const endpoint_id& endpoint, instant until);
+    // Lets time pass for the endpoints that started or recovered. Returns the restrictions that began or ended since the last call.
+    std::vector<restriction_change> updateRestrictions(instant now);
+    // The restrictions in force at the last update.
+    std::vector<restriction_view> restrictions() const;
+    struct pace_totals {
+        // Endpoints that started or recovered, those of them that reached 0.8 of their usual rate, and the time that these took.
+        std::uint64_t starts = 0;
+        std::uint64_t reached = 0;
+        duration time {};
+    };
+    const pace_totals& paceTotals() const { return m_paceTotals; }
+    // When this entry's share next allows a request to an endpoint of the query that is only closed to it by its share.
+    std::optional<instant> shareOpensAt(const placement_query& query);
+    // The best of these endpoints, and another entry to ask for a request to it.
+    std::optional<endpoint_limits::borrowable_request> borrowableShare(const placement_query& query, double randomFraction);
+    // The same for an endpoint that has just started or recovered and has had no request yet, as far as this entry knows.
+    std::optional<endpoint_limits::borrowable_request> firstRequestToBorrow(const placement_query& query, double randomFraction);
+    // Gives another entry a request of this one's share. The query is for the endpoint's service.
+    bool lendShare(const placement_query& query, const permit_question& question);
+    void borrowShare(const permit_question& question, instant askedAt);
+    // The owner of the share has used it.
+    void recordShareRefused(const permit_question& question);
     // Empty if the endpoint is not known.
     service_id serviceOf(const endpoint_id& endpoint) const;
 
     // Stores a load report for the endpoint that was started last at its address.
     void recordLoad(instant now, const endpoint_load& load);
 
-    // Position of this entry among all, as a fraction in [0, 1). Spreads the entries' first sends to an endpoint over time.
-    void setEntryPosition(double position) { m_entryPosition = position; }
+    // Position of this entry among all, as a fraction in [0, 1), while their names are unknown.
+    void setEntryPosition(double position) { m_shares.setPosition(position); }
     // Sets the addresses of the endpoints that report their load, and of those whose reports come to this entry. Endpoints
     // that report, but not here, are used only if none of the others is usable.
     void setSubset(std::set<std::string> reporting, std::set<std::string> subscribed);
@@ -129,8 +193,18 @@
     std::optional<placement> choose(const placement_query& query);
     placement_failure failureReason(instant now, const service_id& service) const;
     void recordSend(instant now, const endpoint_id& endpoint);
+    // The expected work of this entry's requests in flight, which the caller keeps up to date.
+    placed_work& work() { return m_work; }
+    // How an attempt went that was placed by its work.
+    void recordOutcome(instant now, const endpoint_id& endpoint, attempt_outcome outcome);
+    // Endpoints of all services that are out, or on probation, because they failed more often than their peers.
+    std::size_t outlierCount() const;
+    // What has changed in the placement by work since the last call.
+    std::vector<work_news> takeWorkNews() { return std::exchange(m_workNews, {}); }
     // An attempt is over, with a whole answer or without one.
     void recordAnswer(instant now, const endpoint_id& endpoint, duration answerTime);
+    // The first event of a stream has come.
+    void recordFirstEvent(instant now, const endpoint_id& endpoint, duration time);
     void recordEnding(instant now, const endpoint_id& endpoint, attempt_ending ending);
     // An attempt was cancelled because the caller left or its stream moves to another endpoint.
     void recordCancellation(const endpoint_id& endpoint);
@@ -172,10 +246,18 @@
         instant recordReceivedAt;
         std::optional<instant> lapsedAt;
         std::uint32_t inFlight = 0;
-        sliding_window_counter recentSends { std::chrono::seconds(1) };
-        instant lastSend;
-        // Since when the endpoint has been listed, or its zone back in service.
-        instant availableSince;
+        // What this entry used of its share of the requests that the endpoint gets in a second.
+        share_account shares;
+        endpoint_pace pace;
+        // The rate of a fully recovered endpoint, as last used; zero if it is not known yet.
+        double usualRate = 0;
+        // The endpoint recovers at that time, at the end of a pause or a backoff.
+        std::optional<instant> recoversAt;
+        bool wasLimited = false;
+        instant outlierUntil;
+        std::optional<endpoint_restriction> restriction;
+        // Where the shares of the endpoint begin in the ring of entries.
+        double ringStart = 0;
         instant avoidUntil;
         // The endpoint asked for a pause until then.
         instant pausedUntil;
@@ -185,13 +267,30 @@
         instant failureRateUpdatedAt;
         // Moving average of the answer times.
         double meanAnswerSeconds = 0;
+        instant lastAnswerAt;
         std::optional<endpoint_load> report;
         instant reportedAt;
+        unread_prompts unread;
         std::uint32_t sentSinceReport = 0;
     };
     struct service_state {
         double meanAnswerSeconds = 0;
         double failures = 0;
+        // Moving averages of the times to the first events of streams, and of the slowdown factors in reports.
+        double meanFirstEventSeconds = 0;
+        double meanSlowdown = 0;
+        // The latest request of this entry.
+        std::optional<instant> lastDemand;
+        // Rate at which an engine reads prompts; zero until a request was placed by its work.
+        double readTokensPerSecond = 0;
+        // Of this entry's requests that were placed by their work.
+        arrival_rate arrivals;
+        zone_spill spill;
+        outlier_detector outliers;
+        instant zonesComparedAt;
+        // Endpoints that requests may choose, counted at intervals.
+        std::size_t endpoints = 0;
+        instant countedAt;
     };
 
     endpoint_state* find(const endpoint_id& endpoint);
@@ -202,22 +301,67 @@
     bool isInService(const endpoint_state& state, instant now) const;
     // The query may choose the endpoint, now or later.
     bool isEligible(const endpoint_state& state, const placement_query& query) const;
-    // The endpoint takes a request of this entry now: it is not in backoff, asked for no pause, and neither the limit of cold
-    // endpoints nor one that it names is reached.
-    bool takesRequestNow(endpoint_state& state, const placement_query& query);
+    // Whether the endpoint takes a request of this entry now: it is not in backoff, asked for no pause, and neither the share of
+    // this entry nor a limit that the endpoint names is used up.
+    send_permission permissionFor(endpoint_state& state, const placement_query& query);
     bool isWithinNamedLimit(const endpoint_state& state, const placement_query& query);
-    bool isWithinColdRate(endpoint_state& state, const placement_query& query) const;
+    // Requests that all entries together may send the endpoint in any second; nothing if they are not limited.
+    std::optional<std::uint32_t> fleetRequestsPerSecond(endpoint_state& state, const placement_query& query);
+    // Requests per second of all entries that a cold endpoint of the service bears; nothing if that is not limited.
+    std::optional<double> coldRequestsPerSecond(const endpoint_state& state, const placement_query& query) const;
+    // The endpoint started or recovered.
+    void beginPace(endpoint_state& state, instant now);
+    void updatePace(endpoint_state& state, instant now);
+    void recordReportForPace(endpoint_state& state, instant now, const endpoint_load& load);
+    duration usualBeginTime(const service_id& service) const;
+    instant resumesAt(const endpoint_state& state) const { return std::max({ state.avoidUntil, state.pausedUntil, state.outlierUntil }); }
+    std::optional<endpoint_restriction> restrictionOf(const endpoint_state& state, instant now) const;
+    // The endpoint takes requests, but this entry's share of them is used up or empty.
+    bool isOutsideShare(endpoint_state& state, const placement_query& query);
+    // Asks one of the entries that have a share of so many requests.
+    std::optional<endpoint_limits::borrowable_request> shareToBorrow(
+        const endpoint_state& state, const placement_query& query, std::uint32_t requests, double randomFraction) const;
+    // The endpoint started or recovered just now, is no slower than others, and has had no request yet, as far as this entry knows.
+    bool awaitsFirstRequest(const endpoint_state& state, instant now) const;
+    // Takes changes of the service's endpoints into account.
+    void updateRingStarts(const service_id& service);
     load_source loadSourceOf(const std::string& address) const;
-    // Fraction in [0, 1), evenly spread over the entries for one endpoint.
-    double phaseOf(const endpoint_id& endpoint) const;
-    // Fraction of the limit of a cold endpoint that this entry may use.
-    double coldRateShare(const endpoint_state& state, const placement_query& query) const;
     std::vector<endpoint_state*> candidates(const placement_query& query, bool onlySubset);
     std::vector<endpoint_state*> sampleCandidates(const placement_query& query);
     // Mean load of the service's endpoints that report it.
     double meanReportedLoad(const service_id& service, instant now) const;
     double estimatedLoad(const endpoint_state& state, instant now, std::size_t entryCount) const;
     double cost(const endpoint_state& state, const placement_query& query) const;
+    struct work_option {
+        endpoint_state* state = nullptr;
+        request_work work;
+        work_forecast forecast;
+        // Seconds.
+        double cost = 0;
+        // The endpoint reports enough memory for the request.
+        bool hasMemory = true;
+    };
+    std::optional<placement> chooseByWork(const placement_query& query);
+    // Keeps the endpoints of the own zone, and of the one to which the request may go; all if none of these take requests.
+    void keepZones(std::vector<endpoint_state*>& found, const placement_query& query);
+    void compareZones(const std::vector<endpoint_state*>& found, const placement_query& query);
+    // Expected times of a usual request relative to the targets, whichever is closer to being missed.
+    double pressure(endpoint_state& state, const placement_query& query) const;
+    // Chooses among the options by their cost, and by what other entries that read the same reports are likely to choose.
+    const work_option& draw(const std::vector<work_option>& options, const placement_query& query);
+    work_option evaluate(endpoint_state& state, const placement_query& query) const;
+    engine_load engineLoad(const endpoint_state& state, const placement_query& query, const endpoint_work& own) const;
+    // The requests that this entry sent fit into the endpoint's memory together with this one.
+    bool fitsOwnShare(const endpoint_state& state, const placement_query& query) const;
+    // The memory that the endpoint reports as free, as far as it is this entry's, suffices.
+    bool fitsReportedMemory(const endpoint_state& state, const endpoint_work& own, const request_work& work, instant now) const;
+    // Time for the prompts that the endpoint's report shows as not yet read.
+    duration reportedPromptTime(const endpoint_state& state, const placement_query& query, const engine_load& load) const;
+    double failurePenaltySeconds(const endpoint_state& state, instant now) const;
+    // The query's request could not reach an endpoint of the zone.
+    bool wasUnreachable(const availability_zone_id& zone, const placement_query& query) const;
+    // Removes outliers, unless nothing else is left.
+    void keepSound(std::vector<endpoint_state*>& found, const placement_query& query);
     double slowdown(const endpoint_state& state, instant now) const;
     double currentFailureRate(const endpoint_state& state, instant now) const;
     void recordOutcome(endpoint_state& state, instant now, double failure);
@@ -232,7 +376,15 @@
     std::set<std::string> m_subscribed;
     departed_endpoints m_departed;
     endpoint_limits m_limits;
-    double m_entryPosition = 0;
+    entry_shares m_shares;
+    // When the first endpoint was listed: those that are listed by then have not just started.
+    std::optional<instant> m_firstListedAt;
+    instant m_restrictionsUpdatedAt;
+    pace_totals m_paceTotals;
+    // Services whose addresses have changed since their last placement.
+    std::set<service_id> m_changedServices;
+    placed_work m_work;
+    std::vector<work_news> m_workNews;
     bool m_registryLost = false;
     std::optional<instant> m_registryRegainedAt;
 };
--- a/packages/decisions/forwarding/endpoint_fleet_placement.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet_placement.cpp
@@ -1,7 +1,5 @@
 #include "decisions/forwarding/endpoint_fleet.h"
 
-#include "decisions/membership/rendezvous.h"
-
 #include <algorithm>
 #include <cmath>
 #include <random>
@@ -26,25 +24,17 @@
 constexpr double answerTimeSmoothing = 0.15;
 // Failure rate up to which an endpoint is not penalized.
 constexpr double toleratedFailureRate = 0.05;
-// Backoff after a failed connection; doubles each time.
-constexpr duration initialConnectBackoff = std::chrono::milliseconds(250);
-constexpr duration maxConnectBackoff = std::chrono::seconds(2);
-// Backoff after the endpoint rejected a request.
-constexpr duration rejectionBackoff = std::chrono::milliseconds(120);
-// Backoff after another endpoint answered at the address, until the registry lists the change.
-constexpr duration wrongEndpointBackoff = std::chrono::seconds(2);
 // Mean answer time relative to the service's mean, from which an endpoint without a load report counts as slow.
 constexpr double minSlowdown = 1.3;
 constexpr double maxSlowdown = 20.0;
+// For this long after a start or recovery, slowness is forgotten with this half-life while no answer shows more of it.
+constexpr duration startedPeriod = std::chrono::seconds(10);
+constexpr duration startSlownessHalfLife = std::chrono::milliseconds(500);
 // Additional cost of a slow rank, in requests for each multiple of the published time by which it is slower. The ranks of a
 // group step together, so whatever runs at a slow rank slows the streams of all ranks. Paces below the threshold are normal
 // variation.
 constexpr double slowRankCost = 4.0;
 constexpr double slowRankPaceThreshold = 1.25;
-// Fractions of a cold endpoint's limit for the entries that subscribe to its reports, which share it by their number, and
-// for all others together.
-constexpr double subscribersColdShare = 0.75;
-constexpr double othersColdShare = 0.25;
 // Number of seeds to which the caller's random fraction is mapped.
 constexpr double sampleSeedRange = 2'000'000'000.0;
 
@@ -60,9 +50,13 @@
     if (!endpoint)
         return;
     endpoint_state& state = m_endpoints.at(*endpoint);
+    recordReportForPace(state, now, load);
     state.report = load;
     state.reportedAt = now;
     state.sentSinceReport = 0;
+    m_work.recordReport(*endpoint);
+    if (const auto service = m_services.find(state.record.service); service != m_services.end() && load.memoryTotal > 0)
+        state.unread.recordReport(now, load.memoryUsed, service->second.readTokensPerSecond);
 }
 
 bool endpoint_fleet::hasFreshReport(const endpoint_state& state, instant now) const
@@ -92,7 +86,10 @@
     const auto service = m_services.find(state.record.service);
     if (service == m_services.end() || service->second.meanAnswerSeconds <= 0 || state.meanAnswerSeconds <= 0)
         return 1;
-    const double ratio = state.meanAnswerSeconds / service->second.meanAnswerSeconds;
+    double ratio = state.meanAnswerSeconds / service->second.meanAnswerSeconds;
+    // An endpoint that was slow right after its start soon is no longer, but would get no request that shows it.
+    if (state.pace.hasBegunSince(now - startedPeriod))
+        ratio = 1 + (ratio - 1) * std::exp2(-seconds(now - state.lastAnswerAt) / seconds(startSlownessHalfLife));
     return ratio < minSlowdown ? 1 : std::min(ratio, maxSlowdown);
 }
 
@@ -118,109 +115,13 @@
     return std::find(query.excludedEndpoints.begin(), query.excludedEndpoints.end(), state.record.id) == query.excludedEndpoints.end();
 }
 
-bool endpoint_fleet::takesRequestNow(endpoint_state& state, const placement_query& query)
-{
-    return query.now >= std::max(state.avoidUntil, state.pausedUntil) && isWithinColdRate(state, query) && isWithinNamedLimit(state, query);
-}
-
-bool endpoint_fleet::isWithinNamedLimit(const endpoint_state& state, const placement_query& query)
-{
-    const auto rate = m_limits.currentRate(query.now, state.record.id);
-    if (!rate)
-        return true;
-    // The reports of its agent show when such a limit ends, so no request has to find out.
-    if (*rate <= endpoint_limits::leastRate && hasFreshReport(state, query.now))
-        return false;
-    return query.allowsLimited && m_limits.allowsSend(query.now, state.record.id);
-}
-
-std::optional<instant> endpoint_fleet::limitOpensAt(const placement_query& query, std::size_t requestsAhead, instant until)
-{
-    std::vector<instant> times;
-    for (const auto& [id, state] : m_endpoints) {
-        if (!isEligible(state, query))
-            continue;
-        if (!m_limits.isLimited(query.now, id))
-            return std::nullopt;
-        const auto own = m_limits.sendTimes(query.now, id, until);
-        std::transform(own.begin(), own.end(), std::back_inserter(times),
-            [&state = state](instant time) { return std::max({ time, state.avoidUntil, state.pausedUntil }); });
-    }
-    if (times.size() <= requestsAhead)
-        return std::nullopt;
-    std::nth_element(times.begin(), times.begin() + static_cast<std::ptrdiff_t>(requestsAhead), times.end());
-    const instant opensAt = times[requestsAhead];
-    return opensAt < until ? std::optional(opensAt) : std::nullopt;
-}
-
-std::optional<endpoint_limits::borrowable_request> endpoint_fleet::borrowableRequest(const placement_query& query, instant until, double randomFraction)
-{
-    std::vector<endpoint_id> limited;
-    for (const auto& [id, state] : m_endpoints) {
-        if (isEligible(state, query) && m_limits.isLimited(query.now, id))
-            limited.push_back(id);
-    }
-    if (limited.empty())
-        return std::nullopt;
-    const double position = randomFraction * static_cast<double>(limited.size());
-    const auto index = static_cast<std::size_t>(position);
-    return m_limits.borrowableRequest(query.now, limited[index], until, position - static_cast<double>(index));
-}
-
-bool endpoint_fleet::areAllLimited(const placement_query& query) const
-{
-    bool hasEligible = false;
-    for (const auto& [id, state] : m_endpoints) {
-        if (!isEligible(state, query))
-            continue;
-        if (!m_limits.isLimited(query.now, id))
-            return false;
-        hasEligible = true;
-    }
-    return hasEligible;
-}
-
-// Any endpoint may have turned cold unnoticed, so a limit derived from the cold rate applies to all endpoints.
-bool endpoint_fleet::isWithinColdRate(endpoint_state& state, const placement_query& query) const
-{
-    if (query.coldRequestsPerSecond <= 0)
-        return true;
-    const bool isCold = query.now < state.recordReceivedAt + state.record.coldFor;
-    const double rateLimit = isCold
-        ? query.coldRequestsPerSecond
-        : m_settings.usableColdFraction * (query.coldRequestsPerSecond * m_settings.coldRateFactor + m_settings.coldRateAllowance);
-    const double share = rateLimit * coldRateShare(state, query);
-    if (share >= 1)
-        return static_cast<double>(state.recentSends.count(query.now)) + 1 <= share;
-    const double spacing = 1e6 / share;
-    // An endpoint that just came looks idle to all entries at once, so their first sends are spread over the spacing.
-    if (state.lastSend < state.availableSince)
-        return query.now >= state.availableSince + duration(static_cast<duration::rep>(spacing * phaseOf(state.record.id)));
-    return query.now - state.lastSend >= duration(static_cast<duration::rep>(spacing));
-}
-
-double endpoint_fleet::phaseOf(const endpoint_id& endpoint) const
-{
-    const double shift = static_cast<double>(rendezvousScore({}, endpoint.str()) >> 11U) * 0x1p-53;
-    return std::fmod(m_entryPosition + shift, 1.0);
-}
-
-double endpoint_fleet::coldRateShare(const endpoint_state& state, const placement_query& query) const
-{
-    const auto entries = static_cast<double>(std::max<std::size_t>(query.entryCount, 1));
-    if (state.source == load_source::OwnRequests)
-        return 1 / entries;
-    const bool isCounted = hasFreshReport(state, query.now) && state.report->subscribers > 0;
-    return isCounted ? subscribersColdShare / state.report->subscribers : othersColdShare / entries;
-}
-
 std::vector<endpoint_fleet::endpoint_state*> endpoint_fleet::candidates(const placement_query& query, bool onlySubset)
 {
     std::vector<endpoint_state*> found;
     for (auto& [id, state] : m_endpoints) {
         if (onlySubset && state.source == load_source::None)
             continue;
-        if (isEligible(state, query) && takesRequestNow(state, query))
+        if (isEligible(state, query) && permissionFor(state, query).isAllowed)
             found.push_back(&state);
     }
     return found;
@@ -230,24 +131,38 @@
 // more than sampleSize.
 std::vector<endpoint_fleet::endpoint_state*> endpoint_fleet::sampleCandidates(const placement_query& query)
 {
+    updateRingStarts(query.service);
     auto found = candidates(query, true);
     if (found.empty())
         found = candidates(query, false);
     std::minstd_rand random(static_cast<std::minstd_rand::result_type>(query.randomFraction * sampleSeedRange) + 1);
     std::shuffle(found.begin(), found.end(), random);
+    if (const auto first = std::find_if(found.begin(), found.end(), [&](const auto* state) { return awaitsFirstRequest(*state, query.now); }); first != found.end())
+        return { *first };
     found.resize(std::min(found.size(), m_settings.sampleSize));
     return found;
 }
 
+bool endpoint_fleet::awaitsFirstRequest(const endpoint_state& state, instant now) const
+{
+    if (!state.pace.awaitsFirstSend(now) || slowdown(state, now) >= slowRankPaceThreshold)
+        return false;
+    // Another entry may have sent it one.
+    return !hasFreshReport(state, now) || (state.report->groupOpen && state.report->running + state.report->waiting == 0);
+}
+
 std::optional<placement> endpoint_fleet::choose(const placement_query& query)
 {
+    if (query.engine != nullptr)
+        return chooseByWork(query);
     const auto found = sampleCandidates(query);
     if (found.empty())
         return std::nullopt;
     const auto best = *std::min_element(found.begin(), found.end(),
         [&](const auto* left, const auto* right) { return cost(*left, query) < cost(*right, query); });
     const duration age = best->report ? query.now - best->reportedAt : duration(-1);
-    return placement { best->record.id, best->record.address, best->record.slots, estimatedLoad(*best, query.now, query.entryCount), age };
+    return placement { best->record.id, best->record.address, best->record.slots, estimatedLoad(*best, query.now, query.entryCount), age,
+        awaitsFirstRequest(*best, query.now), best->record.zone, {}, {} };
 }
 
 placement_failure endpoint_fleet::failureReason(instant now, const service_id& service) const
@@ -270,9 +185,9 @@
         return;
     ++state->inFlight;
     ++state->sentSinceReport;
-    state->recentSends.record(now);
+    state->shares.recordSend(now);
+    state->pace.recordSend(now);
     m_limits.recordSend(now, endpoint);
-    state->lastSend = now;
 }
 
 void endpoint_fleet::recordOutcome(endpoint_state& state, instant now, double failure)
@@ -290,40 +205,31 @@
     state->refusedConnections = 0;
     recordOutcome(*state, now, 0);
     updateMovingAverage(state->meanAnswerSeconds, seconds(answerTime), answerTimeSmoothing);
-    updateMovingAverage(m_services[state->record.service].meanAnswerSeconds, seconds(answerTime), answerTimeSmoothing);
+    state->lastAnswerAt = now;
+    service_state& service = m_services[state->record.service];
+    // How long a whole stream takes depends on its length; its first event has been counted.
+    if (service.meanFirstEventSeconds == 0 && service.meanAnswerSeconds > 0)
+        state->pace.recordAnswer(now, seconds(answerTime) / service.meanAnswerSeconds);
+    updateMovingAverage(service.meanAnswerSeconds, seconds(answerTime), answerTimeSmoothing);
 }
 
-void endpoint_fleet::recordEnding(instant now, const endpoint_id& endpoint, attempt_ending ending)
+void endpoint_fleet::recordFirstEvent(instant now, const endpoint_id& endpoint, duration time)
 {
     endpoint_state* const state = find(endpoint);
     if (state == nullptr)
         return;
-    state->inFlight -= std::min(state->inFlight, 1U);
-    switch (ending) {
-    case attempt_ending::NotSent:
-        state->avoidUntil = now + std::min(initialConnectBackoff * (1U << std::min(state->refusedConnections, 4U)), maxConnectBackoff);
-        ++state->refusedConnections;
-        recordOutcome(*state, now, 1);
-        break;
-    case attempt_ending::Rejected:
-        state->avoidUntil = now + rejectionBackoff;
-        break;
-    case attempt_ending::WrongEndpoint:
-        state->avoidUntil = now + wrongEndpointBackoff;
-        break;
-    case attempt_ending::FailureAnswer:
-        recordOutcome(*state, now, 0.5);
-        break;
-    default:
-        recordOutcome(*state, now, 1);
-        break;
-    }
+    double& mean = m_services[state->record.service].meanFirstEventSeconds;
+    state->pace.recordAnswer(now, mean > 0 ? seconds(time) / mean : 1);
+    updateMovingAverage(mean, seconds(time), answerTimeSmoothing);
 }
 
 void endpoint_fleet::recordCancellation(const endpoint_id& endpoint)
 {
-    if (endpoint_state* const state = find(endpoint))
-        state->inFlight -= std::min(state->inFlight, 1U);
+    endpoint_state* const state = find(endpoint);
+    if (state == nullptr)
+        return;
+    state->inFlight -= std::min(state->inFlight, 1U);
+    state->pace.recordCancellation();
 }
 
 bool endpoint_fleet::hasOtherFastEndpoint(instant now, const service_id& service, const endpoint_id& endpoint) const
@@ -331,7 +237,7 @@
     return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& entry) {
         const endpoint_state& state = entry.second;
         return state.record.service == service && isInService(state, now) && entry.first != endpoint && !m_limits.isLimited(now, entry.first) && hasFreshReport(state, now) && state.report->slowdownFactor < slowRankPaceThreshold
-            && now >= std::max(state.avoidUntil, state.pausedUntil);
+            && now >= resumesAt(state);
     });
 }
 
--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -33,6 +33,8 @@
 constexpr duration minTimeLeft = std::chrono::milliseconds(20);
 // Timeout for a stream's first event, after which another endpoint is tried, in latency targets.
 constexpr double firstEventTimeoutFactor = 2.4;
+// Timeout for the first event of a request that is placed by its work, in expected times.
+constexpr int expectedFirstEventTimeoutFactor = 3;
 // Timeout between two events of a stream, after which another endpoint is tried, in pause targets.
 constexpr double eventGapTimeoutFactor = 6.0;
 // Timeout for the answer to an idempotent request that is no stream, after which another endpoint is tried, in latency
@@ -150,6 +152,7 @@
     if (!admit(now, number, request))
         return;
     m_retryBudget.recordRequest(now, request.service);
+    m_fleet.recordDemand(now, request.service);
     recordRoomArrival(now, request);
     const auto [inserted, isNew] = m_requests.emplace(number, std::move(request));
     place(now, number, inserted->second);
@@ -201,7 +204,7 @@
     if (const auto retryAfter = room == nullptr && request.attempts == 0 ? overloadRetryAfter(now, request) : std::nullopt)
         return refusePlacement(number, request, refusal_reason::NoCapacity, retryAfter);
     const service_description* const service = request.routes->service(request.service);
-    const placement_query query { .now = now,
+    placement_query query { .now = now,
         .service = request.service,
         .zone = m_settings.zone,
         .entryCount = m_peers.entryCount(now),
@@ -209,8 +212,10 @@
         .coldRequestsPerSecond = service == nullptr ? 0 : service->coldRequestsPerSecond,
         .allowsLimited = requestsAhead(number, request) == 0,
         .randomFraction = randomFraction() };
+    describeWork(request, query);
     const auto found = m_fleet.choose(query);
-    if (!found && waitForPermit(now, number, request, query))
+    logWorkNews();
+    if (found ? !found->isFirstRequest && borrowFirstRequest(now, number, request, query) : waitForPermit(now, number, request, query) || waitForShare(now, number, request, query))
         return;
     leavePermitQueue(number, request);
     if (!found) {
@@ -325,15 +330,19 @@
         attempt.loadReportAge = chosen.reportAge;
     if (matchedRoute.repeatable() && request.attempts < matchedRoute.maxAttempts) {
         attempt.answerStartTimeout = scaled(matchedRoute.latencyTarget, isStream ? firstEventTimeoutFactor : plainAnswerTimeoutFactor);
+        // Long prompts take longer at any endpoint, so that a repeat would only be more work.
+        attempt.answerStartTimeout = std::max(attempt.answerStartTimeout, chosen.forecast.firstEvent * expectedFirstEventTimeoutFactor);
         const duration pauseTarget = matchedRoute.pauseTarget > duration::zero() ? matchedRoute.pauseTarget : m_settings.defaultPauseTarget;
         attempt.eventGapTimeout = isStream ? scaled(pauseTarget, eventGapTimeoutFactor) : duration::zero();
     }
     m_effects.emplace_back(std::move(attempt));
-    m_effects.emplace_back(log_decision { "placed", request.caller.sendId,
+    log_decision line { "placed", request.caller.sendId,
         { { "endpoint", chosen.endpoint.str() }, { "service", request.service.str() },
             { "load", std::to_string(chosen.load) }, { "load_age_ms", millisecondsText(chosen.reportAge) },
             { "send", std::to_string(request.attempts) },
-            { "configuration", std::to_string(request.routes->version()) } } });
+            { "configuration", std::to_string(request.routes->version()) } } };
+    recordPlacedWork(number, request, chosen, line);
+    m_effects.emplace_back(std::move(line));
 }
 
 void forwarding_reducer::on(const attempt_ended& event)
@@ -354,6 +363,7 @@
             { "after_ms", millisecondsText(event.now - request.sentAt) }, { "begun", event.answerBegun ? "true" : "false" } } });
     // The request is at no endpoint while it waits for its next attempt.
     request.currentEndpoint = {};
+    m_fleet.work().recordEnd(event.request);
     if (tryTakeRetry(event.now, request, event)) {
         place(event.now, event.request, request);
         return;
@@ -399,6 +409,7 @@
 void forwarding_reducer::recordEnding(instant now, const request_state& request, const attempt_ended& event)
 {
     recordSuspiciousEnding(now, request, event);
+    recordOutcome(now, request, event.ending);
     if (event.ending == attempt_ending::Rejected)
         m_outages[request.service].recordRejection(now);
     else if (executionStatusAfter(event.ending) != execution_status::NotRun)
@@ -447,9 +458,11 @@
     recordSound(event.now, request);
     m_outages[request.service].recordProgress();
     m_fleet.recordAnswer(event.now, request.currentEndpoint, event.now - request.sentAt);
-    m_effects.emplace_back(log_decision { "answered", request.caller.sendId,
+    log_decision line { "answered", request.caller.sendId,
         { { "endpoint", request.currentEndpoint.str() }, { "took_ms", millisecondsText(event.now - request.arrivedAt) },
-            { "sends", std::to_string(request.attempts) } } });
+            { "sends", std::to_string(request.attempts) } } };
+    recordAnsweredWork(event.now, request, line);
+    m_effects.emplace_back(std::move(line));
     forget(event.request);
 }
 
@@ -458,7 +471,11 @@
     const auto found = m_requests.find(event.request);
     if (found == m_requests.end())
         return;
+    if (found->second.answerPieces == 0)
+        m_fleet.recordFirstEvent(event.now, found->second.currentEndpoint, event.now - found->second.sentAt);
     recordAnswerPiece(event.now, found->second);
+    if (!event.pause)
+        recordFirstEvent(event.now, event.request, found->second);
     m_outages[found->second.service].recordProgress();
     m_streamPaces[found->second.service].recordEvent(event.now, event.pause);
 }
@@ -486,6 +503,7 @@
         return;
     recordCancelledAttempt(event.now, found->second);
     m_fleet.recordEnding(event.now, found->second.currentEndpoint, attempt_ending::TimedOut);
+    recordOutcome(event.now, found->second, attempt_ending::TimedOut);
     m_effects.emplace_back(cancel_forwarded_request { event.request });
     if (event.answerBegun)
         m_effects.emplace_back(abort_answer { event.request });
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -17,6 +17,8 @@
 #include "decisions/forwarding/stream_pace.h"
 #include "decisions/limits/permit_queue.h"
 #include "decisions/sharing/room_gate.h"
+#include "decisions/work/answer_length_estimator.h"
+#include "decisions/work/forecast_error.h"
 
 #include <map>
 #include <memory>
@@ -44,6 +46,8 @@
     // Spread the Retry-After of callers that are refused during an outage of the store over the time in which it may be back.
     bool spreadOutageRetries = false;
     std::uint64_t seed = 1;
+    // As placement_section::byWork.
+    bool placeByWork = false;
 };
 
 // Forwarding logic of an entry that sends requests to endpoints directly: matches routes, authenticates callers, admits or
@@ -72,6 +76,9 @@
     // What it is told of endpoints' limits.
     std::vector<endpoint_limit_record> limitsForStartingEntry(instant now) const;
     std::vector<endpoint_limits::limit_view> limitViews(instant now) { return m_fleet.limitViews(now); }
+    // By service: how predicted times to the first event compare with actual ones.
+    const std::map<availability_zone_id, std::uint64_t>& sendsByZone() const { return m_sendsByZone; }
+    const std::map<service_id, forecast_error>& forecasts() const { return m_forecasts; }
     std::size_t requestsAwaitingPermit() const { return m_permitQueue.size(); }
     // The services whose capacity several urgency ranks share.
     const std::map<service_id, room_gate>& rooms() const { return m_rooms; }
@@ -105,6 +112,11 @@
         std::uint32_t permitQuestions = 0;
         // The one that has not been answered.
         std::optional<permit_question> openPermitQuestion;
+        // As the two above, while the shares of this entry are used up.
+        instant shareWaitEnd;
+        std::uint32_t shareQuestions = 0;
+        instant shareAskedAt;
+        bool waitsForShare = false;
         // An earlier attempt may have been executed.
         bool mayHaveRun = false;
         // The latest attempt brought a whole answer that says that the request failed.
@@ -113,6 +125,11 @@
         std::vector<suspect_key> suspects;
         // Pieces of an answer that the current attempt has brought.
         std::uint32_t answerPieces = 0;
+        // Set if the current attempt was placed by its work.
+        std::optional<request_work> work;
+        duration expectedFirstEvent {};
+        duration firstEventTime {};
+        bool isLate = false;
     };
 
     void on(const request_arrived& event);
@@ -163,6 +180,19 @@
     bool waitForPermit(instant now, request_number number, request_state& request, const placement_query& query);
     // Asks another entry for a request that it may not need. Returns false if there is none to ask for.
     bool askForPermit(instant now, request_number number, request_state& request, const placement_query& query);
+    // If only the shares of this entry keep the request from an endpoint, waits for one or asks another entry, and returns true.
+    bool waitForShare(instant now, request_number number, request_state& request, const placement_query& query);
+    // If an endpoint that has just started lacks its first request and only this entry's share keeps the request from it, asks another
+    // entry for one and returns true.
+    bool borrowFirstRequest(instant now, request_number number, request_state& request, const placement_query& query);
+    bool askForShare(instant now, request_number number, request_state& request, std::optional<endpoint_limits::borrowable_request> found);
+    void waitUntil(instant now, request_number number, request_state& request, instant until);
+    void lendShare(const permit_asked& event);
+    void onShareAnswered(const permit_answered& event, request_state& request);
+    // Updates the restrictions of endpoints, and logs which began and ended.
+    void logRestrictions(instant now);
+    placement_query queryFor(instant now, const service_id& service) const;
+    // The request no longer waits for a limit or a share.
     void leavePermitQueue(request_number number, request_state& request);
     // Requests of the service that wait for its limits and are served before this one.
     std::size_t requestsAhead(request_number number, const request_state& request) const;
@@ -187,6 +217,14 @@
     std::optional<duration> stallRetryAfter(instant now, const request_state& request);
     // Retry-After for a new stream that is refused because its service's streams are stalled or already too slow.
     std::optional<duration> overloadRetryAfter(instant now, const request_state& request);
+    // Adds the request's size and the figures of its service to the query, if it is to be placed by its work.
+    void describeWork(const request_state& request, placement_query& query) const;
+    answer_length_query answerLengthQuery(const request_state& request) const;
+    void recordPlacedWork(request_number number, request_state& request, const placement& chosen, log_decision& line);
+    void logWorkNews();
+    void recordOutcome(instant now, const request_state& request, attempt_ending ending);
+    void recordFirstEvent(instant now, request_number number, request_state& request);
+    void recordAnsweredWork(instant now, const request_state& request, log_decision& line);
     void send(instant now, request_number number, request_state& request, const placement& chosen);
     // Returns true if the request may be sent again, and takes the retry from the budget.
     bool tryTakeRetry(instant now, request_state& request, const attempt_ended& event);
@@ -285,6 +323,8 @@
     permit_queue m_permitQueue;
     // The other entries need their requests themselves: none is asked until then.
     std::map<service_id, instant> m_noPermitsUntil;
+    // Requests that wait for a share.
+    std::map<service_id, std::size_t> m_shareWaiters;
     std::map<service_id, room_gate> m_rooms;
     // Shortest pause targets of the streams of these services.
     std::map<service_id, duration> m_roomPauseTargets;
@@ -293,6 +333,10 @@
     instant m_roomsLoggedAt;
     std::map<service_id, stream_pace> m_streamPaces;
     std::map<service_id, brief_outage> m_outages;
+    answer_length_estimator m_answerLengths;
+    std::map<service_id, forecast_error> m_forecasts;
+    // Sends that were placed by their work.
+    std::map<availability_zone_id, std::uint64_t> m_sendsByZone;
     std::map<request_number, request_state> m_requests;
     starting_requests m_startingRequests;
     std::mt19937_64 m_random;
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -10,8 +10,11 @@
 #include "directentry/entry_metrics.h"
 #include "directentry/limits_page.h"
 #include "directentry/news_sender.h"
+#include "directentry/reducer_settings.h"
+#include "directentry/restriction_gauges.h"
 #include "directentry/sharing_metrics.h"
 #include "directentry/store_followers.h"
+#include "directentry/work_metrics.h"
 #include "http/client_pool.h"
 #include "http/connection_probe.h"
 #include "http/http_acceptor.h"
@@ -136,26 +139,6 @@
     }
 
 private:
-    static forwarding_settings reducerSettings(const process_settings& settings, incarnation life)
-    {
-        forwarding_settings result;
-        result.freshness.revocationBound = settings.bounds.revocation;
-        result.retryBudget = { .requestFraction = settings.bounds.repeatRatio,
-            .baseRetries = settings.bounds.repeatConstant,
-            .window = settings.bounds.repeatWindow };
-        result.fleet.coldRateFactor = settings.bounds.coldFactor;
-        result.fleet.coldRateAllowance = settings.bounds.coldConstant;
-        result.zone = settings.process.zone;
-        result.instance = settings.process.instance.str();
-        result.spreadOutageRetries = settings.store.fastReturn;
-        result.defaultPauseTarget = settings.bounds.pause;
-        result.longestStartWait = settings.entry.startWait;
-        result.sharesRoom = settings.admission.sharedRoom;
-        // Processes that start at the same moment must not draw the same random numbers.
-        result.seed = life ^ std::hash<std::string> {}(settings.process.instance.str());
-        return result;
-    }
-
     static instant now() { return suspendAwareNow(); }
 
     server_limits callerLimits() const
@@ -341,7 +324,7 @@
             response.head.status = 200;
             response.head.headers.add("Content-Type", "application/json");
             const instant moment = now();
-            response.body = limitsPage(moment, m_reducer.limitViews(moment), m_reducer.fleet().limits().entryCount());
+            response.body = limitsPage(moment, m_reducer.limitViews(moment), m_reducer.fleet().restrictions(), m_reducer.fleet().limits().entryCount());
             return connection->respond(std::move(response));
         }
         const bool asked = request.head.method == "GET" && request.head.path() == "/v1/metrics";
@@ -375,14 +358,13 @@
         m_metrics.set(entry_metrics::requestsInFlight, static_cast<double>(m_exchanges.size()));
         m_metrics.set(entry_metrics::endpoints, static_cast<double>(m_reducer.fleet().size()));
         m_metrics.set(entry_metrics::linesLeftOut, static_cast<double>(m_log.leftOut()));
-        m_metrics.set(entry_metrics::endpointsPaused, static_cast<double>(m_reducer.fleet().pausedCount(now())));
-        m_metrics.set(entry_metrics::endpointsLimited, static_cast<double>(m_reducer.fleet().limits().limitedCount(now())));
-        m_metrics.set(entry_metrics::requestsAwaitingPermit, static_cast<double>(m_reducer.requestsAwaitingPermit()));
+        setRestrictionGauges(m_metrics, now(), m_reducer);
         m_metrics.set(entry_metrics::storeCalls, static_cast<double>(m_store.storeCalls()));
         m_metrics.set(entry_metrics::readerAnswers, static_cast<double>(m_store.readerAnswers()));
         m_metrics.set(entry_metrics::suspects, static_cast<double>(m_reducer.crashes().size()));
         m_metrics.set(entry_metrics::convictedSuspects, static_cast<double>(m_reducer.crashes().convicted().size()));
         noteSharingGauges(m_metrics, m_reducer);
+        setWorkGauges(m_metrics, m_reducer, m_settings.process.zone);
         m_metrics.set(entry_metrics::datagramsDropped, static_cast<double>(m_news.droppedCount()));
     }
 
