Work model: its folder is decisions/workload

Result: the tree builds; test_work, test_work_load, test_forwarding, test_datagrams and test_appleramp pass. No behaviour changed.

--- a/packages/decisions/forwarding/endpoint_fleet_work.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet_work.cpp
@@ -1,6 +1,6 @@
 #include "decisions/forwarding/endpoint_fleet.h"
 
-#include "decisions/work/placement_draw.h"
+#include "decisions/workload/placement_draw.h"
 
 #include <algorithm>
 #include <cmath>
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -17,8 +17,8 @@
 #include "decisions/forwarding/stream_pace.h"
 #include "decisions/limits/permit_queue.h"
 #include "decisions/sharing/room_gate.h"
-#include "decisions/work/answer_length_estimator.h"
-#include "decisions/work/forecast_error.h"
+#include "decisions/workload/answer_length_estimator.h"
+#include "decisions/workload/forecast_error.h"
 
 #include <map>
 #include <memory>
--- a/packages/decisions/work/arrival_rate.cpp
+++ b/packages/decisions/workload/arrival_rate.cpp
@@ -1,4 +1,4 @@
-#include "decisions/work/arrival_rate.h"
+#include "decisions/workload/arrival_rate.h"
 
 #include <algorithm>
 #include <cmath>
--- a/packages/decisions/work/failure_rate.cpp
+++ b/packages/decisions/workload/failure_rate.cpp
@@ -1,4 +1,4 @@
-#include "decisions/work/failure_rate.h"
+#include "decisions/workload/failure_rate.h"
 
 #include <algorithm>
 #include <cmath>
--- a/packages/decisions/work/forecast_error.cpp
+++ b/packages/decisions/workload/forecast_error.cpp
@@ -1,4 +1,4 @@
-#include "decisions/work/forecast_error.h"
+#include "decisions/workload/forecast_error.h"
 
 #include <algorithm>
 #include <cmath>
--- a/packages/decisions/work/outlier_detector.h
+++ b/packages/decisions/workload/outlier_detector.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decisions/work/failure_rate.h"
+#include "decisions/workload/failure_rate.h"
 #include "model/identifiers.h"
 #include "model/time.h"
 
--- a/packages/decisions/work/placed_work.cpp
+++ b/packages/decisions/workload/placed_work.cpp
@@ -1,4 +1,4 @@
-#include "decisions/work/placed_work.h"
+#include "decisions/workload/placed_work.h"
 
 #include <algorithm>
 
--- a/packages/decisions/work/placed_work.h
+++ b/packages/decisions/workload/placed_work.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decisions/work/request_work.h"
+#include "decisions/workload/request_work.h"
 #include "model/identifiers.h"
 
 #include <cstddef>
--- a/packages/decisions/work/unread_prompts.cpp
+++ b/packages/decisions/workload/unread_prompts.cpp
@@ -1,4 +1,4 @@
-#include "decisions/work/unread_prompts.h"
+#include "decisions/workload/unread_prompts.h"
 
 #include <algorithm>
 
--- a/packages/decisions/work/work_news.h
+++ b/packages/decisions/workload/work_news.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "decisions/work/outlier_detector.h"
-#include "decisions/work/zone_spill.h"
+#include "decisions/workload/outlier_detector.h"
+#include "decisions/workload/zone_spill.h"
 #include "model/identifiers.h"
 
 #include <map>
--- a/packages/decisions/work/zone_spill.cpp
+++ b/packages/decisions/workload/zone_spill.cpp
@@ -1,4 +1,4 @@
-#include "decisions/work/zone_spill.h"
+#include "decisions/workload/zone_spill.h"
 
 #include <algorithm>
 #include <cmath>
--- a/tests/decisions/work/answer_length_estimator_test.cpp
+++ b/tests/decisions/workload/answer_length_estimator_test.cpp
@@ -1,4 +1,4 @@
-#include "decisions/work/answer_length_estimator.h"
+#include "decisions/workload/answer_length_estimator.h"
 
 #include <criterion/criterion.h>
 
--- a/tests/decisions/work/load_summary.h
+++ b/tests/decisions/workload/load_summary.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decisions/work/work_world.h"
+#include "decisions/workload/work_world.h"
 
 namespace appleramp::tests {
 
--- a/tests/decisions/work/outlier_detector_test.cpp
+++ b/tests/decisions/workload/outlier_detector_test.cpp
@@ -1,4 +1,4 @@
-#include "decisions/work/outlier_detector.h"
+#include "decisions/workload/outlier_detector.h"
 
 #include <criterion/criterion.h>
 
--- a/tests/decisions/work/placement_draw_test.cpp
+++ b/tests/decisions/workload/placement_draw_test.cpp
@@ -1,7 +1,7 @@
-#include "decisions/work/arrival_rate.h"
-#include "decisions/work/forecast_error.h"
-#include "decisions/work/placement_draw.h"
-#include "decisions/work/unread_prompts.h"
+#include "decisions/workload/arrival_rate.h"
+#include "decisions/workload/forecast_error.h"
+#include "decisions/workload/placement_draw.h"
+#include "decisions/workload/unread_prompts.h"
 
 #include <criterion/criterion.h>
 
--- a/tests/decisions/work/placement_policies_test.cpp
+++ b/tests/decisions/workload/placement_policies_test.cpp
@@ -1,4 +1,4 @@
-#include "decisions/work/placement_draw.h"
+#include "decisions/workload/placement_draw.h"
 #include "fakes/event_queue.h"
 
 #include <criterion/criterion.h>
--- a/tests/decisions/work/work_model_test.cpp
+++ b/tests/decisions/workload/work_model_test.cpp
@@ -1,4 +1,4 @@
-#include "decisions/work/work_model.h"
+#include "decisions/workload/work_model.h"
 
 #include <criterion/criterion.h>
 
--- a/tests/decisions/work/work_world.cpp
+++ b/tests/decisions/workload/work_world.cpp
@@ -1,7 +1,7 @@
-#include "decisions/work/work_world.h"
+#include "decisions/workload/work_world.h"
 
 #include "decisions/forwarding/endpoint_subset.h"
-#include "decisions/work/work_world_state.h"
+#include "decisions/workload/work_world_state.h"
 
 #include <algorithm>
 #include <cmath>
--- a/tests/decisions/work/work_world_engines.cpp
+++ b/tests/decisions/workload/work_world_engines.cpp
@@ -1,4 +1,4 @@
-#include "decisions/work/work_world_state.h"
+#include "decisions/workload/work_world_state.h"
 
 #include <algorithm>
 
--- a/tests/decisions/work/zone_targets_test.cpp
+++ b/tests/decisions/workload/zone_targets_test.cpp
@@ -1,4 +1,4 @@
-#include "decisions/work/load_summary.h"
+#include "decisions/workload/load_summary.h"
 
 #include <criterion/criterion.h>
 
