Model: one conversion between durations and seconds

Change: model/seconds.h has it, and the way back. Result: test_sharing, test_work, test_work_load, test_forwarding and test_pace pass. No behaviour changed.

--- a/packages/decisions/forwarding/endpoint_fleet_placement.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet_placement.cpp
@@ -1,5 +1,7 @@
 #include "decisions/forwarding/endpoint_fleet.h"
 
+#include "model/seconds.h"
+
 #include <algorithm>
 #include <cmath>
 #include <random>
@@ -38,8 +40,6 @@
 // Number of seeds to which the caller's random fraction is mapped.
 constexpr double sampleSeedRange = 2'000'000'000.0;
 
-double seconds(duration time) { return std::chrono::duration<double>(time).count(); }
-
 void updateMovingAverage(double& mean, double value, double weight) { mean = mean == 0 ? value : mean + weight * (value - mean); }
 
 } // namespace
@@ -281,7 +281,7 @@
     const auto found = m_services.find(service);
     if (found == m_services.end())
         return duration::zero();
-    return duration(static_cast<duration::rep>(found->second.meanAnswerSeconds * 1e6));
+    return ofSeconds(found->second.meanAnswerSeconds);
 }
 
 } // namespace appleramp
--- a/packages/decisions/forwarding/endpoint_fleet_restrictions.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet_restrictions.cpp
@@ -1,6 +1,7 @@
 #include "decisions/forwarding/endpoint_fleet.h"
 
 #include "decisions/membership/rendezvous.h"
+#include "model/seconds.h"
 
 #include <algorithm>
 #include <cmath>
@@ -34,8 +35,6 @@
 constexpr duration longUpdateInterval = std::chrono::milliseconds(250);
 constexpr std::size_t manyEndpoints = 256;
 
-double seconds(duration time) { return std::chrono::duration<double>(time).count(); }
-
 } // namespace
 
 send_permission endpoint_fleet::permissionFor(endpoint_state& state, const placement_query& query)
--- a/packages/decisions/forwarding/endpoint_fleet_work.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet_work.cpp
@@ -1,6 +1,7 @@
 #include "decisions/forwarding/endpoint_fleet.h"
 
 #include "decisions/workload/placement_draw.h"
+#include "model/seconds.h"
 
 #include <algorithm>
 #include <cmath>
@@ -33,8 +34,6 @@
 // Number of seeds to which the caller's random fraction is mapped.
 constexpr double sampleSeedRange = 2'000'000'000.0;
 
-double seconds(duration time) { return std::chrono::duration<double>(time).count(); }
-
 double crossZoneCostSeconds(const request_size& size)
 {
     return crossZoneSeconds + crossZoneSecondsPerThousandTokens * (static_cast<double>(size.promptTokens) + size.answerTokens) / 1e3;
@@ -94,7 +93,7 @@
     const work_model model(*query.engine);
     const double rate = model.readTokensPerSecond(load);
     const double tokens = state.unread.tokens(query.now, rate) + static_cast<double>(state.report->waiting) * model.usualSize(query.size).promptTokens;
-    return duration(static_cast<duration::rep>(std::min(tokens / rate, maxReadingSeconds) * 1e6));
+    return ofSeconds(std::min(tokens / rate, maxReadingSeconds));
 }
 
 bool endpoint_fleet::wasUnreachable(const availability_zone_id& zone, const placement_query& query) const
--- a/packages/decisions/sharing/demand_meter.cpp
+++ b/packages/decisions/sharing/demand_meter.cpp
@@ -1,5 +1,7 @@
 #include "decisions/sharing/demand_meter.h"
 
+#include "model/seconds.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -10,8 +12,6 @@
 // Teams with less than this are no longer measured.
 constexpr double negligibleRate = 1e-3;
 
-double seconds(duration time) { return std::chrono::duration<double>(time).count(); }
-
 } // namespace
 
 void decayed_rate::record(instant now)
--- a/packages/decisions/sharing/room_gate.cpp
+++ b/packages/decisions/sharing/room_gate.cpp
@@ -1,5 +1,7 @@
 #include "decisions/sharing/room_gate.h"
 
+#include "model/seconds.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -14,8 +16,6 @@
 // A rank that may send fewer requests per second has no forecast.
 constexpr double leastRate = 0.01;
 
-double seconds(duration time) { return std::chrono::duration<double>(time).count(); }
-duration ofSeconds(double time) { return duration(static_cast<duration::rep>(time * 1e6)); }
 duration scaled(duration time, double factor) { return ofSeconds(seconds(time) * factor); }
 
 } // namespace
--- a/packages/decisions/sharing/service_room.cpp
+++ b/packages/decisions/sharing/service_room.cpp
@@ -1,5 +1,7 @@
 #include "decisions/sharing/service_room.h"
 
+#include "model/seconds.h"
+
 #include <algorithm>
 #include <limits>
 #include <numeric>
@@ -9,8 +11,6 @@
 
 namespace {
 
-double seconds(duration time) { return std::chrono::duration<double>(time).count(); }
-
 // The demand of all entries, if those that did not report are like the others.
 demand_sum scaledSum(const demand_sum& own, const demand_sum& others, std::size_t entryCount)
 {
