Entries: one function tells where a process receives datagrams

Cause: news_sender and the process each had it, and each sent single datagrams by themselves. Change: news_sender has it, and the process sends through news_sender. No behaviour changed.

--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -464,13 +464,7 @@
         return { m_settings.process.instance, m_settings.process.zone, callers.str(), isServing(), m_reducer.configurationVersion() };
     }
 
-    static boost::asio::ip::udp::endpoint datagramEndpoint(const member_row& member)
-    {
-        const auto target = endpointFromText(member.datagramAddress);
-        return { target.address(), target.port() };
-    }
-
-    void sendNews(const datagram_message& message, const member_row& member) { m_news.send(message, datagramEndpoint(member)); }
+    void sendNews(const datagram_message& message, const member_row& member) { m_sender.send(message, member); }
 
     void tellPresence()
     {
--- a/packages/directentry/news_sender.cpp
+++ b/packages/directentry/news_sender.cpp
@@ -15,14 +15,14 @@
 // Limits of endpoints in one datagram, as crashRecordsPerDatagram.
 constexpr std::size_t limitsPerDatagram = 16;
 
+} // namespace
+
 boost::asio::ip::udp::endpoint datagramEndpoint(const member_row& member)
 {
     const auto target = endpointFromText(member.datagramAddress);
     return { target.address(), target.port() };
 }
 
-} // namespace
-
 news_sender::news_sender(datagram_socket& socket, const std::map<std::string, member_row>& members)
     : m_socket(socket)
     , m_members(members)
--- a/packages/directentry/news_sender.h
+++ b/packages/directentry/news_sender.h
@@ -4,6 +4,8 @@
 #include "decisions/forwarding/forwarding_effects.h"
 #include "membership/member_row.h"
 
+#include <boost/asio/ip/udp.hpp>
+
 #include <map>
 #include <span>
 #include <string>
@@ -12,6 +14,9 @@
 
 class datagram_socket;
 
+// Where the process receives datagrams.
+boost::asio::ip::udp::endpoint datagramEndpoint(const member_row& member);
+
 // Sends what an entry tells other processes, in datagrams that fit into one packet each.
 class news_sender {
 public:
