Review: case 1 counts only answers that were cut

Cause: the script's check would also have counted a request that was passed on and answered 503, which is no cut answer. Change: it counts cut and missing answers.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -91,7 +91,7 @@
         ended = fleet.now() - begun
         passed_on = {attempt for engine in engines for _, attempt, _ in engine.ran}
         cut = [outcome for number, outcome in enumerate(outcomes)
-               if f"{number:08x}" in passed_on and not outcome.startswith(("complete", "502", "504"))]
+               if f"{number:08x}" in passed_on and outcome.startswith(("cut", "closed"))]
         result = f"{len(passed_on)} of {len(outcomes)} passed on, {len(cut)} cut, the last after {ended:.2f} s"
         deployment.note(result)
         print(result)
