Entries: what the retry budget was when an attempt ended is logged

Cause: attempt_ended did not say whether a retry was granted, nor how full this process's budget was, so that the hypotheses of the incident BUDGET could not be told apart. Change: retry, retries_used, retries_allowed and entries in attempt_ended and left_slow_endpoint; two gauges, appleramp_retries_granted and _denied. No decision changes.

--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -358,13 +358,15 @@
     if (executionStatusAfter(event.ending) != execution_status::NotRun)
         request.mayHaveRun = true;
     request.hasFailureAnswer = event.ending == attempt_ending::FailureAnswer && !event.answerBegun;
-    m_effects.emplace_back(log_decision { "attempt_ended", request.caller.sendId,
+    log_decision line { "attempt_ended", request.caller.sendId,
         { { "endpoint", request.currentEndpoint.str() }, { "ending", std::string(nameOf(event.ending)) },
-            { "after_ms", millisecondsText(event.now - request.sentAt) }, { "begun", event.answerBegun ? "true" : "false" } } });
+            { "after_ms", millisecondsText(event.now - request.sentAt) }, { "begun", event.answerBegun ? "true" : "false" } } };
     // The request is at no endpoint while it waits for its next attempt.
     request.currentEndpoint = {};
     m_fleet.work().recordEnd(event.request);
-    if (tryTakeRetry(event.now, request, event)) {
+    const bool isRetried = tryTakeRetry(event.now, request, event, line);
+    m_effects.emplace_back(std::move(line));
+    if (isRetried) {
         place(event.now, event.request, request);
         return;
     }
@@ -372,7 +374,18 @@
     forget(event.request);
 }
 
-bool forwarding_reducer::tryTakeRetry(instant now, request_state& request, const attempt_ended& event)
+bool forwarding_reducer::takeRetry(instant now, const service_id& service, log_decision& line)
+{
+    const std::size_t entries = m_peers.entryCount(now);
+    const retry_usage before = m_retryBudget.usage(now, service, entries);
+    const bool granted = m_retryBudget.tryTake(now, service, entries);
+    line.inputs.insert(line.inputs.end(),
+        { { "retry", granted ? "granted" : "denied" }, { "retries_used", std::to_string(before.used) },
+            { "retries_allowed", std::to_string(before.allowed) }, { "entries", std::to_string(entries) } });
+    return granted;
+}
+
+bool forwarding_reducer::tryTakeRetry(instant now, request_state& request, const attempt_ended& event, log_decision& line)
 {
     const route& matchedRoute = *request.matchedRoute;
     if (!mayRetry(matchedRoute, event.ending) || request.deadline - now < minTimeLeft)
@@ -388,7 +401,7 @@
         return false;
     if (!request.team.empty() && !m_freshness.allowsKeyUse(now))
         return false;
-    return m_retryBudget.tryTake(now, request.service, m_peers.entryCount(now));
+    return takeRetry(now, request.service, line);
 }
 
 void forwarding_reducer::finishFailedRequest(request_number number, const request_state& request, const attempt_ended& event)
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -71,6 +71,7 @@
     const endpoint_fleet& fleet() const { return m_fleet; }
     std::size_t requestsInFlight() const { return m_requests.size() + m_startingRequests.size(); }
     const crash_ledger& crashes() const { return m_crashes; }
+    const retry_totals& retryTotals() const { return m_retryBudget.totals(); }
     // What an entry that has just started is told of suspects.
     std::vector<crash_record> recordsForStartingEntry(instant now) const;
     // What it is told of endpoints' limits.
@@ -226,8 +227,9 @@
     void recordFirstEvent(instant now, request_number number, request_state& request);
     void recordAnsweredWork(instant now, const request_state& request, log_decision& line);
     void send(instant now, request_number number, request_state& request, const placement& chosen);
-    // Returns true if the request may be sent again, and takes the retry from the budget.
-    bool tryTakeRetry(instant now, request_state& request, const attempt_ended& event);
+    // Returns true if the request may be sent again, and takes the retry from the budget. The line says what the budget was.
+    bool tryTakeRetry(instant now, request_state& request, const attempt_ended& event, log_decision& line);
+    bool takeRetry(instant now, const service_id& service, log_decision& line);
     void finishFailedRequest(request_number number, const request_state& request, const attempt_ended& event);
     void refuse(request_number number, const request_state& request, refusal_reason reason, std::optional<duration> retryAfter);
     // Ends a request that can't be sent now.
--- a/packages/decisions/forwarding/forwarding_reducer_news.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_news.cpp
@@ -140,14 +140,14 @@
     }
     for (const request_number number : moving) {
         request_state& request = m_requests.at(number);
-        if (!m_retryBudget.tryTake(now, request.service, m_peers.entryCount(now)))
+        log_decision line { "left_slow_endpoint", request.caller.sendId,
+            { { "endpoint", slow.str() }, { "pace", std::to_string(pace) }, { "after_ms", millisecondsText(now - request.sentAt) } } };
+        if (!takeRetry(now, request.service, line))
             return;
         m_fleet.recordCancellation(slow);
         request.mayHaveRun = true;
         m_effects.emplace_back(cancel_forwarded_request { number });
-        m_effects.emplace_back(log_decision { "left_slow_endpoint", request.caller.sendId,
-            { { "endpoint", slow.str() }, { "pace", std::to_string(pace) },
-                { "after_ms", millisecondsText(now - request.sentAt) } } });
+        m_effects.emplace_back(std::move(line));
         place(now, number, request);
     }
 }
--- a/packages/decisions/forwarding/shared_retry_budget.cpp
+++ b/packages/decisions/forwarding/shared_retry_budget.cpp
@@ -12,14 +12,23 @@
 
 void shared_retry_budget::recordRequest(instant now, const service_id& service) { countersFor(service).requests.record(now); }
 
-bool shared_retry_budget::tryTake(instant now, const service_id& service, std::size_t entries)
+retry_usage shared_retry_budget::usage(instant now, const service_id& service, std::size_t entries)
 {
     service_counters& counters = countersFor(service);
     const double share = m_settings.baseRetries / static_cast<double>(std::max<std::size_t>(entries, 1));
-    const double budget = m_settings.usableFraction * (m_settings.requestFraction * static_cast<double>(counters.requests.count(now)) + share);
-    if (static_cast<double>(counters.retries.count(now)) + 1 > budget)
+    const double allowed = m_settings.usableFraction * (m_settings.requestFraction * static_cast<double>(counters.requests.count(now)) + share);
+    return { counters.retries.count(now), allowed };
+}
+
+bool shared_retry_budget::tryTake(instant now, const service_id& service, std::size_t entries)
+{
+    const retry_usage current = usage(now, service, entries);
+    if (static_cast<double>(current.used) + 1 > current.allowed) {
+        ++m_totals.denied;
         return false;
-    counters.retries.record(now);
+    }
+    ++m_totals.granted;
+    countersFor(service).retries.record(now);
     return true;
 }
 
--- a/packages/decisions/forwarding/shared_retry_budget.h
+++ b/packages/decisions/forwarding/shared_retry_budget.h
@@ -18,6 +18,18 @@
     double usableFraction = 0.8;
 };
 
+// A service's retries in the current window, and how many the entry may send.
+struct retry_usage {
+    std::size_t used = 0;
+    double allowed = 0;
+};
+
+// Since the start of the process, over all services.
+struct retry_totals {
+    std::size_t granted = 0;
+    std::size_t denied = 0;
+};
+
 // This entry's share of the retry budget of each service.
 //
 // Each entry may use requestFraction of its own requests and an equal part of baseRetries, so that all entries together
@@ -32,6 +44,8 @@
     void recordRequest(instant now, const service_id& service);
     // Takes one retry from the budget; returns false if it is used up.
     bool tryTake(instant now, const service_id& service, std::size_t entries);
+    retry_usage usage(instant now, const service_id& service, std::size_t entries);
+    const retry_totals& totals() const { return m_totals; }
 
 private:
     struct service_counters {
@@ -43,6 +57,7 @@
 
     shared_retry_budget_settings m_settings;
     std::map<service_id, service_counters> m_services;
+    retry_totals m_totals;
 };
 
 } // namespace appleramp
--- a/packages/directentry/entry_metrics.cpp
+++ b/packages/directentry/entry_metrics.cpp
@@ -25,6 +25,8 @@
 const metric_descriptor storeLossNotice { "appleramp_store_loss_notice_seconds", metric_kind::Summary, "From the last answer of the store that is known to its loss." };
 const metric_descriptor storeReturnConfirmation { "appleramp_store_return_confirmation_seconds", metric_kind::Summary, "From the store's return to a renewed confirmation of the configuration." };
 const metric_descriptor loadReportAge { "appleramp_load_report_age_seconds", metric_kind::Summary, "Age of the load report of the chosen endpoint." };
+const metric_descriptor retriesGranted { "appleramp_retries_granted", metric_kind::Gauge, "Retries that the budgets of their services allowed since the start." };
+const metric_descriptor retriesDenied { "appleramp_retries_denied", metric_kind::Gauge, "Requests that were not sent again since the budgets of their services were used up, since the start." };
 const metric_descriptor suspects { "appleramp_suspects", metric_kind::Gauge, "Requests and parts of prompts that endpoints may have died of." };
 const metric_descriptor convictedSuspects { "appleramp_suspects_convicted", metric_kind::Gauge, "Suspects whose requests are refused." };
 
--- a/packages/directentry/entry_metrics.h
+++ b/packages/directentry/entry_metrics.h
@@ -27,6 +27,8 @@
 extern const metric_descriptor storeLossNotice;
 extern const metric_descriptor storeReturnConfirmation;
 extern const metric_descriptor loadReportAge;
+extern const metric_descriptor retriesGranted;
+extern const metric_descriptor retriesDenied;
 extern const metric_descriptor suspects;
 extern const metric_descriptor convictedSuspects;
 
--- a/packages/directentry/restriction_gauges.cpp
+++ b/packages/directentry/restriction_gauges.cpp
@@ -22,6 +22,8 @@
     metrics.set(entry_metrics::requestsAwaitingPermit, static_cast<double>(reducer.requestsAwaitingPermit()));
     metrics.set(entry_metrics::endpointsPaused, static_cast<double>(fleet.pausedCount(now)));
     metrics.set(entry_metrics::endpointsLimited, static_cast<double>(fleet.limits().limitedCount(now)));
+    metrics.set(entry_metrics::retriesGranted, static_cast<double>(reducer.retryTotals().granted));
+    metrics.set(entry_metrics::retriesDenied, static_cast<double>(reducer.retryTotals().denied));
     std::map<restriction_reason, double> counts;
     for (const restriction_view& each : fleet.restrictions())
         ++counts[each.restriction.reason];
--- a/tests/decisions/forwarding/forwarding_reducer_test.cpp
+++ b/tests/decisions/forwarding/forwarding_reducer_test.cpp
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <map>
 
 using namespace appleramp;
 using namespace std::chrono_literals;
@@ -109,6 +110,17 @@
         return found == m_effects.end() ? nullptr : &std::get<Effect>(*found);
     }
 
+    // The inputs of the latest event's line of that name.
+    std::map<std::string_view, std::string> logged(std::string_view what) const
+    {
+        std::map<std::string_view, std::string> inputs;
+        for (const forwarding_effect& effect : m_effects) {
+            if (const auto* const line = std::get_if<log_decision>(&effect); line != nullptr && line->what == what)
+                inputs.insert(line->inputs.begin(), line->inputs.end());
+        }
+        return inputs;
+    }
+
     bool refusedWith(refusal_reason reason) const
     {
         const auto* const refusal = effect<refuse_request>();
@@ -188,6 +200,19 @@
     cr_assert_not_null(entry.effect<forward_failure_answer>());
 }
 
+// Guards against retries over the budget that nobody can explain afterwards (BUDGET).
+Test(forwarding_reducer, an_ended_attempt_says_what_the_retry_budget_was)
+{
+    entry entry;
+    entry.request("/read/x");
+    entry.endAttempt(attempt_ending::FailureAnswer);
+    std::map<std::string_view, std::string> inputs = entry.logged("attempt_ended");
+    cr_assert_eq(inputs["retry"], "granted");
+    cr_assert_eq(inputs["retries_used"], "0");
+    cr_assert_eq(inputs["entries"], "1");
+    cr_assert_gt(std::stod(inputs["retries_allowed"]), 1);
+}
+
 // Guards against an endpoint's answer that is replaced by an error of ours, since no other endpoint takes the request now.
 Test(forwarding_reducer, a_failure_answer_reaches_the_caller_where_no_other_endpoint_can_be_tried)
 {
