Entries: a process that has just started gets a small part of the retry budget

Cause: the budget lives in the process. Each alone keeps the rule. Change: until it is a window old, a process may use 0.1 of the budget that its own requests earn, and of a share that grows with its age. With the 0.8 of a predecessor this stays below one, however often it restarts and without any memory outside the process.

--- a/packages/decisions/forwarding/shared_retry_budget.cpp
+++ b/packages/decisions/forwarding/shared_retry_budget.cpp
@@ -16,7 +16,10 @@
 {
     service_counters& counters = countersFor(service);
     const double share = m_settings.baseRetries / static_cast<double>(std::max<std::size_t>(entries, 1));
-    const double allowed = m_settings.usableFraction * (m_settings.requestFraction * static_cast<double>(counters.requests.count(now)) + share);
+    const double earned = m_settings.requestFraction * static_cast<double>(counters.requests.count(now));
+    const double age = std::chrono::duration<double>(now - m_startedAt) / m_settings.window;
+    // The share grows with the age, so that processes that restart again and again do not get it each time.
+    const double allowed = age < 1 ? m_settings.startingFraction * (earned + share * age) : m_settings.usableFraction * (earned + share);
     return { counters.retries.count(now), allowed };
 }
 
--- a/packages/decisions/forwarding/shared_retry_budget.h
+++ b/packages/decisions/forwarding/shared_retry_budget.h
@@ -16,6 +16,9 @@
     duration window = std::chrono::seconds(10);
     // Fraction of the budget that is used, since the windows of the entries are not aligned.
     double usableFraction = 0.8;
+    // As usableFraction, while a process is younger than the window. Its predecessor may have used its whole share just before it ended, so
+    // that both fractions together must stay below one.
+    double startingFraction = 0.1;
 };
 
 // A service's retries in the current window, and how many the entry may send.
@@ -33,11 +36,13 @@
 // This entry's share of the retry budget of each service.
 //
 // Each entry may use requestFraction of its own requests and an equal part of baseRetries, so that all entries together
-// keep the budget even while they cannot reach each other.
+// keep the budget even while they cannot reach each other. The budget lives in the process: the one that follows it, which may be
+// the next of many within a window, does not know what was sent before.
 class shared_retry_budget {
 public:
-    explicit shared_retry_budget(shared_retry_budget_settings settings)
-        : m_settings(settings)
+    shared_retry_budget(instant startedAt, shared_retry_budget_settings settings)
+        : m_startedAt(startedAt)
+        , m_settings(settings)
     {
     }
 
@@ -55,6 +60,7 @@
 
     service_counters& countersFor(const service_id& service);
 
+    instant m_startedAt;
     shared_retry_budget_settings m_settings;
     std::map<service_id, service_counters> m_services;
     retry_totals m_totals;
