Platform: odd rows of other writers become no endpoints

Cause: numbers were cast without a check (slots wrapped to 0, times overflowed), a port out of range was read as 0, and a deeply nested configuration was copied by recursion, which ended the process.

--- a/packages/http/client_pool.cpp
+++ b/packages/http/client_pool.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <system_error>
 
 namespace appleramp {
 
@@ -14,7 +15,8 @@
     const auto host = boost::asio::ip::make_address_v4(address.substr(0, colon), failure);
     std::uint16_t port = 0;
     const char* const end = address.data() + address.size();
-    if (failure || std::from_chars(address.data() + colon + 1, end, port).ptr != end)
+    const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
+    if (failure || parsed.ec != std::errc() || parsed.ptr != end)
         return {};
     return { host, port };
 }
--- a/tests/users_platform/decoders_test.cpp
+++ b/tests/users_platform/decoders_test.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+// Levels of a nested document that a recursive reader has no stack for.
+constexpr std::size_t oddDepth = 300'000;
+
 std::string replaced(std::string text, const std::string& from, const std::string& to)
 {
     const auto at = text.find(from);
@@ -84,6 +87,50 @@
         cr_assert(std::holds_alternative<unreadable_row>(decodeRegistryRow({ "i-1", text, 1, false })));
 }
 
+// Guards against one odd row of another writer that ends the processes which read the registry, or that they take for an engine
+// (processes that end by themselves, LOST).
+Test(registry_decoder, an_odd_row_of_another_writer_names_no_engine)
+{
+    const std::string nested = std::string(oddDepth, '[') + std::string(oddDepth, ']');
+    for (const std::string& text : { nested, std::string(oddDepth, '['), R"({"a":)" + nested + "}",
+             replaced(samples::registryRow, "\"models\":[", "\"models\":[" + nested + ","),
+             replaced(samples::registryRow, "\"slots\":12", "\"slots\":" + nested),
+             replaced(samples::registryRow, "\"slots\":12", "\"slots\":0"),
+             replaced(samples::registryRow, "\"slots\":12", "\"slots\":-1"),
+             replaced(samples::registryRow, "\"slots\":12", "\"slots\":1.5"),
+             replaced(samples::registryRow, "\"slots\":12", "\"slots\":4294967296"),
+             replaced(samples::registryRow, "\"slots\":12", "\"slots\":4294967295"),
+             replaced(samples::registryRow, "\"slots\":12", "\"slots\":1e400"),
+             replaced(samples::registryRow, ":8080", ":99999"), replaced(samples::registryRow, ":8080", ":0"),
+             replaced(samples::registryRow, ":8080", ":-1"), replaced(samples::registryRow, ":8080", ":8080x"),
+             replaced(samples::registryRow, ":8080", ":"), replaced(samples::registryRow, ":8080", ""),
+             replaced(samples::registryRow, "10.128.0.9", "10.128.0.999"), replaced(samples::registryRow, "10.128.0.9", "engine"),
+             replaced(samples::registryRow, "10.128.0.9", "") })
+        cr_assert(std::holds_alternative<unreadable_row>(decodeRegistryRow({ "i-1", text, 1, false })), "%.120s", text.c_str());
+}
+
+// A time that no engine can mean is cut, so that sums of it and the present do not overflow.
+Test(registry_decoder, an_odd_time_is_cut)
+{
+    for (const char* time : { "-1e308", "-5", "\"soon\"", "1e308", "1e19", "18446744073709551615" }) {
+        const std::string text = replaced(samples::registryRow, "\"cold_left_ms\":0", std::string("\"cold_left_ms\":") + time);
+        const auto record = std::get<endpoint_record>(decodeRegistryRow({ "i-1", text, 1, false }));
+        cr_assert(record.coldFor >= duration::zero() && record.coldFor <= duration(1h), "%s", time);
+    }
+}
+
+// As an_odd_row_of_another_writer_names_no_engine, for the operator's table.
+Test(configuration_decoder, a_deeply_nested_configuration_is_refused)
+{
+    const std::string nested = std::string(oddDepth, '[') + std::string(oddDepth, ']');
+    for (const std::string& text : { replaced(samples::configuration, "\"routes\":[", "\"routes\":[" + nested + ","),
+             replaced(samples::configuration, "\"services\":[", "\"services\":[" + nested + ","),
+             replaced(samples::configuration, "\"api_keys\":[", "\"api_keys\":[" + nested + ","),
+             replaced(samples::configuration, "\"limits\":{", "\"limits\":{\"a\":" + nested + ","),
+             replaced(samples::configuration, "\"slots\":12", "\"usual\":{\"a\":" + nested + "}") })
+        cr_assert(std::holds_alternative<unreadable_row>(decodeConfigurationRow({ "config", text, 1, false })));
+}
+
 Test(engine_codec, a_report_is_read)
 {
     const auto report = decodeReport(samples::report).value();
