--- a/tests/processes/platform_stand_in.py
+++ b/tests/processes/platform_stand_in.py
@@ -59,6 +59,8 @@
     def __init__(self):
         self.lock = threading.Lock()
         self.rows = {}
+        # Rows whose values are handed out as they were written.
+        self.not_encoded = set()
         self.version = 0
         self.generation = 1
         self.oldest = 0
@@ -70,6 +72,12 @@
         with self.lock:
             self.apply(table, key, value if isinstance(value, str) else json.dumps(value), False)
 
+    def put_encoded(self, table, key, value):
+        """Leaves the value as it is, as a writer that does not encode it would."""
+        with self.lock:
+            self.apply(table, key, value, False)
+            self.not_encoded.add((table, key))
+
     def remove(self, table, key):
         with self.lock:
             self.apply(table, key, "", True)
@@ -137,7 +145,8 @@
             if in_table != table or version <= after or (removed and not with_removed):
                 continue
             row = {"table": table, "part": "", "key": key, "ver": version}
-            row.update({"deleted": True} if removed else {"value": base64.b64encode(text.encode()).decode()})
+            value = text if (in_table, key) in self.not_encoded else base64.b64encode(text.encode()).decode()
+            row.update({"deleted": True} if removed else {"value": value})
             found.append(row)
         return found
 
--- a/tests/users_platform/store_client_test.cpp
+++ b/tests/users_platform/store_client_test.cpp
@@ -69,6 +69,26 @@
     cr_assert_eq(rows.version, 530);
 }
 
+// Guards against a value of another writer that is no base64 and ends each process that reads its table (processes that end by themselves).
+Test(store_client, a_value_that_is_not_encoded_hides_no_other_row)
+{
+    for (const char* odd : { "no base64!", "YWJ", "\\u0000", "YWJj===" }) {
+        fixture store(200, R"({"rows":[{"key":"a","value":")" + std::string(odd) + R"(","ver":1},{"key":"b","value":"bm9kZS0x","ver":2}],"ver":2})");
+        const auto rows = std::get<store_rows>(store.result([&](store_handler done) { store.client.read("t", {}, std::move(done)); }));
+        cr_assert_eq(rows.rows.size(), 2);
+        cr_assert_eq(rows.rows[1].value, "node-1");
+    }
+}
+
+Test(store_client, an_answer_without_a_list_of_rows_is_malformed)
+{
+    for (const char* rows : { "5", "{}", "\"x\"" }) {
+        fixture store(200, R"({"ver":1,"rows":)" + std::string(rows) + "}");
+        const auto result = store.result([&](store_handler done) { store.client.read("t", {}, std::move(done)); });
+        cr_assert(std::holds_alternative<store_failure>(result) && std::get<store_failure>(result) == store_failure::Malformed, "%s", rows);
+    }
+}
+
 Test(store_client, a_write_carries_conditions_and_rows)
 {
     fixture store(200, R"({"ver":1,"now_ms":5})");
