--- a/packages/directentry/caller_exchange.cpp
+++ b/packages/directentry/caller_exchange.cpp
@@ -1,11 +1,10 @@
 #include "directentry/caller_exchange.h"
 
+#include "directentry/refusal_answer.h"
 #include "http/client_pool.h"
 #include "http/server_connection.h"
 #include "ports/platform_adapter.h"
 
-#include <array>
-#include <charconv>
 #include <utility>
 
 namespace appleramp {
@@ -23,31 +22,6 @@
 constexpr std::size_t maxHeldBytes = 48UL * 1024 * 1024;
 // Largest event of a stream.
 constexpr std::size_t maxEventBytes = 1024UL * 1024;
-constexpr double secondsPerMicrosecond = 1e-6;
-
-unsigned statusOf(refusal_reason reason)
-{
-    switch (reason) {
-    case refusal_reason::UnknownRoute:
-        return 404;
-    case refusal_reason::UnknownKey:
-        return 401;
-    case refusal_reason::OutcomeUnknown:
-        return 502;
-    case refusal_reason::TimedOut:
-        return 504;
-    default:
-        return 503;
-    }
-}
-
-std::string secondsText(duration time)
-{
-    std::array<char, 32> digits {};
-    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(),
-        static_cast<double>(time.count()) * secondsPerMicrosecond, std::chars_format::fixed, 3);
-    return { digits.data(), end.ptr };
-}
 
 attempt_ending endingOf(exchange_failure failure)
 {
@@ -67,19 +41,6 @@
     return attempt_ending::NoAnswer;
 }
 
-http_response refusalAnswer(const refuse_request& effect)
-{
-    http_response answer;
-    answer.head.status = statusOf(effect.reason);
-    answer.head.headers.add("Content-Type", "application/problem+json");
-    const std::string_view execution = guaranteesNotExecuted(effect.reason) ? "not_run" : "unknown";
-    answer.head.headers.add("Appleramp-Execution", execution);
-    if (effect.retryAfter)
-        answer.head.headers.add("Retry-After", secondsText(*effect.retryAfter));
-    answer.body.append("{\"execution\":\"").append(execution).append("\",\"reason\":\"").append(nameOf(effect.reason)).append("\"}");
-    return answer;
-}
-
 } // namespace
 
 caller_exchange::caller_exchange(
