Entries: only an answer of the same kind continues a stream

Errors (4xx, 5xx, refusals, no HTTP, broken heads) broke the stream off as they should. Cause: a resuming answer was checked for a status below 300 only, and an empty one counted as the rest of the stream. Change: it must have the status and the content type of the answer that the caller got, and bring at least one event; else the stream is broken off.

--- a/packages/directentry/caller_exchange.cpp
+++ b/packages/directentry/caller_exchange.cpp
@@ -155,8 +155,7 @@
     }
     m_answer.head = m_services.platform.callerResponseHead(std::move(head));
     const bool isStream = m_attempt.isStream && m_answer.head.status < 300;
-    // A response that resumes a stream must itself be a stream.
-    if (m_begun && !isStream) {
+    if (m_begun && !(isStream && m_begun->mayContinueWith(m_answer.head))) {
         m_endpoint->cancel();
         return endAttempt(attempt_ending::FailureAnswer);
     }
@@ -214,8 +213,10 @@
     noteProgress();
     m_services.post(stream_advanced { now, m_number, pause });
     m_attemptHasAnswer = true;
-    if (!std::exchange(m_begun, true))
+    if (!m_begun) {
+        m_begun.emplace(m_answer.head);
         m_connection->beginStream(m_answer.head);
+    }
     m_connection->writeStream(events);
 }
 
@@ -258,6 +259,9 @@
             respondWithAnswer();
             return answered();
         }
+        // The attempt before broke off, so that an empty answer does not show that nothing is missing.
+        if (!m_attemptHasAnswer)
+            return endAttempt(attempt_ending::TruncatedAnswer);
         m_connection->finishStream();
         return answered();
     case answer_mode::Undecided:
@@ -279,7 +283,7 @@
 {
     ++m_attemptNumber;
     m_deadline = instant::max();
-    m_services.post(attempt_ended { m_services.now(), m_number, ending, m_begun, retryAfter, connectionRefused });
+    m_services.post(attempt_ended { m_services.now(), m_number, ending, m_begun.has_value(), retryAfter, connectionRefused });
 }
 
 void caller_exchange::answered()
@@ -333,7 +337,7 @@
     if (!m_endpoint)
         return;
     if (now >= m_deadline) {
-        m_services.post(deadline_passed { now, m_number, m_begun });
+        m_services.post(deadline_passed { now, m_number, m_begun.has_value() });
         return;
     }
     if (m_mode == answer_mode::Discarded) {
--- a/packages/directentry/caller_exchange.h
+++ b/packages/directentry/caller_exchange.h
@@ -3,6 +3,7 @@
 #include "decisions/forwarding/event_splitter.h"
 #include "decisions/forwarding/forwarding_effects.h"
 #include "decisions/forwarding/forwarding_events.h"
+#include "directentry/begun_stream.h"
 #include "http/client_connection.h"
 #include "http/http_message.h"
 #include "model/time.h"
@@ -115,7 +116,8 @@
     std::optional<duration> m_retryAfter;
     http_response m_answer;
     event_splitter m_events;
-    bool m_begun = false;
+    // Set once the caller has got the head of a stream.
+    std::optional<begun_stream> m_begun;
     bool m_over = false;
 };
 
--- a/tests/processes/direct_entries.py
+++ b/tests/processes/direct_entries.py
@@ -25,8 +25,9 @@
 class Entries:
     """Owns a store and the entries that it starts, and ends them, by pid, when it is closed."""
 
-    def __init__(self, fast_return=False):
+    def __init__(self, fast_return=False, bounds=None):
         self.fast_return = fast_return
+        self.bounds = {"revocation_ms": 3000, **(bounds or {})}
         self.folder = tempfile.TemporaryDirectory(prefix="appleramp-direct-")
         self.store = Store()
         self.processes = {}
@@ -52,7 +53,8 @@
         any_port = "127.0.0.1:0"
         text = (f"[process]\nrole = direct_entry\ninstance = {name}\navailability_zone = a\n"
                 f"[listen]\ncallers = {any_port}\nreadiness = {any_port}\ndirectory = {any_port}\noperations = {any_port}\n"
-                f"links = {any_port}\n[store]\naddress = 127.0.0.1:{self.store.port}\nfast_return = {str(self.fast_return).lower()}\n[bounds]\nrevocation_ms = 3000\n")
+                f"links = {any_port}\n[store]\naddress = 127.0.0.1:{self.store.port}\nfast_return = {str(self.fast_return).lower()}\n[bounds]\n")
+        text += "".join(f"{name} = {value}\n" for name, value in self.bounds.items())
         path = pathlib.Path(self.folder.name) / f"{name}.ini"
         path.write_text(text)
         process = subprocess.Popen([BIN / "applerampd", "--settings", str(path)], stdout=subprocess.PIPE, text=True)
@@ -68,6 +70,10 @@
         threading.Thread(target=self.collect, args=(name, process), daemon=True).start()
         return {port: int(started[port]) for port in ("callers", "readiness", "directory", "operations")}
 
+    def stop(self, name):
+        self.processes[name].kill()
+        self.processes[name].wait()
+
     def collect(self, name, process):
         for line in process.stdout:
             self.lines[name].append(json.loads(line))
