Entries: a refusal that names no request proves nothing on a kept connection

Only requests that may be repeated: others always get a connection of their own, so that REFUSED and TWICE do not break. Cause: an answer without the id of its request was not matched, and a refusal needs none; one of an earlier request, written once more on a kept connection, was taken for that of the next request. Change: on a connection that was used before, a refusal without an id counts as an answer that belongs to another request: the connection is closed, and the request may have run. On a new connection it is still believed.

--- a/packages/directentry/caller_exchange.cpp
+++ b/packages/directentry/caller_exchange.cpp
@@ -89,6 +89,7 @@
         m_begun ? m_events.lastEventId() : std::nullopt };
     std::string bytes = serializeRequest(m_services.platform.endpointRequestHead(m_request.head, order), m_request.body);
     m_endpoint = m_services.endpoints.acquire(effect.address, effect.requiresNewConnection);
+    m_isConnectionKept = m_endpoint->wasUsed();
     const std::uint64_t number = ++m_attemptNumber;
     // Callbacks of a cancelled or ended attempt are ignored.
     const auto current = [self = shared_from_this(), number] { return self->m_attemptNumber == number && !self->m_over; };
@@ -134,6 +135,12 @@
 {
     noteProgress();
     const response_classification reading = m_services.platform.classifyResponse(head, m_caller.sendId);
+    const bool isRefusal = reading.kind == response_kind::Rejected || reading.kind == response_kind::WrongEndpoint;
+    // On a kept connection this may be the refusal of an earlier request, sent once more.
+    if (isRefusal && m_isConnectionKept && !reading.namesRequest) {
+        m_endpoint->cancel();
+        return endAttempt(attempt_ending::InvalidAnswer);
+    }
     m_retryAfter = reading.retryAfter;
     m_endsAtClose = head.bodyEndsAtClose;
     m_isEndpointLeaving = reading.leaving;
--- a/packages/directentry/caller_exchange.h
+++ b/packages/directentry/caller_exchange.h
@@ -106,6 +106,8 @@
     // Incremented when an attempt starts or ends, so that callbacks of earlier attempts are ignored.
     std::uint64_t m_attemptNumber = 0;
     instant m_lastProgress;
+    // The attempt went over a connection that an earlier one had used.
+    bool m_isConnectionKept = false;
     bool m_attemptHasAnswer = false;
     answer_mode m_mode = answer_mode::Undecided;
     attempt_ending m_discardedAs = attempt_ending::Rejected;
--- a/packages/ports/platform_adapter.h
+++ b/packages/ports/platform_adapter.h
@@ -57,6 +57,8 @@
     response_kind kind = response_kind::Executed;
     // Set if the endpoint turned the request away and asks for a pause of this length.
     std::optional<duration> retryAfter;
+    // The answer names the request that it belongs to. Refusals need not.
+    bool namesRequest = false;
     // The endpoint that was addressed announces that it leaves.
     bool leaving = false;
     // What the endpoint that was addressed says of the requests that it takes.
--- a/tests/users_platform/header_codec_test.cpp
+++ b/tests/users_platform/header_codec_test.cpp
@@ -113,6 +113,8 @@
     cr_assert(decodeResponse(answerWith(200, {}), "9c41").kind == response_kind::Unmatched);
     cr_assert(decodeResponse(answerWith(503, { { "X-Not-Executed", "1" } }), "9c41").kind == response_kind::Rejected);
     cr_assert(decodeResponse(answerWith(421, {}), "9c41").kind == response_kind::WrongEndpoint);
+    cr_assert(decodeResponse(answerWith(503, { { "X-Not-Executed", "1" }, { "X-Attempt-Id", "9c41" } }), "9c41").namesRequest);
+    cr_assert_not(decodeResponse(answerWith(503, { { "X-Not-Executed", "1" } }), "9c41").namesRequest);
     // A 503 without X-Not-Executed does not say that the request was not executed.
     cr_assert(decodeResponse(answerWith(503, { { "X-Attempt-Id", "9c41" } }), "9c41").kind == response_kind::Executed);
 }
