Entries: a stopping entry takes requests only while its address may be cached

Cause: it went on accepting for 0.45 of the grace period, 3.6 s, although its addresses are valid for 2 s; the rest was too short for streams that last over 3.8 s. Change: it accepts for as long as the addresses are valid and half a second, and at most for the old part. What comes later on an open connection is refused at once as not run.

--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -11,6 +11,7 @@
 #include "directentry/limits_page.h"
 #include "directentry/news_sender.h"
 #include "directentry/reducer_settings.h"
+#include "directentry/refusal_answer.h"
 #include "directentry/restriction_gauges.h"
 #include "directentry/sharing_metrics.h"
 #include "directentry/store_followers.h"
@@ -58,7 +59,9 @@
 constexpr duration subscriptionInterval = std::chrono::milliseconds(1200);
 // How long callers may cache an answer of the directory.
 constexpr duration addressesValidFor = std::chrono::seconds(2);
-// Fraction of the grace period after SIGTERM in which callers that have the address cached are still served.
+// Time until the other entries leave a stopping one out of their answers.
+constexpr duration departureKnownAfter = std::chrono::milliseconds(500);
+// Largest fraction of the grace period after SIGTERM in which callers are still served.
 constexpr double serveOnPart = 0.45;
 // Fraction of the grace period after which remaining requests are aborted, so that the process ends before SIGKILL.
 constexpr double cutOffPart = 0.93;
@@ -158,7 +161,7 @@
     {
         m_metrics.add(entry_metrics::requests);
         if (m_acceptsNothing)
-            return connection->respond(stoppingResponse());
+            return connection->respond(stoppingAnswer());
         const request_number number = ++m_lastRequest;
         exchange_services services { m_platform, m_endpoints, [] { return now(); }, [this](const forwarding_event& event) { post(event); }, [this](const std::string& address, auto done) { probeConnection(m_loop, endpointFromText(address), probeTimeout, std::move(done)); }, m_heldBytes, m_serviceProgress };
         auto exchange = std::make_shared<caller_exchange>(std::move(services), number, connection, request);
@@ -167,18 +170,6 @@
         forgetIfOver(number);
     }
 
-    // Sent for a request on an open connection that arrives too late to be finished before the process ends.
-    static http_response stoppingResponse()
-    {
-        http_response response;
-        response.head.status = 503;
-        response.head.headers.add("Content-Type", "application/problem+json");
-        response.head.headers.add("Appleramp-Execution", "not_run");
-        response.head.headers.add("Retry-After", "0");
-        response.body = R"({"execution":"not_run","reason":"stopping"})";
-        return response;
-    }
-
     void post(const forwarding_event& event)
     {
         for (const forwarding_effect& effect : m_reducer.handle(event))
@@ -620,7 +611,7 @@
         }
         m_followers.onTick(moment);
         m_log.flush();
-        if (m_stopping && !m_acceptsNothing && moment - *m_stopping >= gracePart(serveOnPart))
+        if (m_stopping && !m_acceptsNothing && moment - *m_stopping >= serveOnTime())
             stopAccepting();
         if (m_stopping && isStopComplete(moment))
             return stopLoop();
@@ -635,6 +626,9 @@
         m_log.write(now(), "stopped_accepting", {}, { { "in_flight", std::to_string(m_exchanges.size()) } });
     }
 
+    // Callers that come later have addresses which are no longer valid. The rest of the grace period is for what was accepted.
+    duration serveOnTime() const { return std::min(addressesValidFor + departureKnownAfter, gracePart(serveOnPart)); }
+
     duration gracePart(double part) const
     {
         return duration(static_cast<duration::rep>(static_cast<double>(m_settings.bounds.grace.count()) * part));
