HTTP: a stopping process waits for answers that are not sent yet

Cause: http_acceptor::unanswered counted requests whose answer was not queued, not output that had not been handed to the kernel. Change: a connection counts until its output is sent or it is closed; the end of the grace period stays as it was.

--- a/packages/http/http_acceptor.cpp
+++ b/packages/http/http_acceptor.cpp
@@ -95,7 +95,7 @@
 {
     return static_cast<std::size_t>(std::count_if(m_connections.begin(), m_connections.end(), [](const auto& weakConnection) {
         const auto connection = weakConnection.lock();
-        return connection && connection->isAnswering();
+        return connection && connection->hasUnsentAnswer();
     }));
 }
 
--- a/packages/http/http_acceptor.h
+++ b/packages/http/http_acceptor.h
@@ -25,7 +25,7 @@
     void beginDrain();
     // Stops accepting; existing connections are kept.
     void close();
-    // Number of requests whose response has not been queued completely.
+    // Number of connections with a request whose response has not been sent completely.
     std::size_t unanswered() const;
 
 private:
--- a/packages/http/server_connection.h
+++ b/packages/http/server_connection.h
@@ -53,6 +53,8 @@
     void beginDrain() { m_draining = true; }
 
     bool isAnswering() const { return m_answering; }
+    // An answer has not been handed to the kernel completely.
+    bool hasUnsentAnswer() const { return !m_closed && (m_answering || !m_outputInFlight.empty() || !m_pendingOutput.empty()); }
     std::string peerAddress() const;
     boost::asio::ip::tcp::socket::executor_type executor() { return m_socket.get_executor(); }
 
--- a/tests/processes/direct_stop_late.py
+++ b/tests/processes/direct_stop_late.py
@@ -1,10 +1,11 @@
 """Real entry: SIGTERM while callers send long streams on open connections, and while others read their answers slowly. What the entry
 passes on ends whole inside the grace period; the rest is refused as not run."""
+import functools
 import pathlib
 import socket
 import sys
-import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "scripts"))
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
@@ -20,7 +21,7 @@
 # When streams are sent after the signal, on connections that were open before it.
 STREAMS_AFTER = (0.0, 1.0, 2.0, 2.4, 2.8, 3.2, 3.3, 3.4, 3.5, 4.5)
 LARGE_BYTES = 7 * 1000 * 1000
-SLOW_READERS = 0
+SLOW_READERS = 4
 RECEIVE_BUFFER = 16 * 1024
 # Slow readers read nothing until then, and all of it in the time after.
 READ_AFTER_SECONDS = 4.5
@@ -77,55 +78,87 @@
     return "whole" if received.startswith(b"HTTP/1.1 200 ") and is_whole(received) else f"cut after {len(received)} bytes"
 
 
-def main():
-    outcomes = {}
-
-    def play_stream(connection, start, name):
-        time.sleep(max(0.0, start - time.monotonic()))
-        try:
-            send(connection, "POST", "/stream/x", name)
-        except OSError:
-            outcomes[name] = "not taken"
-            return
-        received = read_all(connection)
-        outcomes[name] = outcome_of(received, lambda text: text.endswith(b"0\r\n\r\n")) if received else "closed"
-
-    def read_slowly(connection, start, name):
-        time.sleep(max(0.0, start - time.monotonic()))
-        outcomes[name] = outcome_of(read_all(connection), lambda text: len(text.split(b"\r\n\r\n", 1)[1]) == LARGE_BYTES)
-
+def started_entry(fleet):
+    """Returns the endpoint behind a new entry, and the entry's ports."""
+    endpoint = SteadyEndpoint("e1")
     rules = configuration(1, ["k1"])
     for route in rules["routes"]:
-        route["timeout_ms"] = GRACE_MS
+        # Large answers take a while from the endpoint to the entry; they are not to be asked for again meanwhile.
+        route.update(timeout_ms=GRACE_MS, target_latency_ms=GRACE_MS)
+    fleet.store.put("op", "config", rules)
+    fleet.register(endpoint)
+    ports = fleet.start("entry-1")
+    wait_until("ready", lambda: call(ports["readiness"], "GET", "/v1/ready")[0] == 200)
+    return endpoint, ports
+
+
+def stop(fleet):
+    """Returns when the entry got SIGTERM."""
+    fleet.processes["entry-1"].terminate()
+    return time.monotonic()
+
+
+def outcomes_of(tasks):
+    """Runs the tasks, by name, beside each other."""
+    with ThreadPoolExecutor(len(tasks)) as threads:
+        running = {name: threads.submit(task) for name, task in tasks.items()}
+        return {name: task.result() for name, task in running.items()}
+
+
+def send_late(connection, start, name):
+    time.sleep(max(0.0, start - time.monotonic()))
+    try:
+        send(connection, "POST", "/stream/x", name)
+    except OSError:
+        return "not taken"
+    received = read_all(connection)
+    return outcome_of(received, lambda text: text.endswith(b"0\r\n\r\n")) if received else "closed"
+
+
+def read_late(connection, start):
+    time.sleep(max(0.0, start - time.monotonic()))
+    return outcome_of(read_all(connection), lambda text: len(text.split(b"\r\n\r\n", 1)[1]) == LARGE_BYTES)
+
+
+def play_streams():
     with Entries(bounds={"grace_ms": GRACE_MS}) as fleet:
-        endpoint = SteadyEndpoint("e1")
-        fleet.store.put("op", "config", rules)
-        fleet.register(endpoint)
-        ports = fleet.start("entry-1")
-        wait_until("ready", lambda: call(ports["readiness"], "GET", "/v1/ready")[0] == 200)
-        readers = [connect(ports["callers"], RECEIVE_BUFFER) for _ in range(SLOW_READERS)]
-        for number, connection in enumerate(readers):
-            send(connection, "GET", "/read/x", f"slow-{number}")
-        streams = [connect(ports["callers"]) for _ in STREAMS_AFTER]
-        wait_until("the large answers", lambda: len(endpoint.ran) == SLOW_READERS)
-        stopped = time.monotonic()
-        fleet.processes["entry-1"].terminate()
-        threads = [threading.Thread(target=play_stream, args=(connection, stopped + after, f"stream-{after}"))
-                   for connection, after in zip(streams, STREAMS_AFTER)]
-        threads += [threading.Thread(target=read_slowly, args=(connection, stopped + READ_AFTER_SECONDS, f"slow-{number}"))
-                    for number, connection in enumerate(readers)]
-        for thread in threads:
-            thread.start()
-        for thread in threads:
-            thread.join()
+        endpoint, ports = started_entry(fleet)
+        connections = {after: connect(ports["callers"]) for after in STREAMS_AFTER}
+        stopped = stop(fleet)
+        outcomes = outcomes_of({after: functools.partial(send_late, connection, stopped + after, str(after))
+                                for after, connection in connections.items()})
         assert fleet.processes["entry-1"].wait(timeout=EXIT_SECONDS) == 0
-        lost = {name: outcome for name, outcome in outcomes.items() if name in endpoint.ran and outcome != "whole"}
+        lost = {after: outcome for after, outcome in outcomes.items() if str(after) in endpoint.ran and outcome != "whole"}
         assert not lost, lost
         assert all(outcome in ("whole", "refused", "not taken") for outcome in outcomes.values()), outcomes
         # Callers that may not know yet that the entry leaves are served.
-        assert all(outcomes[f"stream-{after}"] == "whole" for after in STREAMS_AFTER if after <= 2.0), outcomes
-        assert outcomes[f"stream-{STREAMS_AFTER[-1]}"] != "whole", outcomes
-    print(f"{list(outcomes.values()).count('whole')} of {len(outcomes)} answers whole, the others refused as not run")
+        assert all(outcomes[after] == "whole" for after in STREAMS_AFTER if after <= 2.0), outcomes
+        assert outcomes[STREAMS_AFTER[-1]] != "whole", outcomes
+        return outcomes
+
+
+def play_slow_readers():
+    with Entries(bounds={"grace_ms": GRACE_MS}) as fleet:
+        endpoint, ports = started_entry(fleet)
+        connections = [connect(ports["callers"], RECEIVE_BUFFER) for _ in range(SLOW_READERS)]
+        for number, connection in enumerate(connections):
+            send(connection, "GET", "/read/x", f"slow-{number}")
+        wait_until("the large answers", lambda: len(endpoint.ran) == SLOW_READERS)
+        # The first bytes of an answer show that the entry has the whole of it.
+        for connection in connections:
+            connection.recv(1, socket.MSG_PEEK)
+        stopped = stop(fleet)
+        outcomes = outcomes_of({number: functools.partial(read_late, connection, stopped + READ_AFTER_SECONDS)
+                                for number, connection in enumerate(connections)})
+        assert fleet.processes["entry-1"].wait(timeout=EXIT_SECONDS) == 0
+        assert all(outcome == "whole" for outcome in outcomes.values()), outcomes
+        return outcomes
+
+
+def main():
+    streams = list(play_streams().values())
+    readers = play_slow_readers()
+    print(f"{streams.count('whole')} of {len(streams)} streams whole, the others refused as not run; {len(readers)} slow readers got all")
 
 
 if __name__ == "__main__":
