Entries: a stream that leaves a slow endpoint and waits is woken

Cause: the request kept its endpoint while it waited; the end of the wait is ignored for a request that is at an endpoint, and each further slow report moved it once more. Change: the request is at no endpoint from the move on, as after the end of an attempt. No other place() is called with an endpoint set.

--- a/packages/decisions/forwarding/forwarding_reducer_news.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_news.cpp
@@ -146,6 +146,9 @@
             return;
         m_fleet.recordCancellation(slow);
         request.mayHaveRun = true;
+        // As after the end of an attempt: a request that waits is at no endpoint.
+        request.currentEndpoint = {};
+        m_fleet.work().recordEnd(number);
         m_effects.emplace_back(cancel_forwarded_request { number });
         m_effects.emplace_back(std::move(line));
         place(now, number, request);
--- a/tests/decisions/forwarding/forwarding_reducer_test.cpp
+++ b/tests/decisions/forwarding/forwarding_reducer_test.cpp
@@ -495,6 +495,44 @@
     cr_assert_null(entry.effect<cancel_forwarded_request>());
 }
 
+// Guards against streams that leave a slow endpoint, have to wait, and are never answered, not even at their timeout (CONFIG).
+Test(forwarding_reducer, a_stream_that_leaves_a_slow_endpoint_and_waits_is_woken)
+{
+    entry entry;
+    entry.reportLoad(2, 0);
+    entry.request("/draft/x");
+    constexpr request_number moved = 1;
+    const std::string first = entry.effect<send_attempt>()->endpoint.str();
+    // The service seems to reject everything for a moment, so that whatever is to be sent waits.
+    for (int request = 0; request < 3; ++request) {
+        entry.now += 150ms;
+        entry.reportLoad(2, 0);
+        entry.request("/draft/y");
+        entry.endAttempt(attempt_ending::Rejected);
+    }
+    // Longer than the backoff of an endpoint after a rejection.
+    entry.now += 150ms;
+    entry.reportLoad(2, 0);
+    entry.handle(endpoint_load_received { entry.now, { endpoint(first, drafts).address, 2, 0, 5.0, true } });
+    cr_assert_not_null(entry.effect<cancel_forwarded_request>());
+    const auto* wait = entry.effect<wait_for_service>();
+    cr_assert_not_null(wait);
+    cr_assert_eq(wait->request, moved);
+    // Another report of the same does not move it once more.
+    const instant until = wait->until;
+    entry.handle(endpoint_load_received { entry.now, { endpoint(first, drafts).address, 2, 0, 5.0, true } });
+    cr_assert_null(entry.effect<cancel_forwarded_request>());
+    entry.now = until;
+    while (entry.effect<send_attempt>() == nullptr && entry.effect<refuse_request>() == nullptr) {
+        entry.handle(service_wait_ended { entry.now, moved });
+        wait = entry.effect<wait_for_service>();
+        cr_assert(wait != nullptr || entry.effect<send_attempt>() != nullptr || entry.effect<refuse_request>() != nullptr, "nothing wakes the request");
+        if (wait != nullptr)
+            entry.now = wait->until;
+        cr_assert(entry.now <= instant(10s) + 8s);
+    }
+}
+
 Test(forwarding_reducer, what_may_not_be_repeated_stays_at_a_slow_endpoint)
 {
     entry entry;
