--- a/tests/decisions/forwarding/fleet_retry_budget_test.cpp
+++ b/tests/decisions/forwarding/fleet_retry_budget_test.cpp
@@ -68,6 +68,19 @@
     }
 }
 
+// Guards against budgets that are earned by a burst and used when it is over.
+Test(fleet_retry_budget, is_kept_while_the_load_changes)
+{
+    for (const duration length : { 2s, 5s, 8s }) {
+        expectWithinBudget({}, [length](retry_world& world) {
+            for (duration when = 15s; when < end; when += 2 * length) {
+                world.at(when, [&world] { world.setRequestRate(750); });
+                world.at(when + length, [&world] { world.setRequestRate(100); });
+            }
+        });
+    }
+}
+
 // A restart must not cost callers all retries for long.
 Test(fleet_retry_budget, an_entry_has_its_whole_share_a_window_after_its_start)
 {
--- a/tests/decisions/forwarding/retry_world.h
+++ b/tests/decisions/forwarding/retry_world.h
@@ -40,6 +40,8 @@
     // The endpoints reject every attempt from now on, or no longer.
     void setRejecting(bool rejecting) { m_isRejecting = rejecting; }
 
+    void setRequestRate(double perSecond) { m_settings.requestsPerSecond = perSecond; }
+
     // Most retries in some window, relative to what the rule allows: above one, the rule is broken.
     double worstWindow() const;
     std::size_t retries() const { return m_retries.size(); }
