Entries: log lines say which requests a stop cuts, and which answers are dropped

Change: cut_at_stop for each of the first 64 requests (stage, endpoint, age), answer_dropped with its cause and bytes, and a counter by cause. The phases of a stop move from the process into planned_stop, unchanged.

--- a/packages/directentry/caller_exchange.cpp
+++ b/packages/directentry/caller_exchange.cpp
@@ -43,6 +43,19 @@
 
 } // namespace
 
+std::string_view nameOf(exchange_stage stage)
+{
+    switch (stage) {
+    case exchange_stage::Waiting:
+        return "waiting";
+    case exchange_stage::Sent:
+        return "sent";
+    case exchange_stage::Begun:
+        break;
+    }
+    return "begun";
+}
+
 caller_exchange::caller_exchange(
     exchange_services services, request_number number, std::shared_ptr<server_connection> caller, http_request request)
     : m_services(std::move(services))
@@ -50,7 +63,9 @@
     , m_connection(std::move(caller))
     , m_request(std::move(request))
     , m_caller(m_services.platform.readCallerRequest(m_request))
+    , m_startedAt(m_services.now())
 {
+    m_connection->identifyAnswer(m_caller.sendId);
 }
 
 caller_exchange::~caller_exchange() { dropAnswer(); }
@@ -61,6 +76,13 @@
     m_answer = {};
 }
 
+exchange_stage caller_exchange::stage() const
+{
+    if (m_begun)
+        return exchange_stage::Begun;
+    return m_endpoint ? exchange_stage::Sent : exchange_stage::Waiting;
+}
+
 void caller_exchange::start()
 {
     m_connection->onPeerGone([self = shared_from_this()] {
--- a/packages/directentry/caller_exchange.h
+++ b/packages/directentry/caller_exchange.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace appleramp {
 
@@ -34,6 +35,17 @@
     std::map<service_id, instant>& serviceProgress;
 };
 
+enum class exchange_stage {
+    // The request is at no endpoint.
+    Waiting,
+    // An endpoint has it, and the caller has got nothing of the answer.
+    Sent,
+    // Part of a streamed answer was sent to the caller.
+    Begun,
+};
+
+std::string_view nameOf(exchange_stage stage);
+
 // One request of a caller, from its arrival to the end of its response, over all the attempts that the reducer starts.
 //
 // It executes the reducer's effects and reports what happens as events; every decision is the reducer's. Callbacks of
@@ -58,6 +70,10 @@
     void checkTime(instant now);
     bool isOver() const { return m_over; }
     const std::string& sendId() const { return m_caller.sendId; }
+    exchange_stage stage() const;
+    // Empty while the request is at no endpoint.
+    endpoint_id endpoint() const { return m_endpoint ? m_attempt.endpoint : endpoint_id(); }
+    duration age(instant now) const { return now - m_startedAt; }
 
 private:
     enum class answer_mode {
@@ -97,6 +113,7 @@
     std::shared_ptr<server_connection> m_connection;
     http_request m_request;
     caller_request m_caller;
+    instant m_startedAt;
     instant m_deadline = instant::max();
     // When to ask the reducer for an endpoint again.
     std::optional<instant> m_waitsUntil;
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -10,14 +10,17 @@
 #include "directentry/entry_metrics.h"
 #include "directentry/limits_page.h"
 #include "directentry/news_sender.h"
+#include "directentry/planned_stop.h"
 #include "directentry/reducer_settings.h"
 #include "directentry/refusal_answer.h"
 #include "directentry/restriction_gauges.h"
 #include "directentry/sharing_metrics.h"
+#include "directentry/stop_report.h"
 #include "directentry/store_followers.h"
 #include "directentry/work_metrics.h"
 #include "http/client_pool.h"
 #include "http/connection_probe.h"
+#include "http/dropped_output.h"
 #include "http/http_acceptor.h"
 #include "membership/member_registration.h"
 #include "observe/line_log.h"
@@ -61,10 +64,6 @@
 constexpr duration addressesValidFor = std::chrono::seconds(2);
 // Time until the other entries leave a stopping one out of their answers.
 constexpr duration departureKnownAfter = std::chrono::milliseconds(500);
-// Largest fraction of the grace period after SIGTERM in which callers are still served.
-constexpr double serveOnPart = 0.45;
-// Fraction of the grace period after which remaining requests are aborted, so that the process ends before SIGKILL.
-constexpr double cutOffPart = 0.93;
 // Entries that are told all records each time, so that all hear of them within a few rounds.
 constexpr std::size_t recordRecipients = 3;
 // Processes write their rows again at a random time within this one after the store came back from an older copy.
@@ -118,6 +117,7 @@
             { { "role", "direct_entry" }, { "zone", settings.process.zone.str() }, { "callers", std::to_string(m_callersPort) },
                 { "readiness", std::to_string(m_readiness.port()) }, { "directory", std::to_string(m_directory.port()) },
                 { "operations", std::to_string(m_operations.port()) }, { "links", std::to_string(m_news.port()) } });
+        m_callers.onOutputDropped([this](const dropped_output& dropped) { onOutputDropped(dropped); });
         m_followers.start(life ^ std::hash<std::string> {}(settings.process.instance.str()));
         m_registration.start();
         scheduleTick();
@@ -132,7 +132,7 @@
     {
         if (m_stopping)
             return;
-        m_stopping = now();
+        m_stopping.emplace(now(), m_settings.bounds.grace, addressesValidFor + departureKnownAfter);
         m_log.write(now(), "stopping", {}, { { "in_flight", std::to_string(m_exchanges.size()) } });
         m_callers.beginDrain();
         m_directory.beginDrain();
@@ -170,6 +170,12 @@
         forgetIfOver(number);
     }
 
+    void onOutputDropped(const dropped_output& dropped)
+    {
+        m_metrics.add(entry_metrics::answersDropped, { { "cause", std::string(nameOf(dropped.cause)) } });
+        m_log.write(now(), "answer_dropped", dropped.answerId, { { "cause", std::string(nameOf(dropped.cause)) }, { "bytes", std::to_string(dropped.bytes) } });
+    }
+
     void post(const forwarding_event& event)
     {
         for (const forwarding_effect& effect : m_reducer.handle(event))
@@ -611,7 +617,7 @@
         }
         m_followers.onTick(moment);
         m_log.flush();
-        if (m_stopping && !m_acceptsNothing && moment - *m_stopping >= serveOnTime())
+        if (m_stopping && !m_acceptsNothing && !m_stopping->takesRequests(moment))
             stopAccepting();
         if (m_stopping && isStopComplete(moment))
             return stopLoop();
@@ -626,23 +632,14 @@
         m_log.write(now(), "stopped_accepting", {}, { { "in_flight", std::to_string(m_exchanges.size()) } });
     }
 
-    // Callers that come later have addresses which are no longer valid. The rest of the grace period is for what was accepted.
-    duration serveOnTime() const { return std::min(addressesValidFor + departureKnownAfter, gracePart(serveOnPart)); }
-
-    duration gracePart(double part) const
-    {
-        return duration(static_cast<duration::rep>(static_cast<double>(m_settings.bounds.grace.count()) * part));
-    }
-
-    bool isStopComplete(instant moment) const
-    {
-        const duration since = moment - *m_stopping;
-        return (m_acceptsNothing && m_callers.unanswered() == 0) || since >= gracePart(cutOffPart);
-    }
+    bool isStopComplete(instant moment) const { return (m_acceptsNothing && m_callers.unanswered() == 0) || m_stopping->isOver(moment); }
 
     void stopLoop()
     {
-        m_log.write(now(), "stopped", {}, { { "cut_off", std::to_string(m_callers.unanswered()) } });
+        logCutRequests(m_log, now(), m_exchanges);
+        const std::size_t unanswered = m_callers.unanswered();
+        m_log.write(now(), "stopped", {},
+            { { "cut_off", std::to_string(unanswered) }, { "unsent_output", std::to_string(unanswered - std::min(unanswered, m_exchanges.size())) } });
         m_log.flush();
         m_loop.stop();
     }
@@ -683,7 +680,7 @@
     // Addresses of the endpoints that report their load, and of those to which this entry subscribes.
     std::set<std::string> m_reporting;
     std::set<std::string> m_subset;
-    std::optional<instant> m_stopping;
+    std::optional<planned_stop> m_stopping;
     // Set in the second part of a stop: nothing more is accepted, and what is in flight is finished.
     bool m_acceptsNothing = false;
 };
--- a/packages/directentry/entry_metrics.cpp
+++ b/packages/directentry/entry_metrics.cpp
@@ -4,6 +4,7 @@
 
 const metric_descriptor requests { "appleramp_forwarded_requests_total", metric_kind::Counter, "Requests of callers that arrived." };
 const metric_descriptor refusals { "appleramp_refusals_total", metric_kind::Counter, "Answers of our own, by reason." };
+const metric_descriptor answersDropped { "appleramp_answers_dropped_total", metric_kind::Counter, "Connections that were closed with part of an answer unsent, by cause." };
 const metric_descriptor attemptEndings { "appleramp_attempt_endings_total", metric_kind::Counter, "Attempts that ended without a whole answer, by how." };
 const metric_descriptor answerTime { "appleramp_answer_seconds", metric_kind::Summary, "From the arrival of a request to the end of its answer." };
 const metric_descriptor configurationAge { "appleramp_configuration_age_seconds", metric_kind::Gauge, "Since the sending of the read that confirmed the configuration." };
--- a/packages/directentry/entry_metrics.h
+++ b/packages/directentry/entry_metrics.h
@@ -6,6 +6,7 @@
 
 extern const metric_descriptor requests;
 extern const metric_descriptor refusals;
+extern const metric_descriptor answersDropped;
 extern const metric_descriptor attemptEndings;
 extern const metric_descriptor answerTime;
 extern const metric_descriptor configurationAge;
--- a/packages/http/http_acceptor.cpp
+++ b/packages/http/http_acceptor.cpp
@@ -63,6 +63,7 @@
     if (++m_acceptedSinceCleanup >= cleanupInterval)
         removeClosedConnections();
     auto connection = std::make_shared<server_connection>(std::move(socket), m_limits, m_onRequest);
+    connection->onOutputDropped(m_onOutputDropped);
     if (m_draining)
         connection->beginDrain();
     m_connections.push_back(connection);
--- a/packages/http/http_acceptor.h
+++ b/packages/http/http_acceptor.h
@@ -10,6 +10,7 @@
 #include <list>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace appleramp {
 
@@ -21,6 +22,8 @@
         server_connection::limits_source limits, server_connection::handler onRequest);
 
     std::uint16_t port() const;
+    // Registers a callback for answers that are dropped, at connections that are accepted from now on.
+    void onOutputDropped(server_connection::output_watcher notify) { m_onOutputDropped = std::move(notify); }
     // From now on every response closes its connection. New connections are still accepted.
     void beginDrain();
     // Stops accepting; existing connections are kept.
@@ -37,6 +40,7 @@
     boost::asio::steady_timer m_retryTimer;
     server_connection::limits_source m_limits;
     server_connection::handler m_onRequest;
+    server_connection::output_watcher m_onOutputDropped;
     std::list<std::weak_ptr<server_connection>> m_connections;
     std::size_t m_acceptedSinceCleanup = 0;
     bool m_draining = false;
--- a/packages/http/server_connection.cpp
+++ b/packages/http/server_connection.cpp
@@ -1,5 +1,6 @@
 #include "http/server_connection.h"
 
+#include "http/dropped_output.h"
 #include "http/socket_options.h"
 
 #include <boost/asio/buffer.hpp>
@@ -68,7 +69,7 @@
         [self = shared_from_this()](const boost::system::error_code& failure, std::size_t count) {
             self->m_reading = false;
             if (failure)
-                self->onConnectionLost();
+                self->onConnectionLost(output_loss::PeerGone);
             else
                 self->onBytes(count);
         });
@@ -84,16 +85,23 @@
         read();
 }
 
-void server_connection::onConnectionLost()
+void server_connection::onConnectionLost(output_loss cause)
 {
     if (m_closed)
         return;
+    reportDroppedOutput(cause);
     const bool hasUnansweredRequest = m_answering && !m_answerQueued;
     closeNow();
     if (hasUnansweredRequest && m_onPeerGone)
         std::exchange(m_onPeerGone, nullptr)();
 }
 
+void server_connection::reportDroppedOutput(output_loss cause)
+{
+    if (hasUnsentOutput() && m_onOutputDropped)
+        m_onOutputDropped({ m_answerId, cause, m_outputInFlight.size() + m_pendingOutput.size() });
+}
+
 void server_connection::parse()
 {
     if (m_input.empty() || m_closed)
@@ -126,6 +134,7 @@
     m_parser.reset();
     m_answering = true;
     m_answerQueued = false;
+    m_answerId.clear();
     m_closeAfterAnswer = !request.head.keepAlive;
     m_timer.cancel();
     m_onRequest(shared_from_this(), std::move(request));
@@ -186,7 +195,7 @@
         return;
     m_pendingOutput += bytes;
     if (m_pendingOutput.size() > maxPendingOutputBytes) {
-        onConnectionLost();
+        onConnectionLost(output_loss::Overflow);
         return;
     }
     if (m_outputInFlight.empty())
@@ -200,7 +209,7 @@
     boost::asio::async_write(m_socket, boost::asio::buffer(m_outputInFlight),
         [self = shared_from_this()](const boost::system::error_code& failure, std::size_t) {
             if (failure)
-                self->onConnectionLost();
+                self->onConnectionLost(output_loss::PeerGone);
             else
                 self->onWritten();
         });
@@ -277,6 +286,7 @@
         return;
     if (m_parser && !m_lingering)
         return reject(408);
+    reportDroppedOutput(output_loss::Idle);
     closeNow();
 }
 
--- a/packages/http/server_connection.h
+++ b/packages/http/server_connection.h
@@ -12,9 +12,13 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace appleramp {
 
+struct dropped_output;
+enum class output_loss;
+
 struct server_limits {
     parser_limits message;
     // Longest time from the first byte of a request until its head is complete.
@@ -35,6 +39,7 @@
     using handler = std::function<void(const std::shared_ptr<server_connection>&, http_request)>;
     // Called for each request, so that the limits can change while the connection is open.
     using limits_source = std::function<server_limits()>;
+    using output_watcher = std::function<void(const dropped_output&)>;
 
     server_connection(boost::asio::ip::tcp::socket socket, limits_source limits, handler onRequest);
 
@@ -42,6 +47,11 @@
     // Registers a callback that is called once if the connection is lost while its request is unanswered.
     void onPeerGone(std::function<void()> notify) { m_onPeerGone = std::move(notify); }
 
+    // Names the current answer in reports of dropped output.
+    void identifyAnswer(std::string id) { m_answerId = std::move(id); }
+    // Registers a callback for the case that the connection is closed with output unsent, other than by abort().
+    void onOutputDropped(output_watcher notify) { m_onOutputDropped = std::move(notify); }
+
     void respond(http_response response);
     void beginStream(http_response_head head);
     void writeStream(std::string_view bytes);
@@ -54,14 +64,16 @@
 
     bool isAnswering() const { return m_answering; }
     // An answer has not been handed to the kernel completely.
-    bool hasUnsentAnswer() const { return !m_closed && (m_answering || !m_outputInFlight.empty() || !m_pendingOutput.empty()); }
+    bool hasUnsentAnswer() const { return !m_closed && (m_answering || hasUnsentOutput()); }
     std::string peerAddress() const;
     boost::asio::ip::tcp::socket::executor_type executor() { return m_socket.get_executor(); }
 
 private:
+    bool hasUnsentOutput() const { return !m_outputInFlight.empty() || !m_pendingOutput.empty(); }
+    void reportDroppedOutput(output_loss cause);
     void read();
     void onBytes(std::size_t count);
-    void onConnectionLost();
+    void onConnectionLost(output_loss cause);
     void parse();
     void dispatch();
     void reject(unsigned status);
@@ -80,6 +92,8 @@
     server_limits m_limits;
     handler m_onRequest;
     std::function<void()> m_onPeerGone;
+    output_watcher m_onOutputDropped;
+    std::string m_answerId;
 
     std::array<char, 16384> m_readBuffer {};
     std::string m_input;
