Entries: an attempt is given up only for another one that can be sent at once

What callers saw: streams and answers of sound endpoints that paused for a while were broken off, or became 502, while their endpoint was at work on them (LOST). Cause: a silent attempt was cancelled first; only then the retry budget, the number of sends and the choice of another endpoint were asked, and each of them may say no. In its first 10 s a process has nearly no retries, so this came most right after a planned restart. Streams that leave a slow endpoint did the same. Change: silence is reported to the reducer, which looks for an endpoint with a free slot and takes the retry before it cancels; without both the attempt goes on and the question is asked again.

--- a/packages/decisions/forwarding/endpoint_fleet.h
+++ b/packages/decisions/forwarding/endpoint_fleet.h
@@ -206,6 +206,8 @@
     // The first event of a stream has come.
     void recordFirstEvent(instant now, const endpoint_id& endpoint, duration time);
     void recordEnding(instant now, const endpoint_id& endpoint, attempt_ending ending);
+    // An attempt goes on although its endpoint has been silent for longer than it may be.
+    void recordSilence(instant now, const endpoint_id& endpoint);
     // An attempt was cancelled because the caller left or its stream moves to another endpoint.
     void recordCancellation(const endpoint_id& endpoint);
 
--- a/packages/decisions/forwarding/endpoint_fleet_restrictions.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet_restrictions.cpp
@@ -318,6 +318,15 @@
         std::count_if(m_endpoints.begin(), m_endpoints.end(), [now](const auto& entry) { return entry.second.pausedUntil > now; }));
 }
 
+void endpoint_fleet::recordSilence(instant now, const endpoint_id& endpoint)
+{
+    endpoint_state* const state = find(endpoint);
+    if (state == nullptr)
+        return;
+    state->pace.recordFailure(now);
+    recordOutcome(*state, now, 1);
+}
+
 void endpoint_fleet::recordEnding(instant now, const endpoint_id& endpoint, attempt_ending ending)
 {
     endpoint_state* const state = find(endpoint);
--- a/packages/decisions/forwarding/forwarding_effects.h
+++ b/packages/decisions/forwarding/forwarding_effects.h
@@ -31,7 +31,7 @@
     bool requiresNewConnection = false;
     // The answer is a stream of events.
     bool isStream = false;
-    // Timeouts for the start of the answer and between two events, after which the attempt is abandoned; zero for none.
+    // Timeouts for the start of the answer and between two events, after which attempt_silent is posted; zero for none.
     duration answerStartTimeout {};
     duration eventGapTimeout {};
     std::uint32_t urgencyRank = 0;
--- a/packages/decisions/forwarding/forwarding_events.h
+++ b/packages/decisions/forwarding/forwarding_events.h
@@ -60,6 +60,13 @@
     bool connectionRefused = false;
 };
 
+// The endpoint has sent nothing for the time that the attempt's timeouts name. Posted again from time to time while that lasts.
+struct attempt_silent {
+    instant now;
+    request_number request = 0;
+    bool answerBegun = false;
+};
+
 // An answer of the endpoint announces that it leaves.
 struct endpoint_leaving_announced {
     instant now;
@@ -232,7 +239,7 @@
     instant now;
 };
 
-using forwarding_event = std::variant<request_arrived, attempt_ended, attempt_succeeded, stream_advanced, service_wait_ended,
+using forwarding_event = std::variant<request_arrived, attempt_ended, attempt_silent, attempt_succeeded, stream_advanced, service_wait_ended,
     caller_disconnected, deadline_passed,
     configuration_read, out_of_service_zones_changed, endpoint_listed, endpoint_unlisted, registry_read,
     registry_access_changed, registry_restored, endpoint_leaving_announced, endpoint_limit_stated, endpoint_limits_told, permit_asked, permit_answered, demand_reported, endpoint_load_received, endpoint_death_reported, endpoint_probed, load_subset_changed, entry_presence_received, crash_records_received, crash_table_read, entry_count_read, timer_ticked>;
--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -29,8 +29,6 @@
 constexpr duration maxOutageWait = std::chrono::milliseconds(1500);
 constexpr int outageWaitDivisor = 5;
 constexpr duration outageWaitStep = std::chrono::milliseconds(100);
-// With less time left, a request is not sent, since no endpoint is expected to answer in time.
-constexpr duration minTimeLeft = std::chrono::milliseconds(20);
 // Timeout for a stream's first event, after which another endpoint is tried, in latency targets.
 constexpr double firstEventTimeoutFactor = 2.4;
 // Timeout for the first event of a request that is placed by its work, in expected times.
@@ -203,16 +201,7 @@
         return;
     if (const auto retryAfter = room == nullptr && request.attempts == 0 ? overloadRetryAfter(now, request) : std::nullopt)
         return refusePlacement(number, request, refusal_reason::NoCapacity, retryAfter);
-    const service_description* const service = request.routes->service(request.service);
-    placement_query query { .now = now,
-        .service = request.service,
-        .zone = m_settings.zone,
-        .entryCount = m_peers.entryCount(now),
-        .excludedEndpoints = request.triedEndpoints,
-        .coldRequestsPerSecond = service == nullptr ? 0 : service->coldRequestsPerSecond,
-        .allowsLimited = requestsAhead(number, request) == 0,
-        .randomFraction = randomFraction() };
-    describeWork(request, query);
+    const placement_query query = queryFor(now, number, request);
     const auto found = m_fleet.choose(query);
     logWorkNews();
     if (found ? !found->isFirstRequest && borrowFirstRequest(now, number, request, query) : waitForPermit(now, number, request, query) || waitForShare(now, number, request, query))
@@ -313,6 +302,7 @@
     request.hasFailureAnswer = false;
     request.currentEndpoint = chosen.endpoint;
     request.sentAt = now;
+    request.isSilenceRecorded = false;
     request.triedEndpoints.push_back(chosen.endpoint);
     m_fleet.recordSend(now, chosen.endpoint);
     const route& matchedRoute = *request.matchedRoute;
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -120,6 +120,8 @@
         bool waitsForShare = false;
         // An earlier attempt may have been executed.
         bool mayHaveRun = false;
+        // The silence of the current attempt counts against its endpoint already.
+        bool isSilenceRecorded = false;
         // The latest attempt brought a whole answer that says that the request failed.
         bool hasFailureAnswer = false;
         // What endpoints may die of when they begin to answer.
@@ -135,6 +137,7 @@
 
     void on(const request_arrived& event);
     void on(const attempt_ended& event);
+    void on(const attempt_silent& event);
     void on(const attempt_succeeded& event);
     void on(const stream_advanced& event);
     void on(const service_wait_ended& event);
@@ -234,7 +237,15 @@
     void refuse(request_number number, const request_state& request, refusal_reason reason, std::optional<duration> retryAfter);
     // Ends a request that can't be sent now.
     void refusePlacement(request_number number, const request_state& request, refusal_reason reason, std::optional<duration> retryAfter);
-    void moveStreamsFromSlowEndpoint(instant now, const endpoint_id& slow, double pace);
+    // With less time left, a request is not sent, since no endpoint is expected to answer in time.
+    static constexpr duration minTimeLeft = std::chrono::milliseconds(20);
+    placement_query queryFor(instant now, request_number number, const request_state& request);
+    bool mayBeReplaced(instant now, const request_state& request);
+    // Another endpoint that can take a running request at once, and the retry for it; nothing if there is no such endpoint or no retry.
+    std::optional<placement> takeReplacement(instant now, request_number number, const request_state& request, log_decision& line);
+    void replaceAttempt(instant now, request_number number, request_state& request, const placement& other, log_decision line);
+    void recordKeptSilent(instant now, const request_state& request, log_decision line);
+    void moveStreamsFromSlowEndpoint(instant now, const endpoint_load& slow);
     void recordEnding(instant now, const request_state& request, const attempt_ended& event);
     // The endpoint asked for no requests for that long.
     void pauseEndpoint(instant now, const request_state& request, duration time);
--- a/packages/decisions/forwarding/forwarding_reducer_news.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_news.cpp
@@ -9,14 +9,6 @@
 
 namespace appleramp {
 
-namespace {
-
-// Streams are moved from endpoints that are slower than published by this factor or more. Moving costs a second prompt
-// processing and one of the request's few attempts.
-constexpr double moveStreamsPaceThreshold = 2.0;
-
-} // namespace
-
 void forwarding_reducer::on(const configuration_read& event)
 {
     const bool isNewer = event.configuration && event.configuration->version > configurationVersion();
@@ -122,37 +114,7 @@
     if (const auto endpoint = event.load.leaving ? m_fleet.atAddress(event.load.address, event.load.startedAtMs) : std::nullopt)
         recordLeaving(event.now, *endpoint, "agent");
     recordReportedLimit(event.now, event.load);
-    if (event.load.slowdownFactor < moveStreamsPaceThreshold)
-        return;
-    if (const auto slow = m_fleet.latestAtAddress(event.load.address))
-        moveStreamsFromSlowEndpoint(event.now, *slow, event.load.slowdownFactor);
-}
-
-// A request at a slow rank slows the streams of its whole group until it ends. Elsewhere it resumes after its last event.
-void forwarding_reducer::moveStreamsFromSlowEndpoint(instant now, const endpoint_id& slow, double pace)
-{
-    std::vector<request_number> moving;
-    for (const auto& [number, request] : m_requests) {
-        const route& matchedRoute = *request.matchedRoute;
-        const bool mayMove = matchedRoute.kind == route_kind::Stream && matchedRoute.resumable && request.attempts < matchedRoute.maxAttempts;
-        if (request.currentEndpoint == slow && mayMove && m_fleet.hasOtherFastEndpoint(now, request.service, slow))
-            moving.push_back(number);
-    }
-    for (const request_number number : moving) {
-        request_state& request = m_requests.at(number);
-        log_decision line { "left_slow_endpoint", request.caller.sendId,
-            { { "endpoint", slow.str() }, { "pace", std::to_string(pace) }, { "after_ms", millisecondsText(now - request.sentAt) } } };
-        if (!takeRetry(now, request.service, line))
-            return;
-        m_fleet.recordCancellation(slow);
-        request.mayHaveRun = true;
-        // As after the end of an attempt: a request that waits is at no endpoint.
-        request.currentEndpoint = {};
-        m_fleet.work().recordEnd(number);
-        m_effects.emplace_back(cancel_forwarded_request { number });
-        m_effects.emplace_back(std::move(line));
-        place(now, number, request);
-    }
+    moveStreamsFromSlowEndpoint(event.now, event.load);
 }
 
 void forwarding_reducer::on(const load_subset_changed& event)
--- a/packages/decisions/forwarding/shared_retry_budget.cpp
+++ b/packages/decisions/forwarding/shared_retry_budget.cpp
@@ -23,10 +23,15 @@
     return { counters.retries.count(now), allowed };
 }
 
-bool shared_retry_budget::tryTake(instant now, const service_id& service, std::size_t entries)
+bool shared_retry_budget::allows(instant now, const service_id& service, std::size_t entries)
 {
     const retry_usage current = usage(now, service, entries);
-    if (static_cast<double>(current.used) + 1 > current.allowed) {
+    return static_cast<double>(current.used) + 1 <= current.allowed;
+}
+
+bool shared_retry_budget::tryTake(instant now, const service_id& service, std::size_t entries)
+{
+    if (!allows(now, service, entries)) {
         ++m_totals.denied;
         return false;
     }
--- a/packages/decisions/forwarding/shared_retry_budget.h
+++ b/packages/decisions/forwarding/shared_retry_budget.h
@@ -47,6 +47,7 @@
     }
 
     void recordRequest(instant now, const service_id& service);
+    bool allows(instant now, const service_id& service, std::size_t entries);
     // Takes one retry from the budget; returns false if it is used up.
     bool tryTake(instant now, const service_id& service, std::size_t entries);
     retry_usage usage(instant now, const service_id& service, std::size_t entries);
--- a/packages/directentry/caller_exchange.cpp
+++ b/packages/directentry/caller_exchange.cpp
@@ -17,6 +17,8 @@
 // Bodies behind a rejection are read, so that their connection can be used again, up to this size and for this long.
 constexpr std::size_t maxDiscardedBytes = 16UL * 1024;
 constexpr duration maxDiscardTime = std::chrono::milliseconds(250);
+// Interval at which a silent attempt is reported again.
+constexpr duration silenceReportInterval = std::chrono::milliseconds(200);
 // Largest answer that is held back until it is complete, and the bytes of all such answers together.
 constexpr std::size_t maxHeldAnswerBytes = 7UL * 1024 * 1024;
 constexpr std::size_t maxHeldBytes = 48UL * 1024 * 1024;
@@ -379,8 +381,10 @@
         return;
     if (m_attempt.isStream && !othersProgress(now))
         return;
-    cancelAttempt();
-    endAttempt(attempt_ending::TimedOut);
+    if (now < m_silenceReportedAt + silenceReportInterval)
+        return;
+    m_silenceReportedAt = now;
+    m_services.post(attempt_silent { now, m_number, m_begun.has_value() });
 }
 
 void caller_exchange::finish()
--- a/packages/directentry/caller_exchange.h
+++ b/packages/directentry/caller_exchange.h
@@ -123,6 +123,7 @@
     // Incremented when an attempt starts or ends, so that callbacks of earlier attempts are ignored.
     std::uint64_t m_attemptNumber = 0;
     instant m_lastProgress;
+    instant m_silenceReportedAt;
     // The attempt went over a connection that an earlier one had used.
     bool m_isConnectionKept = false;
     bool m_attemptHasAnswer = false;
--- a/tests/decisions/workload/work_world.h
+++ b/tests/decisions/workload/work_world.h
@@ -101,6 +101,7 @@
     void carryOut(std::size_t entry, const forwarding_effect& effect);
     void send(std::size_t entry, const send_attempt& effect);
     void end(const std::shared_ptr<attempt>& ended, attempt_ending ending);
+    void reportSilence(const std::shared_ptr<attempt>& sent);
     void reach(const std::shared_ptr<attempt>& arriving);
     void beginPass(const std::vector<std::size_t>& group);
     void endPass(const std::vector<std::size_t>& group);
