HTTP: a connection is idle only when its caller takes no more of the answer

What callers saw: who reads an answer for longer than the idle timeout loses the rest of it (LOST). Cause: the idle timer starts when an answer is queued, and closed the connection with whatever was unsent. Change: progress of the output starts the timer again; the kernel holds at most 256 KB of it, so that progress is seen in small steps.

--- a/packages/http/server_connection.cpp
+++ b/packages/http/server_connection.cpp
@@ -17,6 +17,9 @@
 constexpr std::size_t maxPendingOutputBytes = 8UL * 1024 * 1024;
 // Bytes of pipelined requests that are buffered while an earlier request is being answered.
 constexpr std::size_t maxReadAheadBytes = 64UL * 1024;
+// Unsent bytes that the kernel may hold, so that a reader's progress is seen in small steps.
+constexpr int sendBufferBytes = 256 * 1024;
+constexpr std::size_t maxWritePart = 64UL * 1024;
 // Time for the peer to read the last response before the socket is closed. Closing a socket with unread input resets the
 // connection, which can discard the response.
 constexpr std::chrono::milliseconds lingerTimeout { 1000 };
@@ -48,6 +51,8 @@
 void server_connection::start()
 {
     configureSocket(m_socket, peerTimeout);
+    boost::system::error_code ignored; // With the kernel's own size the steps are larger.
+    m_socket.set_option(boost::asio::socket_base::send_buffer_size(sendBufferBytes), ignored);
     m_limits = m_limitsSource();
     armTimer();
     read();
@@ -206,7 +211,14 @@
 {
     m_outputInFlight.swap(m_pendingOutput);
     m_pendingOutput.clear();
-    boost::asio::async_write(m_socket, boost::asio::buffer(m_outputInFlight),
+    // Called before each part of the write; the first call precedes all of it.
+    const auto onProgress = [self = shared_from_this()](const boost::system::error_code& failure, std::size_t written) {
+        const bool isBetweenRequests = !self->m_answering && !self->m_parser;
+        if (written > 0 && written < self->m_outputInFlight.size() && isBetweenRequests)
+            self->armTimer();
+        return failure ? std::size_t(0) : maxWritePart;
+    };
+    boost::asio::async_write(m_socket, boost::asio::buffer(m_outputInFlight), onProgress,
         [self = shared_from_this()](const boost::system::error_code& failure, std::size_t) {
             if (failure)
                 self->onConnectionLost(output_loss::PeerGone);
--- a/packages/http/server_connection.h
+++ b/packages/http/server_connection.h
@@ -25,7 +25,7 @@
     std::chrono::milliseconds headerTimeout { 10'000 };
     // Longest time from the end of the head until the request is complete.
     std::chrono::milliseconds requestTimeout { 20'000 };
-    // Longest time without a request on an open connection.
+    // Longest time on an open connection in which it gets no request and takes no part of an answer.
     std::chrono::milliseconds idleTimeout { 60'000 };
 };
 
