Entries: a stop ends with an answer for each request, and no earlier than its callers have it

What callers saw: at the end of the grace period their connections were closed, with requests that had not run, or had run and may not be repeated, and no answer (LOST). On a real kernel an entry that ended also reset connections whose last answer was still being read, and connections that the kernel had accepted and it had not. Cause: the end of the process was the end of its requests; nobody ended them first. Change: at 0.93 of the grace period each request that is left is ended: what waits is refused as not run, what is at an endpoint gets 502 with an unknown outcome, a begun stream is broken off; until 0.97 the process sends these answers. It ends earlier only if no request came for 0.1 s and no caller may still be reading. The listener accepts what the kernel has queued before it closes. A request whose service takes longer than what is left is refused at once, while its caller can go elsewhere.

--- a/packages/decisions/forwarding/forwarding_effects.h
+++ b/packages/decisions/forwarding/forwarding_effects.h
@@ -56,6 +56,8 @@
     OutcomeUnknown,
     // The deadline passed, and the request may have been executed.
     TimedOut,
+    // The process ends before the request could be answered, and it was not executed.
+    Stopping,
 };
 
 std::string_view nameOf(refusal_reason reason);
--- a/packages/decisions/forwarding/forwarding_events.h
+++ b/packages/decisions/forwarding/forwarding_events.h
@@ -223,6 +223,17 @@
     std::vector<suspect_key> removed;
 };
 
+// The process was asked to stop, and answers nothing after that time.
+struct stop_announced {
+    instant now;
+    instant endsAt;
+};
+
+// That time has come: whatever is in flight ends now.
+struct stop_reached {
+    instant now;
+};
+
 // The store lists this many entries, and this many besides this one.
 struct entry_count_read {
     instant now;
@@ -242,6 +253,6 @@
 using forwarding_event = std::variant<request_arrived, attempt_ended, attempt_silent, attempt_succeeded, stream_advanced, service_wait_ended,
     caller_disconnected, deadline_passed,
     configuration_read, out_of_service_zones_changed, endpoint_listed, endpoint_unlisted, registry_read,
-    registry_access_changed, registry_restored, endpoint_leaving_announced, endpoint_limit_stated, endpoint_limits_told, permit_asked, permit_answered, demand_reported, endpoint_load_received, endpoint_death_reported, endpoint_probed, load_subset_changed, entry_presence_received, crash_records_received, crash_table_read, entry_count_read, timer_ticked>;
+    registry_access_changed, registry_restored, endpoint_leaving_announced, endpoint_limit_stated, endpoint_limits_told, permit_asked, permit_answered, demand_reported, endpoint_load_received, endpoint_death_reported, endpoint_probed, load_subset_changed, entry_presence_received, crash_records_received, crash_table_read, entry_count_read, timer_ticked, stop_announced, stop_reached>;
 
 } // namespace appleramp
--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -68,6 +68,8 @@
         return "expired_unrun";
     case refusal_reason::OutcomeUnknown:
         return "outcome_unknown";
+    case refusal_reason::Stopping:
+        return "stopping";
     case refusal_reason::TimedOut:
         break;
     }
@@ -182,6 +184,8 @@
     for (const std::uint64_t part : request.caller.sharedPromptParts)
         request.suspects.push_back({ suspect_kind::PromptPart, part });
     request.service = pickServiceByWeight(*request.matchedRoute, randomFraction());
+    if (!canEndBeforeStop(now, request.service))
+        return refuseWith(refusal_reason::Stopping, duration::zero());
     const duration callerTimeout = request.caller.timeout.value_or(defaultTimeout);
     const duration routeTimeout = request.matchedRoute->timeout > duration::zero() ? request.matchedRoute->timeout : defaultTimeout;
     request.deadline = request.arrivedAt + std::min(callerTimeout, routeTimeout);
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -165,6 +165,8 @@
     void on(const crash_table_read& event);
     void on(const entry_count_read& event);
     void on(const timer_ticked& event);
+    void on(const stop_announced& event);
+    void on(const stop_reached& event);
 
     // Admits a request and places it, or refuses it.
     void accept(instant now, request_number number, request_state request);
@@ -176,6 +178,8 @@
     bool waitForOpenEndpoint(instant now, request_number number, request_state& request);
     // Matches the route, authenticates the caller, and sets service and deadline; refuses the request if that fails.
     bool admit(instant now, request_number number, request_state& request);
+    // False if the service takes longer to answer than the stopping process has left.
+    bool canEndBeforeStop(instant now, const service_id& service) const;
     // Chooses an endpoint and sends the request there, or defers or refuses it.
     void place(instant now, request_number number, request_state& request);
     // If the service rejects every request but may recover soon, schedules another placement and returns true.
@@ -352,6 +356,8 @@
     std::map<availability_zone_id, std::uint64_t> m_sendsByZone;
     std::map<request_number, request_state> m_requests;
     starting_requests m_startingRequests;
+    // When the process ends, once it was asked to.
+    std::optional<instant> m_stopsAt;
     std::mt19937_64 m_random;
     // Time of the event that is being handled.
     instant m_now;
--- a/packages/decisions/forwarding/starting_requests.cpp
+++ b/packages/decisions/forwarding/starting_requests.cpp
@@ -37,6 +37,14 @@
     return std::min(now + retryInterval, found->second.waitEnd);
 }
 
+std::vector<request_number> starting_requests::numbers() const
+{
+    std::vector<request_number> numbers;
+    for (const auto& [number, kept] : m_entries)
+        numbers.push_back(number);
+    return numbers;
+}
+
 std::optional<starting_requests::entry> starting_requests::take(request_number request)
 {
     const auto found = m_entries.find(request);
--- a/packages/decisions/forwarding/starting_requests.h
+++ b/packages/decisions/forwarding/starting_requests.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace appleramp {
 
@@ -34,6 +35,7 @@
     // Removes and returns a kept request.
     std::optional<entry> take(request_number request);
     bool contains(request_number request) const { return m_entries.contains(request); }
+    std::vector<request_number> numbers() const;
     std::size_t size() const { return m_entries.size(); }
 
     // A process counts as starting for this long. One that is not ready by then is cut off from the store, which may last.
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -5,6 +5,7 @@
 #include "datagrams/datagram_socket.h"
 #include "decisions/forwarding/endpoint_subset.h"
 #include "decisions/forwarding/forwarding_reducer.h"
+#include "directentry/caller_connection_limits.h"
 #include "directentry/caller_exchange.h"
 #include "directentry/crash_record_writer.h"
 #include "directentry/entry_metrics.h"
@@ -46,6 +47,8 @@
 
 namespace {
 
+// A stopping process ends once no request has come for this long.
+constexpr duration quietBeforeEnd = std::chrono::milliseconds(100);
 // Interval of the checks for silent attempts and request deadlines.
 constexpr std::chrono::milliseconds tick { 25 };
 // Interval at which presence is announced to the other entries.
@@ -64,8 +67,6 @@
 constexpr duration addressesValidFor = std::chrono::seconds(2);
 // Time until the other entries leave a stopping one out of their answers.
 constexpr duration departureKnownAfter = std::chrono::milliseconds(500);
-// Entries that are told all records each time, so that all hear of them within a few rounds.
-constexpr std::size_t recordRecipients = 3;
 // Processes write their rows again at a random time within this one after the store came back from an older copy.
 constexpr std::chrono::milliseconds renewalSpread { 1000 };
 
@@ -94,7 +95,7 @@
         , m_news(loop, settings.listen.links.host, settings.listen.links.port,
               [this](datagram_message message, const boost::asio::ip::udp::endpoint& from) { onNews(std::move(message), from); })
         , m_callers(
-              loop, settings.listen.callers.host, settings.listen.callers.port, [this] { return callerLimits(); },
+              loop, settings.listen.callers.host, settings.listen.callers.port, [this] { return callerConnectionLimits(m_reducer.routes(), m_settings); },
               [this](const auto& connection, const http_request& request) { onRequest(connection, request); })
         , m_readiness(
               loop, settings.listen.readiness.host, settings.listen.readiness.port, [] { return server_limits {}; },
@@ -134,6 +135,7 @@
             return;
         m_stopping.emplace(now(), m_settings.bounds.grace, addressesValidFor + departureKnownAfter);
         m_log.write(now(), "stopping", {}, { { "in_flight", std::to_string(m_exchanges.size()) } });
+        post(stop_announced { now(), m_stopping->answersEnd() });
         m_callers.beginDrain();
         m_directory.beginDrain();
         m_readiness.beginDrain();
@@ -144,24 +146,14 @@
 private:
     static instant now() { return suspendAwareNow(); }
 
-    server_limits callerLimits() const
-    {
-        const route_table* const routes = m_reducer.routes();
-        if (routes == nullptr)
-            return {};
-        const caller_limits& limits = routes->configuration().limits;
-        const auto inMilliseconds = [](duration time) { return std::chrono::duration_cast<std::chrono::milliseconds>(time); };
-        return { { limits.maxHeaderBytes, limits.maxBodyBytes }, inMilliseconds(limits.headerTimeout),
-            inMilliseconds(m_settings.limits.requestReadTimeout), inMilliseconds(limits.idleTimeout) };
-    }
-
     // --- Requests.
 
     void onRequest(const std::shared_ptr<server_connection>& connection, const http_request& request)
     {
         m_metrics.add(entry_metrics::requests);
+        m_lastRequestAt = now();
         if (m_acceptsNothing)
-            return connection->respond(stoppingAnswer());
+            return connection->respond(refusalAnswer({ .reason = refusal_reason::Stopping, .retryAfter = duration::zero() }));
         const request_number number = ++m_lastRequest;
         exchange_services services { m_platform, m_endpoints, [] { return now(); }, [this](const forwarding_event& event) { post(event); }, [this](const std::string& address, auto done) { probeConnection(m_loop, endpointFromText(address), probeTimeout, std::move(done)); }, m_heldBytes, m_serviceProgress };
         auto exchange = std::make_shared<caller_exchange>(std::move(services), number, connection, request);
@@ -236,13 +228,13 @@
 
     void carryOut(const share_crash_records& effect)
     {
-        for (const member_row* recipient : recipientsOf(effect.recipients))
+        for (const member_row* recipient : m_sender.entries(effect.recipients, m_random))
             m_sender.sendCrashRecords(effect.records, *recipient);
     }
 
     void carryOut(const share_endpoint_limits& effect)
     {
-        for (const member_row* recipient : recipientsOf(effect.recipients))
+        for (const member_row* recipient : m_sender.entries(effect.recipients, m_random))
             m_sender.sendLimits(effect.records, *recipient);
     }
 
@@ -260,20 +252,6 @@
             sendNews(effect.answer, asker->second);
     }
 
-    std::vector<const member_row*> recipientsOf(record_recipients which)
-    {
-        std::vector<const member_row*> recipients;
-        for (const auto& [name, member] : m_members) {
-            if (member.isEntry && name != m_settings.process.instance.str())
-                recipients.push_back(&member);
-        }
-        if (which == record_recipients::SomeEntries) {
-            std::shuffle(recipients.begin(), recipients.end(), m_random);
-            recipients.resize(std::min(recipients.size(), recordRecipients));
-        }
-        return recipients;
-    }
-
     void carryOut(const store_crash_record& effect) { m_crashWriter.put(effect.record); }
     void carryOut(const remove_stored_crash_record& effect) { m_crashWriter.remove(effect.key); }
 
@@ -619,6 +597,8 @@
         m_log.flush();
         if (m_stopping && !m_acceptsNothing && !m_stopping->takesRequests(moment))
             stopAccepting();
+        if (m_stopping && !m_stopping->finishes(moment))
+            endUnfinished(moment);
         if (m_stopping && isStopComplete(moment))
             return stopLoop();
         scheduleTick();
@@ -628,18 +608,29 @@
     void stopAccepting()
     {
         m_acceptsNothing = true;
+        m_lastRequestAt = now();
         m_callers.close();
         m_log.write(now(), "stopped_accepting", {}, { { "in_flight", std::to_string(m_exchanges.size()) } });
     }
 
-    bool isStopComplete(instant moment) const { return (m_acceptsNothing && m_callers.unanswered() == 0) || m_stopping->isOver(moment); }
+    // Requests that were on their way when the last ones were answered are refused before their connections are closed.
+    bool isStopComplete(instant moment) const
+    {
+        const bool isQuiet = m_acceptsNothing && moment - m_lastRequestAt >= quietBeforeEnd && m_callers.unanswered() == 0;
+        return isQuiet || m_stopping->isOver(moment);
+    }
+
+    void endUnfinished(instant moment)
+    {
+        m_cutOff += m_exchanges.size();
+        logCutRequests(m_log, moment, m_exchanges);
+        post(stop_reached { moment });
+        std::erase_if(m_exchanges, [](const auto& entry) { return entry.second->isOver(); });
+    }
 
     void stopLoop()
     {
-        logCutRequests(m_log, now(), m_exchanges);
-        const std::size_t unanswered = m_callers.unanswered();
-        m_log.write(now(), "stopped", {},
-            { { "cut_off", std::to_string(unanswered) }, { "unsent_output", std::to_string(unanswered - std::min(unanswered, m_exchanges.size())) } });
+        m_log.write(now(), "stopped", {}, { { "cut_off", std::to_string(m_cutOff) }, { "unsent_output", std::to_string(m_callers.unanswered()) } });
         m_log.flush();
         m_loop.stop();
     }
@@ -666,7 +657,7 @@
     std::size_t m_heldBytes = 0;
     std::map<request_number, std::shared_ptr<caller_exchange>> m_exchanges;
     std::map<std::string, member_row> m_members;
-    news_sender m_sender { m_news, m_members };
+    news_sender m_sender { m_news, m_members, m_settings.process.instance.str() };
     std::size_t m_entryCount = 0;
     // No presence was sent since the start.
     bool m_isUnannounced = true;
@@ -683,6 +674,9 @@
     std::optional<planned_stop> m_stopping;
     // Set in the second part of a stop: nothing more is accepted, and what is in flight is finished.
     bool m_acceptsNothing = false;
+    instant m_lastRequestAt;
+    // Requests that the stop ended.
+    std::size_t m_cutOff = 0;
 };
 
 direct_entry_process::direct_entry_process(boost::asio::io_context& loop, const process_settings& settings, incarnation life,
--- a/packages/directentry/news_sender.cpp
+++ b/packages/directentry/news_sender.cpp
@@ -5,6 +5,7 @@
 #include "http/client_pool.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace appleramp {
 
@@ -12,6 +13,8 @@
 
 // Crash records of one datagram, so that it fits into one packet.
 constexpr std::size_t crashRecordsPerDatagram = 8;
+// Entries that are told all records each time, so that all hear of them within a few rounds.
+constexpr std::size_t recordRecipients = 3;
 // Limits of endpoints in one datagram, as crashRecordsPerDatagram.
 constexpr std::size_t limitsPerDatagram = 16;
 
@@ -23,12 +26,27 @@
     return { target.address(), target.port() };
 }
 
-news_sender::news_sender(datagram_socket& socket, const std::map<std::string, member_row>& members)
+news_sender::news_sender(datagram_socket& socket, const std::map<std::string, member_row>& members, std::string self)
     : m_socket(socket)
     , m_members(members)
+    , m_self(std::move(self))
 {
 }
 
+std::vector<const member_row*> news_sender::entries(record_recipients which, std::minstd_rand& random) const
+{
+    std::vector<const member_row*> recipients;
+    for (const auto& [name, member] : m_members) {
+        if (member.isEntry && name != m_self)
+            recipients.push_back(&member);
+    }
+    if (which == record_recipients::SomeEntries) {
+        std::shuffle(recipients.begin(), recipients.end(), random);
+        recipients.resize(std::min(recipients.size(), recordRecipients));
+    }
+    return recipients;
+}
+
 void news_sender::send(const datagram_message& message, const member_row& member) { m_socket.send(message, datagramEndpoint(member)); }
 
 void news_sender::sendLimits(std::span<const endpoint_limit_record> records, const member_row& member)
--- a/packages/directentry/planned_stop.cpp
+++ b/packages/directentry/planned_stop.cpp
@@ -10,8 +10,10 @@
 
 // Largest fraction of the grace period after SIGTERM in which callers are still served.
 constexpr double takesPart = 0.45;
-// Fraction of the grace period after which remaining requests are aborted, so that the process ends before SIGKILL.
+// Fractions of the grace period after which remaining requests are ended, and after which the process ends, before SIGKILL, though the
+// last answers may not be sent.
 constexpr double finishesPart = 0.93;
+constexpr double endsPart = 0.97;
 
 } // namespace
 
@@ -19,6 +21,7 @@
     : m_startedAt(startedAt)
     , m_takesFor(std::min(addressesKnownFor, scaled(grace, takesPart)))
     , m_finishesFor(scaled(grace, finishesPart))
+    , m_endsAfter(scaled(grace, endsPart))
 {
 }
 
--- a/packages/directentry/refusal_answer.cpp
+++ b/packages/directentry/refusal_answer.cpp
@@ -52,15 +52,4 @@
     return answer;
 }
 
-http_response stoppingAnswer()
-{
-    http_response answer;
-    answer.head.status = 503;
-    answer.head.headers.add("Content-Type", "application/problem+json");
-    answer.head.headers.add("Appleramp-Execution", "not_run");
-    answer.head.headers.add("Retry-After", "0");
-    answer.body = R"({"execution":"not_run","reason":"stopping"})";
-    return answer;
-}
-
 } // namespace appleramp
--- a/packages/directentry/refusal_answer.h
+++ b/packages/directentry/refusal_answer.h
@@ -9,7 +9,5 @@
 // What a caller gets whose request is not forwarded, or has no answer: the status, whether the request may have run, the reason, and when to
 // come back.
 http_response refusalAnswer(const refuse_request& effect);
-// For a request on an open connection that arrives too late to be finished before the process ends.
-http_response stoppingAnswer();
 
 } // namespace appleramp
--- a/packages/http/http_acceptor.cpp
+++ b/packages/http/http_acceptor.cpp
@@ -70,6 +70,19 @@
     connection->start();
 }
 
+// Closing the listener resets what the kernel has queued, though its callers are connected and may have sent requests.
+void http_acceptor::acceptQueued()
+{
+    boost::system::error_code failure;
+    m_acceptor.non_blocking(true, failure);
+    while (!failure) {
+        boost::asio::ip::tcp::socket socket(m_acceptor.get_executor());
+        m_acceptor.accept(socket, failure);
+        if (!failure)
+            onAccepted(std::move(socket));
+    }
+}
+
 void http_acceptor::removeClosedConnections()
 {
     m_acceptedSinceCleanup = 0;
@@ -87,6 +100,7 @@
 
 void http_acceptor::close()
 {
+    acceptQueued();
     boost::system::error_code ignored; // There is no further cleanup if closing fails.
     m_acceptor.close(ignored);
     m_retryTimer.cancel();
@@ -96,7 +110,7 @@
 {
     return static_cast<std::size_t>(std::count_if(m_connections.begin(), m_connections.end(), [](const auto& weakConnection) {
         const auto connection = weakConnection.lock();
-        return connection && connection->hasUnsentAnswer();
+        return connection && connection->hasUnfinishedAnswer();
     }));
 }
 
--- a/packages/http/http_acceptor.h
+++ b/packages/http/http_acceptor.h
@@ -26,13 +26,14 @@
     void onOutputDropped(server_connection::output_watcher notify) { m_onOutputDropped = std::move(notify); }
     // From now on every response closes its connection. New connections are still accepted.
     void beginDrain();
-    // Stops accepting; existing connections are kept.
+    // Stops accepting; existing connections are kept, and those that the kernel has queued are accepted.
     void close();
-    // Number of connections with a request whose response has not been sent completely.
+    // Number of connections with a request whose response has not been sent completely, or whose peer may still be reading it.
     std::size_t unanswered() const;
 
 private:
     void accept();
+    void acceptQueued();
     void onAccepted(boost::asio::ip::tcp::socket socket);
     void removeClosedConnections();
 
--- a/packages/http/server_connection.h
+++ b/packages/http/server_connection.h
@@ -63,8 +63,9 @@
     void beginDrain() { m_draining = true; }
 
     bool isAnswering() const { return m_answering; }
-    // An answer has not been handed to the kernel completely.
-    bool hasUnsentAnswer() const { return !m_closed && (m_answering || hasUnsentOutput()); }
+    // An answer has not been handed to the kernel completely, or the connection waits for its peer to close after the last one. Ending the
+    // process then may reset the connection, and take from the peer what it has not read.
+    bool hasUnfinishedAnswer() const { return !m_closed && (m_answering || hasUnsentOutput() || m_lingering); }
     std::string peerAddress() const;
     boost::asio::ip::tcp::socket::executor_type executor() { return m_socket.get_executor(); }
 
