Entries: a stopping entry takes no request that the rest of its time can't hold

Cause: the mean hides the long answers, and answers that are due do not count in it. Change: what is left is compared with the longest answer of the last 5 to 10 s, and with the age of the oldest request in flight.

--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -465,6 +465,7 @@
     recordSound(event.now, request);
     m_outages[request.service].recordProgress();
     m_fleet.recordAnswer(event.now, request.currentEndpoint, event.now - request.sentAt);
+    recordAnswerTime(event.now, request);
     log_decision line { "answered", request.caller.sendId,
         { { "endpoint", request.currentEndpoint.str() }, { "took_ms", millisecondsText(event.now - request.arrivedAt) },
             { "sends", std::to_string(request.attempts) } } };
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -10,6 +10,7 @@
 #include "decisions/forwarding/forwarding_effects.h"
 #include "decisions/forwarding/forwarding_events.h"
 #include "decisions/forwarding/freshness_lease.h"
+#include "decisions/forwarding/recent_maximum.h"
 #include "decisions/forwarding/route_table.h"
 #include "decisions/forwarding/shared_retry_budget.h"
 #include "decisions/forwarding/starting_requests.h"
@@ -178,8 +179,9 @@
     bool waitForOpenEndpoint(instant now, request_number number, request_state& request);
     // Matches the route, authenticates the caller, and sets service and deadline; refuses the request if that fails.
     bool admit(instant now, request_number number, request_state& request);
-    // False if the service takes longer to answer than the stopping process has left.
-    bool canEndBeforeStop(instant now, const service_id& service) const;
+    // False if the service takes longer to answer than the stopping process has left, by its recent answers and those that are due.
+    bool canEndBeforeStop(instant now, const service_id& service);
+    void recordAnswerTime(instant now, const request_state& request);
     // Chooses an endpoint and sends the request there, or defers or refuses it.
     void place(instant now, request_number number, request_state& request);
     // If the service rejects every request but may recover soon, schedules another placement and returns true.
@@ -358,6 +360,7 @@
     starting_requests m_startingRequests;
     // When the process ends, once it was asked to.
     std::optional<instant> m_stopsAt;
+    std::map<service_id, recent_maximum> m_answerTimes;
     std::mt19937_64 m_random;
     // Time of the event that is being handled.
     instant m_now;
--- a/packages/decisions/forwarding/forwarding_reducer_stop.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_stop.cpp
@@ -1,6 +1,6 @@
-#include "decisions/forwarding/durations.h"
 #include "decisions/forwarding/forwarding_reducer.h"
 
+#include <algorithm>
 #include <vector>
 
 // The part of the reducer that ends what is in flight when the process stops.
@@ -9,16 +9,29 @@
 
 namespace {
 
-// Answers take up to about this many times the mean of their service.
-constexpr double longAnswerFactor = 2.0;
+// Answers of the last one to two of these show how long answers take at present.
+constexpr duration answerTimeWindow = std::chrono::seconds(5);
 
 } // namespace
 
 void forwarding_reducer::on(const stop_announced& event) { m_stopsAt = event.endsAt; }
 
-bool forwarding_reducer::canEndBeforeStop(instant now, const service_id& service) const
+void forwarding_reducer::recordAnswerTime(instant now, const request_state& request)
 {
-    return !m_stopsAt || now + scaled(m_fleet.meanAnswerTime(service), longAnswerFactor) <= *m_stopsAt;
+    m_answerTimes.try_emplace(request.service, answerTimeWindow).first->second.record(now, now - request.arrivedAt);
+}
+
+bool forwarding_reducer::canEndBeforeStop(instant now, const service_id& service)
+{
+    if (!m_stopsAt)
+        return true;
+    const auto answered = m_answerTimes.find(service);
+    duration longest = answered == m_answerTimes.end() ? duration::zero() : answered->second.value(now);
+    for (const auto& [number, request] : m_requests) {
+        if (request.service == service)
+            longest = std::max(longest, now - request.arrivedAt);
+    }
+    return now + longest <= *m_stopsAt;
 }
 
 // A caller whose request did not run can still send it to another entry; one whose request may have run learns that.
--- a/tests/decisions/forwarding/forwarding_reducer_stop_test.cpp
+++ b/tests/decisions/forwarding/forwarding_reducer_stop_test.cpp
@@ -151,13 +151,29 @@
 Test(stopping_entry, takes_no_request_of_a_service_that_is_too_slow)
 {
     stopping_entry entry(4s);
-    for (int count = 0; count < 4; ++count)
-        entry.answerAfter(1900ms);
+    // One answer in many takes long.
+    entry.answerAfter(3500ms);
+    for (int count = 0; count < 20; ++count)
+        entry.answerAfter(50ms);
     entry.announceStop();
     entry.request();
     cr_assert_not_null(entry.effect<send_attempt>());
-    entry.now += 300ms;
+    entry.now += 600ms;
     entry.request();
     cr_assert_null(entry.effect<send_attempt>());
     cr_assert(entry.refusedWith(refusal_reason::Stopping));
 }
+
+// As above, for answers that have taken too long already and are not finished.
+Test(stopping_entry, takes_no_request_beside_one_that_waits_for_too_long)
+{
+    stopping_entry entry(4s);
+    entry.request();
+    entry.now += 3s;
+    entry.announceStop();
+    entry.request();
+    cr_assert_not_null(entry.effect<send_attempt>());
+    entry.now += 600ms;
+    entry.request();
+    cr_assert(entry.refusedWith(refusal_reason::Stopping));
+}
