--- a/tests/processes/direct_entries.py
+++ b/tests/processes/direct_entries.py
@@ -48,12 +48,12 @@
         self.store.put("servers", endpoint.name, {"service": SERVICE, "address": endpoint.address, "zone": "a", "slots": 8,
                                                   "state": state, "seq_no": 1, "cold_left_ms": 0})
 
-    def start(self, name):
-        """Starts an entry and returns the ports that its first log line names."""
+    def start(self, name, sections=""):
+        """Starts an entry, with further sections of settings, and returns the ports that its first log line names."""
         any_port = "127.0.0.1:0"
         text = (f"[process]\nrole = direct_entry\ninstance = {name}\navailability_zone = a\n"
                 f"[listen]\ncallers = {any_port}\nreadiness = {any_port}\ndirectory = {any_port}\noperations = {any_port}\n"
-                f"links = {any_port}\n[store]\naddress = 127.0.0.1:{self.store.port}\nfast_return = {str(self.fast_return).lower()}\n[bounds]\n")
+                f"links = {any_port}\n[store]\naddress = 127.0.0.1:{self.store.port}\nfast_return = {str(self.fast_return).lower()}\n{sections}[bounds]\n")
         text += "".join(f"{name} = {value}\n" for name, value in self.bounds.items())
         path = pathlib.Path(self.folder.name) / f"{name}.ini"
         path.write_text(text)
