HTTP: a pipelined request is passed on once the answers before it are sent

What callers saw: who sends requests without waiting and reads slowly lost answers of requests that an endpoint had run (LOST): the connection was closed at 8 MB of output. Cause: the next request was passed on as soon as the answer before was queued, also behind an answer that closes the connection and was not sent yet. Change: a connection passes no request on while output is unsent; what it reads ahead stays bounded by 64 KB meanwhile.

--- a/packages/http/server_connection.cpp
+++ b/packages/http/server_connection.cpp
@@ -86,7 +86,8 @@
         m_input.append(m_readBuffer.data(), count);
     if (!m_answering && !m_lingering)
         parse();
-    if (!m_answering || m_input.size() < maxReadAheadBytes)
+    const bool isWaiting = m_answering || (!m_parser && !m_lingering && hasUnsentOutput());
+    if (!isWaiting || m_input.size() < maxReadAheadBytes)
         read();
 }
 
@@ -111,6 +112,9 @@
 {
     if (m_input.empty() || m_closed)
         return;
+    // A request whose answer its caller has no room for, or does not expect after the last one, is not to run.
+    if (!m_parser && hasUnsentOutput())
+        return;
     if (!m_parser) {
         m_limits = m_limitsSource();
         m_parser = std::make_unique<http_parser>(http_parser::message_kind::Request, m_limits.message);
@@ -234,8 +238,12 @@
         return;
     if (!m_pendingOutput.empty())
         return writeNext();
-    if (!m_answering && m_closeAfterAnswer)
-        closeGracefully();
+    if (m_answering)
+        return;
+    if (m_closeAfterAnswer)
+        return closeGracefully();
+    parse();
+    read();
 }
 
 // Called when the whole response is in the output buffer. Closes the connection or continues with the next request.
--- a/packages/http/server_connection.h
+++ b/packages/http/server_connection.h
@@ -32,8 +32,8 @@
 // An accepted HTTP/1.1 connection: reads requests, passes one at a time to the handler and writes the responses.
 //
 // Pending operations keep the object alive while the socket is open. The handler responds with respond(), or with
-// beginStream(), writeStream() and finishStream(). The next request is passed on only after that, so pipelined requests
-// are answered in order. All calls must come from the thread that runs the io_context.
+// beginStream(), writeStream() and finishStream(). The next request is passed on only after that, once the kernel has taken
+// the whole answer, so pipelined requests are answered in order. All calls must come from the thread that runs the io_context.
 class server_connection : public std::enable_shared_from_this<server_connection> {
 public:
     using handler = std::function<void(const std::shared_ptr<server_connection>&, http_request)>;
--- a/tests/http/slow_reader_test.cpp
+++ b/tests/http/slow_reader_test.cpp
@@ -24,10 +24,10 @@
 constexpr auto idleTimeout = 1s;
 const std::string getRequest = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
 
-// A server with one large answer, and a caller that reads pieces of it with pauses.
+// A server with large answers, and a caller that sends its requests at once and reads pieces of the answers with pauses.
 class slow_reader {
 public:
-    slow_reader(std::chrono::milliseconds pause, std::size_t pieceBytes)
+    slow_reader(std::chrono::milliseconds pause, std::size_t pieceBytes, std::size_t requests = 1)
         : m_acceptor(
             m_loop, "127.0.0.1", 0, [] { return server_limits { .idleTimeout = idleTimeout }; },
             [](const auto& connection, const http_request&) {
@@ -41,12 +41,15 @@
         , m_timer(m_loop)
         , m_pause(pause)
         , m_piece(pieceBytes)
+        , m_expected(requests * answerBytes)
     {
+        for (std::size_t sent = 0; sent < requests; ++sent)
+            m_requests += getRequest;
         m_acceptor.onOutputDropped([this](const dropped_output& dropped) { m_dropped = dropped; });
         m_socket.open(tcp::v4());
         m_socket.set_option(tcp::socket::receive_buffer_size(receiveBuffer));
         m_socket.async_connect({ boost::asio::ip::address_v4::loopback(), m_acceptor.port() }, [this](const auto&) {
-            boost::asio::async_write(m_socket, boost::asio::buffer(getRequest), [this](const auto&, std::size_t) { this->pause(); });
+            boost::asio::async_write(m_socket, boost::asio::buffer(m_requests), [this](const auto&, std::size_t) { this->pause(); });
         });
         while (!m_isOver && !m_dropped)
             cr_assert_gt(m_loop.run_one_for(10s), 0, "no event within 10 s");
@@ -72,7 +75,7 @@
             taken += count;
             m_received += count;
         }
-        m_isOver = m_received >= answerBytes || (failure && failure != boost::asio::error::would_block);
+        m_isOver = m_received >= m_expected || (failure && failure != boost::asio::error::would_block);
         if (!m_isOver)
             pause();
     }
@@ -83,6 +86,8 @@
     boost::asio::steady_timer m_timer;
     std::chrono::milliseconds m_pause;
     std::vector<char> m_piece;
+    std::size_t m_expected;
+    std::string m_requests;
     std::size_t m_received = 0;
     std::optional<dropped_output> m_dropped;
     bool m_isOver = false;
@@ -106,3 +111,11 @@
     cr_assert(reader.dropped()->cause == output_loss::Idle);
     cr_assert_eq(reader.dropped()->answerId, "a1");
 }
+
+// Guards against a request that runs while its caller has no room for the answer, which is then dropped with the connection.
+Test(slow_reader, that_sends_on_without_waiting_gets_all_answers)
+{
+    const slow_reader reader(20ms, 512UL * 1024, 3);
+    cr_assert_geq(reader.received(), 3 * answerBytes, "only %zu bytes came", reader.received());
+    cr_assert(!reader.dropped());
+}
--- a/tests/processes/direct_stop_kernel.py
+++ b/tests/processes/direct_stop_kernel.py
@@ -17,7 +17,7 @@
 LATE_PLAYS = 2
 # When requests are sent after SIGTERM.
 SENT_AFTER = (0.0, 1.0, 2.0, 2.4, 2.6, 3.5, 5.0, 6.5, 7.3)
-WORK_SECONDS = (0.2, 3)
+WORK_SECONDS = (0.2, 3, 4.5)
 # Around the moment at which the listener closes.
 STORM_SECONDS = (2.35, 2.65)
 STORM_CALLERS = 24
