Gated fleet: SIGHUP ends no process

What callers saw: entries and agents of the gated fleet that got SIGHUP were gone at once, with all requests in flight (LOST). Those of the direct fleet go on. Cause: the default action of SIGHUP; only SIGTERM and SIGINT were taken. Change: the thread that waits for signals takes SIGHUP as well, and ignores it.

--- a/packages/runtime/stop_signal.h
+++ b/packages/runtime/stop_signal.h
@@ -5,8 +5,8 @@
 
 namespace appleramp {
 
-// Calls a function on a separate thread when the process receives SIGTERM or SIGINT. Construct it before any other
-// thread starts: it blocks the signals in the calling thread, and only threads started later inherit that.
+// Calls a function on a separate thread when the process receives SIGTERM or SIGINT; SIGHUP is ignored. Construct it before
+// any other thread starts: it blocks the signals in the calling thread, and only threads started later inherit that.
 class stop_signal {
 public:
     explicit stop_signal(std::function<void()> onStop);
--- a/tests/processes/stopping_callers.py
+++ b/tests/processes/stopping_callers.py
@@ -49,6 +49,9 @@
         raise ConnectionError
 
     def answer(self, connection, path, name):
+        if path.count("/") != 3:
+            # An agent asks for reports.
+            return connection.sendall(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
         self.ran.add(name)
         _, kind, seconds, size = path.split("/")
         common = f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {name}\r\nX-Response-Stamp: {self.name}\r\n"
