Entries: an endpoint that rejects a replacement costs the request no attempt

Cause: the replaced attempt is cancelled and its endpoint excluded before the other one has taken the request; what that one rejects counted as the last attempt. Change: a replacement that proves not to have run is not counted, once for each replacement, and the endpoint that was left may be chosen again. It is still a retry of the budget. The request runs at no more endpoints than max_attempts, and is sent to at most one more for each replacement.

--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -307,6 +307,7 @@
     request.currentEndpoint = chosen.endpoint;
     request.sentAt = now;
     request.isSilenceRecorded = false;
+    request.replacedEndpoint = {};
     request.triedEndpoints.push_back(chosen.endpoint);
     m_fleet.recordSend(now, chosen.endpoint);
     const route& matchedRoute = *request.matchedRoute;
@@ -388,9 +389,12 @@
         return false;
     // No endpoint received the request, so the attempt does not count; triedEndpoints bounds the number of endpoints.
     if (event.ending == attempt_ending::NotSent) {
-        --request.attempts;
+        uncountAttempt(request);
         return request.triedEndpoints.size() <= matchedRoute.maxAttempts + 1;
     }
+    // The request ran at an endpoint that was sound, and gave it up for one that did not run it.
+    if (executionStatusAfter(event.ending) == execution_status::NotRun && !request.replacedEndpoint.empty())
+        uncountAttempt(request);
     if (request.attempts >= matchedRoute.maxAttempts)
         return false;
     if (!request.team.empty() && !m_freshness.allowsKeyUse(now))
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -120,6 +120,8 @@
         bool waitsForShare = false;
         // An earlier attempt may have been executed.
         bool mayHaveRun = false;
+        // Where the request ran before its current attempt, if that replaces a running one.
+        endpoint_id replacedEndpoint;
         // The silence of the current attempt counts against its endpoint already.
         bool isSilenceRecorded = false;
         // The latest attempt brought a whole answer that says that the request failed.
@@ -248,6 +250,8 @@
     // Another endpoint that can take a running request at once, and the retry for it; nothing if there is no such endpoint or no retry.
     std::optional<placement> takeReplacement(instant now, request_number number, const request_state& request, log_decision& line);
     void replaceAttempt(instant now, request_number number, request_state& request, const placement& other, log_decision line);
+    // Does not count the latest attempt, which did not run. If it was to replace a running one, that one's endpoint may be chosen again.
+    static void uncountAttempt(request_state& request);
     void recordKeptSilent(instant now, const request_state& request, log_decision line);
     void moveStreamsFromSlowEndpoint(instant now, const endpoint_load& slow);
     void recordEnding(instant now, const request_state& request, const attempt_ended& event);
--- a/packages/decisions/forwarding/forwarding_reducer_replacement.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_replacement.cpp
@@ -103,7 +103,16 @@
     m_fleet.work().recordEnd(number);
     m_effects.emplace_back(cancel_forwarded_request { number });
     m_effects.emplace_back(std::move(line));
+    const endpoint_id replaced = request.currentEndpoint;
     send(now, number, request, other);
+    request.replacedEndpoint = replaced;
+}
+
+void forwarding_reducer::uncountAttempt(request_state& request)
+{
+    --request.attempts;
+    if (!request.replacedEndpoint.empty())
+        std::erase(request.triedEndpoints, std::exchange(request.replacedEndpoint, {}));
 }
 
 // A request at a slow rank slows the streams of its whole group until it ends. Elsewhere it resumes after its last event.
