Entries: only a request that is sent counts as the trial of an outlier

Cause: chooseByWork records a trial for the endpoint that it chooses, and a choice is not always sent: since a silent attempt asks for a replacement every 200 ms, and mostly keeps its endpoint if that one is full. Each question put the real trial off by 2 s, and the answer of an older request could count as it. Change: recordSend records the trial.

--- a/packages/decisions/forwarding/endpoint_fleet_placement.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet_placement.cpp
@@ -188,6 +188,7 @@
     state->shares.recordSend(now);
     state->pace.recordSend(now);
     m_limits.recordSend(now, endpoint);
+    m_services[state->record.service].outliers.recordSend(now, endpoint);
 }
 
 void endpoint_fleet::recordOutcome(endpoint_state& state, instant now, double failure)
--- a/packages/decisions/forwarding/endpoint_fleet_work.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet_work.cpp
@@ -241,7 +241,6 @@
         options.push_back(evaluate(*state, query));
     const auto cheapest = [](const work_option& left, const work_option& right) { return left.cost < right.cost; };
     const work_option* const best = query.isRetry ? &*std::min_element(options.begin(), options.end(), cheapest) : &draw(options, query);
-    m_services[query.service].outliers.recordSend(query.now, best->state->record.id);
     const endpoint_record& record = best->state->record;
     const duration age = best->state->report ? query.now - best->state->reportedAt : duration(-1);
     return placement { record.id, record.address, record.slots, estimatedLoad(*best->state, query.now, query.entryCount), age,
--- a/tests/decisions/forwarding/endpoint_fleet_test.cpp
+++ b/tests/decisions/forwarding/endpoint_fleet_test.cpp
@@ -240,3 +240,39 @@
     fleet.remove(instant(3s), endpoint_id("fresh"));
     cr_assert_eq(chosen(fleet, 4s), "old");
 }
+
+// Guards against an endpoint that stays out because requests which were never sent to it, such as questions for a replacement, count as
+// its trials.
+Test(endpoint_fleet, a_choice_that_is_not_sent_is_no_trial_of_an_outlier)
+{
+    const engine_speed speed { .step = 20ms, .stepPerRequest = 1ms, .promptTokensPerSecond = 10'000, .chunkTokens = 1000 };
+    endpoint_fleet fleet = fleetOf({ "e1", "e2", "e3" });
+    const endpoint_id failing("e3");
+    for (int count = 0; count < 3; ++count)
+        fleet.recordOutcome(instant(1s), failing, attempt_outcome::Failed);
+    cr_assert_eq(fleet.outlierCount(), 1);
+    const auto queryAt = [&](duration now, double randomFraction) {
+        placement_query result = query(now, randomFraction);
+        result.engine = &speed;
+        result.size = { 500, 50 };
+        return result;
+    };
+    const auto isTried = [&](duration now) {
+        for (double fraction = 0; fraction < 1; fraction += 0.01) {
+            if (fleet.choose(queryAt(now, fraction))->endpoint == failing)
+                return true;
+        }
+        return false;
+    };
+    for (const char* name : { "e1", "e2" })
+        fleet.recordLoad(instant(2400ms), { record(name).address, 12, 40, 1.0, true });
+    fleet.recordLoad(instant(2400ms), { record("e3").address, 0, 0, 1.0, true });
+    const std::vector<endpoint_id> others { endpoint_id("e1"), endpoint_id("e2") };
+    placement_query replacement = queryAt(2500ms, 0.5);
+    replacement.excludedEndpoints = others;
+    replacement.isRetry = true;
+    cr_assert_eq(fleet.choose(replacement)->endpoint.str(), "e3");
+    cr_assert(isTried(2600ms));
+    fleet.recordSend(instant(2600ms), failing);
+    cr_assert(!isTried(2700ms));
+}
