Entries: a silent attempt that goes on is still awaited by its endpoint's ramp

Cause: recordSilence counted the attempt as answered, and its end counted once more, so that a recovering endpoint which answers nothing got another request for each silence. Change: a silence lowers the rate and leaves the count of awaited answers. Result: endpoint_restriction::a_silent_attempt_is_still_awaited failed before and passes; test_pace passes (25).

--- a/packages/decisions/forwarding/endpoint_fleet_restrictions.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet_restrictions.cpp
@@ -323,7 +323,7 @@
     endpoint_state* const state = find(endpoint);
     if (state == nullptr)
         return;
-    state->pace.recordFailure(now);
+    state->pace.recordSilence(now);
     recordOutcome(*state, now, 1);
 }
 
--- a/packages/decisions/pace/endpoint_pace.cpp
+++ b/packages/decisions/pace/endpoint_pace.cpp
@@ -46,6 +46,11 @@
 void endpoint_pace::recordFailure(instant now)
 {
     countAnswer();
+    recordSilence(now);
+}
+
+void endpoint_pace::recordSilence(instant now)
+{
     m_isSeenGood = false;
     m_rate = std::max(m_rate / 2, leastRate);
     m_stepFrom = now;
--- a/packages/decisions/pace/endpoint_pace.h
+++ b/packages/decisions/pace/endpoint_pace.h
@@ -40,6 +40,8 @@
     void recordReport(instant now, bool isGood);
     // Rejected, broken off, or without an answer.
     void recordFailure(instant now);
+    // An answer that is awaited is overdue, and may still come.
+    void recordSilence(instant now);
     // Time passes. `ceiling` is the usual rate, `hasDemand` tells whether there were requests for the service lately, and
     // `usualTime` how long peers take to begin their answers; zero if that is not known. Returns true if the ramp ends with this.
     bool update(instant now, double ceiling, bool hasDemand, duration usualTime);
--- a/tests/decisions/pace/endpoint_restriction_test.cpp
+++ b/tests/decisions/pace/endpoint_restriction_test.cpp
@@ -109,3 +109,28 @@
     fleet.addOrUpdate(instant(5s), later);
     cr_assert_eq(fleet.paceTotals().starts, 1);
 }
+
+// Guards against more requests for a recovering endpoint that has answered none: one that is silent, and is not given up, still has its
+// request.
+Test(endpoint_restriction, a_silent_attempt_is_still_awaited)
+{
+    endpoint_fleet fleet = pacedFleet();
+    fleet.pause(target, instant(2s));
+    fleet.updateRestrictions(instant(2s));
+    duration now = 2s;
+    // The share of one entry among eight is one request.
+    const auto mayGet = [&] {
+        placement_query shared = query(now);
+        shared.entryCount = 8;
+        return fleet.choose(shared).has_value();
+    };
+    cr_assert(mayGet());
+    fleet.recordSend(instant(now), target);
+    now += 1200ms;
+    cr_assert(!mayGet());
+    fleet.recordSilence(instant(now), target);
+    now += 1200ms;
+    cr_assert(!mayGet());
+    fleet.recordCancellation(target);
+    cr_assert(mayGet());
+}
