Entries: a stopping entry takes what must end before it does

Cause: canEndBeforeStop asked only how long the service's answers take, so that one stream that is older than what is left had all of the service's requests refused, also those whose own deadline comes before the end. Change: a request whose deadline comes before the end is taken. Result: stopping_entry::takes_a_request_whose_deadline_comes_before_the_stop failed before and passes; test_forwarding passes (114).

--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -184,11 +184,11 @@
     for (const std::uint64_t part : request.caller.sharedPromptParts)
         request.suspects.push_back({ suspect_kind::PromptPart, part });
     request.service = pickServiceByWeight(*request.matchedRoute, randomFraction());
-    if (!canEndBeforeStop(now, request.service))
-        return refuseWith(refusal_reason::Stopping, duration::zero());
     const duration callerTimeout = request.caller.timeout.value_or(defaultTimeout);
     const duration routeTimeout = request.matchedRoute->timeout > duration::zero() ? request.matchedRoute->timeout : defaultTimeout;
     request.deadline = request.arrivedAt + std::min(callerTimeout, routeTimeout);
+    if (!canEndBeforeStop(now, request))
+        return refuseWith(refusal_reason::Stopping, duration::zero());
     return true;
 }
 
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -179,8 +179,9 @@
     bool waitForOpenEndpoint(instant now, request_number number, request_state& request);
     // Matches the route, authenticates the caller, and sets service and deadline; refuses the request if that fails.
     bool admit(instant now, request_number number, request_state& request);
-    // False if the service takes longer to answer than the stopping process has left, by its recent answers and those that are due.
-    bool canEndBeforeStop(instant now, const service_id& service);
+    // False if neither the request's deadline comes before the end of the stopping process, nor its service seems to answer in that time,
+    // by its recent answers and those that are due.
+    bool canEndBeforeStop(instant now, const request_state& request);
     void recordAnswerTime(instant now, const request_state& request);
     // Chooses an endpoint and sends the request there, or defers or refuses it.
     void place(instant now, request_number number, request_state& request);
--- a/packages/decisions/forwarding/forwarding_reducer_stop.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_stop.cpp
@@ -21,15 +21,15 @@
     m_answerTimes.try_emplace(request.service, answerTimeWindow).first->second.record(now, now - request.arrivedAt);
 }
 
-bool forwarding_reducer::canEndBeforeStop(instant now, const service_id& service)
+bool forwarding_reducer::canEndBeforeStop(instant now, const request_state& request)
 {
-    if (!m_stopsAt)
+    if (!m_stopsAt || request.deadline <= *m_stopsAt)
         return true;
-    const auto answered = m_answerTimes.find(service);
+    const auto answered = m_answerTimes.find(request.service);
     duration longest = answered == m_answerTimes.end() ? duration::zero() : answered->second.value(now);
-    for (const auto& [number, request] : m_requests) {
-        if (request.service == service)
-            longest = std::max(longest, now - request.arrivedAt);
+    for (const auto& [number, other] : m_requests) {
+        if (other.service == request.service)
+            longest = std::max(longest, now - other.arrivedAt);
     }
     return now + longest <= *m_stopsAt;
 }
--- a/tests/decisions/forwarding/forwarding_reducer_stop_test.cpp
+++ b/tests/decisions/forwarding/forwarding_reducer_stop_test.cpp
@@ -53,13 +53,13 @@
         handle(stop_reached { now });
     }
 
-    void request()
+    void request(duration timeout = callerTimeout)
     {
         caller_request caller;
         caller.host = "a.example";
         caller.path = "/draft/x";
         caller.sendId = "s1";
-        caller.timeout = callerTimeout;
+        caller.timeout = timeout;
         handle(request_arrived { now, ++m_number, caller });
     }
 
@@ -177,3 +177,15 @@
     entry.request();
     cr_assert(entry.refusedWith(refusal_reason::Stopping));
 }
+
+// Guards against refusing requests whose own deadline comes before the end of the process: they end in time, whatever the service needs.
+Test(stopping_entry, takes_a_request_whose_deadline_comes_before_the_stop)
+{
+    stopping_entry entry(4s);
+    entry.answerAfter(6s);
+    entry.announceStop();
+    entry.request(1s);
+    cr_assert_not_null(entry.effect<send_attempt>());
+    entry.request();
+    cr_assert(entry.refusedWith(refusal_reason::Stopping));
+}
