Entries: the recent maximum forgets after two windows

Cause: a window began with the value that came after the one before had ended, so that a value could be kept for nearly three windows. Change: windows follow one another without gaps. Result: recent_maximum::is_forgotten_after_two_windows_where_values_are_rare failed before and passes.

--- a/packages/decisions/forwarding/recent_maximum.cpp
+++ b/packages/decisions/forwarding/recent_maximum.cpp
@@ -24,7 +24,7 @@
     const bool isNext = now - m_windowStart < 2 * m_window;
     m_previous = isNext ? m_current : duration::zero();
     m_current = duration::zero();
-    m_windowStart = now;
+    m_windowStart += m_window * ((now - m_windowStart) / m_window);
 }
 
 } // namespace appleramp
--- a/tests/decisions/forwarding/recent_maximum_test.cpp
+++ b/tests/decisions/forwarding/recent_maximum_test.cpp
@@ -17,3 +17,12 @@
     cr_assert(maximum.value(instant(21s)) == duration(2s));
     cr_assert(maximum.value(instant(40s)) == duration::zero());
 }
+
+// Guards against values that are kept for a third window, because a window begins with the value that comes after it.
+Test(recent_maximum, is_forgotten_after_two_windows_where_values_are_rare)
+{
+    recent_maximum maximum(5s);
+    maximum.record(instant(10s), 4s);
+    maximum.record(instant(19s), 1s);
+    cr_assert(maximum.value(instant(21s)) == duration(1s));
+}
