Entries: an answer that is still arriving is not silent

What callers saw: a long answer of a route without streams was given up while its pieces came, and became 504 where its second endpoint had too little time (LOST). Cause: only the head of such an answer counted as progress, so that one that takes longer than 0.6 of its latency target was reported as silent; since at any later time as well, when it may be nearly whole. Change: each piece counts. A dribbling answer is bounded by the deadline. Result: direct_slow_bodies.py failed before (504 after 3.03 s, given up after 1,216 ms; the whole answer takes 2 s) and passes; direct_answers.py passes.

--- a/packages/directentry/caller_exchange.cpp
+++ b/packages/directentry/caller_exchange.cpp
@@ -214,6 +214,7 @@
 {
     if (m_answer.body.size() + bytes.size() > maxHeldAnswerBytes || m_services.heldBytes + bytes.size() > maxHeldBytes)
         return rejectOversized();
+    noteProgress();
     m_services.heldBytes += bytes.size();
     m_answer.body += bytes;
 }
