Entries: no attempt is given up for one that has too little time

Cause: asks for a replacement while the silence lasts, up to 20 ms before the deadline. An attempt that may still be answered was given up for another one that can't be. Change: other than for streams, whose rest may be short, what is left has to hold a mean answer of the service. Result: a_silent_attempt_goes_on_where_answers_take_longer_than_what_is_left failed before and passes; test_forwarding passes (120).

--- a/packages/decisions/forwarding/forwarding_reducer_replacement.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_replacement.cpp
@@ -40,7 +40,9 @@
 {
     const route& matchedRoute = *request.matchedRoute;
     const bool hasAttempts = matchedRoute.repeatable() && request.attempts < matchedRoute.maxAttempts;
-    const bool hasTime = request.deadline - now >= minTimeLeft;
+    // The rest of a stream may be short, while any other answer starts anew.
+    const duration neededTime = matchedRoute.kind == route_kind::Stream ? duration::zero() : m_fleet.meanAnswerTime(request.service);
+    const bool hasTime = request.deadline - now >= std::max(minTimeLeft, neededTime);
     const bool allowsKey = request.team.empty() || m_freshness.allowsKeyUse(now);
     const bool isSuspect = std::any_of(request.suspects.begin(), request.suspects.end(),
         [&](const suspect_key& key) { return m_crashes.verdict(now, key) != suspect_verdict::Unsuspected; });
--- a/tests/decisions/forwarding/forwarding_reducer_test.cpp
+++ b/tests/decisions/forwarding/forwarding_reducer_test.cpp
@@ -616,6 +616,22 @@
     cr_assert(!entry.hasTouched(entry.number()));
 }
 
+// Guards against answers that are given up shortly before the deadline for another attempt that can't be answered in time (LOST).
+Test(forwarding_reducer, a_silent_attempt_goes_on_where_answers_take_longer_than_what_is_left)
+{
+    entry entry;
+    entry.request("/read/x");
+    entry.now += 1s;
+    entry.handle(attempt_succeeded { entry.now, entry.number() });
+    for (const duration timeLeft : { duration(700ms), duration(1300ms) }) {
+        entry.request("/read/x");
+        entry.now += 8s - timeLeft;
+        entry.handle(configuration_read { entry.now, entry.now, std::nullopt });
+        entry.handle(attempt_silent { entry.now, entry.number(), false });
+        cr_assert_eq(entry.hasTouched(entry.number()), timeLeft > duration(1s));
+    }
+}
+
 Test(forwarding_reducer, what_may_not_be_repeated_stays_at_a_slow_endpoint)
 {
     entry entry;
