Tests: what must hold when a silent attempt is replaced

Cause: five conditions and records of could be taken out with all tests passing: time left, keys unconfirmed, mayHaveRun after a replacement, the cancellation when a stream leaves a slow endpoint, requests in flight. Change: a test for each.

--- a/tests/decisions/forwarding/forwarding_reducer_test.cpp
+++ b/tests/decisions/forwarding/forwarding_reducer_test.cpp
@@ -616,6 +616,27 @@
     cr_assert(!entry.hasTouched(entry.number()));
 }
 
+// Guards against a refusal that promises that a request has not run, after an endpoint that was silent may have run it (REFUSED).
+Test(forwarding_reducer, a_request_that_left_a_silent_endpoint_may_have_run)
+{
+    entry entry;
+    entry.request("/read/x");
+    entry.handle(attempt_silent { entry.now, entry.number(), false });
+    cr_assert_not_null(entry.effect<send_attempt>());
+    entry.endAttempt(attempt_ending::Rejected);
+    cr_assert(entry.refusedWith(refusal_reason::OutcomeUnknown));
+}
+
+Test(forwarding_reducer, a_silent_attempt_goes_on_where_no_time_is_left_for_another)
+{
+    entry entry;
+    entry.request("/read/x");
+    entry.now += 7990ms;
+    entry.handle(configuration_read { entry.now, entry.now, std::nullopt });
+    entry.handle(attempt_silent { entry.now, entry.number(), false });
+    cr_assert(!entry.hasTouched(entry.number()));
+}
+
 // Guards against answers that are given up shortly before the deadline for another attempt that can't be answered in time (LOST).
 Test(forwarding_reducer, a_silent_attempt_goes_on_where_answers_take_longer_than_what_is_left)
 {
@@ -632,6 +653,50 @@
     }
 }
 
+// Guards against requests that are sent with a key which may have been revoked meanwhile.
+Test(forwarding_reducer, a_silent_attempt_goes_on_while_keys_are_unconfirmed)
+{
+    entry entry;
+    entry.request("/read/x");
+    entry.now += 7s;
+    entry.handle(attempt_silent { entry.now, entry.number(), false });
+    cr_assert(!entry.hasTouched(entry.number()));
+    entry.handle(configuration_read { entry.now, entry.now, std::nullopt });
+    entry.handle(attempt_silent { entry.now, entry.number(), false });
+    cr_assert_not_null(entry.effect<send_attempt>());
+}
+
+// Guards against requests in flight that are counted twice or not at all when an attempt is replaced, late or at once.
+Test(forwarding_reducer, a_replaced_attempt_leaves_one_request_in_flight)
+{
+    for (const bool isKeptFirst : { false, true }) {
+        entry entry;
+        entry.reportLoad(2, 0);
+        for (int request = 0; request < 4; ++request)
+            entry.request("/draft/x");
+        if (isKeptFirst) {
+            entry.reportLoad(12, 6);
+            entry.handle(attempt_silent { entry.now, entry.number(), true });
+            cr_assert(!entry.hasTouched(entry.number()));
+            entry.reportLoad(2, 0);
+        }
+        entry.handle(attempt_silent { entry.now, entry.number(), true });
+        cr_assert_not_null(entry.effect<send_attempt>());
+        cr_assert_eq(entry.reducer().fleet().inFlight(drafts), 4);
+    }
+}
+
+Test(forwarding_reducer, a_stream_that_left_a_slow_endpoint_is_in_flight_once)
+{
+    entry entry;
+    entry.reportLoad(2, 0);
+    entry.request("/draft/x");
+    const std::string first = entry.effect<send_attempt>()->endpoint.str();
+    entry.handle(endpoint_load_received { entry.now, { endpoint(first, drafts).address, 2, 0, 5.0, true } });
+    cr_assert_not_null(entry.effect<send_attempt>());
+    cr_assert_eq(entry.reducer().fleet().inFlight(drafts), 1);
+}
+
 Test(forwarding_reducer, what_may_not_be_repeated_stays_at_a_slow_endpoint)
 {
     entry entry;
