Tests: a caller that pauses for 9 s loses its answer, whatever the idle timeout

Cause: TCP_USER_TIMEOUT (peerTimeout, 9 s) also ends connections whose peer answers every probe with a closed window. It comes before the idle timeout of (15 s in our tests, 60 s by default), also in the middle of a stream.

--- a/tests/http/slow_reader_test.cpp
+++ b/tests/http/slow_reader_test.cpp
@@ -27,9 +27,9 @@
 // A server with one large answer, and a caller that reads pieces of it with pauses.
 class slow_reader {
 public:
-    slow_reader(std::chrono::milliseconds pause, std::size_t pieceBytes)
+    slow_reader(std::chrono::milliseconds pause, std::size_t pieceBytes, std::chrono::milliseconds idleAfter = idleTimeout)
         : m_acceptor(
-            m_loop, "127.0.0.1", 0, [] { return server_limits { .idleTimeout = idleTimeout }; },
+            m_loop, "127.0.0.1", 0, [idleAfter] { return server_limits { .idleTimeout = idleAfter }; },
             [](const auto& connection, const http_request&) {
                 http_response response;
                 response.head.status = 200;
@@ -49,7 +49,7 @@
             boost::asio::async_write(m_socket, boost::asio::buffer(getRequest), [this](const auto&, std::size_t) { this->pause(); });
         });
         while (!m_isOver && !m_dropped)
-            cr_assert_gt(m_loop.run_one_for(10s), 0, "no event within 10 s");
+            cr_assert_gt(m_loop.run_one_for(20s), 0, "no event within 20 s");
     }
 
     std::size_t received() const { return m_received; }
@@ -106,3 +106,11 @@
     cr_assert(reader.dropped()->cause == output_loss::Idle);
     cr_assert_eq(reader.dropped()->answerId, "a1");
 }
+
+// Guards against a kernel that takes a caller which pauses, and acknowledges all the while, for a dead one, long before the idle timeout.
+Test(pausing_reader, gets_the_whole_answer_after_a_pause_within_the_idle_timeout)
+{
+    const slow_reader reader(11s, 8UL * 1024 * 1024, 30s);
+    cr_assert(!reader.dropped(), "dropped as %s", reader.dropped() ? std::string(nameOf(reader.dropped()->cause)).c_str() : "");
+    cr_assert_gt(reader.received(), 0);
+}
