Gated entry: a planned stop comes to an end under load, and refuses what it can't serve

What callers saw: an entry under load was not gone at the end of its grace period, and SIGKILL cut the requests in flight; what arrived as it ended was read and never answered. Cause: it ended only at a moment without any request, and took new ones until then; answers kept their connections open. After the reducer had stopped, nobody answered requests that had been read or came on open connections, and their threads kept the process; threads that wait for connections miss Poco's stop for up to 10 s. Connections that nobody had accepted ended with the process only. Change: after the validity of its addresses, at least 2 s, the entry refuses requests as not run (stopping), and closes its connections with its answers from SIGTERM on. What is left once the reducer has stopped is refused, and nothing is begun after it. The listener is shut down first, and idle connections are closed. Remains: the gated fleet does not know its grace period; the validity of addresses, 30 s by default, must be shorter.

--- a/packages/decisions/entry/entry_reducer.cpp
+++ b/packages/decisions/entry/entry_reducer.cpp
@@ -12,6 +12,8 @@
 
 constexpr duration tickInterval = std::chrono::milliseconds(50);
 constexpr duration listingInterval = std::chrono::seconds(1);
+// Time until the other entries leave a stopping one out of their answers, and callers have asked again.
+constexpr duration departureKnownAfter = std::chrono::seconds(2);
 
 } // namespace
 
@@ -102,9 +104,16 @@
     void operator()(const stop_requested& /*event*/) const
     {
         if (!self.m_drainUntil)
-            self.m_drainUntil = self.m_lastAddressReply + context.configuration.current().defaults.addressValidity;
+            self.m_drainUntil = std::max(context.now + departureKnownAfter,
+                self.m_lastAddressReply + context.configuration.current().defaults.addressValidity);
+    }
+    void operator()(const request_received& event) const
+    {
+        if (self.m_drainUntil && context.now >= *self.m_drainUntil)
+            context.effects.emplace_back(reply_problem { event.number, stoppingProblem() });
+        else
+            self.m_router.requestReceived(context, event);
     }
-    void operator()(const request_received& event) const { self.m_router.requestReceived(context, event); }
     void operator()(const caller_left& event) const
     {
         self.m_keyPool.callerLeft(event.number);
@@ -131,6 +140,11 @@
     }
 };
 
+problem entry_reducer::stoppingProblem()
+{
+    return { 503, execution::NotStarted, "stopping", "this entry stops; send the request to another one", duration::zero() };
+}
+
 entry_reducer::entry_reducer(entry_identity identity)
     : m_identity(std::move(identity))
     , m_router(m_identity.life)
--- a/packages/decisions/entry/entry_reducer.h
+++ b/packages/decisions/entry/entry_reducer.h
@@ -28,6 +28,8 @@
     entry_effects apply(const entry_event& event);
     // Time by which apply() must have been called again, with a time_passed event if nothing else happens.
     instant nextWakeUp() const { return m_nextTick; }
+    // The answer to a request that comes after the time in which a stopping entry serves.
+    static problem stoppingProblem();
 
     const fleet_configuration& configuration() const { return m_configuration.current(); }
 
@@ -71,7 +73,7 @@
     instant m_nextTick;
     instant m_nextInstanceListing;
     // Set when the process is asked to stop. Until this time callers may still use the addresses that the entry last
-    // gave out, so it keeps serving.
+    // gave out, so it keeps serving. What comes later is refused, so that the process comes to its end under load.
     std::optional<instant> m_drainUntil;
     instant m_lastAddressReply;
 };
--- a/packages/entry/caller_handler.cpp
+++ b/packages/entry/caller_handler.cpp
@@ -88,6 +88,8 @@
     try {
         for (bool complete = false; !complete;) {
             const auto piece = channel->pop(disconnectCheckInterval);
+            if (services.isStopping && !response.sent())
+                response.setKeepAlive(false);
             if (piece)
                 complete = writer.write(*piece);
             else if (writer.isCallerDisconnected())
--- a/packages/entry/entry_process.cpp
+++ b/packages/entry/entry_process.cpp
@@ -70,6 +70,7 @@
     {
         announceAs(instance_state::Live);
         m_loop.run();
+        m_replies.refuseAll(entry_reducer::stoppingProblem());
         m_callers.stop();
         m_operations.stop();
         m_platform.stop();
@@ -79,6 +80,7 @@
 
     void requestStop()
     {
+        m_services.isStopping = true;
         announceAs(instance_state::Leaving);
         m_loop.post(stop_requested {});
     }
--- a/packages/entry/entry_services.h
+++ b/packages/entry/entry_services.h
@@ -3,6 +3,7 @@
 #include "entry/reply_channel.h"
 #include "model/events.h"
 
+#include <atomic>
 #include <functional>
 
 namespace appleramp {
@@ -20,6 +21,8 @@
     std::size_t maxHeaderBytes = 0;
     duration requestReadTimeout {};
     duration defaultTimeout {};
+    // Answers close their connections, so that callers go to other entries.
+    std::atomic<bool> isStopping = false;
 };
 
 } // namespace appleramp
--- a/packages/entry/reply_channel.cpp
+++ b/packages/entry/reply_channel.cpp
@@ -26,6 +26,8 @@
     const std::lock_guard lock(m_mutex);
     const auto number = ++m_lastNumber;
     auto channel = std::make_shared<reply_channel>();
+    if (m_refusal)
+        channel->push(reply_problem { number, *m_refusal });
     m_channels.emplace(number, channel);
     return { number, std::move(channel) };
 }
@@ -44,4 +46,12 @@
         found->second->push(std::move(piece));
 }
 
+void reply_channels::refuseAll(const problem& answer)
+{
+    const std::lock_guard lock(m_mutex);
+    m_refusal = answer;
+    for (const auto& [number, channel] : m_channels)
+        channel->push(reply_problem { number, answer });
+}
+
 } // namespace appleramp
--- a/packages/entry/reply_channel.h
+++ b/packages/entry/reply_channel.h
@@ -35,10 +35,13 @@
     void close(request_number number);
     // Pushes the piece to the request's channel. Drops it if the channel has been closed.
     void deliver(request_number number, reply_piece piece);
+    // Gives this answer to all requests that wait for one, and to those that come. For use once no reducer answers.
+    void refuseAll(const problem& answer);
 
 private:
     std::mutex m_mutex;
     request_number m_lastNumber = 0;
+    std::optional<problem> m_refusal;
     std::map<request_number, std::shared_ptr<reply_channel>> m_channels;
 };
 
--- a/packages/runtime/http_listener.cpp
+++ b/packages/runtime/http_listener.cpp
@@ -11,6 +11,8 @@
 #include <Poco/ThreadPool.h>
 #include <Poco/Timespan.h>
 
+#include <sys/socket.h>
+
 #include <thread>
 
 namespace appleramp {
@@ -21,6 +23,8 @@
 constexpr int idleThreadSeconds = 60;
 constexpr int maxQueuedConnections = 128;
 constexpr int keepAliveSeconds = 15;
+// A thread that waits for a connection may miss that the server stops, and sees it after this time.
+constexpr int idleDispatchMicroseconds = 100'000;
 
 class handler_factory : public Poco::Net::HTTPRequestHandlerFactory {
 public:
@@ -43,6 +47,7 @@
     parameters->setMaxThreads(maxThreads);
     parameters->setMaxQueued(maxQueuedConnections);
     parameters->setTimeout(Poco::Timespan(readTimeout.count()));
+    parameters->setThreadIdleTime(Poco::Timespan(idleDispatchMicroseconds));
     parameters->setKeepAliveTimeout(Poco::Timespan(keepAliveSeconds, 0));
     return parameters;
 }
@@ -65,7 +70,10 @@
 
     void stop()
     {
-        m_server.stop();
+        // Connections that nobody has accepted end now, and not with the process, when their callers have waited for it.
+        ::shutdown(m_socket.impl()->sockfd(), SHUT_RD);
+        // Waits for the requests in hand. Idle connections are closed, as the threads that serve them would wait for their timeout.
+        m_server.stopAll(false);
         m_threads.joinAll();
     }
 
--- a/packages/runtime/reducer_loop.h
+++ b/packages/runtime/reducer_loop.h
@@ -43,8 +43,11 @@
     void run()
     {
         while (!m_stopped) {
-            for (auto& body : takeEvents())
-                apply(std::move(body));
+            for (auto& body : takeEvents()) {
+                // What a reducer begins after it has asked to stop would not be finished.
+                if (!m_stopped)
+                    apply(std::move(body));
+            }
         }
     }
 
