--- a/packages/decisions/entry/request_router.h
+++ b/packages/decisions/entry/request_router.h
@@ -150,6 +150,10 @@
     // Schedules a retry after a backoff; fails the request with `otherwise` if the retry limit, its deadline or the
     // retry budget does not allow one.
     void retry(const entry_context& context, routed_request& request, problem otherwise);
+    // The backoff before a retry; nothing if none is allowed.
+    std::optional<duration> takeRetry(const entry_context& context, const routed_request& request);
+    // Gives the attempt up for another one after the backoff.
+    void scheduleRetry(const entry_context& context, routed_request& request, duration wait);
     void recordPlacement(const entry_context& context, const routed_request& request) const;
     // After a reconnect, asks the agent for the attempt's state or for the missing frames.
     void queryOrResume(const entry_context& context, routed_request& request);
--- a/packages/decisions/entry/request_router_retries.cpp
+++ b/packages/decisions/entry/request_router_retries.cpp
@@ -89,20 +89,30 @@
 
 void request_router::retry(const entry_context& context, routed_request& request, problem otherwise)
 {
-    detachFromAttempt(request);
-    if (m_requestRunningAlone == request.number)
-        m_requestRunningAlone.reset();
-    request.runsAlone = false;
+    if (const auto wait = takeRetry(context, request))
+        scheduleRetry(context, request, *wait);
+    else
+        fail(context, request.number, std::move(otherwise));
+}
+
+std::optional<duration> request_router::takeRetry(const entry_context& context, const routed_request& request)
+{
     const auto& defaults = context.configuration.current().defaults;
     const auto wait = m_backoff.nextDelay(request.sendCount);
     const bool isInTime = context.now + wait < request.deadline;
     const bool mayRetry = request.sendCount <= defaults.maxRetries && isInTime;
-    if (!mayRetry || !m_retryBudget.tryTake(request.request.team, request.request.service, context.now)) {
-        context.recordDecision(decision_kind::Refused, request.trace->traceId(),
-            mayRetry ? "retry budget used up" : "no further retry");
-        fail(context, request.number, std::move(otherwise));
-        return;
-    }
+    if (mayRetry && m_retryBudget.tryTake(request.request.team, request.request.service, context.now))
+        return wait;
+    context.recordDecision(decision_kind::Refused, request.trace->traceId(), mayRetry ? "retry budget used up" : "no further retry");
+    return std::nullopt;
+}
+
+void request_router::scheduleRetry(const entry_context& context, routed_request& request, duration wait)
+{
+    detachFromAttempt(request);
+    if (m_requestRunningAlone == request.number)
+        m_requestRunningAlone.reset();
+    request.runsAlone = false;
     request.state = phase::BackingOff;
     request.queuedAt = context.now + wait;
     m_waitDeadlines.emplace(request.queuedAt, request.number);
@@ -163,11 +173,11 @@
         request.holdsSlot = false;
         request.excludedLinks.insert(link);
         request.mayHaveRun = true;
-        if (request.request.repeatable && !request.headSent && request.state == phase::Running) {
+        // Without a retry the attempt is kept: the agent goes on with it for some seconds, and may connect again.
+        const bool isRepeatable = request.request.repeatable && !request.headSent && request.state == phase::Running;
+        if (const auto wait = isRepeatable ? takeRetry(context, request) : std::nullopt) {
             endAttempt(context, request, "agent_lost");
-            retry(context, request,
-                { statusBadGateway, execution::Unknown, "agent_lost", "the link to the endpoint's agent was lost",
-                    std::nullopt });
+            scheduleRetry(context, request, *wait);
             continue;
         }
         request.state = phase::Reconnecting;
