Agent: an engine's answer counts as whole only if its head and its framing are

Cause: POCO's reader takes the end of the connection for the end of the head and of the last chunk. An engine that stopped there after it had written "Connection: close" left a 200 without a length that engine_call took as whole, as it did chunks that were cut off behind such a head, and a Content-Length that was cut to "0". Callers got a 200 with an empty or short body, framed as whole. Without "Connection: close" the end of a cut head was guessed from the socket, and an engine_head was passed on for a head that never came whole.

Change: blockinghttp/response_reader reads answers from a blocking socket with our own http_parser, which knows whether a head, a length and the last chunk are complete, and throws where the connection ends before that. engine_call uses it in place of POCO's reader. A body without framing still counts as whole only if the engine announced the close (Connection: close, or HTTP/1.0); the head now has the version. An answer to HEAD has no body; one with a Content-Length counted as cut before. Lines of the head must end in CRLF, as the direct fleet asks already.

Result: test_agent cuts eight answers at every byte, with FIN and RST. Not covered: a cut in a body that ends with its connection as announced, which nothing shows.

--- a/packages/agent/engine_call.cpp
+++ b/packages/agent/engine_call.cpp
@@ -1,9 +1,11 @@
 #include "agent/engine_call.h"
 
+#include "blockinghttp/response_error.h"
+#include "blockinghttp/response_reader.h"
+
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/StreamSocket.h>
 
@@ -12,15 +14,23 @@
 namespace {
 
 constexpr int connectTimeoutSeconds = 2;
+constexpr int firstVersionWithKeepAlive = 11;
 
-std::vector<http_header> headersOf(const Poco::Net::HTTPResponse& response)
+std::vector<http_header> headersOf(const http_response_head& head)
 {
     std::vector<http_header> headers;
-    for (const auto& [name, value] : response)
+    for (const auto& [name, value] : head.headers.fields())
         headers.push_back({ name, value });
     return headers;
 }
 
+// A body without framing ends with its connection. With HTTP/1.1 an engine that ends the connection as planned has
+// announced it; otherwise the end shows that the engine stopped.
+bool isEndOfConnectionPlanned(const http_response_head& head)
+{
+    return head.version < firstVersionWithKeepAlive || equalsIgnoringCase(head.headers.get("Connection"), "close");
+}
+
 } // namespace
 
 engine_call::engine_call(const std::string& host, std::uint16_t port, call_engine effect, event_sink sink)
@@ -46,6 +56,8 @@
         reportFailure(failure_cause::EndpointTimeout, false);
     } catch (const Poco::Exception&) {
         reportFailure(failure_cause::EndpointCrashed, false);
+    } catch (const response_error&) {
+        reportFailure(failure_cause::EndpointCrashed, false);
     }
 }
 
@@ -83,44 +95,15 @@
 
 void engine_call::receive()
 {
-    Poco::Net::HTTPResponse response;
-    auto& stream = m_session->receiveResponse(response);
-    m_sink(engine_head { m_effect.call, static_cast<std::uint16_t>(response.getStatus()), headersOf(response) });
-    forwardBody(stream);
-    if (isResponseComplete(response))
-        m_sink(engine_end { m_effect.call });
-    else
+    response_reader reader(m_session->socket(), m_effect.request.method);
+    const http_response_head head = reader.readHead();
+    m_sink(engine_head { m_effect.call, static_cast<std::uint16_t>(head.status), headersOf(head) });
+    for (std::string data = reader.readBody(); !data.empty(); data = reader.readBody())
+        m_sink(engine_data { m_effect.call, std::move(data) });
+    if (m_cancelled || (head.bodyEndsAtClose && !isEndOfConnectionPlanned(head)))
         reportFailure(failure_cause::EndpointCrashed, false);
-}
-
-void engine_call::forwardBody(std::istream& stream)
-{
-    std::string chunk;
-    // peek() fills the stream's buffer with what has arrived. Only that much is read, so that data is forwarded without
-    // waiting for more.
-    while (stream.peek() != std::istream::traits_type::eof()) {
-        const auto available = stream.rdbuf()->in_avail();
-        chunk.resize(static_cast<std::size_t>(available));
-        stream.read(chunk.data(), available);
-        m_receivedBodyBytes += chunk.size();
-        m_sink(engine_data { m_effect.call, chunk });
-    }
-}
-
-bool engine_call::isResponseComplete(const Poco::Net::HTTPResponse& response)
-{
-    if (m_cancelled)
-        return false;
-    if (response.hasContentLength())
-        return m_receivedBodyBytes == static_cast<std::uint64_t>(response.getContentLength64());
-    if (!response.getKeepAlive())
-        return true;
-    // Poco's chunked stream reports the end of the stream both after the last chunk and when the connection breaks. As the
-    // connection is kept alive, the response was truncated if the socket is closed. The stream has already reached its
-    // end, so the socket is polled without a timeout.
-    auto& socket = m_session->socket();
-    const bool readable = socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
-    return !readable || socket.available() > 0;
+    else
+        m_sink(engine_end { m_effect.call });
 }
 
 void engine_call::reportFailure(failure_cause cause, bool neverSent)
--- a/packages/agent/engine_call.h
+++ b/packages/agent/engine_call.h
@@ -9,7 +9,6 @@
 
 namespace Poco::Net {
 class HTTPClientSession;
-class HTTPResponse;
 } // namespace Poco::Net
 
 namespace appleramp {
@@ -31,15 +30,12 @@
 private:
     bool send();
     void receive();
-    void forwardBody(std::istream& stream);
-    bool isResponseComplete(const Poco::Net::HTTPResponse& response);
     void reportFailure(failure_cause cause, bool neverSent);
 
     call_engine m_effect;
     event_sink m_sink;
     std::unique_ptr<Poco::Net::HTTPClientSession> m_session;
     std::atomic<bool> m_cancelled = false;
-    std::uint64_t m_receivedBodyBytes = 0;
 };
 
 } // namespace appleramp
--- a/packages/http/http_message.h
+++ b/packages/http/http_message.h
@@ -47,6 +47,8 @@
     std::string reason;
     header_list headers;
     bool keepAlive = true;
+    // 10 for HTTP/1.0, 11 for HTTP/1.1.
+    int version = 11;
     // The body has no length or chunked framing: it ends when the server closes the connection.
     bool bodyEndsAtClose = false;
 };
--- a/packages/http/http_parser.cpp
+++ b/packages/http/http_parser.cpp
@@ -86,9 +86,10 @@
         request.target.assign(target.data(), target.size());
     }
 
-    void on_response_impl(int code, boost::string_view reason, int, boost::system::error_code&) override
+    void on_response_impl(int code, boost::string_view reason, int version, boost::system::error_code&) override
     {
         response.status = static_cast<unsigned>(code);
+        response.version = version;
         response.reason.assign(reason.data(), reason.size());
     }
 
--- /dev/null
+++ b/tests/fakes/raw_answer_server.cpp
@@ -0,0 +1,84 @@
+#include "fakes/raw_answer_server.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <array>
+
+namespace appleramp {
+
+namespace {
+
+constexpr auto headEnd = "\r\n\r\n";
+constexpr std::string_view lengthField = "Content-Length: ";
+constexpr long stopPollMicroseconds = 20'000;
+
+// Reads the whole request: closing a connection with unread bytes resets it.
+void readRequest(Poco::Net::StreamSocket& connection)
+{
+    std::string received;
+    std::array<char, 4096> buffer {};
+    while (true) {
+        const auto end = received.find(headEnd);
+        if (end != std::string::npos) {
+            const auto field = received.find(lengthField);
+            const auto length = field < end ? std::stoul(received.substr(field + lengthField.size())) : 0;
+            if (received.size() >= end + 4 + length)
+                return;
+        }
+        const int count = connection.receiveBytes(buffer.data(), buffer.size());
+        if (count <= 0)
+            return;
+        received.append(buffer.data(), static_cast<std::size_t>(count));
+    }
+}
+
+} // namespace
+
+raw_answer_server::raw_answer_server()
+    : m_socket(Poco::Net::SocketAddress("127.0.0.1", 0))
+    , m_thread([this] { run(); })
+{
+}
+
+raw_answer_server::~raw_answer_server()
+{
+    m_stopping = true;
+    m_thread.join();
+}
+
+void raw_answer_server::answerWith(std::string bytes, closing closedBy)
+{
+    const std::lock_guard lock(m_mutex);
+    m_answer = std::move(bytes);
+    m_closing = closedBy;
+}
+
+void raw_answer_server::run()
+{
+    while (!m_stopping) {
+        if (!m_socket.poll(Poco::Timespan(stopPollMicroseconds), Poco::Net::Socket::SELECT_READ))
+            continue;
+        auto connection = m_socket.acceptConnection();
+        try {
+            serve(connection);
+        } catch (const Poco::Exception&) {
+            // The client closed first.
+            continue;
+        }
+    }
+}
+
+void raw_answer_server::serve(Poco::Net::StreamSocket& connection)
+{
+    readRequest(connection);
+    const std::lock_guard lock(m_mutex);
+    if (!m_answer.empty())
+        connection.sendBytes(m_answer.data(), static_cast<int>(m_answer.size()));
+    // With a linger time of zero, closing resets the connection.
+    if (m_closing == closing::Reset)
+        connection.setLinger(true, 0);
+    connection.close();
+}
+
+} // namespace appleramp
