Platform: an answer of the store that is cut off is a lost reply

Cause: http_exchange read answers with POCO's reader, which takes the end of the connection for the end of the head and of the last chunk. A 200 whose head or chunks were cut off came back as Answered with an empty or short body: an object was read as empty or short, and a write was reported as done.

Change: http_exchange reads with response_reader, and a cut answer is ReplyLost, so Unavailable for a read and Unknown for a write. A connection is used again only if nothing follows the answer. raw_answer_server keeps POCO out of its header.

Not covered: answers without a length or chunks, whose end nothing shows.

--- a/packages/platform/http_exchange.cpp
+++ b/packages/platform/http_exchange.cpp
@@ -1,15 +1,15 @@
 #include "platform/http_exchange.h"
 
+#include "blockinghttp/response_error.h"
+#include "blockinghttp/response_reader.h"
 #include "platform/platform_error.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
-#include <Poco/StreamCopier.h>
 
 #include <optional>
 
@@ -94,15 +94,10 @@
     output.write(body.data(), static_cast<std::streamsize>(body.size()));
     output.flush();
 
-    Poco::Net::HTTPResponse response;
-    std::istream& input = m_connection->session->receiveResponse(response);
-    http_answer answer { exchange_outcome::Answered, response.getStatus(), {} };
-    Poco::StreamCopier::copyToString(input, answer.body);
-    const bool truncated = response.hasContentLength()
-        && static_cast<std::streamsize>(answer.body.size()) != response.getContentLength();
-    if (truncated)
-        answer.outcome = exchange_outcome::ReplyLost;
-    if (truncated || !response.getKeepAlive())
+    response_reader reader(*m_connection->socket, method);
+    const http_response_head head = reader.readHead();
+    http_answer answer { exchange_outcome::Answered, static_cast<int>(head.status), reader.readWholeBody() };
+    if (!reader.isConnectionReusable())
         m_connection->disconnect();
     return answer;
 }
@@ -117,6 +112,9 @@
     } catch (const Poco::Exception&) {
         m_connection->disconnect();
         return { exchange_outcome::ReplyLost, 0, {} };
+    } catch (const response_error&) {
+        m_connection->disconnect();
+        return { exchange_outcome::ReplyLost, 0, {} };
     }
 }
 
--- a/tests/fakes/raw_answer_server.cpp
+++ b/tests/fakes/raw_answer_server.cpp
@@ -1,9 +1,15 @@
 #include "fakes/raw_answer_server.h"
 
 #include <Poco/Exception.h>
+#include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
 
 #include <array>
+#include <atomic>
+#include <mutex>
+#include <string_view>
+#include <thread>
 
 namespace appleramp {
 
@@ -35,50 +41,79 @@
 
 } // namespace
 
+class raw_answer_server::implementation {
+public:
+    implementation()
+        : m_socket(Poco::Net::SocketAddress("127.0.0.1", 0))
+        , m_thread([this] { run(); })
+    {
+    }
+
+    ~implementation()
+    {
+        m_stopping = true;
+        m_thread.join();
+    }
+
+    void answerWith(std::string bytes, closing closedBy)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_answer = std::move(bytes);
+        m_closing = closedBy;
+    }
+
+    Poco::Net::SocketAddress address() const { return m_socket.address(); }
+
+private:
+    void run()
+    {
+        while (!m_stopping) {
+            if (!m_socket.poll(Poco::Timespan(stopPollMicroseconds), Poco::Net::Socket::SELECT_READ))
+                continue;
+            auto connection = m_socket.acceptConnection();
+            try {
+                serve(connection);
+            } catch (const Poco::Exception&) {
+                // The client closed first.
+                continue;
+            }
+        }
+    }
+
+    void serve(Poco::Net::StreamSocket& connection)
+    {
+        readRequest(connection);
+        const std::lock_guard lock(m_mutex);
+        if (!m_answer.empty())
+            connection.sendBytes(m_answer.data(), static_cast<int>(m_answer.size()));
+        // With a linger time of zero, closing resets the connection.
+        if (m_closing == closing::Reset)
+            connection.setLinger(true, 0);
+        connection.close();
+    }
+
+    Poco::Net::ServerSocket m_socket;
+    std::mutex m_mutex;
+    std::string m_answer;
+    closing m_closing = closing::Orderly;
+    std::atomic<bool> m_stopping = false;
+    std::thread m_thread;
+};
+
 raw_answer_server::raw_answer_server()
-    : m_socket(Poco::Net::SocketAddress("127.0.0.1", 0))
-    , m_thread([this] { run(); })
+    : m_implementation(std::make_unique<implementation>())
 {
 }
 
-raw_answer_server::~raw_answer_server()
-{
-    m_stopping = true;
-    m_thread.join();
-}
+raw_answer_server::~raw_answer_server() = default;
 
 void raw_answer_server::answerWith(std::string bytes, closing closedBy)
 {
-    const std::lock_guard lock(m_mutex);
-    m_answer = std::move(bytes);
-    m_closing = closedBy;
+    m_implementation->answerWith(std::move(bytes), closedBy);
 }
 
-void raw_answer_server::run()
-{
-    while (!m_stopping) {
-        if (!m_socket.poll(Poco::Timespan(stopPollMicroseconds), Poco::Net::Socket::SELECT_READ))
-            continue;
-        auto connection = m_socket.acceptConnection();
-        try {
-            serve(connection);
-        } catch (const Poco::Exception&) {
-            // The client closed first.
-            continue;
-        }
-    }
-}
+std::uint16_t raw_answer_server::port() const { return m_implementation->address().port(); }
 
-void raw_answer_server::serve(Poco::Net::StreamSocket& connection)
-{
-    readRequest(connection);
-    const std::lock_guard lock(m_mutex);
-    if (!m_answer.empty())
-        connection.sendBytes(m_answer.data(), static_cast<int>(m_answer.size()));
-    // With a linger time of zero, closing resets the connection.
-    if (m_closing == closing::Reset)
-        connection.setLinger(true, 0);
-    connection.close();
-}
+std::string raw_answer_server::address() const { return m_implementation->address().toString(); }
 
 } // namespace appleramp
--- a/tests/fakes/raw_answer_server.h
+++ b/tests/fakes/raw_answer_server.h
@@ -1,13 +1,8 @@
 #pragma once
 
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/StreamSocket.h>
-
-#include <atomic>
 #include <cstdint>
-#include <mutex>
+#include <memory>
 #include <string>
-#include <thread>
 
 namespace appleramp {
 
@@ -28,19 +23,13 @@
     // Applies to the requests that arrive from now on.
     void answerWith(std::string bytes, closing closedBy);
 
-    std::uint16_t port() const { return m_socket.address().port(); }
-    std::string address() const { return m_socket.address().toString(); }
+    std::uint16_t port() const;
+    // Numeric host and port.
+    std::string address() const;
 
 private:
-    void run();
-    void serve(Poco::Net::StreamSocket& connection);
-
-    Poco::Net::ServerSocket m_socket;
-    std::mutex m_mutex;
-    std::string m_answer;
-    closing m_closing = closing::Orderly;
-    std::atomic<bool> m_stopping = false;
-    std::thread m_thread;
+    class implementation;
+    std::unique_ptr<implementation> m_implementation;
 };
 
 } // namespace appleramp
--- a/tests/platform/platform_client_test.cpp
+++ b/tests/platform/platform_client_test.cpp
@@ -1,5 +1,6 @@
 #include "platform/platform_client.h"
 
+#include "fakes/raw_answer_server.h"
 #include "platform/platform_error.h"
 #include "stand_ins/http_listener.h"
 #include "stand_ins/http_reply.h"
@@ -192,6 +193,30 @@
     cr_assert(fixed_answer_platform(500, "").statusOf(table_get { "k" }) == platform_status::Unavailable);
 }
 
+// A platform that stops in the middle of an answer closes the connection, in the head or in the framing of the body. An
+// object that is read in such an answer would be empty or short.
+Test(platform_client, an_answer_that_is_cut_is_no_answer)
+{
+    raw_answer_server platform;
+    const platform_client_options options = optionsFor(platform.address());
+    for (const std::string head : { "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nConnection: close\r\n" }) {
+        for (const std::string rest : { "Content-Length: 05\r\n\r\nwhole", "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n" }) {
+            const std::string answer = head + rest;
+            for (const auto closedBy : { raw_answer_server::closing::Orderly, raw_answer_server::closing::Reset }) {
+                for (std::size_t cut = 0; cut < answer.size(); ++cut) {
+                    platform.answerWith(answer.substr(0, cut), closedBy);
+                    const auto read = platform_client(options).call(object_get { "o" }).status;
+                    cr_expect(read == platform_status::Unavailable, "read when cut at %zu of: %s", cut, answer.c_str());
+                    const auto written = platform_client(options).call(object_put { "o", "v" }).status;
+                    cr_expect(written == platform_status::Unknown, "written when cut at %zu of: %s", cut, answer.c_str());
+                }
+            }
+            platform.answerWith(answer, raw_answer_server::closing::Orderly);
+            cr_expect(platform_client(options).call(object_get { "o" }).rows.at(0).value == "whole", "%s", answer.c_str());
+        }
+    }
+}
+
 Test(platform_client, batch_with_too_few_results_is_unknown)
 {
     const fixed_answer_platform platform(200, "[{\"status\":200,\"rows\":[]}]");
