HTTP: the end of a connection without a byte is a truncated message, not an assertion

Cause: http_parser::finishAtConnectionEnd called Beast's put_eof before it asked whether anything had been received, which Beast asserts.

Change: a parser that received nothing fails as Truncated.

--- a/packages/http/http_parser.cpp
+++ b/packages/http/http_parser.cpp
@@ -71,10 +71,13 @@
     {
         if (isComplete || failure != parse_failure::None)
             return;
+        // Beast asserts that something was received.
+        if (!base::got_some())
+            return setFailure(http::make_error_code(http::error::end_of_stream));
         boost::system::error_code code;
         base::put_eof(code);
-        if (code || !base::got_some())
-            setFailure(code ? code : http::make_error_code(http::error::end_of_stream));
+        if (code)
+            setFailure(code);
         isComplete = base::is_done();
     }
 
--- a/tests/http/http_parser_test.cpp
+++ b/tests/http/http_parser_test.cpp
@@ -94,6 +94,18 @@
     cr_assert(chunked.failure() == parse_failure::Truncated);
 }
 
+// A connection that closes without an answer, or within the head of one.
+Test(http_parser, an_answer_whose_head_ends_early_is_truncated)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 00\r\n\r\n";
+    for (std::size_t cut = 0; cut < head.size(); ++cut) {
+        http_parser parser(kind::Response, {});
+        feedInPieces(parser, head.substr(0, cut), 1000);
+        parser.finishAtConnectionEnd();
+        cr_expect(parser.failure() == parse_failure::Truncated && !parser.hasHead() && !parser.isComplete(), "cut at %zu", cut);
+    }
+}
+
 Test(http_parser, an_answer_without_a_length_ends_with_its_connection)
 {
     http_parser parser(kind::Response, {});
