Entries: what a request waited before it ran is no part of its waits afterwards

What callers saw: a stream that had waited for a named limit before its first attempt, and whose endpoint broke off seconds later, was broken off too, though another endpoint would have taken it within half a second (LOST). Cause: the ends of the waits (limit, share, outage) are set at the first wait of the request and were kept over an attempt that ran for longer than them. Change: an attempt that may have run sets them anew. Each wait is still bounded by the time left, and an attempt that did not run changes nothing. Result: forwarding_waits failed before (refused as outcome_unknown) and passes. test_forwarding, test_fleet_retry_budget, test_fleet_schedules, test_sharing and test_limits pass; test_work has its known failure only (placement_policies, on arm64).

--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -351,7 +351,7 @@
     if (event.retryAfter)
         pauseEndpoint(event.now, request, *event.retryAfter);
     if (executionStatusAfter(event.ending) != execution_status::NotRun)
-        request.mayHaveRun = true;
+        recordPossibleRun(request);
     request.hasFailureAnswer = event.ending == attempt_ending::FailureAnswer && !event.answerBegun;
     log_decision line { "attempt_ended", request.caller.sendId,
         { { "endpoint", request.currentEndpoint.str() }, { "ending", std::string(nameOf(event.ending)) },
--- a/packages/decisions/forwarding/forwarding_reducer.h
+++ b/packages/decisions/forwarding/forwarding_reducer.h
@@ -250,6 +250,8 @@
     // Another endpoint that can take a running request at once, and the retry for it; nothing if there is no such endpoint or no retry.
     std::optional<placement> takeReplacement(instant now, request_number number, const request_state& request, log_decision& line);
     void replaceAttempt(instant now, request_number number, request_state& request, const placement& other, log_decision line);
+    // The attempt may have run, so that what the request waited before it is no part of its waits from now on.
+    static void recordPossibleRun(request_state& request);
     // Does not count the latest attempt, which did not run. If it was to replace a running one, that one's endpoint may be chosen again.
     static void uncountAttempt(request_state& request);
     void recordKeptSilent(instant now, const request_state& request, log_decision line);
--- a/packages/decisions/forwarding/forwarding_reducer_replacement.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_replacement.cpp
@@ -99,7 +99,7 @@
 
 void forwarding_reducer::replaceAttempt(instant now, request_number number, request_state& request, const placement& other, log_decision line)
 {
-    request.mayHaveRun = true;
+    recordPossibleRun(request);
     m_fleet.work().recordEnd(number);
     m_effects.emplace_back(cancel_forwarded_request { number });
     m_effects.emplace_back(std::move(line));
@@ -108,6 +108,14 @@
     request.replacedEndpoint = replaced;
 }
 
+void forwarding_reducer::recordPossibleRun(request_state& request)
+{
+    request.mayHaveRun = true;
+    request.outageWaitEnd = {};
+    request.permitWaitEnd = {};
+    request.shareWaitEnd = {};
+}
+
 void forwarding_reducer::uncountAttempt(request_state& request)
 {
     --request.attempts;
