Gated agents: a stopping agent stays to refuse what is under way to it

What callers saw: an agent that had run nothing for 2 s ended in the very event that asked it to stop. A request that an entry had sent just before got no word from it, so that the entry could not know that it never ran. Cause: the time for which a stopping agent stays was counted from its last attempt only, not from the stop. Change: it is counted from the later of both. An idle agent now takes 2 s to stop. Result: agent_stop failed before and passes; test_replay passes. Not run after this change: schedules (its build did not end in time), graceful_shutdown, record_and_replay.

--- a/packages/decisions/agent/agent_reducer.cpp
+++ b/packages/decisions/agent/agent_reducer.cpp
@@ -1,12 +1,15 @@
 #include "decisions/agent/agent_reducer.h"
 
+#include <algorithm>
+
 namespace appleramp {
 
 namespace {
 
 constexpr duration tickInterval = std::chrono::milliseconds(50);
 constexpr duration probeInterval = std::chrono::milliseconds(500);
-// A stopping agent stays up so long after its last attempt, so that entries can still ask for missing response frames.
+// A stopping agent stays up so long after its last attempt, so that entries can still ask for missing response frames, and so long after it was
+// asked to stop, so that it refuses what entries sent before they heard of it.
 constexpr duration lingerTime = std::chrono::seconds(2);
 
 } // namespace
@@ -87,7 +90,11 @@
     void operator()(const platform_replied& /*event*/) const { }
     void operator()(const instances_listed& /*event*/) const { }
     void operator()(const time_passed& /*event*/) const { }
-    void operator()(const stop_requested& /*event*/) const { self.m_stopping = true; }
+    void operator()(const stop_requested& /*event*/) const
+    {
+        if (!self.m_stoppingSince)
+            self.m_stoppingSince = context.now;
+    }
     void operator()(const engine_head& event) const { self.m_runner.engineHead(context, event); }
     void operator()(const engine_data& event) const { self.m_runner.engineData(context, event); }
     void operator()(const engine_end& event) const { self.m_runner.engineEnd(context, event); }
@@ -151,7 +158,9 @@
 
 bool agent_reducer::mayStop(const agent_context& context) const
 {
-    return m_stopping && m_runner.runningCount() == 0 && m_runner.lastAttemptEnd() + lingerTime <= context.now;
+    if (!m_stoppingSince || m_runner.runningCount() > 0)
+        return false;
+    return std::max(*m_stoppingSince, m_runner.lastAttemptEnd()) + lingerTime <= context.now;
 }
 
 void agent_reducer::sendGrants(const agent_context& context)
@@ -185,7 +194,7 @@
 bool agent_reducer::isOutOfService(const agent_context& context) const
 {
     const auto& configuration = m_configuration.current();
-    return m_stopping || configuration.zonesOut.contains(context.identity.zone)
+    return m_stoppingSince || configuration.zonesOut.contains(context.identity.zone)
         || configuration.instancesOut.contains(context.identity.instance);
 }
 
--- a/packages/decisions/agent/agent_reducer.h
+++ b/packages/decisions/agent/agent_reducer.h
@@ -7,6 +7,7 @@
 #include "decisions/suspects/suspect_registry.h"
 #include "decisions/tracing/trace_id_generator.h"
 
+#include <optional>
 #include <set>
 
 namespace appleramp {
@@ -39,7 +40,7 @@
     void sendConfiguration(const agent_context& context, link_number link, configuration_version knownVersion, std::uint64_t inquiry = 0);
     // After a pause of this process, asks all entries for the current configuration.
     void sendConfigurationInquiries(const agent_context& context);
-    // True if the agent was asked to stop, runs nothing and has stayed lingerTime after its last attempt.
+    // True if the agent was asked to stop, runs nothing and has stayed lingerTime after that and after its last attempt.
     bool mayStop(const agent_context& context) const;
     bool isOutOfService(const agent_context& context) const;
 
@@ -52,7 +53,7 @@
     trace_id_generator m_traceIds;
     // Links to entries that have sent a hello.
     std::set<link_number> m_entries;
-    bool m_stopping = false;
+    std::optional<instant> m_stoppingSince;
     instant m_nextTick;
     instant m_nextProbe;
 };
