Tests: a rejected replacement is sent once more before its outcome is unknown

The test expected the refusal right after the first rejection; since the request goes back to its first endpoint, which may run it again as it is idempotent. Change: the test follows the request to the end: sent again, rejected again, and then refused with an unknown outcome, never as not run.

--- a/tests/decisions/forwarding/forwarding_reducer_test.cpp
+++ b/tests/decisions/forwarding/forwarding_reducer_test.cpp
@@ -623,7 +623,12 @@
     entry.request("/read/x");
     entry.handle(attempt_silent { entry.now, entry.number(), false });
     cr_assert_not_null(entry.effect<send_attempt>());
+    // The endpoint that takes over rejects it, and so does the first one when it is asked again.
     entry.endAttempt(attempt_ending::Rejected);
+    cr_assert_not_null(entry.effect<send_attempt>());
+    cr_assert_null(entry.effect<refuse_request>());
+    entry.endAttempt(attempt_ending::Rejected);
+    cr_assert_null(entry.effect<send_attempt>());
     cr_assert(entry.refusedWith(refusal_reason::OutcomeUnknown));
 }
 
