--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -597,7 +597,7 @@
         m_log.flush();
         if (m_stopping && !m_acceptsNothing && !m_stopping->takesRequests(moment))
             stopAccepting();
-        if (m_stopping && !m_stopping->finishes(moment))
+        if (m_stopping && !m_stopping->hasTimeToFinish(moment))
             endUnfinished(moment);
         if (m_stopping && isStopComplete(moment))
             return stopLoop();
--- a/packages/directentry/planned_stop.h
+++ b/packages/directentry/planned_stop.h
@@ -12,8 +12,8 @@
     planned_stop(instant startedAt, duration grace, duration addressesKnownFor);
 
     bool takesRequests(instant now) const { return now - m_startedAt < m_takesFor; }
-    // The time for what was taken is over: what is not finished is ended.
-    bool finishes(instant now) const { return now < answersEnd(); }
+    // What was taken may still be finished; after that it is ended as it is.
+    bool hasTimeToFinish(instant now) const { return now < answersEnd(); }
     instant answersEnd() const { return m_startedAt + m_finishesFor; }
     // The process has to end, though answers may be unsent.
     bool isOver(instant now) const { return now - m_startedAt >= m_endsAfter; }
