--- a/tests/processes/direct_entries.py
+++ b/tests/processes/direct_entries.py
@@ -1,6 +1,7 @@
 """Starts entries of the direct fleet before the stand-ins of the users' platform."""
 import json
 import pathlib
+import resource
 import subprocess
 import tempfile
 import threading
@@ -48,8 +49,8 @@
         self.store.put("servers", endpoint.name, {"service": SERVICE, "address": endpoint.address, "zone": "a", "slots": 8,
                                                   "state": state, "seq_no": 1, "cold_left_ms": 0})
 
-    def start(self, name, sections=""):
-        """Starts an entry, with further sections of settings, and returns the ports that its first log line names."""
+    def start(self, name, sections="", descriptors=None):
+        """Starts an entry, with further sections of settings and a limit of descriptors, and returns the ports that its first log line names."""
         any_port = "127.0.0.1:0"
         text = (f"[process]\nrole = direct_entry\ninstance = {name}\navailability_zone = a\n"
                 f"[listen]\ncallers = {any_port}\nreadiness = {any_port}\ndirectory = {any_port}\noperations = {any_port}\n"
@@ -57,7 +58,8 @@
         text += "".join(f"{name} = {value}\n" for name, value in self.bounds.items())
         path = pathlib.Path(self.folder.name) / f"{name}.ini"
         path.write_text(text)
-        process = subprocess.Popen([BIN / "applerampd", "--settings", str(path)], stdout=subprocess.PIPE, text=True)
+        limit = None if descriptors is None else lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
+        process = subprocess.Popen([BIN / "applerampd", "--settings", str(path)], stdout=subprocess.PIPE, text=True, preexec_fn=limit)
         self.processes[name] = process
         self.lines[name] = []
         for line in process.stdout:
