HTTP: chunk headers and trailers have a limit

Cause: Beast applies its limit to the head only, and looks for the end of a chunk header or of the trailers in the whole input. What is not consumed stays in the input of the connection, in both directions. Change: the parser fails once more than maxHeaderBytes of a message that is not complete are left unparsed, for requests and responses.

--- a/packages/http/http_parser.cpp
+++ b/packages/http/http_parser.cpp
@@ -43,6 +43,7 @@
     using base = http::basic_parser<IsRequest>;
 
     explicit typed_implementation(parser_limits limits)
+        : m_maxUnparsedBytes(limits.maxHeaderBytes)
     {
         this->header_limit(limits.maxHeaderBytes);
         this->body_limit(limits.maxBodyBytes);
@@ -64,6 +65,9 @@
             if (parsed == 0)
                 break;
         }
+        // Beast applies its limit to the head only, and looks for the end of a chunk header or of the trailers in all of the input.
+        if (!isComplete && failure == parse_failure::None && bytes.size() - consumed > m_maxUnparsedBytes)
+            failure = parse_failure::HeaderTooLarge;
         return consumed;
     }
 
@@ -128,6 +132,9 @@
     }
 
     void on_finish_impl(boost::system::error_code&) override { }
+
+private:
+    std::size_t m_maxUnparsedBytes;
 };
 // NOLINTEND(readability-identifier-naming)
 
--- a/packages/http/http_parser.h
+++ b/packages/http/http_parser.h
@@ -11,6 +11,7 @@
 namespace appleramp {
 
 struct parser_limits {
+    // Longest head. A chunk header with its extensions, and all trailers together, may each have as many bytes.
     std::uint32_t maxHeaderBytes = 65536;
     std::uint64_t maxBodyBytes = 64ULL * 1024 * 1024;
 };
@@ -39,7 +40,7 @@
     http_parser& operator=(const http_parser&) = delete;
 
     // Parses as many of the bytes as possible and returns how many were consumed. The caller passes the rest again with
-    // further input. Bytes after the end of the message are not consumed.
+    // further input; it is never more than maxHeaderBytes. Bytes after the end of the message are not consumed.
     std::size_t consume(std::string_view bytes);
     // Must be called when the peer has closed the connection in an orderly way: completes a body that ends at the close,
     // and fails as Truncated otherwise.
--- a/tests/http/http_parser_test.cpp
+++ b/tests/http/http_parser_test.cpp
@@ -82,6 +82,25 @@
     cr_assert(feedInPieces(bodyLimited, "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nabcde", 1000) == parse_failure::BodyTooLarge);
 }
 
+// Guards against a chunk extension, or trailers, without end: the parser looks for their end in all that came, which its caller keeps.
+Test(http_parser, what_comes_between_chunks_and_behind_them_is_limited)
+{
+    constexpr parser_limits limits { .maxHeaderBytes = 1024 };
+    const std::string framing = "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n";
+    for (const std::string begin : { "2;x=", "0;x=", "0\r\nX: ", "0\r\nX: y\r\nZ: " }) {
+        for (const std::size_t pieceSize : { 1, 100, 4096 }) {
+            http_parser request(kind::Request, limits);
+            cr_assert(feedInPieces(request, "POST / HTTP/1.1\r\n" + framing + begin + std::string(4096, 'e'), pieceSize) == parse_failure::HeaderTooLarge);
+            http_parser response(kind::Response, limits);
+            cr_assert(feedInPieces(response, "HTTP/1.1 200 OK\r\n" + framing + begin + std::string(4096, 'e'), pieceSize) == parse_failure::HeaderTooLarge);
+        }
+    }
+    http_parser sound(kind::Request, limits);
+    const std::string rest = "0;x=" + std::string(900, 'e') + "\r\n\r\n";
+    cr_assert(feedInPieces(sound, "POST / HTTP/1.1\r\n" + framing + rest, 1) == parse_failure::None);
+    cr_assert(sound.isComplete());
+}
+
 Test(http_parser, an_answer_that_ends_early_is_truncated)
 {
     http_parser parser(kind::Response, {});
