HTTP: reading ahead stays bounded while answers go out

Cause: the bound of what is read behind a request that is being answered was asked after a read only. After each answer, and after each write, the connection read again without asking, so that each request that was answered let in a whole read buffer. Change: each of the three places asks; the bound is 16 KB, which is one head.

--- a/packages/http/server_connection.cpp
+++ b/packages/http/server_connection.cpp
@@ -17,7 +17,7 @@
 // Unsent output that is buffered for a client that reads slowly. The connection is closed if there is more.
 constexpr std::size_t maxPendingOutputBytes = 8UL * 1024 * 1024;
 // Bytes of pipelined requests that are buffered while an earlier request is being answered.
-constexpr std::size_t maxReadAheadBytes = 64UL * 1024;
+constexpr std::size_t maxReadAheadBytes = 16UL * 1024;
 // Unsent bytes that the kernel may hold, so that a reader's progress is seen in small steps.
 constexpr int sendBufferBytes = 256 * 1024;
 constexpr std::size_t maxWritePart = 64UL * 1024;
@@ -88,6 +88,12 @@
         m_input.append(m_readBuffer.data(), count);
     if (!m_answering && !m_lingering)
         parse();
+    readIfRoom();
+}
+
+// While a request waits for the answer before it, a bounded part of what follows is read.
+void server_connection::readIfRoom()
+{
     const bool isWaiting = m_answering || (!m_parser && !m_lingering && hasUnsentOutput());
     if (!isWaiting || m_input.size() < maxReadAheadBytes)
         read();
@@ -245,7 +251,7 @@
     if (m_closeAfterAnswer)
         return closeGracefully();
     parse();
-    read();
+    readIfRoom();
 }
 
 // Called when the whole response is in the output buffer. Closes the connection or continues with the next request.
@@ -264,7 +270,7 @@
     boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
         if (!self->m_answering)
             self->parse();
-        self->read();
+        self->readIfRoom();
     });
 }
 
--- a/packages/http/server_connection.h
+++ b/packages/http/server_connection.h
@@ -73,6 +73,7 @@
     bool hasUnsentOutput() const { return !m_outputInFlight.empty() || !m_pendingOutput.empty(); }
     void reportDroppedOutput(output_loss cause);
     void read();
+    void readIfRoom();
     void onBytes(std::size_t count);
     void onConnectionLost(output_loss cause);
     void parse();
