HTTP: a connection that was dropped frees its output at once

Seen: an entry that had dropped nine answers of 6 MB that nobody read still held them, 88 MB by the allocator's own count. Cause: closing the socket ends the write in progress, whose progress callback armed the idle timer again. The timer owns the connection, and with it the unsent output, for the idle timeout. Change: a closed connection arms no timer. Result: without the change slow_reader/that_loses_its_connection_frees_the_answer fails (the connection is kept); with it all of test_http pass.

--- a/packages/http/server_connection.cpp
+++ b/packages/http/server_connection.cpp
@@ -296,6 +296,9 @@
 
 void server_connection::armTimer()
 {
+    // The timer would keep a closed connection, and what it holds, until it fires.
+    if (m_closed)
+        return;
     if (m_lingering)
         m_timer.expires_after(lingerTimeout);
     else if (!m_parser)
--- a/tests/http/slow_reader_test.cpp
+++ b/tests/http/slow_reader_test.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -132,3 +133,27 @@
     cr_assert(!reader.dropped(), "dropped as %s", reader.dropped() ? std::string(nameOf(reader.dropped()->cause)).c_str() : "");
     cr_assert_geq(reader.received(), answerBytes, "only %zu bytes came", reader.received());
 }
+
+// Guards against a connection that is dropped with output unsent and stays in memory, with all of it, until the idle timeout.
+Test(slow_reader, that_loses_its_connection_frees_the_answer)
+{
+    boost::asio::io_context loop;
+    std::weak_ptr<server_connection> dropped;
+    http_acceptor acceptor(
+        loop, "127.0.0.1", 0, [] { return server_limits { .idleTimeout = 1h }; },
+        [&](const auto& connection, const http_request&) {
+            dropped = connection;
+            http_response response;
+            response.body = std::string(answerBytes, 'x');
+            connection->respond(std::move(response));
+        });
+    tcp::socket caller(loop);
+    caller.open(tcp::v4());
+    caller.set_option(tcp::socket::receive_buffer_size(receiveBuffer));
+    caller.async_connect({ boost::asio::ip::address_v4::loopback(), acceptor.port() }, [&](const auto&) { boost::asio::write(caller, boost::asio::buffer(getRequest)); });
+    while (dropped.expired())
+        cr_assert_gt(loop.run_one_for(10s), 0);
+    dropped.lock()->abort();
+    while (!dropped.expired())
+        cr_assert_gt(loop.run_one_for(10s), 0, "the connection is kept");
+}
