Processes: large freed blocks go back to the system

Seen: hostile_bodies took an entry to 54 MB, then 88, then 95 with the same account of 34 MB, crowd by crowd. Cause: the allocator raises the size from which it maps blocks of their own with the blocks that it sees freed, so that bodies of some megabytes lie between smaller blocks, and what is freed can't be returned. Change: processes of the direct fleet fix that size at 128 KiB.

--- a/packages/applerampd/direct_fleet.cpp
+++ b/packages/applerampd/direct_fleet.cpp
@@ -11,6 +11,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <malloc.h>
+
 #include <csignal>
 #include <functional>
 
@@ -18,6 +20,12 @@
 
 namespace {
 
+constexpr int largeBlockBytes = 128 * 1024;
+
+// Large blocks go back to the system when they are freed. By default the allocator raises this size with the blocks that it sees, and
+// keeps freed ones between others.
+void returnLargeBlocks() { ::mallopt(M_MMAP_THRESHOLD, largeBlockBytes); }
+
 // Validates the settings file on SIGHUP. Its contents apply only from the next start, but errors are reported now.
 void validateReloadedSettings(const std::string& settingsPath)
 {
@@ -76,6 +84,7 @@
 void runDirectProcess(const process_settings& settings, incarnation life, const std::string& settingsPath)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    returnLargeBlocks();
     if (settings.process.role == process_role::DirectEntry)
         run<direct_entry_process>(settings, life, settingsPath);
     else
