Entries: one account of the memory for callers and endpoints

Seen: on 48 bodies of 4 MiB that stop a byte short of their end take an entry to 232 MB, 48 whole ones at once to 400 MB, 60 answers of 6 MiB that nobody reads to 403 MB (hostile_bodies, hostile_uploads, hostile_readers); machines have 112 to 512 MB. Cause: each connection had bounds, and nothing bounded their sum. A body existed up to four times (as parsed, as the request of the exchange, as serialized bytes, and in the pooled connection to its endpoint, which kept it after the answer). Change: packages/memory counts what connections and exchanges hold against two fifths of the machine's memory. When it is short, the connection that has held most for longest gives way: an incomplete request is refused as not run with a time to return, a reader that does not read loses its connection; a request for which that makes no room is refused in the same way. Large holders leave a quarter to ordinary ones. Bodies are kept once, and shared with the connection to the endpoint, which forgets them once they are written. Weighed: to refuse the newest request (a crowd that stays open then keeps all others out); to close the largest holder (a sound upload at its end is as large as a stalled one); to stop reading from engines while the account is full (half-held answers then wait for one another). The tests lower memory_mb to the 112 MB of their bound where the program knows it. The stand-in of an endpoint now queues 256 connections: with the library's five, 54 of 60 requests of hostile_readers never reached it (attempts not_sent, then a backoff of the entry), so that the crowd was smaller than meant.

--- a/packages/decisions/forwarding/forwarding_effects.h
+++ b/packages/decisions/forwarding/forwarding_effects.h
@@ -58,6 +58,8 @@
     TimedOut,
     // The process ends before the request could be answered, and it was not executed.
     Stopping,
+    // This process has no memory for the request, and did not send it.
+    NoMemory,
 };
 
 std::string_view nameOf(refusal_reason reason);
--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -70,6 +70,8 @@
         return "outcome_unknown";
     case refusal_reason::Stopping:
         return "stopping";
+    case refusal_reason::NoMemory:
+        return "no_memory";
     case refusal_reason::TimedOut:
         break;
     }
--- a/packages/directentry/caller_connection_limits.cpp
+++ b/packages/directentry/caller_connection_limits.cpp
@@ -3,10 +3,19 @@
 #include "decisions/forwarding/route_table.h"
 #include "settings/process_settings.h"
 
+#include <algorithm>
 #include <chrono>
 
 namespace appleramp {
 
+namespace {
+
+constexpr std::size_t mebibyte = 1024UL * 1024;
+// Where the settings name no memory, a process uses no more than this of a large machine.
+constexpr std::size_t mostMemoryFound = 512 * mebibyte;
+
+} // namespace
+
 server_limits callerConnectionLimits(const route_table* routes, const process_settings& settings)
 {
     if (routes == nullptr)
@@ -17,4 +26,13 @@
         inMilliseconds(settings.limits.requestReadTimeout), inMilliseconds(limits.idleTimeout) };
 }
 
+machine_size configuredMachineSize(const process_settings& settings)
+{
+    machine_size size = readMachineSize();
+    size.memoryBytes = settings.limits.memoryMegabytes > 0 ? settings.limits.memoryMegabytes * mebibyte : std::min(size.memoryBytes, mostMemoryFound);
+    if (settings.limits.descriptors > 0)
+        size.descriptors = std::min<std::size_t>(size.descriptors, settings.limits.descriptors);
+    return size;
+}
+
 } // namespace appleramp
--- a/packages/directentry/caller_connection_limits.h
+++ b/packages/directentry/caller_connection_limits.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/server_connection.h"
+#include "memory/machine_size.h"
 
 namespace appleramp {
 
@@ -11,4 +12,7 @@
 // `routes` is null.
 server_limits callerConnectionLimits(const route_table* routes, const process_settings& settings);
 
+// The machine as found, with what the settings say in its place.
+machine_size configuredMachineSize(const process_settings& settings);
+
 } // namespace appleramp
--- a/packages/directentry/caller_exchange.cpp
+++ b/packages/directentry/caller_exchange.cpp
@@ -3,8 +3,10 @@
 #include "directentry/refusal_answer.h"
 #include "http/client_pool.h"
 #include "http/server_connection.h"
+#include "memory/memory_account.h"
 #include "ports/platform_adapter.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace appleramp {
@@ -19,9 +21,10 @@
 constexpr duration maxDiscardTime = std::chrono::milliseconds(250);
 // Interval at which a silent attempt is reported again.
 constexpr duration silenceReportInterval = std::chrono::milliseconds(200);
-// Largest answer that is held back until it is complete, and the bytes of all such answers together.
+// Largest answer that is held back until it is complete.
 constexpr std::size_t maxHeldAnswerBytes = 7UL * 1024 * 1024;
-constexpr std::size_t maxHeldBytes = 48UL * 1024 * 1024;
+// Buffers and state of an exchange and of its connection to an endpoint.
+constexpr std::size_t exchangeBytes = 12UL * 1024;
 // Largest event of a stream.
 constexpr std::size_t maxEventBytes = 1024UL * 1024;
 
@@ -63,19 +66,33 @@
     : m_services(std::move(services))
     , m_number(number)
     , m_connection(std::move(caller))
-    , m_request(std::move(request))
-    , m_caller(m_services.platform.readCallerRequest(m_request))
+    , m_caller(m_services.platform.readCallerRequest(request))
+    , m_requestBytes(memoryOf(request))
+    , m_charge(m_services.memory)
     , m_startedAt(m_services.now())
 {
+    m_head = std::move(request.head);
+    m_body = std::make_shared<const std::string>(std::move(request.body));
     m_connection->identifyAnswer(m_caller.sendId);
+    updateCharge();
 }
 
-caller_exchange::~caller_exchange() { dropAnswer(); }
+caller_exchange::~caller_exchange() = default;
+
+std::size_t caller_exchange::memoryOf(const http_request& request)
+{
+    return exchangeBytes + 2 * (request.head.target.size() + request.head.headers.heldBytes()) + request.body.size();
+}
+
+void caller_exchange::updateCharge()
+{
+    m_charge.resize(m_requestBytes + m_answer.body.size() + m_events.partialBytes());
+}
 
 void caller_exchange::dropAnswer()
 {
-    m_services.heldBytes -= m_answer.body.size();
     m_answer = {};
+    updateCharge();
 }
 
 exchange_stage caller_exchange::stage() const
@@ -111,13 +128,13 @@
     m_events.dropPartial();
     const endpoint_request order { effect.endpoint, effect.team, effect.timeLeft, effect.urgencyRank,
         m_begun ? m_events.lastEventId() : std::nullopt };
-    std::string bytes = serializeRequest(m_services.platform.endpointRequestHead(m_request.head, order), m_request.body);
+    std::string head = serializeRequestHead(m_services.platform.endpointRequestHead(m_head, order), m_body->size());
     m_endpoint = m_services.endpoints.acquire(effect.address, effect.requiresNewConnection);
     m_isConnectionKept = m_endpoint->wasUsed();
     const std::uint64_t number = ++m_attemptNumber;
     // Callbacks of a cancelled or ended attempt are ignored.
     const auto current = [self = shared_from_this(), number] { return self->m_attemptNumber == number && !self->m_over; };
-    m_endpoint->exchange(std::move(bytes),
+    m_endpoint->exchange(std::move(head), m_body,
         { .head =
                 [self = shared_from_this(), current](http_response_head head) {
                     if (current())
@@ -212,11 +229,17 @@
 
 void caller_exchange::holdBytes(const std::string& bytes)
 {
-    if (m_answer.body.size() + bytes.size() > maxHeldAnswerBytes || m_services.heldBytes + bytes.size() > maxHeldBytes)
+    if (m_answer.body.size() + bytes.size() > maxHeldAnswerBytes || !hasRoomToGrow(bytes.size()))
         return rejectOversized();
     noteProgress();
-    m_services.heldBytes += bytes.size();
     m_answer.body += bytes;
+    updateCharge();
+}
+
+// An exchange with a large request or answer may use the share of large ones only.
+bool caller_exchange::hasRoomToGrow(std::size_t bytes) const
+{
+    return m_services.makeRoom(m_charge.bytes() + bytes > memory_account::smallBytes ? std::max(bytes, memory_account::smallBytes + 1) : bytes);
 }
 
 void caller_exchange::rejectOversized()
@@ -236,7 +259,8 @@
 void caller_exchange::streamBytes(const std::string& bytes)
 {
     const std::string events = m_events.appendAndExtract(bytes);
-    if (m_events.partialBytes() > maxEventBytes)
+    updateCharge();
+    if (m_events.partialBytes() > maxEventBytes || !hasRoomToGrow(0))
         return rejectOversized();
     if (events.empty())
         return;
@@ -335,8 +359,9 @@
 
 void caller_exchange::respondWithAnswer()
 {
-    m_services.heldBytes -= m_answer.body.size();
-    m_connection->respond(std::exchange(m_answer, {}));
+    http_response answer = std::exchange(m_answer, {});
+    updateCharge();
+    m_connection->respond(std::move(answer));
 }
 
 void caller_exchange::passFailureAnswer()
--- a/packages/directentry/caller_exchange.h
+++ b/packages/directentry/caller_exchange.h
@@ -6,6 +6,7 @@
 #include "directentry/begun_stream.h"
 #include "http/client_connection.h"
 #include "http/http_message.h"
+#include "memory/memory_charge.h"
 #include "model/time.h"
 
 #include <functional>
@@ -18,6 +19,7 @@
 namespace appleramp {
 
 class client_pool;
+class memory_account;
 class platform_adapter;
 class server_connection;
 
@@ -29,8 +31,9 @@
     std::function<void(const forwarding_event&)> post;
     // Tells whether nothing listens at an endpoint's address any more.
     std::function<void(const std::string& address, std::function<void(bool refused)> done)> probe;
-    // Bytes of answers that all exchanges hold back.
-    std::size_t& heldBytes;
+    std::shared_ptr<memory_account> memory;
+    // Makes others give way until one more holder of that size has room in the memory; false if it has none.
+    std::function<bool(std::size_t bytes)> makeRoom;
     // When an endpoint of each service last sent part of a response to this process.
     std::map<service_id, instant>& serviceProgress;
 };
@@ -57,6 +60,9 @@
     caller_exchange(const caller_exchange&) = delete;
     caller_exchange& operator=(const caller_exchange&) = delete;
 
+    // Memory that the exchange of such a request takes, without its answer.
+    static std::size_t memoryOf(const http_request& request);
+
     // Posts request_arrived and begins to watch for the caller's disconnection.
     void start();
     void carryOut(const send_attempt& effect);
@@ -95,6 +101,7 @@
     void concludeAnswer();
     void onFailed(exchange_failure failure);
     void holdBytes(const std::string& bytes);
+    bool hasRoomToGrow(std::size_t bytes) const;
     void streamBytes(const std::string& bytes);
     void respondWithAnswer();
     // Drops what is held of the answer.
@@ -105,14 +112,20 @@
     void endAttempt(attempt_ending ending, std::optional<duration> retryAfter = {}, bool connectionRefused = false);
     void answered();
     void finish();
+    void updateCharge();
     void noteProgress();
     bool othersProgress(instant now) const;
 
     exchange_services m_services;
     request_number m_number;
     std::shared_ptr<server_connection> m_connection;
-    http_request m_request;
+    http_request_head m_head;
+    // Shared with the connections to endpoints.
+    std::shared_ptr<const std::string> m_body;
     caller_request m_caller;
+    // The request with its head twice, as it came and as it was read.
+    std::size_t m_requestBytes = 0;
+    memory_charge m_charge;
     instant m_startedAt;
     instant m_deadline = instant::max();
     // When to ask the reducer for an endpoint again.
--- a/packages/directentry/entry_metrics.cpp
+++ b/packages/directentry/entry_metrics.cpp
@@ -5,6 +5,9 @@
 const metric_descriptor requests { "appleramp_forwarded_requests_total", metric_kind::Counter, "Requests of callers that arrived." };
 const metric_descriptor refusals { "appleramp_refusals_total", metric_kind::Counter, "Answers of our own, by reason." };
 const metric_descriptor answersDropped { "appleramp_answers_dropped_total", metric_kind::Counter, "Connections that were closed with part of an answer unsent, by cause." };
+const metric_descriptor connectionsShed { "appleramp_connections_shed_total", metric_kind::Counter, "Connections that gave way to others, by what was short." };
+const metric_descriptor heldBytes { "appleramp_held_bytes", metric_kind::Gauge, "Bytes of requests, answers and connections that are held for callers and endpoints." };
+const metric_descriptor heldBytesLimit { "appleramp_held_bytes_limit", metric_kind::Gauge, "Most of these bytes." };
 const metric_descriptor attemptEndings { "appleramp_attempt_endings_total", metric_kind::Counter, "Attempts that ended without a whole answer, by how." };
 const metric_descriptor answerTime { "appleramp_answer_seconds", metric_kind::Summary, "From the arrival of a request to the end of its answer." };
 const metric_descriptor configurationAge { "appleramp_configuration_age_seconds", metric_kind::Gauge, "Since the sending of the read that confirmed the configuration." };
--- a/packages/directentry/entry_metrics.h
+++ b/packages/directentry/entry_metrics.h
@@ -7,6 +7,9 @@
 extern const metric_descriptor requests;
 extern const metric_descriptor refusals;
 extern const metric_descriptor answersDropped;
+extern const metric_descriptor connectionsShed;
+extern const metric_descriptor heldBytes;
+extern const metric_descriptor heldBytesLimit;
 extern const metric_descriptor attemptEndings;
 extern const metric_descriptor answerTime;
 extern const metric_descriptor configurationAge;
--- a/packages/http/client_connection.cpp
+++ b/packages/http/client_connection.cpp
@@ -30,7 +30,13 @@
 
 void client_connection::exchange(std::string request, exchange_handlers handlers)
 {
-    m_request = std::move(request);
+    exchange(std::move(request), std::make_shared<const std::string>(), std::move(handlers));
+}
+
+void client_connection::exchange(std::string head, std::shared_ptr<const std::string> body, exchange_handlers handlers)
+{
+    m_request = std::move(head);
+    m_requestBody = std::move(body);
     m_handlers = std::make_shared<const exchange_handlers>(std::move(handlers));
     m_parser = std::make_unique<http_parser>(http_parser::message_kind::Response, responseLimits);
     m_headReported = false;
@@ -78,11 +84,13 @@
 {
     m_used = true;
     m_sentAny = true;
-    boost::asio::async_write(m_socket, boost::asio::buffer(m_request),
-        [self = shared_from_this()](const boost::system::error_code& failure, std::size_t) {
+    const std::array<boost::asio::const_buffer, 2> request { boost::asio::buffer(m_request), boost::asio::buffer(*m_requestBody) };
+    boost::asio::async_write(m_socket, request,
+        [self = shared_from_this(), body = m_requestBody](const boost::system::error_code& failure, std::size_t) {
             // Write errors are not handled here: the pending read fails as well and knows whether a response had arrived.
             if (!failure)
                 self->m_requestWritten = true;
+            self->releaseRequest();
         });
 }
 
@@ -187,6 +195,13 @@
         handlers->failed(failure);
 }
 
+// A connection that waits in the pool keeps no request.
+void client_connection::releaseRequest()
+{
+    m_request = {};
+    m_requestBody.reset();
+}
+
 void client_connection::close()
 {
     if (m_state == state::Closed)
--- a/packages/http/client_connection.h
+++ b/packages/http/client_connection.h
@@ -50,6 +50,8 @@
 
     // Sends a serialized request; connects first unless the connection is idle.
     void exchange(std::string request, exchange_handlers handlers);
+    // The same for a request whose body is shared with its owner, which may send it again.
+    void exchange(std::string head, std::shared_ptr<const std::string> body, exchange_handlers handlers);
     // Closes the connection without calling any handler of a running exchange.
     void cancel();
 
@@ -81,6 +83,7 @@
     void parseKeepAlive(const http_response_head& head);
     void complete();
     void fail(exchange_failure failure);
+    void releaseRequest();
     void close();
 
     boost::asio::ip::tcp::socket m_socket;
@@ -91,6 +94,7 @@
     state m_state = state::Unconnected;
 
     std::string m_request;
+    std::shared_ptr<const std::string> m_requestBody;
     bool m_requestWritten = false;
     bool m_sentAny = false;
     bool m_used = false;
--- a/packages/http/http_acceptor.cpp
+++ b/packages/http/http_acceptor.cpp
@@ -1,8 +1,14 @@
 #include "http/http_acceptor.h"
 
 #include "http/http_error.h"
+#include "http/shed_connection.h"
+#include "memory/memory_account.h"
+
+#include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <chrono>
+#include <span>
 #include <utility>
 
 namespace appleramp {
@@ -17,11 +23,23 @@
 // immediate retry would not change.
 constexpr std::chrono::milliseconds acceptRetryDelay { 20 };
 
+std::vector<connection_load> loadsOf(std::span<const std::shared_ptr<server_connection>> connections)
+{
+    const auto now = std::chrono::steady_clock::now();
+    std::vector<connection_load> loads;
+    loads.reserve(connections.size());
+    for (const auto& connection : connections)
+        loads.push_back(connection->load(now));
+    return loads;
+}
+
 } // namespace
 
 http_acceptor::http_acceptor(boost::asio::io_context& loop, const std::string& address, std::uint16_t port,
-    server_connection::limits_source limits, server_connection::handler onRequest)
-    : m_acceptor(loop)
+    server_connection::limits_source limits, server_connection::handler onRequest, acceptor_limits ownLimits)
+    : m_loop(loop)
+    , m_ownLimits(std::move(ownLimits))
+    , m_acceptor(loop)
     , m_retryTimer(loop)
     , m_limits(std::move(limits))
     , m_onRequest(std::move(onRequest))
@@ -62,8 +80,10 @@
 {
     if (++m_acceptedSinceCleanup >= cleanupInterval)
         removeClosedConnections();
-    auto connection = std::make_shared<server_connection>(std::move(socket), m_limits, m_onRequest);
+    auto connection = std::make_shared<server_connection>(std::move(socket), m_limits, m_onRequest, m_ownLimits.account);
     connection->onOutputDropped(m_onOutputDropped);
+    if (m_ownLimits.account)
+        connection->onGrowth([this](std::size_t heldBytes) { onGrowth(heldBytes); });
     if (m_draining)
         connection->beginDrain();
     m_connections.push_back(connection);
@@ -86,7 +106,62 @@
 void http_acceptor::removeClosedConnections()
 {
     m_acceptedSinceCleanup = 0;
-    m_connections.remove_if([](const std::weak_ptr<server_connection>& connection) { return connection.expired(); });
+    m_connections.remove_if([](const std::weak_ptr<server_connection>& weakConnection) {
+        const auto connection = weakConnection.lock();
+        return !connection || connection->isClosed();
+    });
+}
+
+std::vector<std::shared_ptr<server_connection>> http_acceptor::openConnections() const
+{
+    std::vector<std::shared_ptr<server_connection>> open;
+    for (const auto& weakConnection : m_connections) {
+        auto connection = weakConnection.lock();
+        if (connection && !connection->isClosed())
+            open.push_back(std::move(connection));
+    }
+    return open;
+}
+
+// Deferred, since the connection that grows is in the middle of its work.
+void http_acceptor::onGrowth(std::size_t heldBytes)
+{
+    if (m_reliefPending || !m_ownLimits.account->isShortFor(heldBytes))
+        return;
+    m_reliefPending = true;
+    boost::asio::post(m_loop, [this, heldBytes] {
+        m_reliefPending = false;
+        while (m_ownLimits.account->isShortFor(heldBytes) && shedForMemory()) { }
+    });
+}
+
+bool http_acceptor::makeRoom(std::size_t bytes)
+{
+    while (!m_ownLimits.account->hasRoomFor(bytes)) {
+        if (!shedForMemory())
+            return false;
+    }
+    return true;
+}
+
+bool http_acceptor::shedForMemory()
+{
+    const auto connections = openConnections();
+    const auto chosen = chooseForMemory(loadsOf(connections));
+    if (!chosen)
+        return false;
+    const std::size_t before = m_ownLimits.account->heldBytes();
+    connections[*chosen]->shed(reportShed(*connections[*chosen], "memory"));
+    return m_ownLimits.account->heldBytes() < before;
+}
+
+std::optional<http_response> http_acceptor::reportShed(const server_connection& connection, std::string_view cause) const
+{
+    if (!m_onShed)
+        return std::nullopt;
+    const memory_account* const account = m_ownLimits.account.get();
+    const std::size_t held = connection.load(std::chrono::steady_clock::now()).heldBytes;
+    return m_onShed({ cause, connection.peerAddress(), held, account ? account->heldBytes() : 0, account ? account->limitBytes() : 0, m_connections.size() });
 }
 
 void http_acceptor::beginDrain()
--- a/packages/http/http_message.cpp
+++ b/packages/http/http_message.cpp
@@ -95,6 +95,14 @@
         [&](const header_field& field) { return equalsIgnoringCase(field.name, name); });
 }
 
+std::size_t header_list::heldBytes() const
+{
+    std::size_t bytes = 0;
+    for (const header_field& field : m_fields)
+        bytes += sizeof(header_field) + field.name.size() + field.value.size();
+    return bytes;
+}
+
 void header_list::removeHopByHop()
 {
     for (const std::string& fieldName : splitCommaList(get("Connection"))) {
@@ -125,14 +133,20 @@
 }
 
 std::string serializeRequest(const http_request_head& head, std::string_view body)
+{
+    std::string text = serializeRequestHead(head, body.size());
+    text.append(body);
+    return text;
+}
+
+std::string serializeRequestHead(const http_request_head& head, std::size_t bodyBytes)
 {
     std::string text;
     text.append(head.method).append(" ").append(head.target).append(" HTTP/1.1\r\n");
     header_list headers = head.headers;
-    if (!body.empty() || (head.method != "GET" && head.method != "HEAD"))
-        headers.add("Content-Length", std::to_string(body.size()));
+    if (bodyBytes > 0 || (head.method != "GET" && head.method != "HEAD"))
+        headers.add("Content-Length", std::to_string(bodyBytes));
     appendFields(text, headers);
-    text.append(body);
     return text;
 }
 
--- a/packages/http/http_message.h
+++ b/packages/http/http_message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -27,6 +28,8 @@
     void removeHopByHop();
 
     const std::vector<header_field>& fields() const { return m_fields; }
+    // Memory that the fields take.
+    std::size_t heldBytes() const;
 
 private:
     std::vector<header_field> m_fields;
@@ -68,6 +71,8 @@
 
 // Serializes a request. Adds a Content-Length for the body; GET and HEAD without a body get none.
 std::string serializeRequest(const http_request_head& head, std::string_view body);
+// The same without the body, which the caller sends behind it.
+std::string serializeRequestHead(const http_request_head& head, std::size_t bodyBytes);
 // Serializes the head of a response. The caller must have added the framing fields (Content-Length or
 // Transfer-Encoding).
 std::string serializeResponseHead(const http_response_head& head);
--- a/packages/http/http_parser.cpp
+++ b/packages/http/http_parser.cpp
@@ -16,6 +16,7 @@
 
     bool hasHead = false;
     bool isComplete = false;
+    std::size_t headBytes = 0;
     parse_failure failure = parse_failure::None;
     http_request_head request;
     http_response_head response;
@@ -104,6 +105,7 @@
     {
         const std::string_view fieldName(name.data(), name.size());
         const std::string_view fieldValue(value.data(), value.size());
+        headBytes += sizeof(header_field) + fieldName.size() + fieldValue.size();
         (IsRequest ? request.headers : response.headers).add(fieldName, fieldValue);
     }
 
@@ -162,6 +164,8 @@
 
 http_response_head http_parser::takeResponseHead() { return std::move(m_implementation->response); }
 
+std::size_t http_parser::heldBytes() const { return m_implementation->headBytes + m_implementation->body.size(); }
+
 std::string http_parser::takeBody() { return std::exchange(m_implementation->body, {}); }
 
 } // namespace appleramp
--- a/packages/http/http_parser.h
+++ b/packages/http/http_parser.h
@@ -47,6 +47,8 @@
     void finishAtConnectionEnd();
 
     bool hasHead() const;
+    // Bytes of the head, also once it was taken, and of the body that was not taken.
+    std::size_t heldBytes() const;
     bool isComplete() const;
     parse_failure failure() const;
 
--- a/packages/http/server_connection.cpp
+++ b/packages/http/server_connection.cpp
@@ -20,6 +20,10 @@
 constexpr std::size_t maxReadAheadBytes = 16UL * 1024;
 // Unsent bytes that the kernel may hold, so that a reader's progress is seen in small steps.
 constexpr int sendBufferBytes = 256 * 1024;
+// Received bytes that the kernel may hold; they are memory of the machine as well.
+constexpr int receiveBufferBytes = 64 * 1024;
+// What a connection takes that does nothing.
+constexpr std::size_t idleBytes = sizeof(server_connection) + 1024;
 constexpr std::size_t maxWritePart = 64UL * 1024;
 // Time for the peer to read the last response before the socket is closed. Closing a socket with unread input resets the
 // connection, which can discard the response.
@@ -41,11 +45,14 @@
 
 } // namespace
 
-server_connection::server_connection(boost::asio::ip::tcp::socket socket, limits_source limits, handler onRequest)
+server_connection::server_connection(
+    boost::asio::ip::tcp::socket socket, limits_source limits, handler onRequest, std::shared_ptr<memory_account> account)
     : m_socket(std::move(socket))
     , m_timer(m_socket.get_executor())
     , m_limitsSource(std::move(limits))
     , m_onRequest(std::move(onRequest))
+    , m_charge(std::move(account))
+    , m_quietSince(std::chrono::steady_clock::now())
 {
 }
 
@@ -53,6 +60,8 @@
 {
     boost::system::error_code ignored; // With the kernel's own size the steps are larger.
     m_socket.set_option(boost::asio::socket_base::send_buffer_size(sendBufferBytes), ignored);
+    m_socket.set_option(boost::asio::socket_base::receive_buffer_size(receiveBufferBytes), ignored);
+    m_charge.resize(idleBytes);
     m_limits = m_limitsSource();
     // The kernel counts a caller that pauses with a full window as one that acknowledges nothing.
     configureSocket(m_socket, std::max(minPeerTimeout, m_limits.idleTimeout));
@@ -88,6 +97,7 @@
         m_input.append(m_readBuffer.data(), count);
     if (!m_answering && !m_lingering)
         parse();
+    updateCharge();
     readIfRoom();
 }
 
@@ -149,6 +159,7 @@
 {
     http_request request { std::move(m_head), m_parser->takeBody() };
     m_parser.reset();
+    m_charge.resize(heldBytes());
     m_answering = true;
     m_answerQueued = false;
     m_answerId.clear();
@@ -158,16 +169,52 @@
 }
 
 void server_connection::reject(unsigned status)
+{
+    http_response response;
+    response.head.status = status;
+    rejectWith(std::move(response));
+}
+
+void server_connection::rejectWith(http_response response)
 {
     m_parser.reset();
-    m_input.clear();
+    m_head = {};
+    m_input = {};
     m_answering = true;
     m_closeAfterAnswer = true;
-    http_response response;
-    response.head.status = status;
     respond(std::move(response));
 }
 
+std::size_t server_connection::heldBytes() const
+{
+    return idleBytes + m_input.size() + (m_parser ? m_parser->heldBytes() : 0) + m_pendingOutput.size() + m_outputInFlight.size();
+}
+
+void server_connection::updateCharge()
+{
+    if (m_closed)
+        return;
+    const std::size_t before = m_charge.bytes();
+    m_charge.resize(heldBytes());
+    if (before <= idleBytes && m_charge.bytes() > idleBytes)
+        m_heldSince = std::chrono::steady_clock::now();
+    if (m_charge.bytes() > before && m_onGrowth)
+        m_onGrowth(m_charge.bytes());
+}
+
+connection_load server_connection::load(std::chrono::steady_clock::time_point now) const
+{
+    const bool holdsMore = m_charge.bytes() > idleBytes;
+    return { m_charge.bytes(), holdsMore ? now - m_heldSince : now - m_quietSince, now - m_quietSince, m_answering, hasUnsentOutput() };
+}
+
+void server_connection::shed(std::optional<http_response> refusal)
+{
+    if (refusal && m_parser && !m_answering && !m_lingering)
+        return rejectWith(std::move(*refusal));
+    onConnectionLost(output_loss::Overflow);
+}
+
 void server_connection::respond(http_response response)
 {
     if (m_closed)
@@ -177,7 +224,8 @@
     response.head.headers.add("Content-Length", std::to_string(response.body.size()));
     if (m_closeAfterAnswer)
         response.head.headers.add("Connection", "close");
-    send(serializeResponseHead(response.head) + response.body);
+    m_pendingOutput += serializeResponseHead(response.head);
+    send(response.body);
     onAnswerQueued();
 }
 
@@ -217,6 +265,7 @@
     }
     if (m_outputInFlight.empty())
         writeNext();
+    updateCharge();
 }
 
 void server_connection::writeNext()
@@ -241,9 +290,12 @@
 
 void server_connection::onWritten()
 {
+    if (m_outputInFlight.size() > maxWritePart)
+        m_outputInFlight = {};
     m_outputInFlight.clear();
     if (m_closed)
         return;
+    updateCharge();
     if (!m_pendingOutput.empty())
         return writeNext();
     if (m_answering)
@@ -259,6 +311,7 @@
 {
     m_answering = false;
     m_answerQueued = true;
+    m_quietSince = std::chrono::steady_clock::now();
     m_onPeerGone = nullptr;
     if (m_closeAfterAnswer) {
         if (m_outputInFlight.empty() && m_pendingOutput.empty())
@@ -290,6 +343,7 @@
     if (std::exchange(m_closed, true))
         return;
     m_timer.cancel();
+    m_charge.resize(0);
     boost::system::error_code ignored; // There is no further cleanup if closing fails.
     m_socket.close(ignored);
 }
--- a/packages/http/server_connection.h
+++ b/packages/http/server_connection.h
@@ -2,6 +2,8 @@
 
 #include "http/http_message.h"
 #include "http/http_parser.h"
+#include "memory/connection_load.h"
+#include "memory/memory_charge.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -10,6 +12,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -41,7 +44,8 @@
     using limits_source = std::function<server_limits()>;
     using output_watcher = std::function<void(const dropped_output&)>;
 
-    server_connection(boost::asio::ip::tcp::socket socket, limits_source limits, handler onRequest);
+    // Without an account, what the connection holds is not counted.
+    server_connection(boost::asio::ip::tcp::socket socket, limits_source limits, handler onRequest, std::shared_ptr<memory_account> account = nullptr);
 
     void start();
     // Registers a callback that is called once if the connection is lost while its request is unanswered.
@@ -52,6 +56,9 @@
     // Registers a callback for the case that the connection is closed with output unsent, other than by abort().
     void onOutputDropped(output_watcher notify) { m_onOutputDropped = std::move(notify); }
 
+    // Registers a callback that is called with the bytes held whenever these have grown.
+    void onGrowth(std::function<void(std::size_t heldBytes)> notify) { m_onGrowth = std::move(notify); }
+
     void respond(http_response response);
     void beginStream(http_response_head head);
     void writeStream(std::string_view bytes);
@@ -62,6 +69,11 @@
     // way.
     void beginDrain() { m_draining = true; }
 
+    // Gives up what the connection holds: answers a request that is not complete with the refusal, if there is one, or closes the connection.
+    void shed(std::optional<http_response> refusal);
+    bool isClosed() const { return m_closed; }
+    connection_load load(std::chrono::steady_clock::time_point now) const;
+
     bool isAnswering() const { return m_answering; }
     // An answer has not been handed to the kernel completely, or the connection waits for its peer to close after the last one. Ending the
     // process then may reset the connection, and take from the peer what it has not read.
@@ -79,6 +91,9 @@
     void parse();
     void dispatch();
     void reject(unsigned status);
+    void rejectWith(http_response response);
+    std::size_t heldBytes() const;
+    void updateCharge();
     void send(std::string_view bytes);
     void writeNext();
     void onWritten();
@@ -97,7 +112,14 @@
     output_watcher m_onOutputDropped;
     std::string m_answerId;
 
-    std::array<char, 16384> m_readBuffer {};
+    std::function<void(std::size_t)> m_onGrowth;
+    memory_charge m_charge;
+    // Since when more is held than an idle connection takes.
+    std::chrono::steady_clock::time_point m_heldSince;
+    // When the connection was opened, or its last answer was sent.
+    std::chrono::steady_clock::time_point m_quietSince;
+
+    std::array<char, 4096> m_readBuffer {};
     std::string m_input;
     std::unique_ptr<http_parser> m_parser;
     http_request_head m_head;
--- a/tests/http/http_connections_test.cpp
+++ b/tests/http/http_connections_test.cpp
@@ -1,5 +1,7 @@
 #include "http/client_pool.h"
 #include "http/http_acceptor.h"
+#include "http/shed_connection.h"
+#include "memory/memory_account.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
@@ -23,9 +25,9 @@
 // A server and a client pool on one io_context, which runs until a condition of the test holds.
 class server_and_pool {
 public:
-    explicit server_and_pool(server_connection::handler onRequest)
+    explicit server_and_pool(server_connection::handler onRequest, acceptor_limits limits = {})
         : m_acceptor(
-            m_loop, "127.0.0.1", 0, [] { return server_limits {}; }, std::move(onRequest))
+            m_loop, "127.0.0.1", 0, [] { return server_limits {}; }, std::move(onRequest), std::move(limits))
         , m_pool(m_loop, {})
     {
     }
@@ -209,3 +211,55 @@
     cr_assert_eq(seen.body, "a");
     cr_assert(!connection->isReusable());
 }
+
+namespace {
+
+// A raw connection that sends something and keeps what it gets.
+class raw_caller {
+public:
+    raw_caller(server_and_pool& server, std::string bytes)
+        : m_socket(server.loop())
+        , m_bytes(std::move(bytes))
+    {
+        m_socket.async_connect(endpointFromText(server.address()), [this](const auto&) {
+            boost::asio::async_write(m_socket, boost::asio::buffer(m_bytes), [this](const auto&, std::size_t) { isSent = true; });
+            boost::asio::async_read(m_socket, boost::asio::dynamic_buffer(answer), [this](const auto&, std::size_t) { isClosed = true; });
+        });
+    }
+
+    std::string answer;
+    bool isSent = false;
+    bool isClosed = false;
+
+private:
+    tcp::socket m_socket;
+    std::string m_bytes;
+};
+
+const std::string halfRequest = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n" + std::string(900'000, 'b');
+
+} // namespace
+
+// Guards against bodies short of their end that fill the memory: the one that has held most for longest is refused, and frees its bytes.
+Test(http_connections, what_is_held_longest_gives_way_when_memory_is_short)
+{
+    const auto account = std::make_shared<memory_account>(2UL * 1024 * 1024);
+    server_and_pool server([](const auto& connection, const http_request& request) { connection->respond(answer(request.body)); }, { .account = account });
+    std::vector<std::string> causes;
+    server.acceptor().onShed([&](const shed_connection& shed) {
+        causes.emplace_back(shed.cause);
+        http_response refusal;
+        refusal.head.status = 503;
+        return refusal;
+    });
+    raw_caller first(server, halfRequest);
+    server.runUntil([&] { return account->heldBytes() >= 900'000; });
+    raw_caller second(server, halfRequest);
+    server.runUntil([&] { return first.isClosed; });
+    cr_assert(first.answer.starts_with("HTTP/1.1 503 "), "%s", first.answer.c_str());
+    cr_assert(causes == std::vector<std::string> { "memory" });
+    server.runUntil([&] { return second.isSent; });
+    cr_assert(!second.isClosed);
+    cr_assert_leq(account->heldBytes(), 2UL * 1024 * 1024);
+    cr_assert(server.sendRaw("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n").starts_with("HTTP/1.1 200 "));
+}
--- a/tests/processes/hostile_callers.py
+++ b/tests/processes/hostile_callers.py
@@ -3,8 +3,9 @@
 import http.client
 import pathlib
 import socket
+import subprocess
 
-from direct_entries import STREAM_TIMEOUT_MS, Entries, configuration
+from direct_entries import BIN, STREAM_TIMEOUT_MS, Entries, configuration
 from fleet import call, wait_until
 from platform_stand_in import Endpoint
 
@@ -30,6 +31,11 @@
     raise AssertionError(f"the process has ended: no {name}")
 
 
+def has_setting(key):
+    """Builds from before a limit of memory refuse its key."""
+    return f"`{key}`" in subprocess.run([BIN / "applerampd", "--describe-settings"], capture_output=True, text=True, check=True).stdout
+
+
 def peak_memory(process):
     return 1024 * process_status(process, "VmHWM")
 
@@ -102,7 +108,8 @@
         settings["limits"].update({"max_header_bytes": MAX_HEADER_BYTES, "max_body_bytes": MAX_BODY_BYTES})
         self.fleet.store.put("op", "config", settings)
         self.fleet.register(self.endpoint)
-        self.ports = self.fleet.start("entry-1", descriptors=self.descriptors)
+        limits = f"[limits]\nmemory_mb = {MACHINE_MEMORY_BYTES // MEBIBYTE}\n" if has_setting("memory_mb") else ""
+        self.ports = self.fleet.start("entry-1", limits, self.descriptors)
         wait_until("ready", lambda: call(self.ports["readiness"], "GET", "/v1/ready")[0] == 200)
         return self
 
--- a/tests/processes/platform_stand_in.py
+++ b/tests/processes/platform_stand_in.py
@@ -11,6 +11,13 @@
 FEED_SLICE_SECONDS = 0.02
 
 
+class QueueingServer(http.server.ThreadingHTTPServer):
+    """Takes crowds that connect at the same moment; the library's own queue holds five."""
+
+    daemon_threads = True
+    request_queue_size = 256
+
+
 class Server:
     """An HTTP/1.1 server on a free port of the loopback interface; `answer` gives status, headers and body of a request."""
 
@@ -40,8 +47,7 @@
             def log_message(self, *_):
                 pass
 
-        self.server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
-        self.server.daemon_threads = True
+        self.server = QueueingServer(("127.0.0.1", 0), Handler)
         self.port = self.server.server_address[1]
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
