HTTP: callers' connections have a cap below the descriptors

Cause: connections were accepted for as long as descriptors lasted. Change: the ports of a direct entry have caps that leave descriptors for endpoints, the store and files (packages/memory/process_limits). Beyond its cap the connection that has been quiet for longest is closed for the new one; requests in progress stay.

--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -104,16 +104,16 @@
               [this](datagram_message message, const boost::asio::ip::udp::endpoint& from) { onNews(std::move(message), from); })
         , m_callers(
               loop, settings.listen.callers.host, settings.listen.callers.port, [this] { return callerConnectionLimits(m_reducer.routes(), m_settings); },
-              [this](const auto& connection, http_request request) { onRequest(connection, std::move(request)); }, { .account = m_memory })
+              [this](const auto& connection, http_request request) { onRequest(connection, std::move(request)); }, { m_limits.callerConnections, m_memory })
         , m_readiness(
               loop, settings.listen.readiness.host, settings.listen.readiness.port, [] { return server_limits {}; },
-              [this](const auto& connection, const http_request& request) { onReadiness(connection, request); })
+              [this](const auto& connection, const http_request& request) { onReadiness(connection, request); }, { m_limits.serviceConnections, nullptr })
         , m_directory(
               loop, settings.listen.directory.host, settings.listen.directory.port, [] { return server_limits {}; },
-              [this](const auto& connection, const http_request& request) { onDirectory(connection, request); })
+              [this](const auto& connection, const http_request& request) { onDirectory(connection, request); }, { m_limits.serviceConnections, nullptr })
         , m_operations(
               loop, settings.listen.operations.host, settings.listen.operations.port, [] { return server_limits {}; },
-              [this](const auto& connection, const http_request& request) { onOperations(connection, request); })
+              [this](const auto& connection, const http_request& request) { onOperations(connection, request); }, { m_limits.serviceConnections, nullptr })
         , m_tick(loop)
         , m_registration(loop, m_store, settings.process.instance.str(),
               { true, settings.process.zone, socket_address { settings.listen.links.host, m_news.port() }.str(), {},
@@ -130,6 +130,8 @@
             { { "held_bytes", std::to_string(m_limits.heldBytes) }, { "caller_connections", std::to_string(m_limits.callerConnections) },
                 { "service_connections", std::to_string(m_limits.serviceConnections) } });
         m_callers.onShed([this](const shed_connection& connection) { return onShed(connection); });
+        for (http_acceptor* const acceptor : { &m_readiness, &m_directory, &m_operations })
+            acceptor->onShed([this](const shed_connection& connection) { return onShed(connection); });
         m_callers.onOutputDropped([this](const dropped_output& dropped) { onOutputDropped(dropped); });
         m_followers.start(life ^ std::hash<std::string> {}(settings.process.instance.str()));
         m_registration.start();
--- a/packages/http/http_acceptor.cpp
+++ b/packages/http/http_acceptor.cpp
@@ -80,6 +80,9 @@
 {
     if (++m_acceptedSinceCleanup >= cleanupInterval)
         removeClosedConnections();
+    // A connection for which there is no room is closed with the socket.
+    if (m_connections.size() >= m_ownLimits.maxConnections && !makeRoomForConnection())
+        return;
     auto connection = std::make_shared<server_connection>(std::move(socket), m_limits, m_onRequest, m_ownLimits.account);
     connection->onOutputDropped(m_onOutputDropped);
     if (m_ownLimits.account)
@@ -123,6 +126,21 @@
     return open;
 }
 
+bool http_acceptor::makeRoomForConnection()
+{
+    removeClosedConnections();
+    if (m_connections.size() < m_ownLimits.maxConnections)
+        return true;
+    const auto connections = openConnections();
+    const auto chosen = chooseForDescriptor(loadsOf(connections));
+    if (!chosen)
+        return false;
+    reportShed(*connections[*chosen], "descriptors");
+    // A refusal would keep the descriptor until its caller has read it.
+    connections[*chosen]->shed(std::nullopt);
+    return true;
+}
+
 // Deferred, since the connection that grows is in the middle of its work.
 void http_acceptor::onGrowth(std::size_t heldBytes)
 {
--- a/packages/http/http_acceptor.h
+++ b/packages/http/http_acceptor.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <list>
 #include <memory>
 #include <optional>
@@ -23,6 +24,8 @@
 struct shed_connection;
 
 struct acceptor_limits {
+    // With more connections than this, one gives way to each new one, or the new one is closed.
+    std::size_t maxConnections = std::numeric_limits<std::size_t>::max();
     // What the connections hold is charged to this account; null if it is not counted.
     std::shared_ptr<memory_account> account;
 };
@@ -59,6 +62,7 @@
     void onAccepted(boost::asio::ip::tcp::socket socket);
     void removeClosedConnections();
     std::vector<std::shared_ptr<server_connection>> openConnections() const;
+    bool makeRoomForConnection();
     void onGrowth(std::size_t heldBytes);
     bool shedForMemory();
     std::optional<http_response> reportShed(const server_connection& connection, std::string_view cause) const;
--- a/tests/http/http_connections_test.cpp
+++ b/tests/http/http_connections_test.cpp
@@ -263,3 +263,31 @@
     cr_assert_leq(account->heldBytes(), 2UL * 1024 * 1024);
     cr_assert(server.sendRaw("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n").starts_with("HTTP/1.1 200 "));
 }
+
+// Guards against idle connections that keep sound callers out.
+Test(http_connections, the_quietest_connection_gives_way_to_a_new_one)
+{
+    server_and_pool server([](const auto& connection, const http_request&) { connection->respond(answer("x")); }, { .maxConnections = 2 });
+    raw_caller idle(server, "");
+    server.runUntil([&] { return idle.isSent; });
+    raw_caller later(server, "");
+    server.runUntil([&] { return later.isSent; });
+    cr_assert(server.sendRaw("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n").starts_with("HTTP/1.1 200 "));
+    cr_assert(idle.isClosed);
+    cr_assert(!later.isClosed);
+}
+
+// Guards against requests in progress that lose their connection to new ones.
+Test(http_connections, a_request_in_progress_keeps_its_connection)
+{
+    std::shared_ptr<server_connection> waiting;
+    server_and_pool server([&](const auto& connection, const http_request&) { waiting = connection; }, { .maxConnections = 1 });
+    raw_caller caller(server, "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    server.runUntil([&] { return waiting != nullptr; });
+    raw_caller refused(server, getRequest);
+    server.runUntil([&] { return refused.isClosed; });
+    cr_assert(refused.answer.empty());
+    waiting->respond(answer("late"));
+    server.runUntil([&] { return caller.isClosed; });
+    cr_assert(caller.answer.ends_with("late"));
+}
