Entries: the ports that take no bodies have limits of their own

Seen: four bodies of 40 MB at the port of addresses take an entry to 346 MB (hostile_heads, on; 236 MB with the account in place, which counts callers only). Cause: the ports of addresses, readiness and operations had the defaults of the parser, bodies of 64 MiB. Change: their requests have at most 16 KiB of headers and of body.

--- a/packages/directentry/caller_connection_limits.cpp
+++ b/packages/directentry/caller_connection_limits.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t mebibyte = 1024UL * 1024;
 // Where the settings name no memory, a process uses no more than this of a large machine.
 constexpr std::size_t mostMemoryFound = 512 * mebibyte;
+constexpr parser_limits serviceMessage { .maxHeaderBytes = 16 * 1024, .maxBodyBytes = 16ULL * 1024 };
 
 } // namespace
 
@@ -26,6 +27,8 @@
         inMilliseconds(settings.limits.requestReadTimeout), inMilliseconds(limits.idleTimeout) };
 }
 
+server_limits serviceConnectionLimits() { return { .message = serviceMessage }; }
+
 machine_size configuredMachineSize(const process_settings& settings)
 {
     machine_size size = readMachineSize();
--- a/packages/directentry/caller_connection_limits.h
+++ b/packages/directentry/caller_connection_limits.h
@@ -12,6 +12,9 @@
 // `routes` is null.
 server_limits callerConnectionLimits(const route_table* routes, const process_settings& settings);
 
+// The same for the ports of addresses, readiness and operations, whose requests are short and have no body.
+server_limits serviceConnectionLimits();
+
 // The machine as found, with what the settings say in its place.
 machine_size configuredMachineSize(const process_settings& settings);
 
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -106,13 +106,13 @@
               loop, settings.listen.callers.host, settings.listen.callers.port, [this] { return callerConnectionLimits(m_reducer.routes(), m_settings); },
               [this](const auto& connection, http_request request) { onRequest(connection, std::move(request)); }, { m_limits.callerConnections, m_memory })
         , m_readiness(
-              loop, settings.listen.readiness.host, settings.listen.readiness.port, [] { return server_limits {}; },
+              loop, settings.listen.readiness.host, settings.listen.readiness.port, [] { return serviceConnectionLimits(); },
               [this](const auto& connection, const http_request& request) { onReadiness(connection, request); }, { m_limits.serviceConnections, nullptr })
         , m_directory(
-              loop, settings.listen.directory.host, settings.listen.directory.port, [] { return server_limits {}; },
+              loop, settings.listen.directory.host, settings.listen.directory.port, [] { return serviceConnectionLimits(); },
               [this](const auto& connection, const http_request& request) { onDirectory(connection, request); }, { m_limits.serviceConnections, nullptr })
         , m_operations(
-              loop, settings.listen.operations.host, settings.listen.operations.port, [] { return server_limits {}; },
+              loop, settings.listen.operations.host, settings.listen.operations.port, [] { return serviceConnectionLimits(); },
               [this](const auto& connection, const http_request& request) { onOperations(connection, request); }, { m_limits.serviceConnections, nullptr })
         , m_tick(loop)
         , m_registration(loop, m_store, settings.process.instance.str(),
