--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -104,7 +104,7 @@
               [this](datagram_message message, const boost::asio::ip::udp::endpoint& from) { onNews(std::move(message), from); })
         , m_callers(
               loop, settings.listen.callers.host, settings.listen.callers.port, [this] { return callerConnectionLimits(m_reducer.routes(), m_settings); },
-              [this](const auto& connection, http_request request) { onRequest(connection, std::move(request)); }, { m_limits.callerConnections, m_memory })
+              [this](const std::shared_ptr<server_connection>& connection, http_request request) { onRequest(connection, std::move(request)); }, { m_limits.callerConnections, m_memory })
         , m_readiness(
               loop, settings.listen.readiness.host, settings.listen.readiness.port, [] { return serviceConnectionLimits(); },
               [this](const auto& connection, const http_request& request) { onReadiness(connection, request); }, { m_limits.serviceConnections, nullptr })
--- a/tests/http/http_parser_test.cpp
+++ b/tests/http/http_parser_test.cpp
@@ -4,6 +4,7 @@
 
 #include <random>
 #include <string>
+#include <string_view>
 
 using namespace appleramp;
 
@@ -87,17 +88,20 @@
 {
     constexpr parser_limits limits { .maxHeaderBytes = 1024 };
     const std::string framing = "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n";
-    for (const std::string begin : { "2;x=", "0;x=", "0\r\nX: ", "0\r\nX: y\r\nZ: " }) {
+    for (const std::string_view begin : { "2;x=", "0;x=", "0\r\nX: ", "0\r\nX: y\r\nZ: " }) {
+        std::string endless = framing;
+        endless.append(begin).append(4096, 'e');
         for (const std::size_t pieceSize : { 1, 100, 4096 }) {
             http_parser request(kind::Request, limits);
-            cr_assert(feedInPieces(request, "POST / HTTP/1.1\r\n" + framing + begin + std::string(4096, 'e'), pieceSize) == parse_failure::HeaderTooLarge);
+            cr_assert(feedInPieces(request, "POST / HTTP/1.1\r\n" + endless, pieceSize) == parse_failure::HeaderTooLarge);
             http_parser response(kind::Response, limits);
-            cr_assert(feedInPieces(response, "HTTP/1.1 200 OK\r\n" + framing + begin + std::string(4096, 'e'), pieceSize) == parse_failure::HeaderTooLarge);
+            cr_assert(feedInPieces(response, "HTTP/1.1 200 OK\r\n" + endless, pieceSize) == parse_failure::HeaderTooLarge);
         }
     }
     http_parser sound(kind::Request, limits);
-    const std::string rest = "0;x=" + std::string(900, 'e') + "\r\n\r\n";
-    cr_assert(feedInPieces(sound, "POST / HTTP/1.1\r\n" + framing + rest, 1) == parse_failure::None);
+    std::string whole = "POST / HTTP/1.1\r\n" + framing;
+    whole.append("0;x=").append(900, 'e').append("\r\n\r\n");
+    cr_assert(feedInPieces(sound, whole, 1) == parse_failure::None);
     cr_assert(sound.isComplete());
 }
 
