HTTP: trailers are no headers

Cause: Beast reports fields of trailers as it does those of the head, and the parser added them to a head that was not taken yet. Authorization, attempt ids and stamps could be set behind the body. Change: fields behind the head are dropped, as RFC 9110 allows. Result: http_parser/trailers_are_no_headers fails without the change and passes with it.

--- a/packages/http/http_parser.cpp
+++ b/packages/http/http_parser.cpp
@@ -103,6 +103,9 @@
 
     void on_field_impl(http::field, boost::string_view name, boost::string_view value, boost::system::error_code&) override
     {
+        // Trailers are dropped: as headers they could change the request's framing, key or id after these were read.
+        if (hasHead)
+            return;
         const std::string_view fieldName(name.data(), name.size());
         const std::string_view fieldValue(value.data(), value.size());
         headBytes += sizeof(header_field) + fieldName.size() + fieldValue.size();
--- a/tests/http/http_parser_test.cpp
+++ b/tests/http/http_parser_test.cpp
@@ -105,6 +105,21 @@
     cr_assert(sound.isComplete());
 }
 
+// Guards against trailers that become headers: which of them did depended on how the message was cut into reads.
+Test(http_parser, trailers_are_no_headers)
+{
+    const std::string text = "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nAuthorization: Token k\r\nX-Attempt-Id: 1\r\n\r\n";
+    for (std::size_t pieceSize = 1; pieceSize <= text.size(); ++pieceSize) {
+        http_parser parser(kind::Request, {});
+        cr_assert(feedInPieces(parser, text, pieceSize) == parse_failure::None);
+        cr_assert(parser.isComplete());
+        const auto head = parser.takeRequestHead();
+        cr_assert_eq(head.headers.fields().size(), 2);
+        cr_assert(!head.headers.has("Authorization"));
+        cr_assert_eq(parser.takeBody(), "abc");
+    }
+}
+
 Test(http_parser, an_answer_that_ends_early_is_truncated)
 {
     http_parser parser(kind::Response, {});
