Entries: bodies of the gated fleet have one budget

Seen: 48 bodies of 4 MiB that stop a byte short of their end take an entry of the gated fleet to 564 MB (hostile_gated, before the change). Cause: each thread received its body for itself, into a string that grew by doubling, and nothing bounded their sum. Change: a request reserves the announced length of its body until it is served, out of a sixth of the machine's memory; without room it is refused as not run, with a time to return, and its connection closed. The string takes the announced size at once.

--- a/packages/directentry/caller_connection_limits.h
+++ b/packages/directentry/caller_connection_limits.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "http/server_connection.h"
-#include "memory/machine_size.h"
 
 namespace appleramp {
 
@@ -15,7 +14,4 @@
 // The same for the ports of addresses, readiness and operations, whose requests are short and have no body.
 server_limits serviceConnectionLimits();
 
-// The machine as found, with what the settings say in its place.
-machine_size configuredMachineSize(const process_settings& settings);
-
 } // namespace appleramp
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -25,6 +25,7 @@
 #include "http/http_acceptor.h"
 #include "http/shed_connection.h"
 #include "membership/member_registration.h"
+#include "memory/machine_size.h"
 #include "memory/memory_account.h"
 #include "memory/process_limits.h"
 #include "observe/line_log.h"
@@ -95,7 +96,7 @@
         , m_store(loop, store, [this] { return m_followers.readerAddress(); })
         , m_followers(m_settings, m_store, platform, followerServices())
         , m_platform(platform)
-        , m_limits(limitsFor(configuredMachineSize(settings)))
+        , m_limits(limitsFor(configuredMachineSize(settings.limits.memoryMegabytes, settings.limits.descriptors)))
         , m_memory(std::make_shared<memory_account>(m_limits.heldBytes))
         , m_log({ settings.process.instance, settings.process.zone, life }, {})
         , m_reducer(suspendAwareNow(), reducerSettings(settings, life))
--- a/packages/entry/caller_handler.cpp
+++ b/packages/entry/caller_handler.cpp
@@ -2,6 +2,7 @@
 
 #include "entry/reply_writer.h"
 #include "entry/request_reader.h"
+#include "memory/body_budget.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPServerRequest.h>
@@ -17,6 +18,7 @@
 
 // How often the connection is checked for a disconnect while no piece of the reply is available.
 constexpr duration disconnectCheckInterval = std::chrono::milliseconds(500);
+constexpr duration shortRetryAfter = std::chrono::milliseconds(500);
 constexpr std::array<std::string_view, 2> modelPaths { "/v1/chat/completions", "/v1/completions" };
 
 std::string queryValue(const Poco::URI& uri, const std::string& name)
@@ -39,6 +41,11 @@
     return { 404, execution::NotStarted, "unknown_path", "no such path: " + path, std::nullopt };
 }
 
+problem noRoom()
+{
+    return { 503, execution::NotRun, "entry_full", "this entry holds as many bytes of requests as it may", shortRetryAfter };
+}
+
 } // namespace
 
 caller_handler::caller_handler(entry_services& services)
@@ -69,6 +76,15 @@
         reply_writer(request, response).write(reply_problem { 0, notFound(uri.getPath()) });
         return;
     }
+    // A body without a length is refused unread.
+    const auto announced = request.hasContentLength() ? std::max<std::int64_t>(request.getContentLength64(), 0) : 0;
+    const auto room = m_services.bodies.reserve(std::min(static_cast<std::size_t>(announced), m_services.maxBodyBytes));
+    if (!room) {
+        // The rest of the body would be parsed as the next request.
+        response.setKeepAlive(false);
+        reply_writer(request, response).write(reply_problem { 0, noRoom() });
+        return;
+    }
     auto read = readServiceRequest(request, limitsOf(m_services), m_services.defaultTimeout);
     if (const auto* rejected = std::get_if<problem>(&read)) {
         reply_writer(request, response).write(reply_problem { 0, *rejected });
--- a/packages/entry/entry_process.cpp
+++ b/packages/entry/entry_process.cpp
@@ -3,6 +3,9 @@
 #include "decisions/entry/entry_reducer.h"
 #include "entry/caller_handler.h"
 #include "entry/operations_handler.h"
+#include "memory/body_budget.h"
+#include "memory/machine_size.h"
+#include "memory/process_limits.h"
 #include "model/enum_names.h"
 #include "observe/decision_journal.h"
 #include "observe/event_log.h"
@@ -48,12 +51,13 @@
         , m_spans(settings.observe.spansUrl,
               { settings.process.instance, settings.process.zone, m_identity.life, wallClockAtZero() })
         , m_platformOptions(platformOptions(settings.platform))
+        , m_bodies(limitsFor(configuredMachineSize(settings.limits.memoryMegabytes, 0)).bodyBytes)
         , m_loop(
               entry_reducer(m_identity), [this](entry_effect&& effect) { carryOut(std::move(effect)); },
               openRecorder(recordPath, encodeTraceHeader(m_identity)))
         , m_services { [this](entry_event_body body) { m_loop.post(std::move(body)); }, m_replies, m_journal, m_metrics,
             settings.limits.maxBodyBytes, settings.limits.maxHeaderBytes, settings.limits.requestReadTimeout,
-            defaultTimeout }
+            defaultTimeout, m_bodies }
         , m_platform(platformWorkerFor(m_loop, m_platformOptions, platformThreads, m_identity.life))
         , m_links(linkCallbacksFor(m_loop), settings.limits.maxBodyBytes + maxEnvelopeBytes)
         , m_linkPort(m_links.listen(settings.listen.links.host, settings.listen.links.port))
@@ -110,6 +114,7 @@
     span_exporter m_spans;
     reply_channels m_replies;
     platform_client_options m_platformOptions;
+    body_budget m_bodies;
     reducer_loop<entry_reducer, entry_event, entry_effect> m_loop;
     entry_services m_services;
     platform_worker m_platform;
--- a/packages/entry/entry_services.h
+++ b/packages/entry/entry_services.h
@@ -8,6 +8,7 @@
 
 namespace appleramp {
 
+class body_budget;
 class decision_journal;
 class metrics_registry;
 
@@ -21,6 +22,7 @@
     std::size_t maxHeaderBytes = 0;
     duration requestReadTimeout {};
     duration defaultTimeout {};
+    body_budget& bodies;
     // Answers close their connections, so that callers go to other entries.
     std::atomic<bool> isStopping = false;
 };
--- a/packages/entry/request_reader.cpp
+++ b/packages/entry/request_reader.cpp
@@ -40,6 +40,7 @@
 std::variant<std::string, problem> receiveBody(std::istream& stream, std::size_t length, instant deadline)
 {
     std::string body;
+    body.reserve(length);
     std::string piece(readChunkBytes, '\0');
     while (body.size() < length && stream.get(piece.front())) {
         const auto extraBytes = stream.readsome(piece.data() + 1, static_cast<std::streamsize>(piece.size()) - 1);
--- /dev/null
+++ b/packages/memory/body_budget.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "memory/memory_account.h"
+
+#include <cstddef>
+#include <memory>
+#include <mutex>
+
+namespace appleramp {
+
+// Room for the bodies of the requests that several threads receive at the same time. All members may be called from any thread.
+class body_budget {
+public:
+    // Held while a body is received and its request is served.
+    class reservation {
+    public:
+        reservation(body_budget& budget, std::size_t bytes);
+        ~reservation();
+        reservation(const reservation&) = delete;
+        reservation& operator=(const reservation&) = delete;
+
+    private:
+        body_budget& m_budget;
+        std::size_t m_bytes;
+    };
+
+    explicit body_budget(std::size_t limitBytes);
+
+    // Null if there is no room for a body of that size.
+    std::unique_ptr<reservation> reserve(std::size_t bytes);
+
+private:
+    std::mutex m_mutex;
+    std::size_t m_limitBytes;
+    std::size_t m_reservedBytes = 0;
+};
+
+} // namespace appleramp
--- a/packages/memory/process_limits.cpp
+++ b/packages/memory/process_limits.cpp
@@ -25,7 +25,7 @@
     // A request takes a descriptor at its caller and one at its endpoint.
     const std::size_t callers = std::min(sockets / 2, machine.memoryBytes / 8 / connectionBytes);
     const std::size_t service = std::min(sockets / 10, mostServiceConnections);
-    return { heldBytes, std::max(callers, leastConnections), std::max(service, leastConnections) };
+    return { heldBytes, machine.memoryBytes / 6, std::max(callers, leastConnections), std::max(service, leastConnections) };
 }
 
 } // namespace appleramp
--- a/packages/memory/process_limits.h
+++ b/packages/memory/process_limits.h
@@ -10,6 +10,8 @@
 struct process_limits {
     // Bytes of requests, answers and connections together.
     std::size_t heldBytes = 0;
+    // Bodies of the requests that threads receive and serve at the same time. A request exists several times on its way.
+    std::size_t bodyBytes = 0;
     // Callers' connections.
     std::size_t callerConnections = 0;
     // Connections at each of the ports for addresses, readiness and operations.
--- a/packages/settings/process_settings.h
+++ b/packages/settings/process_settings.h
@@ -121,8 +121,9 @@
     std::uint32_t maxRequestsInFlight = 0;
     // Longest pause while a request arrives, and longest time until its body is complete.
     duration requestReadTimeout {};
-    // Direct entries only; zero for what the machine has.
+    // Zero for what the machine has.
     std::uint32_t memoryMegabytes = 0;
+    // Direct entries only.
     std::uint32_t descriptors = 0;
 };
 
