Entries: memory that is only found counts as that of a small machine

Cause: it starts entries with the templates of deploy/, which name no memory, on a host of 24 GB; of that the process took 512 MiB, and held two fifths. An entry that shares its host has no claim on what it finds. Change: what an entry holds derives from at most 112 MiB unless [limits] memory_mb names more; connections have a bound by it as well, so that idle ones can't use it up. The number of connections otherwise derives from the machine as before.

--- a/packages/memory/machine_size.cpp
+++ b/packages/memory/machine_size.cpp
@@ -13,7 +13,6 @@
 constexpr std::size_t kibibyte = 1024;
 constexpr std::size_t mebibyte = 1024 * kibibyte;
 constexpr std::size_t smallMemoryBytes = 112 * mebibyte;
-constexpr std::size_t mostMemoryFound = 512 * mebibyte;
 constexpr std::size_t smallDescriptors = 1024;
 // An unlimited number of descriptors is taken for this one.
 constexpr rlim_t maxDescriptors = 1'000'000;
@@ -46,8 +45,8 @@
 machine_size configuredMachineSize(std::size_t memoryMebibytes, std::size_t descriptors)
 {
     const machine_size found = readMachineSize();
-    return { memoryMebibytes > 0 ? memoryMebibytes * mebibyte : std::min(found.memoryBytes, mostMemoryFound),
-        descriptors > 0 ? std::min(descriptors, found.descriptors) : found.descriptors };
+    return { memoryMebibytes > 0 ? memoryMebibytes * mebibyte : found.memoryBytes,
+        descriptors > 0 ? std::min(descriptors, found.descriptors) : found.descriptors, memoryMebibytes > 0 };
 }
 
 } // namespace appleramp
--- a/tests/memory/process_limits_test.cpp
+++ b/tests/memory/process_limits_test.cpp
@@ -27,6 +27,23 @@
     }
 }
 
+// Guards against a process on a large machine that takes memory which others on it need.
+Test(process_limits, memory_that_is_found_and_not_stated_counts_as_that_of_a_small_machine)
+{
+    const process_limits small = limitsFor({ 112 * mebibyte, 4100 });
+    const process_limits found = limitsFor({ 24'000 * mebibyte, 4100 });
+    cr_assert_eq(found.heldBytes, small.heldBytes);
+    cr_assert_eq(found.bodyBytes, small.bodyBytes);
+    cr_assert_gt(limitsFor({ .memoryBytes = 512 * mebibyte, .descriptors = 4100, .isMemoryStated = true }).heldBytes, small.heldBytes);
+}
+
+// Guards against idle connections that use up the room of requests.
+Test(process_limits, connections_that_do_nothing_leave_room)
+{
+    const process_limits limits = limitsFor({ 24'000 * mebibyte, 1'000'000 });
+    cr_assert_leq(limits.callerConnections * 8 * 1024, limits.heldBytes / 2);
+}
+
 Test(process_limits, the_machine_is_read)
 {
     const machine_size machine = readMachineSize();
