Entries: a refusal for bodies says nothing of earlier sends

Cause: entry_full for want of room for bodies said not_run, though an earlier send of the same key may have run; the entry has not read the key then. Change: not_started, as the other refusals before a request is read.

--- a/packages/entry/caller_handler.cpp
+++ b/packages/entry/caller_handler.cpp
@@ -43,7 +43,7 @@
 
 problem noRoom()
 {
-    return { 503, execution::NotRun, "entry_full", "this entry holds as many bytes of requests as it may", shortRetryAfter };
+    return { 503, execution::NotStarted, "entry_full", "this entry holds as many bytes of requests as it may", shortRetryAfter };
 }
 
 } // namespace
