--- a/packages/applerampd/direct_fleet.cpp
+++ b/packages/applerampd/direct_fleet.cpp
@@ -20,11 +20,17 @@
 
 namespace {
 
-constexpr int largeBlockBytes = 128 * 1024;
+constexpr int largeBlockBytes = 1024 * 1024;
+// Setting the size above fixes this one as well, by default at a size that the work of a moment exceeds again and again.
+constexpr int keptFreeBytes = 4 * 1024 * 1024;
 
 // Large blocks go back to the system when they are freed. By default the allocator raises this size with the blocks that it sees, and
 // keeps freed ones between others.
-void returnLargeBlocks() { ::mallopt(M_MMAP_THRESHOLD, largeBlockBytes); }
+void returnLargeBlocks()
+{
+    ::mallopt(M_MMAP_THRESHOLD, largeBlockBytes);
+    ::mallopt(M_TRIM_THRESHOLD, keptFreeBytes);
+}
 
 // Validates the settings file on SIGHUP. Its contents apply only from the next start, but errors are reported now.
 void validateReloadedSettings(const std::string& settingsPath)
