Entries: memory that is only found counts up to 160 MiB

Cause: with 112 MiB as the most that counts where the settings name no memory, answers have a share of 34 MiB. Change: 160 MiB, the memory of most machines that are deployed; a machine with less has less.

--- a/packages/memory/process_limits.cpp
+++ b/packages/memory/process_limits.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t heldConnectionBytes = 8UL * 1024;
 constexpr std::size_t leastConnections = 8;
 // Where the settings name no memory, a process makes do with that of a small machine for what it holds.
-constexpr std::size_t mostUnstatedMemory = 112UL * 1024 * 1024;
+constexpr std::size_t mostUnstatedMemory = 160UL * 1024 * 1024;
 constexpr std::size_t mostServiceConnections = 512;
 
 } // namespace
--- a/packages/settings/setting_descriptor.cpp
+++ b/packages/settings/setting_descriptor.cpp
@@ -450,7 +450,7 @@
             .minimum = 0,
             .maximum = 1'000'000,
             .roles = { process_role::Entry, process_role::DirectEntry },
-            .doc = "Memory that the process may use: two fifths of it hold requests, answers and connections of a direct entry, a sixth bodies of another one; 0 takes that of the machine, at most 112.",
+            .doc = "Memory that the process may use: two fifths of it hold requests, answers and connections of a direct entry, a sixth bodies of another one; 0 takes that of the machine, at most 160.",
             .assign = [](settings& s, const value& v) { s.limits.memoryMegabytes = number<std::uint32_t>(v); } },
         { .section = "limits",
             .key = "descriptors",
