Tests: the endless engine is an odd endpoint

Cause: it repeated how OddEndpoint accepts connections and reads heads. Change: it is one, and answers in its own way; OddEndpoint ends quietly when its listener is closed.

--- a/tests/processes/direct_answers.py
+++ b/tests/processes/direct_answers.py
@@ -42,7 +42,10 @@
 
     def accept(self):
         while True:
-            connection, _ = self.listener.accept()
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return  # Closed.
             with self.lock:
                 self.open += 1
             threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
--- a/tests/processes/endless_endpoints.py
+++ b/tests/processes/endless_endpoints.py
@@ -4,13 +4,12 @@
 import http.client
 import json
 import pathlib
-import socket
 import sys
-import threading
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "scripts"))
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
+from direct_answers import OddEndpoint  # noqa: E402
 from direct_entries import Entries  # noqa: E402
 from direct_hangup import start_agent  # noqa: E402
 from fleet import Fleet, call, get_json, wait_until  # noqa: E402
@@ -35,43 +34,16 @@
 }
 
 
-class EndlessEngine:
+class EndlessEngine(OddEndpoint):
     """Answers in the way of `kind`: as a sound engine while it is empty. It speaks what both fleets ask."""
 
-    name = "e1"
-
     def __init__(self):
         self.kind = ""
         self.endless = 0
         self.ids = set()
         self.work_seconds = 0.0
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.port = self.listener.getsockname()[1]
-        self.address = f"127.0.0.1:{self.port}"
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self):
-        while True:
-            try:
-                connection, _ = self.listener.accept()
-            except OSError:
-                return
-            threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
-
-    def serve(self, connection):
-        received = b""
-        try:
-            with connection:
-                while b"\r\n\r\n" not in received:
-                    more = connection.recv(PIECE)
-                    if not more:
-                        return
-                    received += more
-                first, *lines = received.split(b"\r\n\r\n", 1)[0].decode().split("\r\n")
-                fields = {name.lower(): value for name, value in (line.split(": ", 1) for line in lines)}
-                self.answer(connection, first.split()[1], fields.get("x-attempt-id", ""))
-        except OSError:
-            pass  # The caller has had enough.
+        super().__init__("e1")
+        self.port = int(self.address.split(":")[1])
 
     def answer(self, connection, path, request):
         begin = f"HTTP/1.1 200 OK\r\nConnection: close\r\nX-Attempt-Id: {request}\r\nX-Response-Stamp: {self.name}\r\n".encode()
@@ -80,7 +52,7 @@
             if path.startswith("/health"):
                 text = json.dumps({"healthy": True, "boot_id": "start-1", "running": 0, "capacity": 4}).encode()
             connection.sendall(begin + b"Content-Length: %d\r\n\r\n" % len(text) + text)
-            return
+            return False
         self.endless += 1
         if self.kind == "interim":
             self.send_endlessly(connection, b"", INTERIM * (PIECE // len(INTERIM)))
@@ -90,6 +62,7 @@
         else:
             after, piece = ENDLESS[self.kind]
             self.send_endlessly(connection, begin + after, piece)
+        return False
 
     def send_endlessly(self, connection, begin, piece):
         connection.sendall(begin)
