Entries: the connections of all ports share one account

Seen: 250 connections at each of the ports of addresses, readiness and operations, each with a head of 16 KiB in 4,000 fields and an unfinished body, take an entry to 196 MB of 112 (hostile_service_ports, on, with the 2,870 descriptors of the smallest machine). A head takes up to sixteen times its bytes. Cause: only callers' connections were charged to the account, and each acceptor chose among its own connections. Found in the review of the change; the crowds before it did not show it, as their memory was read before the process had read all of them. The tests read the memory once more after the ordinary answer, which is stricter; crowds and bounds are unchanged.

--- a/packages/directentry/caller_exchange.cpp
+++ b/packages/directentry/caller_exchange.cpp
@@ -1,12 +1,11 @@
 #include "directentry/caller_exchange.h"
 
+#include "directentry/exchange_ending.h"
 #include "directentry/refusal_answer.h"
 #include "http/client_pool.h"
 #include "http/server_connection.h"
-#include "memory/memory_account.h"
 #include "ports/platform_adapter.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace appleramp {
@@ -28,39 +27,8 @@
 // Largest event of a stream.
 constexpr std::size_t maxEventBytes = 1024UL * 1024;
 
-attempt_ending endingOf(exchange_failure failure)
-{
-    switch (failure) {
-    case exchange_failure::ConnectRefused:
-    case exchange_failure::ConnectTimedOut:
-    case exchange_failure::ConnectFailed:
-    case exchange_failure::ClosedBeforeSend:
-        return attempt_ending::NotSent;
-    case exchange_failure::ClosedInAnswer:
-        return attempt_ending::TruncatedAnswer;
-    case exchange_failure::Malformed:
-        return attempt_ending::InvalidAnswer;
-    case exchange_failure::ClosedBeforeAnswer:
-        break;
-    }
-    return attempt_ending::NoAnswer;
-}
-
 } // namespace
 
-std::string_view nameOf(exchange_stage stage)
-{
-    switch (stage) {
-    case exchange_stage::Waiting:
-        return "waiting";
-    case exchange_stage::Sent:
-        return "sent";
-    case exchange_stage::Begun:
-        break;
-    }
-    return "begun";
-}
-
 caller_exchange::caller_exchange(
     exchange_services services, request_number number, std::shared_ptr<server_connection> caller, http_request request)
     : m_services(std::move(services))
@@ -236,11 +204,7 @@
     updateCharge();
 }
 
-// An exchange with a large request or answer may use the share of large ones only.
-bool caller_exchange::hasRoomToGrow(std::size_t bytes) const
-{
-    return m_services.makeRoom(m_charge.bytes() + bytes > memory_account::smallBytes ? std::max(bytes, memory_account::smallBytes + 1) : bytes);
-}
+bool caller_exchange::hasRoomToGrow(std::size_t bytes) const { return m_services.makeRoom(bytes, m_charge.bytes() + bytes); }
 
 void caller_exchange::rejectOversized()
 {
@@ -332,7 +296,7 @@
     // The head alone decides that an attempt was rejected, even if the body is cut off.
     if (m_mode == answer_mode::Discarded)
         return endAttempt(m_discardedAs, m_retryAfter);
-    endAttempt(endingOf(failure), {}, failure == exchange_failure::ConnectRefused);
+    endAttempt(endingAfter(failure), {}, failure == exchange_failure::ConnectRefused);
 }
 
 void caller_exchange::endAttempt(attempt_ending ending, std::optional<duration> retryAfter, bool connectionRefused)
--- a/packages/directentry/caller_exchange.h
+++ b/packages/directentry/caller_exchange.h
@@ -4,6 +4,7 @@
 #include "decisions/forwarding/forwarding_effects.h"
 #include "decisions/forwarding/forwarding_events.h"
 #include "directentry/begun_stream.h"
+#include "directentry/exchange_stage.h"
 #include "http/client_connection.h"
 #include "http/http_message.h"
 #include "memory/memory_charge.h"
@@ -32,23 +33,12 @@
     // Tells whether nothing listens at an endpoint's address any more.
     std::function<void(const std::string& address, std::function<void(bool refused)> done)> probe;
     std::shared_ptr<memory_account> memory;
-    // Makes others give way until one more holder of that size has room in the memory; false if it has none.
-    std::function<bool(std::size_t bytes)> makeRoom;
+    // Makes others give way until a holder that will have that size in all has room for these bytes more; false if it has none.
+    std::function<bool(std::size_t bytes, std::size_t holderBytes)> makeRoom;
     // When an endpoint of each service last sent part of a response to this process.
     std::map<service_id, instant>& serviceProgress;
 };
 
-enum class exchange_stage {
-    // The request is at no endpoint.
-    Waiting,
-    // An endpoint has it, and the caller has got nothing of the answer.
-    Sent,
-    // Part of a streamed answer was sent to the caller.
-    Begun,
-};
-
-std::string_view nameOf(exchange_stage stage);
-
 // One request of a caller, from its arrival to the end of its response, over all the attempts that the reducer starts.
 //
 // It executes the reducer's effects and reports what happens as events; every decision is the reducer's. Callbacks of
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -8,6 +8,7 @@
 #include "directentry/caller_connection_limits.h"
 #include "directentry/caller_exchange.h"
 #include "directentry/crash_record_writer.h"
+#include "directentry/entry_memory.h"
 #include "directentry/entry_metrics.h"
 #include "directentry/limits_page.h"
 #include "directentry/news_sender.h"
@@ -23,11 +24,7 @@
 #include "http/connection_probe.h"
 #include "http/dropped_output.h"
 #include "http/http_acceptor.h"
-#include "http/shed_connection.h"
 #include "membership/member_registration.h"
-#include "memory/machine_size.h"
-#include "memory/memory_account.h"
-#include "memory/process_limits.h"
 #include "observe/line_log.h"
 #include "observe/metrics_registry.h"
 #include "ports/platform_adapter.h"
@@ -77,9 +74,6 @@
 // Larger changes are read from the store, whose link is wider than that of an entry.
 constexpr std::size_t maxRelayedChangesBytes = 32UL * 1024;
 
-// A connection that gives way leaves its memory at once, and requests leave theirs within their timeouts.
-constexpr duration memoryRetryAfter = std::chrono::milliseconds(500);
-
 constexpr pool_settings endpointPool { .connectTimeout = std::chrono::milliseconds(700),
     .silenceLimit = std::chrono::milliseconds(2500),
     .reuseWithin = std::chrono::milliseconds(1200),
@@ -96,25 +90,24 @@
         , m_store(loop, store, [this] { return m_followers.readerAddress(); })
         , m_followers(m_settings, m_store, platform, followerServices())
         , m_platform(platform)
-        , m_limits(limitsFor(configuredMachineSize(settings.limits.memoryMegabytes, settings.limits.descriptors)))
-        , m_memory(std::make_shared<memory_account>(m_limits.heldBytes))
         , m_log({ settings.process.instance, settings.process.zone, life }, {})
+        , m_memory(loop, settings.limits, m_log, m_metrics)
         , m_reducer(suspendAwareNow(), reducerSettings(settings, life))
         , m_endpoints(loop, endpointPool)
         , m_news(loop, settings.listen.links.host, settings.listen.links.port,
               [this](datagram_message message, const boost::asio::ip::udp::endpoint& from) { onNews(std::move(message), from); })
         , m_callers(
               loop, settings.listen.callers.host, settings.listen.callers.port, [this] { return callerConnectionLimits(m_reducer.routes(), m_settings); },
-              [this](const std::shared_ptr<server_connection>& connection, http_request request) { onRequest(connection, std::move(request)); }, { m_limits.callerConnections, m_memory })
+              [this](const std::shared_ptr<server_connection>& connection, http_request request) { onRequest(connection, std::move(request)); }, m_memory.callerPort())
         , m_readiness(
               loop, settings.listen.readiness.host, settings.listen.readiness.port, [] { return serviceConnectionLimits(); },
-              [this](const auto& connection, const http_request& request) { onReadiness(connection, request); }, { m_limits.serviceConnections, nullptr })
+              [this](const auto& connection, const http_request& request) { onReadiness(connection, request); }, m_memory.servicePort())
         , m_directory(
               loop, settings.listen.directory.host, settings.listen.directory.port, [] { return serviceConnectionLimits(); },
-              [this](const auto& connection, const http_request& request) { onDirectory(connection, request); }, { m_limits.serviceConnections, nullptr })
+              [this](const auto& connection, const http_request& request) { onDirectory(connection, request); }, m_memory.servicePort())
         , m_operations(
               loop, settings.listen.operations.host, settings.listen.operations.port, [] { return serviceConnectionLimits(); },
-              [this](const auto& connection, const http_request& request) { onOperations(connection, request); }, { m_limits.serviceConnections, nullptr })
+              [this](const auto& connection, const http_request& request) { onOperations(connection, request); }, m_memory.servicePort())
         , m_tick(loop)
         , m_registration(loop, m_store, settings.process.instance.str(),
               { true, settings.process.zone, socket_address { settings.listen.links.host, m_news.port() }.str(), {},
@@ -127,12 +120,9 @@
             { { "role", "direct_entry" }, { "zone", settings.process.zone.str() }, { "callers", std::to_string(m_callersPort) },
                 { "readiness", std::to_string(m_readiness.port()) }, { "directory", std::to_string(m_directory.port()) },
                 { "operations", std::to_string(m_operations.port()) }, { "links", std::to_string(m_news.port()) } });
-        m_log.write(now(), "limits", {},
-            { { "held_bytes", std::to_string(m_limits.heldBytes) }, { "caller_connections", std::to_string(m_limits.callerConnections) },
-                { "service_connections", std::to_string(m_limits.serviceConnections) } });
-        m_callers.onShed([this](const shed_connection& connection) { return onShed(connection); });
-        for (http_acceptor* const acceptor : { &m_readiness, &m_directory, &m_operations })
-            acceptor->onShed([this](const shed_connection& connection) { return onShed(connection); });
+        m_memory.logLimits();
+        for (http_acceptor* const acceptor : { &m_callers, &m_readiness, &m_directory, &m_operations })
+            acceptor->onShed([this](const shed_connection& connection) { m_memory.report(connection); });
         m_callers.onOutputDropped([this](const dropped_output& dropped) { onOutputDropped(dropped); });
         m_followers.start(life ^ std::hash<std::string> {}(settings.process.instance.str()));
         m_registration.start();
@@ -169,38 +159,19 @@
         m_lastRequestAt = now();
         if (m_acceptsNothing)
             return connection->respond(refusalAnswer({ .reason = refusal_reason::Stopping, .retryAfter = duration::zero() }));
-        if (!makeRoom(caller_exchange::memoryOf(request))) {
+        const std::size_t memory = caller_exchange::memoryOf(request);
+        if (!m_memory.makeRoom(memory, memory)) {
             m_metrics.add(entry_metrics::refusals, { { "reason", nameOf(refusal_reason::NoMemory) } });
-            return connection->respond(refusalAnswer({ .reason = refusal_reason::NoMemory, .retryAfter = memoryRetryAfter }));
+            return connection->respond(memoryRefusal());
         }
         const request_number number = ++m_lastRequest;
-        exchange_services services { m_platform, m_endpoints, [] { return now(); }, [this](const forwarding_event& event) { post(event); }, [this](const std::string& address, auto done) { probeConnection(m_loop, endpointFromText(address), probeTimeout, std::move(done)); }, m_memory, [this](std::size_t bytes) { return makeRoom(bytes); }, m_serviceProgress };
+        exchange_services services { m_platform, m_endpoints, [] { return now(); }, [this](const forwarding_event& event) { post(event); }, [this](const std::string& address, auto done) { probeConnection(m_loop, endpointFromText(address), probeTimeout, std::move(done)); }, m_memory.account(), [this](std::size_t bytes, std::size_t holderBytes) { return m_memory.makeRoom(bytes, holderBytes); }, m_serviceProgress };
         auto exchange = std::make_shared<caller_exchange>(std::move(services), number, connection, std::move(request));
         m_exchanges.emplace(number, exchange);
         exchange->start();
         forgetIfOver(number);
     }
 
-    bool makeRoom(std::size_t bytes)
-    {
-        if (m_callers.makeRoom(bytes))
-            return true;
-        m_log.write(now(), "memory_short", {},
-            { { "asked_bytes", std::to_string(bytes) }, { "held_bytes", std::to_string(m_memory->heldBytes()) },
-                { "limit_bytes", std::to_string(m_memory->limitBytes()) }, { "in_flight", std::to_string(m_exchanges.size()) } });
-        return false;
-    }
-
-    http_response onShed(const shed_connection& connection)
-    {
-        m_metrics.add(entry_metrics::connectionsShed, { { "cause", std::string(connection.cause) } });
-        m_log.write(now(), "connection_shed", {},
-            { { "cause", std::string(connection.cause) }, { "peer", connection.peerAddress }, { "bytes", std::to_string(connection.heldBytes) },
-                { "held_bytes", std::to_string(connection.accountBytes) }, { "limit_bytes", std::to_string(connection.accountLimitBytes) },
-                { "connections", std::to_string(connection.connections) } });
-        return refusalAnswer({ .reason = refusal_reason::NoMemory, .retryAfter = memoryRetryAfter });
-    }
-
     void onOutputDropped(const dropped_output& dropped)
     {
         m_metrics.add(entry_metrics::answersDropped, { { "cause", std::string(nameOf(dropped.cause)) } });
@@ -370,8 +341,7 @@
         m_metrics.set(entry_metrics::configurationAge, age ? std::chrono::duration<double>(*age).count() : -1);
         m_metrics.set(entry_metrics::configurationVersion, static_cast<double>(m_reducer.configurationVersion()));
         m_metrics.set(entry_metrics::requestsInFlight, static_cast<double>(m_exchanges.size()));
-        m_metrics.set(entry_metrics::heldBytes, static_cast<double>(m_memory->heldBytes()));
-        m_metrics.set(entry_metrics::heldBytesLimit, static_cast<double>(m_memory->limitBytes()));
+        m_memory.noteGauges();
         m_metrics.set(entry_metrics::endpoints, static_cast<double>(m_reducer.fleet().size()));
         m_metrics.set(entry_metrics::linesLeftOut, static_cast<double>(m_log.leftOut()));
         setRestrictionGauges(m_metrics, now(), m_reducer);
@@ -681,10 +651,9 @@
     zone_store m_store;
     store_followers m_followers;
     const platform_adapter& m_platform;
-    const process_limits m_limits;
-    std::shared_ptr<memory_account> m_memory;
     line_log m_log;
     metrics_registry m_metrics;
+    entry_memory m_memory;
     forwarding_reducer m_reducer;
     client_pool m_endpoints;
     datagram_socket m_news;
--- a/packages/http/http_acceptor.cpp
+++ b/packages/http/http_acceptor.cpp
@@ -1,14 +1,10 @@
 #include "http/http_acceptor.h"
 
 #include "http/http_error.h"
+#include "http/memory_relief.h"
 #include "http/shed_connection.h"
-#include "memory/memory_account.h"
-
-#include <boost/asio/post.hpp>
 
 #include <algorithm>
-#include <chrono>
-#include <span>
 #include <utility>
 
 namespace appleramp {
@@ -23,22 +19,11 @@
 // immediate retry would not change.
 constexpr std::chrono::milliseconds acceptRetryDelay { 20 };
 
-std::vector<connection_load> loadsOf(std::span<const std::shared_ptr<server_connection>> connections)
-{
-    const auto now = std::chrono::steady_clock::now();
-    std::vector<connection_load> loads;
-    loads.reserve(connections.size());
-    for (const auto& connection : connections)
-        loads.push_back(connection->load(now));
-    return loads;
-}
-
 } // namespace
 
 http_acceptor::http_acceptor(boost::asio::io_context& loop, const std::string& address, std::uint16_t port,
     server_connection::limits_source limits, server_connection::handler onRequest, acceptor_limits ownLimits)
-    : m_loop(loop)
-    , m_ownLimits(std::move(ownLimits))
+    : m_ownLimits(ownLimits)
     , m_acceptor(loop)
     , m_retryTimer(loop)
     , m_limits(std::move(limits))
@@ -53,6 +38,8 @@
     } catch (const boost::system::system_error& failure) {
         throw http_error("cannot listen at " + address + ':' + std::to_string(port) + ": " + failure.what());
     }
+    if (m_ownLimits.memory)
+        m_ownLimits.memory->add([this] { return openConnections(); });
     accept();
 }
 
@@ -83,10 +70,11 @@
     // A connection for which there is no room is closed with the socket.
     if (m_connections.size() >= m_ownLimits.maxConnections && !makeRoomForConnection())
         return;
-    auto connection = std::make_shared<server_connection>(std::move(socket), m_limits, m_onRequest, m_ownLimits.account);
+    memory_relief* const memory = m_ownLimits.memory;
+    auto connection = std::make_shared<server_connection>(std::move(socket), m_limits, m_onRequest, memory ? memory->account() : nullptr);
     connection->onOutputDropped(m_onOutputDropped);
-    if (m_ownLimits.account)
-        connection->onGrowth([this](std::size_t heldBytes) { onGrowth(heldBytes); });
+    if (memory)
+        connection->onGrowth([memory](std::size_t heldBytes) { memory->onGrowth(heldBytes); });
     if (m_draining)
         connection->beginDrain();
     m_connections.push_back(connection);
@@ -132,56 +120,18 @@
     if (m_connections.size() < m_ownLimits.maxConnections)
         return true;
     const auto connections = openConnections();
-    const auto chosen = chooseForDescriptor(loadsOf(connections));
+    const auto loads = loadsOf(connections);
+    const auto chosen = chooseForDescriptor(loads);
     if (!chosen)
         return false;
-    reportShed(*connections[*chosen], "descriptors");
+    server_connection& connection = *connections[*chosen];
+    if (m_onShed)
+        m_onShed({ .cause = "descriptors", .peerAddress = connection.peerAddress(), .heldBytes = loads[*chosen].heldBytes, .connections = connections.size() });
     // A refusal would keep the descriptor until its caller has read it.
-    connections[*chosen]->shed(std::nullopt);
+    connection.shed(std::nullopt);
     return true;
 }
 
-// Deferred, since the connection that grows is in the middle of its work.
-void http_acceptor::onGrowth(std::size_t heldBytes)
-{
-    if (m_reliefPending || !m_ownLimits.account->isShortFor(heldBytes))
-        return;
-    m_reliefPending = true;
-    boost::asio::post(m_loop, [this, heldBytes] {
-        m_reliefPending = false;
-        while (m_ownLimits.account->isShortFor(heldBytes) && shedForMemory()) { }
-    });
-}
-
-bool http_acceptor::makeRoom(std::size_t bytes)
-{
-    while (!m_ownLimits.account->hasRoomFor(bytes)) {
-        if (!shedForMemory())
-            return false;
-    }
-    return true;
-}
-
-bool http_acceptor::shedForMemory()
-{
-    const auto connections = openConnections();
-    const auto chosen = chooseForMemory(loadsOf(connections));
-    if (!chosen)
-        return false;
-    const std::size_t before = m_ownLimits.account->heldBytes();
-    connections[*chosen]->shed(reportShed(*connections[*chosen], "memory"));
-    return m_ownLimits.account->heldBytes() < before;
-}
-
-std::optional<http_response> http_acceptor::reportShed(const server_connection& connection, std::string_view cause) const
-{
-    if (!m_onShed)
-        return std::nullopt;
-    const memory_account* const account = m_ownLimits.account.get();
-    const std::size_t held = connection.load(std::chrono::steady_clock::now()).heldBytes;
-    return m_onShed({ cause, connection.peerAddress(), held, account ? account->heldBytes() : 0, account ? account->limitBytes() : 0, m_connections.size() });
-}
-
 void http_acceptor::beginDrain()
 {
     m_draining = true;
--- a/packages/http/http_acceptor.h
+++ b/packages/http/http_acceptor.h
@@ -12,32 +12,26 @@
 #include <limits>
 #include <list>
 #include <memory>
-#include <optional>
 #include <string>
-#include <string_view>
 #include <utility>
 #include <vector>
 
 namespace appleramp {
 
-class memory_account;
+class memory_relief;
 struct shed_connection;
 
 struct acceptor_limits {
     // With more connections than this, one gives way to each new one, or the new one is closed.
     std::size_t maxConnections = std::numeric_limits<std::size_t>::max();
-    // What the connections hold is charged to this account; null if it is not counted.
-    std::shared_ptr<memory_account> account;
+    // Counts what the connections hold, and makes them give way where it is too much; null if it is not counted.
+    memory_relief* memory = nullptr;
 };
 
 // Listens at one address and creates a server_connection for each accepted connection.
-//
-// Once its connections hold more than their account allows, those that have held most for longest give way.
 class http_acceptor {
 public:
-    // Called for each connection that gives way. Returns the answer for a request that is not complete; without one the connection is
-    // closed, as it also is where descriptors are short.
-    using shed_watcher = std::function<std::optional<http_response>(const shed_connection&)>;
+    using shed_watcher = std::function<void(const shed_connection&)>;
 
     // Starts listening. Throws http_error if the address cannot be used.
     http_acceptor(boost::asio::io_context& loop, const std::string& address, std::uint16_t port,
@@ -46,9 +40,8 @@
     std::uint16_t port() const;
     // Registers a callback for answers that are dropped, at connections that are accepted from now on.
     void onOutputDropped(server_connection::output_watcher notify) { m_onOutputDropped = std::move(notify); }
+    // Registers a callback for connections that are closed since there are too many.
     void onShed(shed_watcher notify) { m_onShed = std::move(notify); }
-    // Makes connections give way until one more holder of that size has room in the account. Returns whether it has.
-    bool makeRoom(std::size_t bytes);
     // From now on every response closes its connection. New connections are still accepted.
     void beginDrain();
     // Stops accepting; existing connections are kept, and those that the kernel has queued are accepted.
@@ -63,14 +56,9 @@
     void removeClosedConnections();
     std::vector<std::shared_ptr<server_connection>> openConnections() const;
     bool makeRoomForConnection();
-    void onGrowth(std::size_t heldBytes);
-    bool shedForMemory();
-    std::optional<http_response> reportShed(const server_connection& connection, std::string_view cause) const;
 
-    boost::asio::io_context& m_loop;
     acceptor_limits m_ownLimits;
     shed_watcher m_onShed;
-    bool m_reliefPending = false;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_retryTimer;
     server_connection::limits_source m_limits;
--- a/packages/http/server_connection.cpp
+++ b/packages/http/server_connection.cpp
@@ -159,7 +159,7 @@
 {
     http_request request { std::move(m_head), m_parser->takeBody() };
     m_parser.reset();
-    m_charge.resize(heldBytes());
+    updateCharge();
     m_answering = true;
     m_answerQueued = false;
     m_answerId.clear();
--- a/packages/http/shed_connection.h
+++ b/packages/http/shed_connection.h
@@ -12,7 +12,7 @@
     std::string_view cause;
     std::string peerAddress;
     std::size_t heldBytes = 0;
-    // What all connections and requests of the process held, and may hold; zero without an account.
+    // What all connections and requests of the process held, and may hold; zero where descriptors were short.
     std::size_t accountBytes = 0;
     std::size_t accountLimitBytes = 0;
     std::size_t connections = 0;
--- a/packages/memory/memory_account.h
+++ b/packages/memory/memory_account.h
@@ -13,10 +13,8 @@
 
     explicit memory_account(std::size_t limitBytes);
 
-    // Whether one more holder of that size fits.
-    bool hasRoomFor(std::size_t bytes) const { return m_heldBytes + bytes <= shareOf(bytes); }
-    // Whether all holders together take more than one of that size may see taken, itself included.
-    bool isShortFor(std::size_t ownBytes) const { return m_heldBytes > shareOf(ownBytes); }
+    // Whether a holder that will have that size in all has room for these bytes more.
+    bool hasRoomFor(std::size_t bytes, std::size_t holderBytes) const { return m_heldBytes + bytes <= shareOf(holderBytes); }
 
     std::size_t heldBytes() const { return m_heldBytes; }
     std::size_t limitBytes() const { return m_limitBytes; }
--- a/tests/http/http_connections_test.cpp
+++ b/tests/http/http_connections_test.cpp
@@ -1,5 +1,6 @@
 #include "http/client_pool.h"
 #include "http/http_acceptor.h"
+#include "http/memory_relief.h"
 #include "http/shed_connection.h"
 #include "memory/memory_account.h"
 
@@ -11,6 +12,7 @@
 #include <criterion/criterion.h>
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -25,13 +27,19 @@
 // A server and a client pool on one io_context, which runs until a condition of the test holds.
 class server_and_pool {
 public:
-    explicit server_and_pool(server_connection::handler onRequest, acceptor_limits limits = {})
-        : m_acceptor(
-            m_loop, "127.0.0.1", 0, [] { return server_limits {}; }, std::move(onRequest), std::move(limits))
+    // With a limit of memory, connections that give way get a refusal with 503.
+    explicit server_and_pool(server_connection::handler onRequest, std::size_t maxConnections = std::numeric_limits<std::size_t>::max(), std::size_t memoryBytes = 0)
+        : m_account(std::make_shared<memory_account>(memoryBytes))
+        , m_relief(m_loop, m_account, [this](const shed_connection& shed) { return refuse(shed); })
+        , m_acceptor(
+              m_loop, "127.0.0.1", 0, [] { return server_limits {}; }, std::move(onRequest), { maxConnections, memoryBytes > 0 ? &m_relief : nullptr })
         , m_pool(m_loop, {})
     {
     }
 
+    const memory_account& account() const { return *m_account; }
+    const std::vector<std::string>& shedCauses() const { return m_shedCauses; }
+
     std::string address() const { return "127.0.0.1:" + std::to_string(m_acceptor.port()); }
     boost::asio::io_context& loop() { return m_loop; }
     client_pool& pool() { return m_pool; }
@@ -59,7 +67,18 @@
     }
 
 private:
+    http_response refuse(const shed_connection& shed)
+    {
+        m_shedCauses.emplace_back(shed.cause);
+        http_response refusal;
+        refusal.head.status = 503;
+        return refusal;
+    }
+
     boost::asio::io_context m_loop;
+    std::vector<std::string> m_shedCauses;
+    std::shared_ptr<memory_account> m_account;
+    memory_relief m_relief;
     http_acceptor m_acceptor;
     client_pool m_pool;
 };
@@ -243,31 +262,24 @@
 // Guards against bodies short of their end that fill the memory: the one that has held most for longest is refused, and frees its bytes.
 Test(http_connections, what_is_held_longest_gives_way_when_memory_is_short)
 {
-    const auto account = std::make_shared<memory_account>(2UL * 1024 * 1024);
-    server_and_pool server([](const auto& connection, const http_request& request) { connection->respond(answer(request.body)); }, { .account = account });
-    std::vector<std::string> causes;
-    server.acceptor().onShed([&](const shed_connection& shed) {
-        causes.emplace_back(shed.cause);
-        http_response refusal;
-        refusal.head.status = 503;
-        return refusal;
-    });
+    constexpr std::size_t limit = 2UL * 1024 * 1024;
+    server_and_pool server([](const auto& connection, const http_request& request) { connection->respond(answer(request.body)); }, 10, limit);
     raw_caller first(server, halfRequest);
-    server.runUntil([&] { return account->heldBytes() >= 900'000; });
+    server.runUntil([&] { return server.account().heldBytes() >= 900'000; });
     raw_caller second(server, halfRequest);
     server.runUntil([&] { return first.isClosed; });
     cr_assert(first.answer.starts_with("HTTP/1.1 503 "), "%s", first.answer.c_str());
-    cr_assert(causes == std::vector<std::string> { "memory" });
+    cr_assert(server.shedCauses() == std::vector<std::string> { "memory" });
     server.runUntil([&] { return second.isSent; });
     cr_assert(!second.isClosed);
-    cr_assert_leq(account->heldBytes(), 2UL * 1024 * 1024);
+    cr_assert_leq(server.account().heldBytes(), limit);
     cr_assert(server.sendRaw("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n").starts_with("HTTP/1.1 200 "));
 }
 
 // Guards against idle connections that keep sound callers out.
 Test(http_connections, the_quietest_connection_gives_way_to_a_new_one)
 {
-    server_and_pool server([](const auto& connection, const http_request&) { connection->respond(answer("x")); }, { .maxConnections = 2 });
+    server_and_pool server([](const auto& connection, const http_request&) { connection->respond(answer("x")); }, 2);
     raw_caller idle(server, "");
     server.runUntil([&] { return idle.isSent; });
     raw_caller later(server, "");
@@ -281,7 +293,7 @@
 Test(http_connections, a_request_in_progress_keeps_its_connection)
 {
     std::shared_ptr<server_connection> waiting;
-    server_and_pool server([&](const auto& connection, const http_request&) { waiting = connection; }, { .maxConnections = 1 });
+    server_and_pool server([&](const auto& connection, const http_request&) { waiting = connection; }, 1);
     raw_caller caller(server, "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
     server.runUntil([&] { return waiting != nullptr; });
     raw_caller refused(server, getRequest);
--- a/tests/memory/memory_account_test.cpp
+++ b/tests/memory/memory_account_test.cpp
@@ -52,12 +52,14 @@
     const auto account = std::make_shared<memory_account>(limit);
     memory_charge charge(account);
     charge.resize(limit / 4 * 3);
-    cr_assert(!account->hasRoomFor(memory_account::smallBytes + 1));
-    cr_assert(account->hasRoomFor(memory_account::smallBytes));
-    cr_assert(!account->isShortFor(limit));
+    constexpr std::size_t large = memory_account::smallBytes + 1;
+    cr_assert(!account->hasRoomFor(large, large));
+    cr_assert(!account->hasRoomFor(1, large));
+    cr_assert(account->hasRoomFor(memory_account::smallBytes, memory_account::smallBytes));
+    cr_assert(account->hasRoomFor(0, limit));
     charge.resize(limit / 4 * 3 + 1);
-    cr_assert(account->isShortFor(limit));
-    cr_assert(!account->isShortFor(1));
+    cr_assert(!account->hasRoomFor(0, limit));
+    cr_assert(account->hasRoomFor(0, 1));
     charge.resize(limit + 1);
-    cr_assert(account->isShortFor(1));
+    cr_assert(!account->hasRoomFor(0, 1));
 }
--- a/tests/processes/hostile_callers.py
+++ b/tests/processes/hostile_callers.py
@@ -133,11 +133,15 @@
                 return float(line.split()[1])
         raise AssertionError(f"no metric {name}")
 
+    def check_memory(self, what):
+        peak = peak_memory(self.process)
+        assert peak <= MACHINE_MEMORY_BYTES, f"{what}: {peak // MEBIBYTE} MB, of {MACHINE_MEMORY_BYTES // MEBIBYTE} MB"
+        return peak
+
     def check(self, what):
         """The process lives within its memory, and answers one ordinary request while the crowd is still there."""
         assert self.process.poll() is None, f"{what}: the process ended with {self.process.returncode}"
-        peak = peak_memory(self.process)
-        assert peak <= MACHINE_MEMORY_BYTES, f"{what}: {peak // MEBIBYTE} MB, of {MACHINE_MEMORY_BYTES // MEBIBYTE} MB"
+        self.check_memory(what)
         caller = Caller(self.ports["callers"])
         name = f"ordinary-{what.replace(' ', '-')}"
         caller.send(head(name, "Content-Length: 2") + b"{}")
@@ -145,6 +149,8 @@
         caller.close()
         assert answer is not None and answer[0] == 200 and answer[2] == b"e1", f"{what}: an ordinary request got {answer}"
         assert call(self.ports["readiness"], "GET", "/v1/ready")[0] == 200, what
+        # Until then the process may not have read all that the crowd sent.
+        peak = self.check_memory(what)
         print(f"{what}: at most {peak // MEBIBYTE} MB, {open_descriptors(self.process)} descriptors")
 
 
