Memory: the budget of bodies is an account

Cause: body_budget repeated the rule of shares of memory_account. Change: it holds an account, and a reservation is a charge on it. A charge that does not change writes nothing, since the end of a reservation is not under the lock.

--- a/packages/memory/body_budget.h
+++ b/packages/memory/body_budget.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "memory/memory_account.h"
+#include "memory/memory_charge.h"
 
 #include <cstddef>
 #include <memory>
@@ -8,7 +8,10 @@
 
 namespace appleramp {
 
-// Room for the bodies of the requests that several threads receive at the same time. All members may be called from any thread.
+class memory_account;
+
+// Room for the bodies of the requests that several threads receive at the same time: an account for all of them. All members may be called from
+// any thread.
 class body_budget {
 public:
     // Held while a body is received and its request is served.
@@ -20,8 +23,8 @@
         reservation& operator=(const reservation&) = delete;
 
     private:
-        body_budget& m_budget;
-        std::size_t m_bytes;
+        std::mutex& m_mutex;
+        memory_charge m_charge;
     };
 
     explicit body_budget(std::size_t limitBytes);
@@ -31,8 +34,7 @@
 
 private:
     std::mutex m_mutex;
-    std::size_t m_limitBytes;
-    std::size_t m_reservedBytes = 0;
+    std::shared_ptr<memory_account> m_account;
 };
 
 } // namespace appleramp
--- a/packages/memory/memory_charge.cpp
+++ b/packages/memory/memory_charge.cpp
@@ -15,7 +15,7 @@
 
 void memory_charge::resize(std::size_t bytes)
 {
-    if (!m_account)
+    if (!m_account || bytes == m_bytes)
         return;
     m_account->m_heldBytes += bytes;
     m_account->m_heldBytes -= std::exchange(m_bytes, bytes);
