--- a/review/lib2/small_fleet.py
+++ b/review/lib2/small_fleet.py
@@ -358,8 +358,8 @@
                 current[match[1]] = match[2]
         return roles
 
-    def start_entry(self, name, zone="a"):
-        """Starts an entry as the deploy file does. Returns its ports."""
+    def start_entry(self, name, zone="a", output=None):
+        """Starts an entry as the deploy file does, with its log in a file or at that descriptor. Returns its ports."""
         # Each entry has an address of its own, as each machine has: the port of its metrics is fixed in the template.
         address = f"127.0.{len(self.processes) + 1}.{os.getpid() % 250 + 2}"
         with socket.socket() as probe:
@@ -376,7 +376,7 @@
         command = role["run"].replace("/etc/appleramp/settings.toml", str(settings)).split()
         self.logs[name] = pathlib.Path(self.folder.name) / f"{name}.log"
         with open(self.logs[name], "ab") as log:
-            self.processes[name] = subprocess.Popen(command, cwd=ROOT, stdout=log, stderr=log)
+            self.processes[name] = subprocess.Popen(command, cwd=ROOT, stdout=log if output is None else output, stderr=log)
         self.record.write(f"started {name}: {' '.join(role['run'].split())}")
         return {"address": address, **ports}
 
