Forwarding: a status that promises "not run" is passed on for nobody's run

The decoder knew that only X-Not-Executed and 421 state it, but an answer was passed on by its status class: from 500 on as the failure that the reducer lets through, below as an ordinary answer. Ruled out: the decoder takes the 503 for a refusal (it does not, nothing is sent again); the reducer calls such a request not run (no pair of endings does).

Change: response_kind::UnprovenRefusal and attempt_ending::UnprovenRefusal (may have run). Nothing of that answer goes out: another endpoint where the request may be repeated, our 502 outcome_unknown otherwise. forwarding_reducer::refuse, now in a file of its own, gives no reason that promises while an attempt may have run or is open. attempt_ended names the defect; appleramp_attempt_endings_total, described and never counted, is counted, and appleramp_invalid_answers_total beside it. The old line of header_codec::answers_are_told_apart (503 without the header counts as executed) is replaced by a test over all statuses, which is stricter.

--- a/packages/decisions/forwarding/attempt_ending.cpp
+++ b/packages/decisions/forwarding/attempt_ending.cpp
@@ -14,6 +14,7 @@
         return execution_status::HasRun;
     case attempt_ending::NoAnswer:
     case attempt_ending::InvalidAnswer:
+    case attempt_ending::UnprovenRefusal:
     case attempt_ending::TimedOut:
         break;
     }
@@ -42,6 +43,8 @@
         return "foreign_answer";
     case attempt_ending::FailureAnswer:
         return "failure_answer";
+    case attempt_ending::UnprovenRefusal:
+        return "unproven_refusal";
     case attempt_ending::TimedOut:
         break;
     }
--- a/packages/decisions/forwarding/attempt_ending.h
+++ b/packages/decisions/forwarding/attempt_ending.h
@@ -22,6 +22,8 @@
     InvalidAnswer,
     // The endpoint ran the request and reported its failure in a whole answer.
     FailureAnswer,
+    // The endpoint answered with a status that promises callers that the request was not executed, and did not state that itself.
+    UnprovenRefusal,
     // Cancelled by the entry after a timeout.
     TimedOut,
 };
--- a/packages/decisions/forwarding/endpoint_fleet_restrictions.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet_restrictions.cpp
@@ -349,6 +349,7 @@
         state->recoversAt = state->avoidUntil;
         break;
     case attempt_ending::FailureAnswer:
+    case attempt_ending::UnprovenRefusal:
         recordOutcome(*state, now, 0.5);
         break;
     default:
--- a/packages/decisions/forwarding/forwarding_events.h
+++ b/packages/decisions/forwarding/forwarding_events.h
@@ -6,6 +6,7 @@
 #include "model/endpoint_limit.h"
 #include "model/endpoint_news.h"
 #include "model/identifiers.h"
+#include "model/response_defect.h"
 #include "model/routing.h"
 #include "model/time.h"
 
@@ -58,6 +59,8 @@
     std::optional<duration> retryAfter;
     // For NotSent: nothing listens at the endpoint's address.
     bool connectionRefused = false;
+    // Why the answer was not passed on, if one came.
+    response_defect defect = response_defect::None;
 };
 
 // The endpoint has sent nothing for the time that the attempt's timeouts name. Posted again from time to time while that lasts.
--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -49,40 +49,6 @@
 
 } // namespace
 
-std::string_view nameOf(refusal_reason reason)
-{
-    switch (reason) {
-    case refusal_reason::NotReady:
-        return "not_ready";
-    case refusal_reason::UnknownRoute:
-        return "unknown_route";
-    case refusal_reason::UnknownKey:
-        return "unknown_key";
-    case refusal_reason::NoCapacity:
-        return "no_capacity";
-    case refusal_reason::BreaksEndpoints:
-        return "breaks_endpoints";
-    case refusal_reason::SuspectRunning:
-        return "suspect_running";
-    case refusal_reason::ExpiredBeforeRun:
-        return "expired_unrun";
-    case refusal_reason::OutcomeUnknown:
-        return "outcome_unknown";
-    case refusal_reason::Stopping:
-        return "stopping";
-    case refusal_reason::NoMemory:
-        return "no_memory";
-    case refusal_reason::TimedOut:
-        break;
-    }
-    return "timed_out";
-}
-
-bool guaranteesNotExecuted(refusal_reason reason)
-{
-    return reason != refusal_reason::OutcomeUnknown && reason != refusal_reason::TimedOut;
-}
-
 forwarding_reducer::forwarding_reducer(instant startedAt, forwarding_settings settings)
     : m_settings(std::move(settings))
     , m_freshness(m_settings.freshness)
@@ -240,18 +206,6 @@
     send(now, number, request, *found);
 }
 
-void forwarding_reducer::refusePlacement(
-    request_number number, const request_state& request, refusal_reason reason, std::optional<duration> retryAfter)
-{
-    // The failure that an endpoint answered before is the outcome of the request.
-    if (request.hasFailureAnswer) {
-        m_effects.emplace_back(forward_failure_answer { number });
-        m_effects.emplace_back(log_decision { "failure_forwarded", request.caller.sendId, { { "no_retry", std::string(nameOf(reason)) } } });
-    } else
-        refuse(number, request, reason, retryAfter);
-    forget(number);
-}
-
 bool forwarding_reducer::deferDuringOutage(instant now, request_number number, request_state& request)
 {
     const auto outage = m_outages.find(request.service);
@@ -358,6 +312,8 @@
     log_decision line { "attempt_ended", request.caller.sendId,
         { { "endpoint", request.currentEndpoint.str() }, { "ending", std::string(nameOf(event.ending)) },
             { "after_ms", millisecondsText(event.now - request.sentAt) }, { "begun", event.answerBegun ? "true" : "false" } } };
+    if (event.defect != response_defect::None)
+        line.inputs.emplace_back("defect", std::string(nameOf(event.defect)));
     // The request is at no endpoint while it waits for its next attempt.
     request.currentEndpoint = {};
     m_fleet.work().recordEnd(event.request);
@@ -404,21 +360,6 @@
     return takeRetry(now, request.service, line);
 }
 
-void forwarding_reducer::finishFailedRequest(request_number number, const request_state& request, const attempt_ended& event)
-{
-    if (event.answerBegun) {
-        m_effects.emplace_back(abort_answer { number });
-        return;
-    }
-    if (event.ending == attempt_ending::FailureAnswer) {
-        m_effects.emplace_back(forward_failure_answer { number });
-        return;
-    }
-    if (request.mayHaveRun)
-        return refuse(number, request, refusal_reason::OutcomeUnknown, {});
-    refuse(number, request, refusal_reason::NoCapacity, event.retryAfter ? event.retryAfter : shortRetryAfter());
-}
-
 void forwarding_reducer::recordEnding(instant now, const request_state& request, const attempt_ended& event)
 {
     recordSuspiciousEnding(now, request, event);
@@ -439,29 +380,6 @@
         { { "endpoint", request.currentEndpoint.str() }, { "asked_ms", millisecondsText(time) }, { "for_ms", millisecondsText(pause) } } });
 }
 
-void forwarding_reducer::refuse(
-    request_number number, const request_state& request, refusal_reason reason, std::optional<duration> retryAfter)
-{
-    m_effects.emplace_back(refuse_request { number, reason, retryAfter });
-    log_decision line { "refused", request.caller.sendId, { { "reason", std::string(nameOf(reason)) } } };
-    line.inputs.emplace_back("configuration", std::to_string(configurationVersion()));
-    if (const auto age = m_freshness.age(m_now))
-        line.inputs.emplace_back("configuration_age_ms", millisecondsText(*age));
-    if (request.matchedRoute != nullptr)
-        line.inputs.emplace_back("route", request.matchedRoute->name);
-    if (!request.service.empty()) {
-        line.inputs.emplace_back("service", request.service.str());
-        line.inputs.emplace_back("sends", std::to_string(request.attempts));
-        line.inputs.emplace_back("limited", std::to_string(m_fleet.limits().limitedCount(m_now)));
-        line.inputs.emplace_back("fill", std::to_string(m_fleet.slotUtilization(m_now, request.service)));
-        if (const auto pace = m_streamPaces.find(request.service); pace != m_streamPaces.end())
-            line.inputs.emplace_back("pause_ms", millisecondsText(pace->second.meanPause()));
-    }
-    if (retryAfter)
-        line.inputs.emplace_back("retry_after_ms", millisecondsText(*retryAfter));
-    m_effects.emplace_back(std::move(line));
-}
-
 void forwarding_reducer::on(const attempt_succeeded& event)
 {
     const auto found = m_requests.find(event.request);
--- a/packages/decisions/forwarding/forwarding_reducer_crashes.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_crashes.cpp
@@ -66,6 +66,7 @@
             m_effects.emplace_back(probe_endpoint { request.currentEndpoint, m_fleet.addressOf(request.currentEndpoint) });
         return;
     case attempt_ending::FailureAnswer:
+    case attempt_ending::UnprovenRefusal:
         return recordBrokenAttempt(now, request, failureExplainedFor);
     case attempt_ending::TimedOut:
         return recordBrokenAttempt(now, request, cancellationExplainedFor);
--- a/packages/directentry/caller_exchange.cpp
+++ b/packages/directentry/caller_exchange.cpp
@@ -90,6 +90,7 @@
     m_lastProgress = now;
     m_attemptHasAnswer = false;
     m_mode = answer_mode::Undecided;
+    m_defect = response_defect::None;
     m_retryAfter.reset();
     m_discardedBytes = 0;
     dropAnswer();
@@ -146,10 +147,8 @@
     const response_classification reading = m_services.platform.classifyResponse(head, m_caller.sendId);
     const bool isRefusal = reading.kind == response_kind::Rejected || reading.kind == response_kind::WrongEndpoint;
     // On a kept connection this may be the refusal of an earlier request, sent once more.
-    if (isRefusal && m_isConnectionKept && !reading.namesRequest) {
-        m_endpoint->cancel();
-        return endAttempt(attempt_ending::InvalidAnswer);
-    }
+    if (isRefusal && m_isConnectionKept && !reading.namesRequest)
+        return rejectAnswer(response_defect::NoRequestId);
     m_retryAfter = reading.retryAfter;
     m_endsAtClose = head.bodyEndsAtClose;
     m_isEndpointLeaving = reading.leaving;
@@ -159,13 +158,14 @@
         m_services.post(endpoint_limit_stated { m_services.now(), m_number, reading.limit });
     switch (reading.kind) {
     case response_kind::Unmatched:
-        m_endpoint->cancel();
-        return endAttempt(attempt_ending::InvalidAnswer);
+        return rejectAnswer(reading.defect);
     case response_kind::Rejected:
+        return discardAs(attempt_ending::Rejected);
     case response_kind::WrongEndpoint:
-        m_mode = answer_mode::Discarded;
-        m_discardedAs = reading.kind == response_kind::Rejected ? attempt_ending::Rejected : attempt_ending::WrongEndpoint;
-        return;
+        return discardAs(attempt_ending::WrongEndpoint);
+    case response_kind::UnprovenRefusal:
+        m_defect = reading.defect;
+        return discardAs(attempt_ending::UnprovenRefusal);
     case response_kind::Executed:
         break;
     }
@@ -178,6 +178,19 @@
     m_mode = isStream ? answer_mode::Streamed : answer_mode::Buffered;
 }
 
+void caller_exchange::discardAs(attempt_ending ending)
+{
+    m_mode = answer_mode::Discarded;
+    m_discardedAs = ending;
+}
+
+void caller_exchange::rejectAnswer(response_defect defect)
+{
+    m_defect = defect;
+    cancelAttempt();
+    endAttempt(attempt_ending::InvalidAnswer);
+}
+
 void caller_exchange::onBody(const std::string& bytes)
 {
     switch (m_mode) {
@@ -210,8 +223,7 @@
 {
     dropAnswer();
     m_events.dropPartial();
-    std::exchange(m_endpoint, nullptr)->cancel();
-    endAttempt(attempt_ending::InvalidAnswer);
+    rejectAnswer(response_defect::TooLarge);
 }
 
 void caller_exchange::endDiscarded()
@@ -303,7 +315,7 @@
 {
     ++m_attemptNumber;
     m_deadline = instant::max();
-    m_services.post(attempt_ended { m_services.now(), m_number, ending, m_begun.has_value(), retryAfter, connectionRefused });
+    m_services.post(attempt_ended { m_services.now(), m_number, ending, m_begun.has_value(), retryAfter, connectionRefused, std::exchange(m_defect, response_defect::None) });
 }
 
 void caller_exchange::answered()
--- a/packages/directentry/caller_exchange.h
+++ b/packages/directentry/caller_exchange.h
@@ -83,6 +83,10 @@
     };
 
     void onHead(http_response_head head);
+    // The attempt ends so once the rest of the answer has been read.
+    void discardAs(attempt_ending ending);
+    // What came is no answer to this request.
+    void rejectAnswer(response_defect defect);
     void onBody(const std::string& bytes);
     void onCompleted();
     // An answer without a length ends with its connection, as does the answer of an endpoint that dies: it is whole only if its
@@ -132,6 +136,7 @@
     bool m_attemptHasAnswer = false;
     answer_mode m_mode = answer_mode::Undecided;
     attempt_ending m_discardedAs = attempt_ending::Rejected;
+    response_defect m_defect = response_defect::None;
     std::size_t m_discardedBytes = 0;
     // The answer has no length.
     bool m_endsAtClose = false;
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -180,6 +180,7 @@
 
     void post(const forwarding_event& event)
     {
+        entry_metrics::countEnding(m_metrics, event);
         for (const forwarding_effect& effect : m_reducer.handle(event))
             std::visit([this](const auto& concrete) { carryOut(concrete); }, effect);
     }
@@ -278,8 +279,7 @@
     void onReadiness(const std::shared_ptr<server_connection>& connection, const http_request& request) const
     {
         http_response response;
-        const bool asked = m_platform.isReadinessRequest(request.head);
-        response.head.status = !asked ? 404 : (isServing() ? 200 : 503);
+        response.head.status = !m_platform.isReadinessRequest(request.head) ? 404 : (isServing() ? 200 : 503);
         connection->respond(std::move(response));
     }
 
--- a/packages/directentry/entry_metrics.cpp
+++ b/packages/directentry/entry_metrics.cpp
@@ -1,5 +1,9 @@
 #include "directentry/entry_metrics.h"
 
+#include "observe/metrics_registry.h"
+
+#include <variant>
+
 namespace appleramp::entry_metrics {
 
 const metric_descriptor requests { "appleramp_forwarded_requests_total", metric_kind::Counter, "Requests of callers that arrived." };
@@ -8,7 +12,8 @@
 const metric_descriptor connectionsShed { "appleramp_connections_shed_total", metric_kind::Counter, "Connections that gave way to others, by what was short." };
 const metric_descriptor heldBytes { "appleramp_held_bytes", metric_kind::Gauge, "Bytes of requests, answers and connections that are held for callers and endpoints." };
 const metric_descriptor heldBytesLimit { "appleramp_held_bytes_limit", metric_kind::Gauge, "Most of these bytes." };
-const metric_descriptor attemptEndings { "appleramp_attempt_endings_total", metric_kind::Counter, "Attempts that ended without a whole answer, by how." };
+const metric_descriptor attemptEndings { "appleramp_attempt_endings_total", metric_kind::Counter, "Attempts that ended without a whole answer, but for those that were given up in silence, by how." };
+const metric_descriptor invalidAnswers { "appleramp_invalid_answers_total", metric_kind::Counter, "Answers of endpoints that were not passed on, by what was wrong with them." };
 const metric_descriptor answerTime { "appleramp_answer_seconds", metric_kind::Summary, "From the arrival of a request to the end of its answer." };
 const metric_descriptor configurationAge { "appleramp_configuration_age_seconds", metric_kind::Gauge, "Since the sending of the read that confirmed the configuration." };
 const metric_descriptor configurationVersion { "appleramp_configuration_version", metric_kind::Gauge, "Version of the configuration in force." };
@@ -34,4 +39,14 @@
 const metric_descriptor suspects { "appleramp_suspects", metric_kind::Gauge, "Requests and parts of prompts that endpoints may have died of." };
 const metric_descriptor convictedSuspects { "appleramp_suspects_convicted", metric_kind::Gauge, "Suspects whose requests are refused." };
 
+void countEnding(metrics_registry& metrics, const forwarding_event& event)
+{
+    const auto* const ended = std::get_if<attempt_ended>(&event);
+    if (ended == nullptr)
+        return;
+    metrics.add(attemptEndings, { { "ending", nameOf(ended->ending) } });
+    if (ended->defect != response_defect::None)
+        metrics.add(invalidAnswers, { { "defect", nameOf(ended->defect) } });
+}
+
 } // namespace appleramp::entry_metrics
--- a/packages/directentry/entry_metrics.h
+++ b/packages/directentry/entry_metrics.h
@@ -1,7 +1,12 @@
 #pragma once
 
+#include "decisions/forwarding/forwarding_events.h"
 #include "observe/metric_descriptor.h"
 
+namespace appleramp {
+class metrics_registry;
+} // namespace appleramp
+
 namespace appleramp::entry_metrics {
 
 extern const metric_descriptor requests;
@@ -11,6 +16,7 @@
 extern const metric_descriptor heldBytes;
 extern const metric_descriptor heldBytesLimit;
 extern const metric_descriptor attemptEndings;
+extern const metric_descriptor invalidAnswers;
 extern const metric_descriptor answerTime;
 extern const metric_descriptor configurationAge;
 extern const metric_descriptor configurationVersion;
@@ -36,4 +42,7 @@
 extern const metric_descriptor suspects;
 extern const metric_descriptor convictedSuspects;
 
+// Counts how an attempt ended, if that is what the event tells.
+void countEnding(metrics_registry& metrics, const forwarding_event& event);
+
 } // namespace appleramp::entry_metrics
--- a/packages/ports/platform_adapter.h
+++ b/packages/ports/platform_adapter.h
@@ -5,6 +5,7 @@
 #include "http/http_message.h"
 #include "model/endpoint_limit.h"
 #include "model/endpoint_news.h"
+#include "model/response_defect.h"
 #include "model/routing.h"
 #include "ports/row_store.h"
 
@@ -49,12 +50,16 @@
     Executed,
     Rejected,
     WrongEndpoint,
+    // The status tells callers that the request was not executed, while the endpoint does not state so: it may have been.
+    UnprovenRefusal,
     // The response belongs to another request, or does not say to which.
     Unmatched,
 };
 
 struct response_classification {
     response_kind kind = response_kind::Executed;
+    // Why the response is not passed on, if it is neither that nor a refusal.
+    response_defect defect = response_defect::None;
     // Set if the endpoint turned the request away and asks for a pause of this length.
     std::optional<duration> retryAfter;
     // The answer names the request that it belongs to. Refusals need not.
--- a/tests/decisions/forwarding/attempt_ending_test.cpp
+++ b/tests/decisions/forwarding/attempt_ending_test.cpp
@@ -16,7 +16,7 @@
 
 constexpr attempt_ending provenNotRun[] { attempt_ending::NotSent, attempt_ending::Rejected, attempt_ending::WrongEndpoint };
 constexpr attempt_ending possiblyRun[] { attempt_ending::NoAnswer, attempt_ending::TruncatedAnswer, attempt_ending::InvalidAnswer,
-    attempt_ending::FailureAnswer, attempt_ending::TimedOut };
+    attempt_ending::FailureAnswer, attempt_ending::UnprovenRefusal, attempt_ending::TimedOut };
 
 } // namespace
 
--- a/tests/decisions/forwarding/forwarding_reducer_test.cpp
+++ b/tests/decisions/forwarding/forwarding_reducer_test.cpp
@@ -99,6 +99,8 @@
         return admitted;
     }
 
+    request_number requestNumber() const { return m_number; }
+
     void rejectWithPause(duration pause) { handle(attempt_ended { now, m_number, attempt_ending::Rejected, false, pause }); }
 
     void endAttempt(attempt_ending ending, bool begun = false) { handle(attempt_ended { now, m_number, ending, begun, {} }); }
@@ -186,7 +188,7 @@
 
 Test(forwarding_reducer, a_non_repeatable_request_that_may_have_run_is_never_called_not_run)
 {
-    for (const auto ending : { attempt_ending::NoAnswer, attempt_ending::TruncatedAnswer, attempt_ending::InvalidAnswer }) {
+    for (const auto ending : { attempt_ending::NoAnswer, attempt_ending::TruncatedAnswer, attempt_ending::InvalidAnswer, attempt_ending::UnprovenRefusal }) {
         entry entry;
         entry.request("/post/x");
         entry.endAttempt(ending);
@@ -195,6 +197,71 @@
     }
 }
 
+namespace {
+
+enum class final_event {
+    None,
+    Deadline,
+    Stop,
+};
+
+struct request_outcome {
+    // An attempt may have run, or was open at the final event.
+    bool mayHaveRun = false;
+    attempt_ending latestEnding = attempt_ending::NotSent;
+};
+
+// Lets the request's attempts end so, as far as there are any, and ends it then.
+request_outcome endRequest(entry& entry, std::initializer_list<attempt_ending> endings, final_event last)
+{
+    request_outcome outcome;
+    for (const attempt_ending ending : endings) {
+        if (entry.effect<send_attempt>() == nullptr)
+            break;
+        entry.endAttempt(ending);
+        outcome.mayHaveRun = outcome.mayHaveRun || executionStatusAfter(ending) != execution_status::NotRun;
+        outcome.latestEnding = ending;
+    }
+    if (last == final_event::None)
+        return outcome;
+    outcome.mayHaveRun = outcome.mayHaveRun || entry.effect<send_attempt>() != nullptr;
+    if (last == final_event::Deadline)
+        entry.handle(deadline_passed { entry.now, entry.requestNumber(), false });
+    else
+        entry.handle(stop_reached { entry.now });
+    return outcome;
+}
+
+} // namespace
+
+// Guards against a promise that is not true: whatever one or two attempts end in, and whatever ends the request then, its caller is told
+// "not executed" only if each attempt proved it, and a failure is passed on only if the last attempt brought one.
+Test(forwarding_reducer, a_caller_is_told_not_executed_only_if_each_attempt_proves_it)
+{
+    constexpr attempt_ending endings[] { attempt_ending::NotSent, attempt_ending::Rejected, attempt_ending::WrongEndpoint, attempt_ending::NoAnswer,
+        attempt_ending::TruncatedAnswer, attempt_ending::InvalidAnswer, attempt_ending::FailureAnswer, attempt_ending::UnprovenRefusal, attempt_ending::TimedOut };
+    int refusals = 0;
+    const auto check = [&refusals](const char* path, attempt_ending first, attempt_ending second, final_event last) {
+        entry entry;
+        entry.request(path);
+        const request_outcome outcome = endRequest(entry, { first, second }, last);
+        const auto* const refusal = entry.effect<refuse_request>();
+        refusals += refusal != nullptr ? 1 : 0;
+        const bool promises = refusal != nullptr && guaranteesNotExecuted(refusal->reason);
+        cr_assert(!promises || !outcome.mayHaveRun, "%s %d %d", path, static_cast<int>(first), static_cast<int>(second));
+        cr_assert(entry.effect<forward_failure_answer>() == nullptr || outcome.latestEnding == attempt_ending::FailureAnswer);
+    };
+    for (const char* path : { "/post/x", "/read/x", "/draft/x" }) {
+        for (const attempt_ending first : endings) {
+            for (const attempt_ending second : endings) {
+                for (const final_event last : { final_event::None, final_event::Deadline, final_event::Stop })
+                    check(path, first, second, last);
+            }
+        }
+    }
+    cr_assert_gt(refusals, 100);
+}
+
 Test(forwarding_reducer, a_rejected_non_repeatable_request_is_refused_with_a_time_to_return)
 {
     entry entry;
--- a/tests/users_platform/header_codec_test.cpp
+++ b/tests/users_platform/header_codec_test.cpp
@@ -115,8 +115,27 @@
     cr_assert(decodeResponse(answerWith(421, {}), "9c41").kind == response_kind::WrongEndpoint);
     cr_assert(decodeResponse(answerWith(503, { { "X-Not-Executed", "1" }, { "X-Attempt-Id", "9c41" } }), "9c41").namesRequest);
     cr_assert_not(decodeResponse(answerWith(503, { { "X-Not-Executed", "1" } }), "9c41").namesRequest);
-    // A 503 without X-Not-Executed does not say that the request was not executed.
-    cr_assert(decodeResponse(answerWith(503, { { "X-Attempt-Id", "9c41" } }), "9c41").kind == response_kind::Executed);
+}
+
+// Guards against a status that promises "not executed" and is passed on, while the engine does not state that: callers send the request
+// again, and it runs twice.
+Test(header_codec, no_status_that_promises_not_executed_is_passed_on)
+{
+    for (unsigned status = 100; status < 600; ++status) {
+        const response_kind plain = decodeResponse(answerWith(status, { { "X-Attempt-Id", "9c41" } }), "9c41").kind;
+        cr_assert(plain != response_kind::Executed || !promisesNotExecuted(status), "%u", status);
+        // Only the engine's word, or that another engine answered, proves that the request was not executed.
+        cr_assert(plain != response_kind::Rejected, "%u", status);
+        cr_assert_eq(plain == response_kind::WrongEndpoint, status == 421, "%u", status);
+        const response_kind stated = decodeResponse(answerWith(status, { { "X-Attempt-Id", "9c41" }, { "X-Not-Executed", "1" } }), "9c41").kind;
+        cr_assert(stated == (status == 421 ? response_kind::WrongEndpoint : response_kind::Rejected), "%u", status);
+    }
+    for (const unsigned status : { 408U, 429U, 503U }) {
+        const auto reading = decodeResponse(answerWith(status, { { "X-Attempt-Id", "9c41" }, { "Retry-After", "1" } }), "9c41");
+        cr_assert(reading.kind == response_kind::UnprovenRefusal);
+        // The engine's pause holds all the same.
+        cr_assert_eq(reading.retryAfter.has_value(), status == 503);
+    }
 }
 
 // Guards against texts of Retry-After that are no number of seconds: a date, a negative one, "nan", "inf", a huge one.
