Http: one decision on what the head of an answer is, for all readers

Cause: callers got an engine's status 000 as an answer. Nobody decided what an answer is: Beast takes any three digits for a status, joins a line that begins with a blank to the field before it, and reads a transfer coding that does not end in chunked to the end of the connection; one reader skipped interim heads and the other passed them on as final; the codec of the users' platform asked for the request's id only. Ruled out: blanks, control bytes and separators inside names of fields; these were refused on by all readers that were tried, and get the tests that guard them.

Change: http/response_head_reading says final, interim or invalid, with a reason; http_parser asks it for every response and skips interim heads within bounds, so that both clients have one rule.

On engine_call::an_answer_that_is_none_is_a_failure and engine_link::an_answer_that_is_none_is_no_report fail; span_exporter::spans_count_as_exported_by_a_whole_answer_only and http_parser::a_name_of_a_field_has_no_blank_and_no_control_byte guard what held.

--- a/packages/blockinghttp/response_reader.cpp
+++ b/packages/blockinghttp/response_reader.cpp
@@ -16,21 +16,11 @@
 constexpr parser_limits responseLimits { .maxHeaderBytes = 65536, .maxBodyBytes = std::numeric_limits<std::uint64_t>::max() };
 constexpr std::size_t readBufferBytes = 8192;
 
-// A server in trouble may send interim responses without end.
-constexpr int maxInterimResponses = 16;
-
-constexpr unsigned firstFinalStatus = 200;
-constexpr unsigned switchingProtocols = 101;
-
-bool isInterim(const http_response_head& head)
-{
-    return head.status < firstFinalStatus && head.status != switchingProtocols;
-}
-
 } // namespace
 
 response_reader::response_reader(const Poco::Net::StreamSocket& socket, std::string_view method)
     : m_socket(std::make_unique<Poco::Net::StreamSocket>(socket))
+    , m_parser(std::make_unique<http_parser>(http_parser::message_kind::Response, responseLimits))
     , m_hasBody(method != "HEAD")
 {
 }
@@ -39,17 +29,11 @@
 
 http_response_head response_reader::readHead()
 {
-    for (int interim = 0; interim <= maxInterimResponses; ++interim) {
-        startResponse();
-        while (!m_parser->hasHead())
-            receive();
-        http_response_head head = m_parser->takeResponseHead();
-        if (isInterim(head))
-            continue;
-        m_keepAlive = head.keepAlive;
-        return head;
-    }
-    throw response_error("the response has too many interim heads");
+    while (!m_parser->hasHead())
+        receive();
+    http_response_head head = m_parser->takeResponseHead();
+    m_keepAlive = head.keepAlive;
+    return head;
 }
 
 std::string response_reader::readBody()
@@ -75,12 +59,6 @@
 
 bool response_reader::isConnectionReusable() const { return m_keepAlive && isComplete() && m_input.empty(); }
 
-void response_reader::startResponse()
-{
-    m_parser = std::make_unique<http_parser>(http_parser::message_kind::Response, responseLimits);
-    parse();
-}
-
 void response_reader::receive()
 {
     std::array<char, readBufferBytes> buffer {};
@@ -104,7 +82,7 @@
 {
     m_input.erase(0, m_parser->consume(m_input));
     if (m_parser->failure() != parse_failure::None)
-        throw response_error("the response is not valid HTTP");
+        throw response_error("the response is not valid HTTP: " + std::string(nameOf(m_parser->defect())));
 }
 
 bool response_reader::isComplete() const { return !m_hasBody || m_parser->isComplete(); }
--- a/packages/blockinghttp/response_reader.h
+++ b/packages/blockinghttp/response_reader.h
@@ -30,7 +30,7 @@
     response_reader(const response_reader&) = delete;
     response_reader& operator=(const response_reader&) = delete;
 
-    // Waits for the whole head. A few interim responses (1xx) are skipped. Must be called once, before the body is read.
+    // Waits for the whole head of the response, behind interim ones. Must be called once, before the body is read.
     http_response_head readHead();
     // Waits for further bytes of the body and returns what has arrived; empty at the end of a whole body.
     std::string readBody();
@@ -41,7 +41,6 @@
     bool isConnectionReusable() const;
 
 private:
-    void startResponse();
     void receive();
     void finishAtConnectionEnd();
     void parse();
--- a/packages/directentry/caller_exchange.cpp
+++ b/packages/directentry/caller_exchange.cpp
@@ -158,6 +158,7 @@
         m_services.post(endpoint_limit_stated { m_services.now(), m_number, reading.limit });
     switch (reading.kind) {
     case response_kind::Unmatched:
+    case response_kind::Unusable:
         return rejectAnswer(reading.defect);
     case response_kind::Rejected:
         return discardAs(attempt_ending::Rejected);
@@ -304,6 +305,8 @@
 
 void caller_exchange::onFailed(exchange_failure failure)
 {
+    if (failure == exchange_failure::Malformed)
+        m_defect = m_endpoint->defect();
     m_endpoint.reset();
     // The head alone decides that an attempt was rejected, even if the body is cut off.
     if (m_mode == answer_mode::Discarded)
--- a/packages/http/client_connection.cpp
+++ b/packages/http/client_connection.cpp
@@ -26,6 +26,8 @@
 {
 }
 
+response_defect client_connection::defect() const { return m_parser ? m_parser->defect() : response_defect::None; }
+
 bool client_connection::isReusable() const { return m_state == state::Idle; }
 
 void client_connection::exchange(std::string request, exchange_handlers handlers)
--- a/packages/http/http_parser.cpp
+++ b/packages/http/http_parser.cpp
@@ -1,13 +1,23 @@
 #include "http/http_parser.h"
 
+#include "http/response_head_reading.h"
+
 #include <boost/beast/http/basic_parser.hpp>
 
 #include <utility>
+#include <variant>
 
 namespace appleramp {
 
 namespace http = boost::beast::http;
 
+namespace {
+
+// A server in trouble may send interim responses without end.
+constexpr int maxInterimResponses = 16;
+
+} // namespace
+
 class http_parser::implementation {
 public:
     virtual ~implementation() = default;
@@ -16,23 +26,33 @@
 
     bool hasHead = false;
     bool isComplete = false;
+    bool isInterim = false;
     std::size_t headBytes = 0;
     parse_failure failure = parse_failure::None;
+    response_defect defect = response_defect::None;
     http_request_head request;
     http_response_head response;
     std::string body;
 
+    // The first cause holds.
+    void fail(parse_failure kind, response_defect cause)
+    {
+        failure = kind;
+        if (defect == response_defect::None)
+            defect = cause;
+    }
+
 protected:
     void setFailure(const boost::system::error_code& code)
     {
         if (code == http::error::header_limit)
-            failure = parse_failure::HeaderTooLarge;
+            fail(parse_failure::HeaderTooLarge, response_defect::TooLarge);
         else if (code == http::error::body_limit)
-            failure = parse_failure::BodyTooLarge;
+            fail(parse_failure::BodyTooLarge, response_defect::TooLarge);
         else if (code == http::error::partial_message || code == http::error::end_of_stream)
-            failure = parse_failure::Truncated;
+            fail(parse_failure::Truncated, response_defect::None);
         else
-            failure = parse_failure::Malformed;
+            fail(parse_failure::Malformed, response_defect::Syntax);
     }
 };
 
@@ -53,6 +73,11 @@
 
     std::size_t consume(std::string_view bytes) override
     {
+        // Beast takes a line that begins with a blank for the rest of the field before it. What it consumes of a head ends with a line.
+        if (!IsRequest && !hasHead && hasFoldedField(bytes, base::got_some())) {
+            fail(parse_failure::Malformed, response_defect::FoldedField);
+            return 0;
+        }
         std::size_t consumed = 0;
         while (consumed < bytes.size() && failure == parse_failure::None && !isComplete) {
             boost::system::error_code code;
@@ -68,7 +93,7 @@
         }
         // Beast applies its limit to the head only, and looks for the end of a chunk header or of the trailers in all of the input.
         if (!isComplete && failure == parse_failure::None && bytes.size() - consumed > m_maxUnparsedBytes)
-            failure = parse_failure::HeaderTooLarge;
+            setFailure(http::make_error_code(http::error::header_limit));
         return consumed;
     }
 
@@ -112,12 +137,18 @@
         (IsRequest ? request.headers : response.headers).add(fieldName, fieldValue);
     }
 
-    void on_header_impl(boost::system::error_code&) override
+    void on_header_impl(boost::system::error_code& code) override
     {
-        hasHead = true;
         request.keepAlive = base::keep_alive();
         response.keepAlive = base::keep_alive();
         response.bodyEndsAtClose = base::need_eof();
+        const response_head_reading reading = IsRequest ? final_head {} : readResponseHead(response);
+        hasHead = std::holds_alternative<final_head>(reading);
+        isInterim = std::holds_alternative<interim_head>(reading);
+        if (const auto* const invalid = std::get_if<invalid_head>(&reading)) {
+            defect = invalid->defect;
+            code = http::make_error_code(http::error::bad_value);
+        }
     }
 
     void on_body_init_impl(const boost::optional<std::uint64_t>&, boost::system::error_code&) override { }
@@ -144,6 +175,7 @@
 // NOLINTEND(readability-identifier-naming)
 
 http_parser::http_parser(message_kind kind, parser_limits limits)
+    : m_limits(limits)
 {
     if (kind == message_kind::Request)
         m_implementation = std::make_unique<typed_implementation<true>>(limits);
@@ -153,7 +185,29 @@
 
 http_parser::~http_parser() = default;
 
-std::size_t http_parser::consume(std::string_view bytes) { return m_implementation->consume(bytes); }
+std::size_t http_parser::consume(std::string_view bytes)
+{
+    std::size_t consumed = 0;
+    while (true) {
+        const std::size_t size = m_implementation->consume(bytes.substr(consumed));
+        consumed += size;
+        if (!m_implementation->hasHead)
+            m_interimBytes += size;
+        if (!m_implementation->isInterim || failure() != parse_failure::None)
+            return consumed;
+        skipInterimResponse();
+        if (failure() != parse_failure::None)
+            return consumed;
+    }
+}
+
+void http_parser::skipInterimResponse()
+{
+    if (++m_interimResponses > maxInterimResponses || m_interimBytes > m_limits.maxHeaderBytes)
+        m_implementation->fail(parse_failure::Malformed, response_defect::InterimResponses);
+    else
+        m_implementation = std::make_unique<typed_implementation<false>>(m_limits);
+}
 
 void http_parser::finishAtConnectionEnd() { m_implementation->finishAtConnectionEnd(); }
 
@@ -163,6 +217,8 @@
 
 parse_failure http_parser::failure() const { return m_implementation->failure; }
 
+response_defect http_parser::defect() const { return m_implementation->defect; }
+
 http_request_head http_parser::takeRequestHead() { return std::move(m_implementation->request); }
 
 http_response_head http_parser::takeResponseHead() { return std::move(m_implementation->response); }
--- a/packages/http/http_parser.h
+++ b/packages/http/http_parser.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/http_message.h"
+#include "model/response_defect.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -26,7 +27,7 @@
 };
 
 // Incremental, strict parser for one HTTP/1.1 message. Conflicting lengths, malformed chunks and bare line feeds are
-// failures.
+// failures. Interim responses (1xx) before a response are skipped; together they may have as many bytes as one head.
 class http_parser {
 public:
     enum class message_kind {
@@ -51,6 +52,8 @@
     std::size_t heldBytes() const;
     bool isComplete() const;
     parse_failure failure() const;
+    // For a response: what is wrong with it, once it failed as Malformed, HeaderTooLarge or BodyTooLarge.
+    response_defect defect() const;
 
     http_request_head takeRequestHead();
     http_response_head takeResponseHead();
@@ -61,7 +64,15 @@
     class implementation;
     template <bool IsRequest>
     class typed_implementation;
+
+    // Goes on with the head that follows an interim response.
+    void skipInterimResponse();
+
+    parser_limits m_limits;
     std::unique_ptr<implementation> m_implementation;
+    int m_interimResponses = 0;
+    // Consumed before the end of the response's own head.
+    std::size_t m_interimBytes = 0;
 };
 
 } // namespace appleramp
--- a/packages/ports/platform_adapter.h
+++ b/packages/ports/platform_adapter.h
@@ -54,6 +54,8 @@
     UnprovenRefusal,
     // The response belongs to another request, or does not say to which.
     Unmatched,
+    // The response lacks what an answer of an endpoint has, or says it in several ways.
+    Unusable,
 };
 
 struct response_classification {
--- a/tests/agent/engine_call_test.cpp
+++ b/tests/agent/engine_call_test.cpp
@@ -114,6 +114,20 @@
     cr_assert_eq(callEngine(engine, interim, closing::Orderly).endings, 0);
 }
 
+// Guards against answers that are none and reach the caller as the engine's.
+Test(engine_call, an_answer_that_is_none_is_a_failure)
+{
+    raw_answer_server engine;
+    const std::string rest = "Connection: close\r\nContent-Length: 5\r\n\r\nwhole";
+    const std::string chunks = "\r\n\r\n5\r\nwhole\r\n0\r\n\r\n";
+    for (const std::string& answer : { "HTTP/1.1 000 OK\r\n" + rest, "HTTP/1.1 099 OK\r\n" + rest, "HTTP/1.1 600 OK\r\n" + rest, "HTTP/1.1 101 Upgrade\r\n" + rest,
+             "HTTP/1.1 200 OK\r\nX A: b\r\n" + rest, "HTTP/1.1 200 OK\r\nX\x01: b\r\n" + rest, "HTTP/1.1 200 OK\r\nX : b\r\n" + rest, "HTTP/1.1 200 OK\r\nX: b\r\n c\r\n" + rest,
+             "HTTP/1.1 200 OK\r\n X: b\r\n" + rest, "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked" + chunks, "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity" + chunks }) {
+        const recorded_call seen = callEngine(engine, answer, closing::Orderly);
+        cr_expect(!seen.head && seen.endings == 0 && seen.failures == 1, "%s", answer.c_str());
+    }
+}
+
 Test(engine_call, an_answer_to_head_has_no_body)
 {
     raw_answer_server engine;
--- a/tests/directagent/engine_link_test.cpp
+++ b/tests/directagent/engine_link_test.cpp
@@ -1,5 +1,7 @@
 #include "directagent/engine_link.h"
 
+#include "fakes/raw_answer_server.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -9,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 using namespace appleramp;
 using tcp = boost::asio::ip::tcp;
@@ -99,3 +102,28 @@
     exchange(longTimeout);
     cr_assert(link.wasRefused());
 }
+
+// Guards against reports that are read from what is no answer.
+Test(engine_link, an_answer_that_is_none_is_no_report)
+{
+    boost::asio::io_context loop;
+    raw_answer_server engine;
+    const std::string rest = "Content-Length: 5\r\n\r\nwhole";
+    const std::pair<std::string, bool> answers[] { { "HTTP/1.1 200 OK\r\n" + rest, true }, { "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n" + rest, true },
+        { "HTTP/1.1 000 OK\r\n" + rest, false }, { "HTTP/1.1 103 Early Hints\r\n" + rest, false }, { "HTTP/1.1 200 OK\r\nX A: b\r\n" + rest, false },
+        { "HTTP/1.1 200 OK\r\nX-A: b\r\n c\r\n" + rest, false }, { "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nwhole", false } };
+    for (const auto& [text, isAnswer] : answers) {
+        engine.answerWith(text, raw_answer_server::closing::Orderly);
+        engine_link link(loop, engine.address());
+        bool isDone = false;
+        std::optional<http_response> answer;
+        link.exchange(reportRequest(engine.address()), longTimeout, [&](const auto& received) {
+            answer = received;
+            isDone = true;
+        });
+        while (!isDone)
+            cr_assert_gt(loop.run_one_for(longTimeout), 0);
+        cr_assert_eq(answer.has_value(), isAnswer, "%s", text.c_str());
+        cr_assert(!isAnswer || (answer->head.status == 200 && answer->body == "whole"));
+    }
+}
--- a/tests/http/http_parser_test.cpp
+++ b/tests/http/http_parser_test.cpp
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include <cctype>
 #include <random>
 #include <string>
 #include <string_view>
@@ -172,3 +173,138 @@
         cr_assert(parser.isComplete() || parser.failure() != parse_failure::None);
     }
 }
+
+namespace {
+
+struct read_response {
+    // None if the response is complete, also by the end of its connection.
+    parse_failure failure = parse_failure::None;
+    response_defect defect = response_defect::None;
+    unsigned status = 0;
+    std::string body;
+};
+
+// Reads the response in pieces of the given size; its connection ends behind it.
+read_response readResponse(const std::string& text, std::size_t pieceSize, parser_limits limits = {})
+{
+    http_parser parser(kind::Response, limits);
+    feedInPieces(parser, text, pieceSize);
+    parser.finishAtConnectionEnd();
+    if (!parser.isComplete() && parser.failure() == parse_failure::None)
+        return { parse_failure::Truncated };
+    if (parser.failure() != parse_failure::None)
+        return { parser.failure(), parser.defect() };
+    const unsigned status = parser.takeResponseHead().status;
+    return { parse_failure::None, response_defect::None, status, parser.takeBody() };
+}
+
+// The same for every size of pieces.
+void assertReadAs(const std::string& text, const read_response& expected, parser_limits limits = {})
+{
+    for (std::size_t pieceSize = 1; pieceSize <= text.size(); ++pieceSize) {
+        const read_response seen = readResponse(text, pieceSize, limits);
+        cr_assert(seen.failure == expected.failure && seen.defect == expected.defect, "%d %s in pieces of %zu: %s", static_cast<int>(seen.failure),
+            std::string(nameOf(seen.defect)).c_str(), pieceSize, text.c_str());
+        cr_assert_eq(seen.status, expected.status);
+        cr_assert_eq(seen.body, expected.body);
+    }
+}
+
+void assertDefect(const std::string& text, response_defect defect) { assertReadAs(text, { parse_failure::Malformed, defect }); }
+
+const std::string sound = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
+
+} // namespace
+
+// Guards against a status that is none, which callers get as an answer.
+Test(http_parser, a_status_is_one_of_100_to_599)
+{
+    for (unsigned status = 0; status < 1000; ++status) {
+        const std::string digits = (status < 100 ? "0" : "") + std::string(status < 10 ? "0" : "") + std::to_string(status);
+        const read_response seen = readResponse("HTTP/1.1 " + digits + " X\r\nContent-Length: 0\r\n\r\n", 1000);
+        if (status < 100 || status > 599)
+            cr_assert(seen.defect == response_defect::Status, "%u", status);
+        else if (status == 101)
+            cr_assert(seen.defect == response_defect::Upgrade);
+        else if (status < 200)
+            cr_assert(seen.failure == parse_failure::Truncated, "%u", status);
+        else
+            cr_assert(seen.failure == parse_failure::None && seen.status == status, "%u", status);
+    }
+    for (const char* status : { "20", "2000", "2x0", "+20", "-20", " 200", "" })
+        assertDefect("HTTP/1.1 " + std::string(status) + " OK\r\n\r\n", response_defect::Syntax);
+}
+
+// Guards against interim responses that are taken for the response, and against those that come without end.
+Test(http_parser, interim_responses_are_skipped_within_bounds)
+{
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+    assertReadAs(interim + sound, { parse_failure::None, response_defect::None, 200, "whole" });
+    assertReadAs("HTTP/1.1 100 Continue\r\n\r\n" + interim + "HTTP/1.1 204 No Content\r\n\r\n", { parse_failure::None, response_defect::None, 204, "" });
+    assertDefect("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + sound, response_defect::Upgrade);
+    std::string many;
+    for (int count = 0; count < 17; ++count)
+        many += interim;
+    assertDefect(many + sound, response_defect::InterimResponses);
+    const std::string large = "HTTP/1.1 102 Processing\r\nX-A: " + std::string(400, 'a') + "\r\n\r\n";
+    assertReadAs(large + large + sound, { parse_failure::None, response_defect::None, 200, "whole" }, { .maxHeaderBytes = 1024 });
+    assertReadAs(large + large + large + sound, { parse_failure::Malformed, response_defect::InterimResponses }, { .maxHeaderBytes = 1024 });
+}
+
+// Guards against lines that one reader takes for a field and another for the end of the field before it.
+Test(http_parser, a_response_has_no_folded_field)
+{
+    for (const std::string_view blank : { " ", "\t" }) {
+        assertDefect("HTTP/1.1 200 OK\r\nX-A: a\r\n" + std::string(blank) + "Content-Length: 3\r\n\r\nwhole", response_defect::FoldedField);
+        assertDefect("HTTP/1.1 200 OK\r\n" + std::string(blank) + "X-A: a\r\nContent-Length: 5\r\n\r\nwhole", response_defect::FoldedField);
+        assertDefect("HTTP/1.1 103 Early Hints\r\nX-A: a\r\n" + std::string(blank) + "b\r\n\r\n" + sound, response_defect::FoldedField);
+        // A body may have such lines.
+        assertReadAs("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\na\r\n" + std::string(blank) + "bc", { parse_failure::None, response_defect::None, 200, "a\r\n" + std::string(blank) + "bc" });
+    }
+}
+
+// Guards against blanks, control bytes and separators in names of fields, which readers take for different fields.
+Test(http_parser, a_name_of_a_field_has_no_blank_and_no_control_byte)
+{
+    for (int code = 0; code < 256; ++code) {
+        const char byte = static_cast<char>(code);
+        const bool isNameByte = std::isalnum(code) != 0 || std::string_view("!#$%&'*+-.^_`|~").find(byte) != std::string_view::npos;
+        if (isNameByte || byte == ':' || byte == '\r' || byte == '\n')
+            continue;
+        const bool isBlank = byte == ' ' || byte == '\t';
+        const std::string odd(1, byte);
+        assertDefect("HTTP/1.1 200 OK\r\nX-" + odd + "A: a\r\nContent-Length: 5\r\n\r\nwhole", response_defect::Syntax);
+        assertDefect("HTTP/1.1 200 OK\r\nContent-Length" + odd + ": 3\r\n\r\nwhole", response_defect::Syntax);
+        assertDefect("HTTP/1.1 200 OK\r\n" + odd + "Content-Length: 3\r\n\r\nwhole", isBlank ? response_defect::FoldedField : response_defect::Syntax);
+        assertDefect("HTTP/1.1 200 OK\r\nTransfer-Encoding" + odd + ": chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", response_defect::Syntax);
+    }
+    assertDefect("HTTP/1.1 200 OK\r\n: a\r\nContent-Length: 5\r\n\r\nwhole", response_defect::Syntax);
+    assertDefect("HTTP/1.1 200 OK\r\nX-A\r\nContent-Length: 5\r\n\r\nwhole", response_defect::Syntax);
+    for (const char* value : { "a\x01", "a\x7f", "a\rb" })
+        assertDefect("HTTP/1.1 200 OK\r\nX-A: " + std::string(value) + "\r\nContent-Length: 5\r\n\r\nwhole", response_defect::Syntax);
+}
+
+// Guards against a body that is decoded by half of its codings, or not at all, and passed on as whole.
+Test(http_parser, a_response_is_coded_in_chunks_or_not_at_all)
+{
+    const std::string chunks = "5\r\nwhole\r\n0\r\n\r\n";
+    for (const char* coding : { "gzip, chunked", "chunked;q=1", "chunked, chunked", "chunked, gzip", "identity", "xchunked", "gzip", ",chunked", "" })
+        assertDefect("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + std::string(coding) + "\r\n\r\n" + chunks, response_defect::TransferCoding);
+    assertDefect("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks, response_defect::Syntax);
+    assertDefect("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks, response_defect::TransferCoding);
+    assertDefect("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks, response_defect::Syntax);
+    assertReadAs("HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked \r\n\r\n" + chunks, { parse_failure::None, response_defect::None, 200, "whole" });
+}
+
+// The reverse: heads of unusual form that are sound.
+Test(http_parser, sound_responses_are_read)
+{
+    const read_response whole { parse_failure::None, response_defect::None, 200, "whole" };
+    assertReadAs("HTTP/1.1 200 \r\nContent-Length: 5\r\n\r\nwhole", whole);
+    assertReadAs("HTTP/1.1 200 Fine \xfc\r\nX-A: \xc3\xbc\r\nX-B:\r\nX-C: a\tb\r\nContent-Length: 5\r\n\r\nwhole", whole);
+    assertReadAs("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\nwhole", whole);
+    assertReadAs("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;a=b\r\nwhole\r\n0;c\r\nX-T: 1\r\n\r\n", whole);
+    assertReadAs("HTTP/1.0 200 OK\r\n\r\nwhole", whole);
+    assertReadAs("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole", whole);
+    assertReadAs("HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n", { parse_failure::None, response_defect::None, 304, "" });
+}
--- a/tests/observe/span_exporter_test.cpp
+++ b/tests/observe/span_exporter_test.cpp
@@ -1,5 +1,7 @@
 #include "observe/span_exporter.h"
 
+#include "fakes/raw_answer_server.h"
+
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServer.h>
@@ -13,6 +15,9 @@
 
 #include <memory>
 #include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
 #include <vector>
 
 using namespace appleramp;
@@ -167,3 +172,19 @@
     exporter.add(span());
     cr_assert_eq(exporter.counts().dropped, 0u);
 }
+
+// Guards against spans that count as exported by what is no answer of the collector: a status that is none, a head that was cut off.
+Test(span_exporter, spans_count_as_exported_by_a_whole_answer_only)
+{
+    const std::pair<std::string, std::size_t> answers[] { { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 1 }, { "HTTP/1.1 200 OK\r\nContent-Le", 0 },
+        { "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n", 0 }, { "HTTP/1.1 100 Continue\r\n\r\n", 0 }, { "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", 0 } };
+    for (const auto& [answer, exported] : answers) {
+        raw_answer_server collector;
+        collector.answerWith(answer, raw_answer_server::closing::Orderly);
+        span_exporter exporter("http://" + collector.address() + "/v1/traces", source());
+        exporter.add(span());
+        while (exporter.counts().exported + exporter.counts().dropped == 0)
+            std::this_thread::yield();
+        cr_assert_eq(exporter.counts().exported, exported, "%s", answer.c_str());
+    }
+}
