Http: an answer without a length is not whole if the write of its request failed

Cause: callers got half of an engine's answer as a complete 200. The engine had answered a long upload before it read it, without a length, and reset the connection. The kernel reports a reset once; while the request is being written the write gets it, and the read sees an orderly end. client_connection ignored errors of writes. The blocking reader had the same hole: POCO's streams swallow the error of a write. Ruled out: the probe of the endpoint (it listens, as it should), and resets that the read sees (direct_cut_heads plays them at each byte).

Change: one rule for both readers. An answer that ends with its connection is whole only if its request was written to its end; where the end is read before that, the connection waits for the write. blockinghttp/request_delivery tells the blocking readers. Answers that show their own end are passed on as before.

--- a/packages/agent/engine_call.cpp
+++ b/packages/agent/engine_call.cpp
@@ -1,5 +1,6 @@
 #include "agent/engine_call.h"
 
+#include "blockinghttp/request_delivery.h"
 #include "blockinghttp/response_error.h"
 #include "blockinghttp/response_reader.h"
 
@@ -50,10 +51,11 @@
 
 void engine_call::run()
 {
-    if (!send())
+    const std::optional<request_delivery> delivery = send();
+    if (!delivery)
         return;
     try {
-        receive();
+        receive(*delivery);
     } catch (const Poco::TimeoutException&) {
         reportFailure(failure_cause::EndpointTimeout, false);
     } catch (const Poco::Exception&) {
@@ -69,7 +71,7 @@
     m_session->abort();
 }
 
-bool engine_call::send()
+std::optional<request_delivery> engine_call::send()
 {
     const auto& request = m_effect.request;
     Poco::Net::HTTPRequest head(request.method, request.path, Poco::Net::HTTPMessage::HTTP_1_1);
@@ -80,24 +82,21 @@
     head.setKeepAlive(true);
     head.setContentLength64(static_cast<std::int64_t>(request.body.size()));
     try {
-        auto& stream = m_session->sendRequest(head);
-        stream.write(request.body.data(), static_cast<std::streamsize>(request.body.size()));
-        stream.flush();
-        return true;
+        return writeRequest(*m_session, head, request.body);
     } catch (const Poco::Net::ConnectionRefusedException&) {
         // A refused connection proves that the endpoint received nothing.
         reportFailure(failure_cause::EndpointCrashed, true);
-        return false;
+        return std::nullopt;
     } catch (const Poco::Exception&) {
         // The session closes itself on any failure, so its state does not show whether something was sent.
         reportFailure(failure_cause::EndpointCrashed, false);
-        return false;
+        return std::nullopt;
     }
 }
 
-void engine_call::receive()
+void engine_call::receive(request_delivery delivery)
 {
-    response_reader reader(m_session->socket(), m_effect.request.method);
+    response_reader reader(m_session->socket(), m_effect.request.method, delivery);
     const http_response_head head = reader.readHead();
     m_sink(engine_head { m_effect.call, static_cast<std::uint16_t>(head.status), headersOf(head) });
     std::size_t received = 0;
--- a/packages/agent/engine_call.h
+++ b/packages/agent/engine_call.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Poco::Net {
@@ -13,6 +14,8 @@
 
 namespace appleramp {
 
+enum class request_delivery;
+
 // One request to the endpoint, run by a thread of engine_client. Reports the response as events to the sink.
 // The thread holds a reference to the call until run() returns.
 class engine_call : public std::enable_shared_from_this<engine_call> {
@@ -28,8 +31,9 @@
     void cancel();
 
 private:
-    bool send();
-    void receive();
+    // Nothing if the call failed.
+    std::optional<request_delivery> send();
+    void receive(request_delivery delivery);
     void reportFailure(failure_cause cause, bool neverSent);
 
     call_engine m_effect;
--- a/packages/agent/engine_client.cpp
+++ b/packages/agent/engine_client.cpp
@@ -106,8 +106,8 @@
         Poco::Net::HTTPClientSession session(m_host, m_port);
         session.setTimeout(Poco::Timespan(probeTimeoutSeconds, 0));
         Poco::Net::HTTPRequest request("GET", "/health", Poco::Net::HTTPMessage::HTTP_1_1);
-        session.sendRequest(request).flush();
-        response_reader reader(session.socket(), request.getMethod());
+        const request_delivery delivery = writeRequest(session, request, {});
+        response_reader reader(session.socket(), request.getMethod(), delivery);
         reader.readHead();
         const auto document = nlohmann::json::parse(reader.readWholeBody());
         report.healthy = document.at("healthy").get<bool>();
--- a/packages/appleramp/operations_client.cpp
+++ b/packages/appleramp/operations_client.cpp
@@ -95,10 +95,8 @@
         request.setHost(entry.host, entry.port);
         request.setContentType("application/json");
         request.setContentLength64(static_cast<Poco::Int64>(outgoing.body.size()));
-        auto& stream = session.sendRequest(request);
-        stream << outgoing.body;
-        stream.flush();
-        response_reader reader(session.socket(), outgoing.method);
+        const request_delivery delivery = writeRequest(session, request, outgoing.body);
+        response_reader reader(session.socket(), outgoing.method, delivery);
         operations_response result;
         result.status = static_cast<std::uint16_t>(reader.readHead().status);
         result.body = reader.readWholeBody();
--- a/packages/blockinghttp/response_reader.cpp
+++ b/packages/blockinghttp/response_reader.cpp
@@ -18,10 +18,11 @@
 
 } // namespace
 
-response_reader::response_reader(const Poco::Net::StreamSocket& socket, std::string_view method)
+response_reader::response_reader(const Poco::Net::StreamSocket& socket, std::string_view method, request_delivery delivery)
     : m_socket(std::make_unique<Poco::Net::StreamSocket>(socket))
     , m_parser(std::make_unique<http_parser>(http_parser::message_kind::Response, responseLimits))
     , m_hasBody(method != "HEAD")
+    , m_delivery(delivery)
 {
 }
 
@@ -73,6 +74,9 @@
 {
     if (!m_parser->hasHead())
         throw response_error("the connection ended before the head of the response was complete");
+    // The error of the connection may have been reported to the write.
+    if (m_delivery == request_delivery::Broken)
+        throw response_error("the connection broke while the request was written");
     m_parser->finishAtConnectionEnd();
     if (m_parser->failure() != parse_failure::None)
         throw response_error("the connection ended in the body of the response");
--- a/packages/blockinghttp/response_reader.h
+++ b/packages/blockinghttp/response_reader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "blockinghttp/request_delivery.h"
 #include "http/http_message.h"
 
 #include <cstddef>
@@ -19,13 +20,13 @@
 //
 // POCO's own reader takes the end of the connection for the end of the head or of the last chunk, and does not compare
 // the body with its length, so that a response that was cut off looks whole. This one throws response_error in each of
-// these cases, and POCO's exceptions where the connection is reset or the socket's timeout passes.
+// these cases, also where a response without a length ends after a broken request, and POCO's exceptions where the connection is reset or the socket's timeout passes.
 class response_reader {
 public:
     static constexpr std::size_t maxWholeBodyBytes = 16UL * 1024 * 1024;
 
     // `method` is that of the request: a response to HEAD has no body.
-    response_reader(const Poco::Net::StreamSocket& socket, std::string_view method);
+    response_reader(const Poco::Net::StreamSocket& socket, std::string_view method, request_delivery delivery);
     ~response_reader();
     response_reader(const response_reader&) = delete;
     response_reader& operator=(const response_reader&) = delete;
@@ -51,6 +52,7 @@
     // Received bytes that have not been parsed.
     std::string m_input;
     const bool m_hasBody;
+    const request_delivery m_delivery;
     bool m_keepAlive = false;
 };
 
--- a/packages/http/client_connection.cpp
+++ b/packages/http/client_connection.cpp
@@ -42,7 +42,10 @@
     m_handlers = std::make_shared<const exchange_handlers>(std::move(handlers));
     m_parser = std::make_unique<http_parser>(http_parser::message_kind::Response, responseLimits);
     m_headReported = false;
+    m_endsAtClose = false;
+    m_awaitsWrite = false;
     m_requestWritten = false;
+    m_writeFailed = false;
     m_sentAny = false;
     if (m_state == state::Idle) {
         m_state = state::Exchanging;
@@ -89,13 +92,20 @@
     const std::array<boost::asio::const_buffer, 2> request { boost::asio::buffer(m_request), boost::asio::buffer(*m_requestBody) };
     boost::asio::async_write(m_socket, request,
         [self = shared_from_this(), body = m_requestBody](const boost::system::error_code& failure, std::size_t) {
-            // Write errors are not handled here: the pending read fails as well and knows whether a response had arrived.
-            if (!failure)
-                self->m_requestWritten = true;
             self->releaseRequest();
+            self->onWritten(!failure);
         });
 }
 
+// A failed write does not end the exchange: the server may have answered before, and the pending read ends in any case.
+void client_connection::onWritten(bool wasWritten)
+{
+    m_requestWritten = wasWritten;
+    m_writeFailed = !wasWritten;
+    if (m_awaitsWrite && m_state == state::Exchanging)
+        finishAtConnectionEnd();
+}
+
 void client_connection::read()
 {
     if (m_reading || m_state == state::Closed)
@@ -133,8 +143,17 @@
         return fail(exchange_failure::ClosedBeforeAnswer);
     if (!orderlyClose)
         return fail(exchange_failure::ClosedInAnswer);
-    m_parser->finishAtConnectionEnd();
     m_peerKeepsAlive = false;
+    m_awaitsWrite = m_endsAtClose && !m_requestWritten && !m_writeFailed;
+    if (!m_awaitsWrite)
+        finishAtConnectionEnd();
+}
+
+void client_connection::finishAtConnectionEnd()
+{
+    if (m_writeFailed)
+        return fail(exchange_failure::ClosedInAnswer);
+    m_parser->finishAtConnectionEnd();
     deliverParsed();
 }
 
@@ -148,6 +167,7 @@
     if (m_parser->hasHead() && !m_headReported) {
         m_headReported = true;
         http_response_head head = m_parser->takeResponseHead();
+        m_endsAtClose = head.bodyEndsAtClose;
         parseKeepAlive(head);
         if (handlers && handlers->head)
             handlers->head(std::move(head));
--- a/packages/http/client_connection.h
+++ b/packages/http/client_connection.h
@@ -42,6 +42,9 @@
 
 // An HTTP/1.1 client connection to one server that carries one exchange (a request and its response) at a time.
 //
+// An answer without a length ends with its connection. It is whole only if the request was written to its end: the kernel reports a
+// reset once, and if a write gets that report, the connection looks as if it had ended in order.
+//
 // Pending operations keep the object alive. Cancelling closes the socket, which makes the server drop the request.
 class client_connection : public std::enable_shared_from_this<client_connection> {
 public:
@@ -78,9 +81,12 @@
     void connect();
     void onConnected(const boost::system::error_code& failure);
     void write();
+    void onWritten(bool wasWritten);
     void read();
     void onBytes(std::size_t count);
     void onConnectionEnd(bool orderlyClose);
+    // The peer has ended its side of the connection behind an answer without a length.
+    void finishAtConnectionEnd();
     void deliverParsed();
     void parseKeepAlive(const http_response_head& head);
     void complete();
@@ -98,6 +104,7 @@
     std::string m_request;
     std::shared_ptr<const std::string> m_requestBody;
     bool m_requestWritten = false;
+    bool m_writeFailed = false;
     bool m_sentAny = false;
     bool m_used = false;
     // Shared, since a handler that cancels its own exchange must outlive its call.
@@ -106,6 +113,9 @@
     std::string m_input;
     std::unique_ptr<http_parser> m_parser;
     bool m_headReported = false;
+    bool m_endsAtClose = false;
+    // The end of such an answer has been read, while the request is still being written.
+    bool m_awaitsWrite = false;
     bool m_peerKeepsAlive = true;
     bool m_reading = false;
     std::chrono::milliseconds m_keepAliveTimeout { 0 };
--- a/packages/platform/http_exchange.cpp
+++ b/packages/platform/http_exchange.cpp
@@ -90,11 +90,9 @@
     request.setContentLength(static_cast<std::streamsize>(body.size()));
     if (!body.empty())
         request.setContentType(contentType);
-    std::ostream& output = m_connection->session->sendRequest(request);
-    output.write(body.data(), static_cast<std::streamsize>(body.size()));
-    output.flush();
+    const request_delivery delivery = writeRequest(*m_connection->session, request, body);
 
-    response_reader reader(*m_connection->socket, method);
+    response_reader reader(*m_connection->socket, method, delivery);
     const http_response_head head = reader.readHead();
     http_answer answer { exchange_outcome::Answered, static_cast<int>(head.status), reader.readWholeBody() };
     if (!reader.isConnectionReusable())
--- a/tests/agent/engine_call_test.cpp
+++ b/tests/agent/engine_call_test.cpp
@@ -1,11 +1,15 @@
 // An engine that stops in the middle of its answer closes the connection, in the head or in the framing of the body. No
 // such answer may count as whole: its caller would get an empty or short answer that looks complete.
 #include "agent/engine_call.h"
+#include "fakes/early_answer_server.h"
 #include "fakes/raw_answer_server.h"
 
 #include <criterion/criterion.h>
 
+#include <cstdint>
 #include <optional>
+#include <string>
+#include <utility>
 #include <variant>
 
 using namespace appleramp;
@@ -22,15 +26,15 @@
     int failures = 0;
 };
 
-recorded_call callEngine(raw_answer_server& engine, const std::string& method)
+recorded_call callEngine(std::uint16_t port, const std::string& method, std::string question = "question")
 {
     recorded_call seen;
     call_engine effect { 1, {} };
     effect.request.method = method;
     effect.request.path = "/x";
-    effect.request.body = "question";
+    effect.request.body = std::move(question);
     effect.request.timeout = 5s;
-    engine_call call("127.0.0.1", engine.port(), std::move(effect), [&seen](agent_event_body event) {
+    engine_call call("127.0.0.1", port, std::move(effect), [&seen](agent_event_body event) {
         if (const auto* head = std::get_if<engine_head>(&event))
             seen.head = *head;
         else if (const auto* data = std::get_if<engine_data>(&event))
@@ -47,7 +51,7 @@
 recorded_call callEngine(raw_answer_server& engine, const std::string& answer, closing closedBy)
 {
     engine.answerWith(answer, closedBy);
-    return callEngine(engine, "POST");
+    return callEngine(engine.port(), "POST");
 }
 
 // Cuts the answer before each of its bytes; `endOfCuts` is the first position that makes a whole answer.
@@ -132,6 +136,27 @@
 {
     raw_answer_server engine;
     engine.answerWith("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", closing::Orderly);
-    const recorded_call seen = callEngine(engine, "HEAD");
+    const recorded_call seen = callEngine(engine.port(), "HEAD");
     cr_assert(seen.endings == 1 && seen.body.empty());
 }
+
+// Guards against an answer without a length that is reset while its request is still being written: the write gets the error of the
+// connection, and what is read looks like its end.
+Test(engine_call, an_early_answer_that_is_reset_is_not_whole)
+{
+    using ending = early_answer_server::ending;
+    const std::string question(16UL * 1024 * 1024, 'q');
+    const std::string unframed = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf";
+    for (const ending endsBy : { ending::Reset, ending::ResetBehindEnd }) {
+        for (int round = 0; round < 10; ++round) {
+            const early_answer_server engine(unframed, endsBy);
+            const recorded_call seen = callEngine(engine.port(), "POST", question);
+            cr_assert(seen.endings == 0 && seen.failures == 1, "taken as whole: %s", seen.body.c_str());
+        }
+    }
+    for (const ending endsBy : { ending::ReadsOn, ending::ReadsOnBehindEnd }) {
+        const early_answer_server engine(unframed, endsBy);
+        const recorded_call seen = callEngine(engine.port(), "POST", question);
+        cr_assert(seen.endings == 1 && seen.failures == 0 && seen.body == "half");
+    }
+}
--- /dev/null
+++ b/tests/fakes/early_answer_server.cpp
@@ -0,0 +1,103 @@
+#include "fakes/early_answer_server.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <array>
+#include <atomic>
+#include <cstddef>
+#include <string_view>
+#include <thread>
+
+namespace appleramp {
+
+namespace {
+
+constexpr int receiveBufferBytes = 16 * 1024;
+constexpr long stopPollMicroseconds = 20'000;
+constexpr std::string_view lengthField = "Content-Length: ";
+
+} // namespace
+
+class early_answer_server::implementation {
+public:
+    implementation(std::string answer, ending endsBy)
+        : m_answer(std::move(answer))
+        , m_ending(endsBy)
+    {
+        m_socket.bind(Poco::Net::SocketAddress("127.0.0.1", 0));
+        m_socket.setReceiveBufferSize(receiveBufferBytes);
+        m_socket.listen();
+        m_thread = std::thread([this] { run(); });
+    }
+
+    ~implementation()
+    {
+        m_stopping = true;
+        m_thread.join();
+    }
+
+    std::uint16_t port() const { return m_socket.address().port(); }
+
+private:
+    void run()
+    {
+        while (!m_stopping) {
+            if (!m_socket.poll(Poco::Timespan(stopPollMicroseconds), Poco::Net::Socket::SELECT_READ))
+                continue;
+            auto connection = m_socket.acceptConnection();
+            try {
+                serve(connection);
+            } catch (const Poco::Exception&) {
+                // The client closed first.
+                continue;
+            }
+        }
+    }
+
+    void serve(Poco::Net::StreamSocket& connection)
+    {
+        std::string received;
+        std::size_t headEnd = std::string::npos;
+        while (headEnd == std::string::npos) {
+            if (read(connection, received) == 0)
+                return;
+            headEnd = received.find("\r\n\r\n");
+        }
+        const std::size_t field = received.find(lengthField);
+        const std::size_t size = headEnd + 4 + std::stoul(received.substr(field + lengthField.size()));
+        connection.sendBytes(m_answer.data(), static_cast<int>(m_answer.size()));
+        if (m_ending == ending::ReadsOnBehindEnd || m_ending == ending::ResetBehindEnd)
+            connection.shutdownSend();
+        const bool readsOn = m_ending == ending::ReadsOn || m_ending == ending::ReadsOnBehindEnd;
+        while (readsOn && received.size() < size && read(connection, received) > 0) { }
+        connection.close();
+    }
+
+    static std::size_t read(Poco::Net::StreamSocket& connection, std::string& received)
+    {
+        std::array<char, 4096> buffer {};
+        const int count = connection.receiveBytes(buffer.data(), buffer.size());
+        received.append(buffer.data(), static_cast<std::size_t>(count));
+        return static_cast<std::size_t>(count);
+    }
+
+    const std::string m_answer;
+    const ending m_ending;
+    Poco::Net::ServerSocket m_socket;
+    std::atomic<bool> m_stopping = false;
+    std::thread m_thread;
+};
+
+early_answer_server::early_answer_server(std::string answer, ending endsBy)
+    : m_implementation(std::make_unique<implementation>(std::move(answer), endsBy))
+{
+}
+
+early_answer_server::~early_answer_server() = default;
+
+std::uint16_t early_answer_server::port() const { return m_implementation->port(); }
+
+} // namespace appleramp
--- a/tests/processes/odd_endpoint.py
+++ b/tests/processes/odd_endpoint.py
@@ -18,7 +18,7 @@
 class OddEndpoint:
     """One thread for each connection, which ends when `answer` returns False."""
 
-    # Whether the body of a request is read before it is answered.
+    # Whether the body of a request is read before it is answered. Otherwise the request has what came with its head.
     READS_BODIES = True
 
     def __init__(self, name, receive_buffer=None):
@@ -59,6 +59,8 @@
                             return
                         received += more
                     request.body, received = received[:length], received[length:]
+                else:
+                    request.body, received = received, b""
                 if not self.answer(connection, request):
                     return
         except OSError:
