Entries: an answer that was rejected by its head names no defect of what followed it

Cause: a refusal whose body was malformed counted in appleramp_invalid_answers_total as well, though its head alone decides (read, not seen). Change: the connection's defect is asked for only where the answer itself failed. A comment is wrapped.

--- a/packages/blockinghttp/response_reader.h
+++ b/packages/blockinghttp/response_reader.h
@@ -20,7 +20,8 @@
 //
 // POCO's own reader takes the end of the connection for the end of the head or of the last chunk, and does not compare
 // the body with its length, so that a response that was cut off looks whole. This one throws response_error in each of
-// these cases, also where a response without a length ends after a broken request, and POCO's exceptions where the connection is reset or the socket's timeout passes.
+// these cases, also where a response without a length ends after a broken request, and POCO's exceptions where the
+// connection is reset or the socket's timeout passes.
 class response_reader {
 public:
     static constexpr std::size_t maxWholeBodyBytes = 16UL * 1024 * 1024;
--- a/packages/directentry/caller_exchange.cpp
+++ b/packages/directentry/caller_exchange.cpp
@@ -305,12 +305,11 @@
 
 void caller_exchange::onFailed(exchange_failure failure)
 {
-    if (failure == exchange_failure::Malformed)
-        m_defect = m_endpoint->defect();
-    m_endpoint.reset();
+    const std::shared_ptr<client_connection> endpoint = std::exchange(m_endpoint, nullptr);
     // The head alone decides that an attempt was rejected, even if the body is cut off.
     if (m_mode == answer_mode::Discarded)
         return endAttempt(m_discardedAs, m_retryAfter);
+    m_defect = endpoint->defect();
     endAttempt(endingAfter(failure), {}, failure == exchange_failure::ConnectRefused);
 }
 
--- a/packages/http/client_connection.h
+++ b/packages/http/client_connection.h
@@ -64,7 +64,7 @@
     std::chrono::steady_clock::time_point idleSince() const { return m_idleSince; }
     // The timeout in the Keep-Alive header of the last response; zero if there was none.
     std::chrono::milliseconds keepAliveTimeout() const { return m_keepAliveTimeout; }
-    // What was wrong with the response of an exchange that failed as Malformed.
+    // What was wrong with the response of an exchange that failed as Malformed; None after other failures.
     response_defect defect() const;
     // True once a request has been handed to the socket.
     bool wasUsed() const { return m_used; }
