Http: an empty body in chunks that comes in small pieces ends no process

Cause: an entry ended with signal 6, and all its callers lost their requests, when a caller or an engine sent "0 CRLF", "CR", "LF" in three pieces. Beast looks at the header of a last chunk a second time while the end of the body is missing, and asserts that five bytes are there; without a chunk before it there may be four.

Change: Beast stops behind the head, and gets the beginning of a body in chunks only when five bytes of it are there, as the shortest one has.

--- a/packages/http/http_parser.cpp
+++ b/packages/http/http_parser.cpp
@@ -15,6 +15,8 @@
 
 // A server in trouble may send interim responses without end.
 constexpr int maxInterimResponses = 16;
+// Length of "0 CRLF CRLF". Beast asserts that it sees as many bytes when it looks at the header of a last chunk once more.
+constexpr std::size_t minChunkedBodyBytes = 5;
 
 } // namespace
 
@@ -68,7 +70,6 @@
     {
         this->header_limit(limits.maxHeaderBytes);
         this->body_limit(limits.maxBodyBytes);
-        this->eager(true);
     }
 
     std::size_t consume(std::string_view bytes) override
@@ -80,9 +81,14 @@
         }
         std::size_t consumed = 0;
         while (consumed < bytes.size() && failure == parse_failure::None && !isComplete) {
+            const std::string_view rest = bytes.substr(consumed);
+            if (awaitsChunks() && rest.size() < minChunkedBodyBytes)
+                break;
             boost::system::error_code code;
-            const std::size_t parsed = base::put(boost::asio::const_buffer(bytes.data() + consumed, bytes.size() - consumed), code);
+            const std::size_t parsed = base::put(boost::asio::const_buffer(rest.data(), rest.size()), code);
             consumed += parsed;
+            // Beast stops behind the head, and goes on with all that there is from then on.
+            this->eager(base::is_header_done());
             if (code == http::error::need_more)
                 break;
             if (code)
@@ -159,7 +165,7 @@
         return bytes.size();
     }
 
-    void on_chunk_header_impl(std::uint64_t, boost::string_view, boost::system::error_code&) override { }
+    void on_chunk_header_impl(std::uint64_t, boost::string_view, boost::system::error_code&) override { m_hasChunk = true; }
 
     std::size_t on_chunk_body_impl(std::uint64_t, boost::string_view bytes, boost::system::error_code&) override
     {
@@ -170,7 +176,10 @@
     void on_finish_impl(boost::system::error_code&) override { }
 
 private:
+    bool awaitsChunks() const { return base::is_header_done() && base::chunked() && !m_hasChunk; }
+
     std::size_t m_maxUnparsedBytes;
+    bool m_hasChunk = false;
 };
 // NOLINTEND(readability-identifier-naming)
 
--- a/tests/http/http_parser_test.cpp
+++ b/tests/http/http_parser_test.cpp
@@ -1,11 +1,14 @@
 #include "http/http_parser.h"
 
+#include "fuzz/byte_mutator.h"
+
 #include <criterion/criterion.h>
 
 #include <cctype>
 #include <random>
 #include <string>
 #include <string_view>
+#include <vector>
 
 using namespace appleramp;
 
@@ -106,6 +109,32 @@
     cr_assert(sound.isComplete());
 }
 
+// Guards against an end of the process: Beast asserts that the header of a last chunk is not alone in what it looks at twice, which is
+// wrong for a body without any other chunk whose bytes come one by one.
+Test(http_parser, an_empty_body_in_chunks_is_read_in_any_pieces)
+{
+    const std::string framing = "Host: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const char* chunks : { "0\r\n\r\n", "0\r\nX-T: 1\r\n\r\n", "0;a\r\n\r\n", "00\r\n\r\n" }) {
+        const std::string requestText = "POST / HTTP/1.1\r\n" + framing + chunks;
+        const std::string responseText = "HTTP/1.1 200 OK\r\n" + framing + chunks;
+        for (std::size_t pieceSize = 1; pieceSize <= responseText.size(); ++pieceSize) {
+            http_parser request(kind::Request, {});
+            cr_assert(feedInPieces(request, requestText, pieceSize) == parse_failure::None);
+            cr_assert(request.isComplete() && request.takeBody().empty());
+            http_parser response(kind::Response, {});
+            cr_assert(feedInPieces(response, responseText, pieceSize) == parse_failure::None);
+            cr_assert(response.isComplete() && response.takeBody().empty());
+        }
+        // The connection ends before the body does.
+        for (std::size_t missing = 1; missing <= std::string_view(chunks).size(); ++missing) {
+            http_parser response(kind::Response, {});
+            feedInPieces(response, responseText.substr(0, responseText.size() - missing), 1);
+            response.finishAtConnectionEnd();
+            cr_assert(response.failure() == parse_failure::Truncated);
+        }
+    }
+}
+
 // Guards against trailers that become headers: which of them did depended on how the message was cut into reads.
 Test(http_parser, trailers_are_no_headers)
 {
@@ -308,3 +337,29 @@
     assertReadAs("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole", whole);
     assertReadAs("HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n", { parse_failure::None, response_defect::None, 304, "" });
 }
+
+// Guards against readings that depend on how a response was cut into reads: two readers of the same bytes would see different answers.
+Test(http_parser, odd_responses_are_read_the_same_in_any_pieces)
+{
+    constexpr int mutants = 4000;
+    const std::vector<std::string> responses { sound, "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + sound,
+        "HTTP/1.1 200 OK\r\nX-A: a\r\nTransfer-Encoding: chunked\r\n\r\n5;a=b\r\nwhole\r\n0\r\nX-T: 1\r\n\r\n", "HTTP/1.0 200 OK\r\nConnection: close\r\n\r\nwhole" };
+    byte_mutator mutator(63, { "\r\n", "\r\n ", "\r\n\t", "\r\n\r\n", " ", ":", ",", "\x01", "HTTP/1.1 100 Continue\r\n\r\n", "Content-Length: 3\r\n" });
+    int accepted = 0;
+    for (int mutant = 0; mutant < mutants; ++mutant) {
+        const std::string text = mutator.mutate(responses[mutator.below(responses.size())]);
+        if (text.empty())
+            continue;
+        const read_response whole = readResponse(text, text.size());
+        const bool isAccepted = whole.failure == parse_failure::None;
+        accepted += isAccepted ? 1 : 0;
+        cr_assert(!isAccepted || (whole.status >= 200 && whole.status < 600), "%s", text.c_str());
+        for (const std::size_t pieceSize : { 1, 2, 3, 7, 16, 17 }) {
+            const read_response seen = readResponse(text, pieceSize);
+            cr_assert((seen.failure == parse_failure::None) == isAccepted && seen.status == whole.status && seen.body == whole.body, "mutant %d in pieces of %zu: %s", mutant,
+                pieceSize, text.c_str());
+        }
+    }
+    cr_assert_gt(accepted, mutants / 20);
+    cr_assert_lt(accepted, mutants);
+}
