Tests: endpoints on raw sockets have one base

Cause: odd_endpoint.py repeated what direct_answers.OddEndpoint does, under the same name. Change: raw_endpoint.RawEndpoint reads requests, with or without their bodies; OddEndpoint derives from it.

--- a/tests/directagent/engine_link_test.cpp
+++ b/tests/directagent/engine_link_test.cpp
@@ -62,22 +62,29 @@
     return request;
 }
 
-} // namespace
-
-// Guards against an engine in trouble that fills its agent's memory with a report without end.
-Test(engine_link, a_report_without_end_is_given_up)
+// The engine's answer; nothing if the link gave it up.
+std::optional<http_response> askForReport(boost::asio::io_context& loop, engine_link& link)
 {
-    boost::asio::io_context loop;
-    endless_engine engine(loop);
-    engine_link link(loop, engine.address());
     bool isDone = false;
     std::optional<http_response> answer;
-    link.exchange(reportRequest(engine.address()), longTimeout, [&](const auto& received) {
+    link.exchange(reportRequest(link.address()), longTimeout, [&](const auto& received) {
         answer = received;
         isDone = true;
     });
     while (!isDone)
         cr_assert_gt(loop.run_one_for(longTimeout), 0);
+    return answer;
+}
+
+} // namespace
+
+// Guards against an engine in trouble that fills its agent's memory with a report without end.
+Test(engine_link, a_report_without_end_is_given_up)
+{
+    boost::asio::io_context loop;
+    endless_engine engine(loop);
+    engine_link link(loop, engine.address());
+    const auto answer = askForReport(loop, link);
     cr_assert_not(answer.has_value());
     cr_assert_leq(engine.sentBytes(), maxSentBytes);
 }
@@ -115,14 +122,7 @@
     for (const auto& [text, isAnswer] : answers) {
         engine.answerWith(text, raw_answer_server::closing::Orderly);
         engine_link link(loop, engine.address());
-        bool isDone = false;
-        std::optional<http_response> answer;
-        link.exchange(reportRequest(engine.address()), longTimeout, [&](const auto& received) {
-            answer = received;
-            isDone = true;
-        });
-        while (!isDone)
-            cr_assert_gt(loop.run_one_for(longTimeout), 0);
+        const auto answer = askForReport(loop, link);
         cr_assert_eq(answer.has_value(), isAnswer, "%s", text.c_str());
         cr_assert(!isAnswer || (answer->head.status == 200 && answer->body == "whole"));
     }
--- a/tests/processes/direct_answers.py
+++ b/tests/processes/direct_answers.py
@@ -2,7 +2,6 @@
 sound, that stall with a byte now and then, and that break off."""
 import http.client
 import pathlib
-import socket
 import sys
 import threading
 import time
@@ -12,6 +11,7 @@
 
 from direct_entries import STREAM_TIMEOUT_MS, Entries, configuration  # noqa: E402
 from fleet import call, wait_until  # noqa: E402
+from raw_endpoint import RawEndpoint  # noqa: E402
 
 REQUESTS = 30
 EVENTS = 5
@@ -29,48 +29,28 @@
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
 
 
-class OddEndpoint:
-    """Answers by path, on raw sockets."""
+class OddEndpoint(RawEndpoint):
+    """Answers by path, and counts its open connections."""
+
+    READS_BODIES = False
 
     def __init__(self, name):
-        self.name = name
         self.open = 0
         self.lock = threading.Lock()
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self):
-        while True:
-            try:
-                connection, _ = self.listener.accept()
-            except OSError:
-                return  # Closed.
-            with self.lock:
-                self.open += 1
-            threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
+        super().__init__(name)
 
     def serve(self, connection):
-        received = b""
+        with self.lock:
+            self.open += 1
         try:
-            while True:
-                while b"\r\n\r\n" not in received:
-                    more = connection.recv(65536)
-                    if not more:
-                        return
-                    received += more
-                head, received = received.split(b"\r\n\r\n", 1)
-                lines = head.decode().split("\r\n")
-                headers = dict(line.split(": ", 1) for line in lines[1:])
-                if not self.answer(connection, lines[0].split()[1], headers.get("X-Attempt-Id", "")):
-                    return
-        except OSError:
-            return
+            super().serve(connection)
         finally:
-            connection.close()
             with self.lock:
                 self.open -= 1
 
+    def respond(self, connection, request):
+        return self.answer(connection, request.target, request.name)
+
     def answer(self, connection, path, name):
         common = f"X-Attempt-Id: {name}\r\nX-Response-Stamp: {self.name}\r\n"
         if path.startswith("/read/"):
--- a/tests/processes/direct_cut_chunks.py
+++ b/tests/processes/direct_cut_chunks.py
@@ -10,7 +10,7 @@
 
 from direct_entries import Entries, configuration  # noqa: E402
 from fleet import call, wait_until  # noqa: E402
-from odd_endpoint import OddEndpoint  # noqa: E402
+from raw_endpoint import RawEndpoint  # noqa: E402
 
 # Time for the peer to read what was sent before the next byte follows.
 PAUSE_SECONDS = 0.005
@@ -25,7 +25,7 @@
         connection.sendall(bytes([byte]))
 
 
-class SlowEndpoint(OddEndpoint):
+class SlowEndpoint(RawEndpoint):
     """Answers in chunks, a byte at a time: /read/NAME/SIDE."""
 
     bodies = {}
--- a/tests/processes/direct_early_answers.py
+++ b/tests/processes/direct_early_answers.py
@@ -11,7 +11,7 @@
 from direct_answers import event  # noqa: E402
 from direct_entries import Entries, configuration  # noqa: E402
 from fleet import call, wait_until  # noqa: E402
-from odd_endpoint import OddEndpoint  # noqa: E402
+from raw_endpoint import RawEndpoint  # noqa: E402
 
 ENDPOINTS = 6
 CALLERS = 6
@@ -26,7 +26,7 @@
 HALF = b"".join(PIECES[:20])
 
 
-class EarlyEndpoint(OddEndpoint):
+class EarlyEndpoint(RawEndpoint):
     """Answers as the path says before it reads the body: /ROUTE/ENDING/NUMBER."""
 
     READS_BODIES = False
--- a/tests/processes/direct_odd_heads.py
+++ b/tests/processes/direct_odd_heads.py
@@ -15,7 +15,7 @@
 from direct_answers import event  # noqa: E402
 from direct_entries import Entries, configuration  # noqa: E402
 from fleet import call, wait_until  # noqa: E402
-from odd_endpoint import OddEndpoint  # noqa: E402
+from raw_endpoint import RawEndpoint  # noqa: E402
 
 ENDPOINTS = 6
 CALLERS = 12
@@ -127,7 +127,7 @@
 BYTES = [*ODD.values(), *(each[0] for each in SOUND.values())]
 
 
-class HeadEndpoint(OddEndpoint):
+class HeadEndpoint(RawEndpoint):
     """Sends the answer that the path names, whole or in two pieces: /ROUTE/ANSWER/NUMBER."""
 
     reached = set()
--- a/tests/processes/direct_unproven_refusals.py
+++ b/tests/processes/direct_unproven_refusals.py
@@ -11,7 +11,7 @@
 
 from direct_entries import Entries, configuration  # noqa: E402
 from fleet import call, wait_until  # noqa: E402
-from odd_endpoint import OddEndpoint  # noqa: E402
+from raw_endpoint import RawEndpoint  # noqa: E402
 
 # Statuses by which an answer states that its request has not run and never will.
 PROMISES = (408, 421, 429, 503)
@@ -22,7 +22,7 @@
 PAUSE_SECONDS = 0.05
 
 
-class Desk(OddEndpoint):
+class Desk(RawEndpoint):
     """Runs each request but those that it turns away: /ROUTE/STATUS/PROVEN/NUMBER."""
 
     ran = {}
--- a/tests/processes/odd_endpoint.py
+++ b/tests/processes/raw_endpoint.py
@@ -15,7 +15,7 @@
         return self.headers.get("x-attempt-id", "")
 
 
-class OddEndpoint:
+class RawEndpoint:
     """One thread for each connection, which ends when `answer` returns False."""
 
     # Whether the body of a request is read before it is answered. Otherwise the request has what came with its head.
@@ -31,6 +31,9 @@
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
         threading.Thread(target=self.accept, daemon=True).start()
 
+    def respond(self, connection, request):
+        return self.answer(connection, request)
+
     def accept(self):
         while True:
             try:
@@ -61,7 +64,7 @@
                     request.body, received = received[:length], received[length:]
                 else:
                     request.body, received = received, b""
-                if not self.answer(connection, request):
+                if not self.respond(connection, request):
                     return
         except OSError:
             return  # The entry has left.
