Http: a server that pauses while its window is full keeps its connection

TCP_USER_TIMEOUT counts a window that stays full as silence, though the engine's kernel acknowledges each probe, and ended the connection after 2.5 s. Ruled out: the silence timeouts of the reducer (they are not in force for requests that may not be repeated).

Change: requests of more than 64 KiB, which can fill a window, go without that limit; the timeouts of their senders end them.

--- a/packages/http/client_connection.cpp
+++ b/packages/http/client_connection.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr parser_limits responseLimits { .maxHeaderBytes = 65536, .maxBodyBytes = 64ULL * 1024 * 1024 };
+// The kernel of a server usually takes as much before the server reads. The rest of a longer request waits for it.
+constexpr std::size_t maxUnreadRequestBytes = 64UL * 1024;
 
 } // namespace
 
@@ -23,6 +25,7 @@
     , m_server(std::move(server))
     , m_connectTimeout(connectTimeout)
     , m_peerTimeout(peerTimeout)
+    , m_unacknowledgedTimeout(peerTimeout)
 {
 }
 
@@ -89,6 +92,7 @@
 {
     m_used = true;
     m_sentAny = true;
+    limitUnacknowledgedTime();
     const std::array<boost::asio::const_buffer, 2> request { boost::asio::buffer(m_request), boost::asio::buffer(*m_requestBody) };
     boost::asio::async_write(m_socket, request,
         [self = shared_from_this(), body = m_requestBody](const boost::system::error_code& failure, std::size_t) {
@@ -97,6 +101,16 @@
         });
 }
 
+// The kernel counts a server that pauses with a full window as one that acknowledges nothing. Long requests end by the timeouts of
+// their senders.
+void client_connection::limitUnacknowledgedTime()
+{
+    const bool mayFillWindow = m_request.size() + m_requestBody->size() > maxUnreadRequestBytes;
+    const std::chrono::milliseconds timeout = mayFillWindow ? std::chrono::milliseconds(0) : m_peerTimeout;
+    if (std::exchange(m_unacknowledgedTimeout, timeout) != timeout)
+        setUnacknowledgedTimeout(m_socket, timeout);
+}
+
 // A failed write does not end the exchange: the server may have answered before, and the pending read ends in any case.
 void client_connection::onWritten(bool wasWritten)
 {
--- a/packages/http/client_connection.h
+++ b/packages/http/client_connection.h
@@ -81,6 +81,7 @@
     void connect();
     void onConnected(const boost::system::error_code& failure);
     void write();
+    void limitUnacknowledgedTime();
     void onWritten(bool wasWritten);
     void read();
     void onBytes(std::size_t count);
@@ -99,6 +100,8 @@
     boost::asio::ip::tcp::endpoint m_server;
     std::chrono::milliseconds m_connectTimeout;
     std::chrono::milliseconds m_peerTimeout;
+    // As set for the socket, which gets m_peerTimeout when it is connected.
+    std::chrono::milliseconds m_unacknowledgedTimeout;
     state m_state = state::Unconnected;
 
     std::string m_request;
--- a/packages/http/socket_options.cpp
+++ b/packages/http/socket_options.cpp
@@ -30,7 +30,12 @@
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, probeIntervalSeconds);
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, probeIntervalSeconds);
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
-    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(peerTimeout.count()));
+    setUnacknowledgedTimeout(socket, peerTimeout);
+}
+
+void setUnacknowledgedTimeout(boost::asio::ip::tcp::socket& socket, std::chrono::milliseconds timeout)
+{
+    setOption(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(timeout.count()));
 }
 
 } // namespace appleramp
--- a/tests/fakes/early_answer_server.cpp
+++ b/tests/fakes/early_answer_server.cpp
@@ -71,7 +71,9 @@
         connection.sendBytes(m_answer.data(), static_cast<int>(m_answer.size()));
         if (m_ending == ending::ReadsOnBehindEnd || m_ending == ending::ResetBehindEnd)
             connection.shutdownSend();
-        const bool readsOn = m_ending == ending::ReadsOn || m_ending == ending::ReadsOnBehindEnd;
+        if (m_ending == ending::ReadsOnLate)
+            std::this_thread::sleep_for(latePause);
+        const bool readsOn = m_ending == ending::ReadsOn || m_ending == ending::ReadsOnBehindEnd || m_ending == ending::ReadsOnLate;
         while (readsOn && received.size() < size && read(connection, received) > 0) { }
         connection.close();
     }
--- a/tests/fakes/early_answer_server.h
+++ b/tests/fakes/early_answer_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -13,6 +14,8 @@
     enum class ending {
         // Reads the request to its end, and closes then.
         ReadsOn,
+        // The same after a pause of latePause.
+        ReadsOnLate,
         // Ends its side of the connection behind the answer, reads the request to its end, and closes then.
         ReadsOnBehindEnd,
         // Closes the connection with the request unread, which resets it.
@@ -21,6 +24,8 @@
         ResetBehindEnd,
     };
 
+    static constexpr std::chrono::milliseconds latePause { 1200 };
+
     early_answer_server(std::string answer, ending endsBy);
     ~early_answer_server();
     early_answer_server(const early_answer_server&) = delete;
--- a/tests/http/early_answer_test.cpp
+++ b/tests/http/early_answer_test.cpp
@@ -27,11 +27,11 @@
     std::optional<exchange_failure> failure;
 };
 
-seen_answer askWithLongRequest(const std::string& answer, ending endsBy)
+seen_answer askWithLongRequest(const std::string& answer, ending endsBy, pool_settings settings = {})
 {
     const early_answer_server server(answer, endsBy);
     boost::asio::io_context loop;
-    client_pool pool(loop, {});
+    client_pool pool(loop, settings);
     seen_answer seen;
     const auto connection = pool.acquire("127.0.0.1:" + std::to_string(server.port()), true);
     const auto body = std::make_shared<const std::string>(requestBytes, 'b');
@@ -71,6 +71,18 @@
     }
 }
 
+// Guards against the kernel's limit for unacknowledged bytes, which counts a server that pauses while its window is full as one that is gone.
+Test(early_answer, of_a_server_that_pauses_is_whole)
+{
+    constexpr std::chrono::milliseconds silenceLimit { 200 };
+    static_assert(silenceLimit * 4 < early_answer_server::latePause);
+    for (const std::string& answer : { unframed, withLength }) {
+        const seen_answer seen = askWithLongRequest(answer, ending::ReadsOnLate, { .silenceLimit = silenceLimit });
+        cr_assert(seen.isComplete, "%s", answer.c_str());
+        cr_assert_eq(seen.body, "answer");
+    }
+}
+
 // What is framed shows its own end: a part of it is never whole, whatever became of the request.
 Test(early_answer, that_is_framed_is_whole_by_its_framing_only)
 {
