Http: the head of a response is classified

Cause: readResponseHead reads nothing, and the name of its file said what a reader would look for in blockinghttp. Result: test_http passes; no behaviour is changed.

--- a/packages/http/http_parser.cpp
+++ b/packages/http/http_parser.cpp
@@ -1,6 +1,6 @@
 #include "http/http_parser.h"
 
-#include "http/response_head_reading.h"
+#include "http/response_head_classification.h"
 
 #include <boost/beast/http/basic_parser.hpp>
 
@@ -148,10 +148,10 @@
         request.keepAlive = base::keep_alive();
         response.keepAlive = base::keep_alive();
         response.bodyEndsAtClose = base::need_eof();
-        const response_head_reading reading = IsRequest ? final_head {} : readResponseHead(response);
-        hasHead = std::holds_alternative<final_head>(reading);
-        isInterim = std::holds_alternative<interim_head>(reading);
-        if (const auto* const invalid = std::get_if<invalid_head>(&reading)) {
+        const response_head_classification head = IsRequest ? final_head {} : classifyResponseHead(response);
+        hasHead = std::holds_alternative<final_head>(head);
+        isInterim = std::holds_alternative<interim_head>(head);
+        if (const auto* const invalid = std::get_if<invalid_head>(&head)) {
             defect = invalid->defect;
             code = http::make_error_code(http::error::bad_value);
         }
--- a/packages/http/response_head_reading.cpp
+++ b/packages/http/response_head_classification.cpp
@@ -1,4 +1,4 @@
-#include "http/response_head_reading.h"
+#include "http/response_head_classification.h"
 
 #include "http/http_message.h"
 
@@ -30,7 +30,7 @@
 
 } // namespace
 
-response_head_reading readResponseHead(const http_response_head& head)
+response_head_classification classifyResponseHead(const http_response_head& head)
 {
     if (head.status < firstStatus || head.status > lastStatus)
         return invalid_head { response_defect::Status };
