Tests: early answers are asked for with pauses

Cause: 400 tries without a pause may pass while all endpoints that failed are avoided (read, not seen). Change: the pause of the other tests that ask until an endpoint is reached.

--- a/tests/processes/direct_early_answers.py
+++ b/tests/processes/direct_early_answers.py
@@ -4,6 +4,7 @@
 import http.client
 import pathlib
 import sys
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "scripts"))
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
@@ -18,6 +19,7 @@
 ROUNDS = 4
 BOUNDS = {"repeat_constant": 100_000}
 MAX_TRIES = 400
+PAUSE_SECONDS = 0.05
 BODY_BYTES = 4_000_000
 MAX_BODY_BYTES = 4_194_304
 RECEIVE_BUFFER = 64 * 1024
@@ -85,12 +87,14 @@
         wait_until("ready", lambda: call(ports["readiness"], "GET", "/v1/ready")[0] == 200)
 
         def ask_until_reached(question):
+            """An endpoint that fails is avoided for a while, and the request is refused before it reaches one. Then it is asked again."""
             route, ending, number = question
             for attempt in range(MAX_TRIES):
                 name = f"{route}-{ending}-{number}-{attempt}"
                 seen = ask(ports["callers"], f"/{route}/{ending}/{number}-{attempt}", name)
                 if name in EarlyEndpoint.reached:
                     return seen
+                time.sleep(PAUSE_SECONDS)
             raise AssertionError(f"{question}: reached no endpoint in {MAX_TRIES} tries, last {seen}")
 
         questions = [(route, ending, number) for number in range(ROUNDS) for route in ("read", "post", "stream") for ending in ("whole", "reset")]
