Tests: the server that pauses waits for its connection's end, not for a time

Cause: a test's server slept. Change: it polls for the error of the connection, for as long as its pause is.

--- a/tests/fakes/early_answer_server.cpp
+++ b/tests/fakes/early_answer_server.cpp
@@ -71,8 +71,9 @@
         connection.sendBytes(m_answer.data(), static_cast<int>(m_answer.size()));
         if (m_ending == ending::ReadsOnBehindEnd || m_ending == ending::ResetBehindEnd)
             connection.shutdownSend();
+        // Ends early where the client gives the connection up.
         if (m_ending == ending::ReadsOnLate)
-            std::this_thread::sleep_for(latePause);
+            connection.poll(Poco::Timespan(std::chrono::microseconds(latePause).count()), Poco::Net::Socket::SELECT_ERROR);
         const bool readsOn = m_ending == ending::ReadsOn || m_ending == ending::ReadsOnBehindEnd || m_ending == ending::ReadsOnLate;
         while (readsOn && received.size() < size && read(connection, received) > 0) { }
         connection.close();
