Tests: servers that accept connections share the loop that does so

Cause: early_answer_server repeated the accepting thread of raw_answer_server; direct_unframed had an endpoint of its own beside direct_answers'. Change: connection_acceptor serves both; TroubledEndpoint derives from OddEndpoint. No check is changed.

--- a/tests/fakes/early_answer_server.cpp
+++ b/tests/fakes/early_answer_server.cpp
@@ -1,22 +1,20 @@
 #include "fakes/early_answer_server.h"
 
-#include <Poco/Exception.h>
+#include "fakes/connection_acceptor.h"
+
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 
 #include <array>
-#include <atomic>
 #include <cstddef>
 #include <string_view>
-#include <thread>
 
 namespace appleramp {
 
 namespace {
 
 constexpr int receiveBufferBytes = 16 * 1024;
-constexpr long stopPollMicroseconds = 20'000;
 constexpr std::string_view lengthField = "Content-Length: ";
 
 } // namespace
@@ -30,33 +28,12 @@
         m_socket.bind(Poco::Net::SocketAddress("127.0.0.1", 0));
         m_socket.setReceiveBufferSize(receiveBufferBytes);
         m_socket.listen();
-        m_thread = std::thread([this] { run(); });
-    }
-
-    ~implementation()
-    {
-        m_stopping = true;
-        m_thread.join();
+        m_acceptor = std::make_unique<connection_acceptor>(m_socket, [this](auto& connection) { serve(connection); });
     }
 
     std::uint16_t port() const { return m_socket.address().port(); }
 
 private:
-    void run()
-    {
-        while (!m_stopping) {
-            if (!m_socket.poll(Poco::Timespan(stopPollMicroseconds), Poco::Net::Socket::SELECT_READ))
-                continue;
-            auto connection = m_socket.acceptConnection();
-            try {
-                serve(connection);
-            } catch (const Poco::Exception&) {
-                // The client closed first.
-                continue;
-            }
-        }
-    }
-
     void serve(Poco::Net::StreamSocket& connection)
     {
         std::string received;
@@ -90,8 +67,7 @@
     const std::string m_answer;
     const ending m_ending;
     Poco::Net::ServerSocket m_socket;
-    std::atomic<bool> m_stopping = false;
-    std::thread m_thread;
+    std::unique_ptr<connection_acceptor> m_acceptor;
 };
 
 early_answer_server::early_answer_server(std::string answer, ending endsBy)
--- a/tests/fakes/raw_answer_server.cpp
+++ b/tests/fakes/raw_answer_server.cpp
@@ -1,15 +1,14 @@
 #include "fakes/raw_answer_server.h"
 
-#include <Poco/Exception.h>
+#include "fakes/connection_acceptor.h"
+
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 
 #include <array>
-#include <atomic>
 #include <mutex>
 #include <string_view>
-#include <thread>
 
 namespace appleramp {
 
@@ -17,7 +16,6 @@
 
 constexpr auto headEnd = "\r\n\r\n";
 constexpr std::string_view lengthField = "Content-Length: ";
-constexpr long stopPollMicroseconds = 20'000;
 
 // Reads the whole request: closing a connection with unread bytes resets it.
 void readRequest(Poco::Net::StreamSocket& connection)
@@ -45,14 +43,8 @@
 public:
     implementation()
         : m_socket(Poco::Net::SocketAddress("127.0.0.1", 0))
-        , m_thread([this] { run(); })
-    {
-    }
-
-    ~implementation()
+        , m_acceptor(m_socket, [this](auto& connection) { serve(connection); })
     {
-        m_stopping = true;
-        m_thread.join();
     }
 
     void answerWith(std::string bytes, closing closedBy)
@@ -65,21 +57,6 @@
     Poco::Net::SocketAddress address() const { return m_socket.address(); }
 
 private:
-    void run()
-    {
-        while (!m_stopping) {
-            if (!m_socket.poll(Poco::Timespan(stopPollMicroseconds), Poco::Net::Socket::SELECT_READ))
-                continue;
-            auto connection = m_socket.acceptConnection();
-            try {
-                serve(connection);
-            } catch (const Poco::Exception&) {
-                // The client closed first.
-                continue;
-            }
-        }
-    }
-
     void serve(Poco::Net::StreamSocket& connection)
     {
         readRequest(connection);
@@ -96,8 +73,7 @@
     std::mutex m_mutex;
     std::string m_answer;
     closing m_closing = closing::Orderly;
-    std::atomic<bool> m_stopping = false;
-    std::thread m_thread;
+    connection_acceptor m_acceptor;
 };
 
 raw_answer_server::raw_answer_server()
--- a/tests/processes/direct_unframed.py
+++ b/tests/processes/direct_unframed.py
@@ -10,6 +10,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "scripts"))
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
+from direct_answers import OddEndpoint  # noqa: E402
 from direct_entries import STREAM_TIMEOUT_MS, Entries, configuration  # noqa: E402
 from fleet import call, wait_until  # noqa: E402
 
@@ -32,38 +33,8 @@
 WHOLE = b"".join(event(number) for number in range(1, EVENTS + 1))
 
 
-class TroubledEndpoint:
-    """Answers by path, on raw sockets, without a length."""
-
-    def __init__(self, name):
-        self.name = name
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self):
-        while True:
-            try:
-                connection, _ = self.listener.accept()
-            except OSError:
-                return
-            threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
-
-    def serve(self, connection):
-        received = b""
-        try:
-            while b"\r\n\r\n" not in received:
-                more = connection.recv(65536)
-                if not more:
-                    return
-                received += more
-            lines = received.split(b"\r\n\r\n", 1)[0].decode().split("\r\n")
-            headers = dict(line.split(": ", 1) for line in lines[1:])
-            self.answer(connection, lines[0].split()[1], headers.get("X-Attempt-Id", ""))
-        except OSError:
-            return
-        finally:
-            connection.close()
+class TroubledEndpoint(OddEndpoint):
+    """Answers one request a connection, by path and without a length."""
 
     def answer(self, connection, path, name):
         common = f"X-Attempt-Id: {name}\r\nX-Response-Stamp: {self.name}\r\n".encode()
