Http: the write of a request has one state

Cause: two flags of client_connection had three valid combinations. Change: write_state. No behaviour is changed.

--- a/packages/http/client_connection.cpp
+++ b/packages/http/client_connection.cpp
@@ -47,8 +47,7 @@
     m_headReported = false;
     m_endsAtClose = false;
     m_awaitsWrite = false;
-    m_requestWritten = false;
-    m_writeFailed = false;
+    m_write = write_state::InProgress;
     m_sentAny = false;
     if (m_state == state::Idle) {
         m_state = state::Exchanging;
@@ -97,7 +96,7 @@
     boost::asio::async_write(m_socket, request,
         [self = shared_from_this(), body = m_requestBody](const boost::system::error_code& failure, std::size_t) {
             self->releaseRequest();
-            self->onWritten(!failure);
+            self->onWritten(failure ? write_state::Failed : write_state::Written);
         });
 }
 
@@ -112,10 +111,9 @@
 }
 
 // A failed write does not end the exchange: the server may have answered before, and the pending read ends in any case.
-void client_connection::onWritten(bool wasWritten)
+void client_connection::onWritten(write_state outcome)
 {
-    m_requestWritten = wasWritten;
-    m_writeFailed = !wasWritten;
+    m_write = outcome;
     if (m_awaitsWrite && m_state == state::Exchanging)
         finishAtConnectionEnd();
 }
@@ -158,14 +156,14 @@
     if (!orderlyClose)
         return fail(exchange_failure::ClosedInAnswer);
     m_peerKeepsAlive = false;
-    m_awaitsWrite = m_endsAtClose && !m_requestWritten && !m_writeFailed;
+    m_awaitsWrite = m_endsAtClose && m_write == write_state::InProgress;
     if (!m_awaitsWrite)
         finishAtConnectionEnd();
 }
 
 void client_connection::finishAtConnectionEnd()
 {
-    if (m_writeFailed)
+    if (m_write == write_state::Failed)
         return fail(exchange_failure::ClosedInAnswer);
     m_parser->finishAtConnectionEnd();
     deliverParsed();
@@ -209,7 +207,7 @@
 void client_connection::complete()
 {
     // Not reusable if the response completed before the whole request was written, or if further bytes follow it.
-    const bool reusable = m_peerKeepsAlive && m_requestWritten && m_input.empty();
+    const bool reusable = m_peerKeepsAlive && m_write == write_state::Written && m_input.empty();
     const std::shared_ptr<const exchange_handlers> handlers = std::exchange(m_handlers, nullptr);
     m_idleSince = std::chrono::steady_clock::now();
     m_parser.reset();
--- a/packages/http/client_connection.h
+++ b/packages/http/client_connection.h
@@ -78,11 +78,18 @@
         Closed,
     };
 
+    // Of the request of the running exchange.
+    enum class write_state {
+        InProgress,
+        Written,
+        Failed,
+    };
+
     void connect();
     void onConnected(const boost::system::error_code& failure);
     void write();
     void limitUnacknowledgedTime();
-    void onWritten(bool wasWritten);
+    void onWritten(write_state outcome);
     void read();
     void onBytes(std::size_t count);
     void onConnectionEnd(bool orderlyClose);
@@ -106,8 +113,7 @@
 
     std::string m_request;
     std::shared_ptr<const std::string> m_requestBody;
-    bool m_requestWritten = false;
-    bool m_writeFailed = false;
+    write_state m_write = write_state::InProgress;
     bool m_sentAny = false;
     bool m_used = false;
     // Shared, since a handler that cancels its own exchange must outlive its call.
