--- a/review/lib3/fleet3.py
+++ b/review/lib3/fleet3.py
@@ -13,6 +13,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -320,6 +321,8 @@
         self.deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]
         self.processes = {}
         self.ips = {}
+        # A time-out of run.sh ends the processes as well.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
 
     def __enter__(self):
         return self
