Review case 15: a time bound that is a fraction keeps every process from starting

Cause: the templates write zeros behind grace_s and retry_window_s, and the settings ask for whole numbers of all time bounds, where the pages allow fractions. No code of the product changes.

--- a/review/lib3/fleet3.py
+++ b/review/lib3/fleet3.py
@@ -335,22 +335,22 @@
             process.wait()
         self.folder.cleanup()
 
-    def start_entry(self, name, zone="a", bounds=None):
+    def entry_fields(self, name, zone="a", bounds=None):
         ip = self.ips.setdefault(name, free_loopback_address())
-        fields = {"node_name": name, "zone": zone, "ip": ip, "inner_port_range": [7340, 7355], "platform": {"address": self.store.address},
-                  "listen": {"front": f"{ip}:8227", "ready_addr": f"{ip}:8220", "directory": f"{ip}:8224"},
-                  "bounds": {**BOUNDS, **(bounds or {})}, "limits": {"link_mbps": 1000}}
-        return self.start("entry", name, fields)
+        return {"node_name": name, "zone": zone, "ip": ip, "inner_port_range": [7340, 7355], "platform": {"address": self.store.address},
+                "listen": {"front": f"{ip}:8227", "ready_addr": f"{ip}:8220", "directory": f"{ip}:8224"},
+                "bounds": {**BOUNDS, **(bounds or {})}, "limits": {"link_mbps": 1000}}
 
-    def start_agent(self, name, app, service, zone="a", bounds=None):
-        ip = self.ips.setdefault(name, free_loopback_address())
-        fields = {"node_name": name, "zone": zone, "ip": ip, "inner_port_range": [7340, 7355], "platform": {"address": self.store.address},
-                  "bounds": {**BOUNDS, **(bounds or {})}, "limits": {"link_mbps": 20}, "app": app, "service": service}
-        return self.start("agent", name, fields)
+    def start_entry(self, name, zone="a", bounds=None):
+        return self.start("entry", name, self.entry_fields(name, zone, bounds))
 
-    def start(self, role, name, fields):
+    def write_settings(self, role, name, fields):
         path = pathlib.Path(self.folder.name) / f"{name}.ini"
         path.write_text(fill_in((ROOT / self.deploy[role]["template"]).read_text(), fields))
+        return path
+
+    def start(self, role, name, fields):
+        path = self.write_settings(role, name, fields)
         command = [word.replace("/etc/appleramp/settings.toml", str(path)) for word in shlex.split(self.deploy[role]["run"])]
         command[0] = str(ROOT / command[0])
         log = open(pathlib.Path(self.folder.name) / f"{name}.log", "ab")
