Forwarding: a configuration whose list of teams is empty lets no key in

Callers saw: after a configuration took the last team away, requests with the key that was taken away, and with keys that never were, ran and got 200. Cause: the model held teams in a list, where "no teams are named" (the routes are open) and "no team is left" were the same. The decoder read an absent member, an empty list, null and an empty object as an empty list, and requiresKeys() and the ranks of shared room asked whether it is empty. Change: the list is optional. Whether keys are required is asked in one place, the route table. Beside it: configuration_adopted logs keys_required and the number of teams.

--- a/packages/decisions/forwarding/forwarding_reducer_news.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_news.cpp
@@ -27,6 +27,8 @@
         m_effects.emplace_back(log_decision { "configuration_adopted", {},
             { { "version", std::to_string(event.configuration->version) },
                 { "routes", std::to_string(event.configuration->routes.size()) },
+                { "keys_required", m_routes->requiresKeys() ? "true" : "false" },
+                { "teams", std::to_string(m_routes->teams().size()) },
                 { "age_ms", millisecondsText(event.now - event.readSentAt) } } });
     }
     m_unconfirmedReadAt = std::max(m_unconfirmedReadAt.value_or(event.readSentAt), event.readSentAt);
--- a/packages/decisions/forwarding/forwarding_reducer_sharing.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_sharing.cpp
@@ -26,13 +26,13 @@
 std::uint32_t hashOf(const team_id& team) { return static_cast<std::uint32_t>(rendezvousScore({}, team.str())); }
 
 // Urgency ranks of the requests that the route's callers may send.
-std::set<std::uint8_t> ranksOf(const route& route, const routing_configuration& configuration)
+std::set<std::uint8_t> ranksOf(const route& route, const route_table& routes)
 {
     std::set<std::uint8_t> ranks;
-    if (route.isPublic || configuration.teams.empty())
+    if (route.isPublic || !routes.requiresKeys())
         ranks.insert(sharedRank(route.urgencyRank));
     else
-        for (const team& each : configuration.teams)
+        for (const team& each : routes.teams())
             ranks.insert(sharedRank(each.urgencyRank.value_or(route.urgencyRank)));
     return ranks;
 }
@@ -46,7 +46,7 @@
     std::map<service_id, std::set<std::uint8_t>> ranks;
     m_roomPauseTargets.clear();
     for (const route& each : m_routes->configuration().routes) {
-        const auto own = ranksOf(each, m_routes->configuration());
+        const auto own = ranksOf(each, *m_routes);
         const duration pauseTarget = each.pauseTarget > duration::zero() ? each.pauseTarget : m_settings.defaultPauseTarget;
         for (const weighted_service& choice : each.services) {
             ranks[choice.service].insert(own.begin(), own.end());
--- a/packages/decisions/forwarding/route_table.cpp
+++ b/packages/decisions/forwarding/route_table.cpp
@@ -16,8 +16,8 @@
         std::stable_sort(indexes.begin(), indexes.end(), [&](std::size_t left, std::size_t right) {
             return routes[left].prefix.size() > routes[right].prefix.size();
         });
-    for (std::size_t index = 0; index < m_configuration.teams.size(); ++index) {
-        for (const std::string& key : m_configuration.teams[index].apiKeys)
+    for (std::size_t index = 0; index < teams().size(); ++index) {
+        for (const std::string& key : teams()[index].apiKeys)
             m_teamsByKey.emplace(key, index);
     }
     for (std::size_t index = 0; index < m_configuration.services.size(); ++index)
@@ -40,7 +40,12 @@
 const team* route_table::teamForKey(std::string_view apiKey) const
 {
     const auto found = m_teamsByKey.find(apiKey);
-    return found == m_teamsByKey.end() ? nullptr : &m_configuration.teams[found->second];
+    return found == m_teamsByKey.end() ? nullptr : &teams()[found->second];
+}
+
+std::span<const team> route_table::teams() const
+{
+    return m_configuration.teams ? std::span<const team>(*m_configuration.teams) : std::span<const team>();
 }
 
 const service_description* route_table::service(const service_id& id) const
--- a/packages/decisions/forwarding/route_table.h
+++ b/packages/decisions/forwarding/route_table.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -23,7 +24,9 @@
     const route* find(std::string_view host, std::string_view path) const;
     const team* teamForKey(std::string_view apiKey) const;
     const service_description* service(const service_id& id) const;
-    bool requiresKeys() const { return !m_configuration.teams.empty(); }
+    // Whether requests need an API key, unless their route is public. They do also where no team has one.
+    bool requiresKeys() const { return m_configuration.teams.has_value(); }
+    std::span<const team> teams() const;
 
 private:
     routing_configuration m_configuration;
--- a/packages/model/routing.h
+++ b/packages/model/routing.h
@@ -121,8 +121,8 @@
     configuration_version version = 0;
     std::vector<route> routes;
     std::vector<service_description> services;
-    // If empty, requests need no API key.
-    std::vector<team> teams;
+    // Teams whose API keys requests carry. Absent: requests need no key. Empty: no key is valid.
+    std::optional<std::vector<team>> teams;
     caller_limits limits;
 };
 
--- a/tests/decisions/forwarding/forwarding_entry.h
+++ b/tests/decisions/forwarding/forwarding_entry.h
@@ -38,7 +38,7 @@
     configuration.version = version;
     configuration.routes = { routeOf("/draft/", route_kind::Stream, drafts, 2),
         routeOf("/post/", route_kind::NonRepeatable, ledger, 1), routeOf("/read/", route_kind::Idempotent, ledger, 2) };
-    configuration.teams = { { team_id("t1"), { "key" }, {} } };
+    configuration.teams = std::vector<team> { { team_id("t1"), { "key" }, {} } };
     return configuration;
 }
 
--- a/tests/decisions/forwarding/route_table_test.cpp
+++ b/tests/decisions/forwarding/route_table_test.cpp
@@ -22,7 +22,7 @@
     configuration.version = 4;
     configuration.routes = { routeTo("short", "a.example", "/x/"), routeTo("long", "a.example", "/x/y/"),
         routeTo("other", "b.example", "/x/") };
-    configuration.teams = { { team_id("t1"), { "k1", "k2" }, 3 } };
+    configuration.teams = std::vector<team> { { team_id("t1"), { "k1", "k2" }, 3 } };
     return route_table(configuration);
 }
 
@@ -45,6 +45,18 @@
     cr_assert_null(routes.teamForKey("k"));
 }
 
+// Requests would be let in without a key where a list of teams that lost its last one counted as no list.
+Test(route_table, keys_are_required_also_where_no_team_is_left)
+{
+    routing_configuration configuration;
+    cr_assert_not(route_table(configuration).requiresKeys());
+    configuration.teams.emplace();
+    const route_table closed(configuration);
+    cr_assert(closed.requiresKeys());
+    cr_assert(closed.teams().empty());
+    cr_assert_null(closed.teamForKey("k1"));
+}
+
 Test(route_table, services_are_picked_by_weight)
 {
     route split = routeTo("split", "a", "/");
--- a/tests/decisions/forwarding/starting_requests_test.cpp
+++ b/tests/decisions/forwarding/starting_requests_test.cpp
@@ -26,7 +26,7 @@
     routing_configuration result;
     result.version = 1;
     result.routes = { draft };
-    result.teams = { { team_id("t1"), { "key" }, {} } };
+    result.teams = std::vector<team> { { team_id("t1"), { "key" }, {} } };
     return result;
 }
 
--- a/tests/decisions/sharing/sharing_world.cpp
+++ b/tests/decisions/sharing/sharing_world.cpp
@@ -74,8 +74,9 @@
         result.routes.push_back(route);
         teams = std::max(teams, each.teams.size());
     }
+    result.teams.emplace();
     for (std::size_t team = 0; team < teams; ++team)
-        result.teams.push_back({ team_id("team-" + std::to_string(team)), { "key-" + std::to_string(team) }, {} });
+        result.teams->push_back({ team_id("team-" + std::to_string(team)), { "key-" + std::to_string(team) }, {} });
     return result;
 }
 
--- a/tests/directentry/fake_adapter.h
+++ b/tests/directentry/fake_adapter.h
@@ -22,7 +22,7 @@
         team caller { team_id("t1"), {}, {} };
         for (std::string key; text >> key;)
             caller.apiKeys.push_back(key);
-        configuration.teams = { caller };
+        configuration.teams = std::vector<team> { caller };
         route read;
         read.name = "read";
         read.host = "a.example";
--- a/tests/directentry/store_world.cpp
+++ b/tests/directentry/store_world.cpp
@@ -111,7 +111,7 @@
     : m_settings(std::move(settings))
     , m_random(static_cast<std::minstd_rand::result_type>(m_settings.seed + 1))
 {
-    configure(1, "kept old");
+    m_store.put("op", "config", m_settings.firstConfiguration);
     for (std::size_t endpoint = 0; endpoint < endpoints; ++endpoint)
         m_store.put("registry", "e" + std::to_string(endpoint), "10.0.0." + std::to_string(endpoint) + ":80");
     for (std::size_t zone = 0; zone < m_settings.zones.size(); ++zone) {
@@ -153,7 +153,7 @@
     reducer.spreadOutageRetries = m_settings.fastReturn;
     self.reducer = std::make_unique<forwarding_reducer>(now() + self.clockOffset, reducer);
     self.store = std::make_unique<client>(*this, self);
-    self.followers = std::make_unique<store_followers>(self.settings, *self.store, m_adapter,
+    self.followers = std::make_unique<store_followers>(self.settings, *self.store, *m_settings.adapter,
         store_follower_services { .now = [this, &self] { return now() + self.clockOffset; },
             .timer =
                 [this, &self] {
@@ -190,8 +190,8 @@
             .onReturnConfirmed = [](duration) {} });
     self.followers->start(m_random());
     runAfter(self, random(tickInterval), [this, &self] { tick(self); });
-    runAfter(self, random(requestInterval), [this, &self] { request(self, "kept"); });
-    runAfter(self, random(requestInterval), [this, &self] { request(self, "old"); });
+    for (const std::string& key : m_settings.callerKeys)
+        runAfter(self, random(requestInterval), [this, &self, key] { request(self, key); });
 }
 
 duration store_world::random(duration longest) { return duration(std::uniform_int_distribution<duration::rep>(0, longest.count())(m_random)); }
@@ -338,10 +338,10 @@
     }
     if (result.sent)
         post(self, attempt_succeeded { local, number });
+    if (result.sent)
+        m_lastUses[self.name][key] = now();
     if (key == "kept")
         m_outcomes.push_back(result);
-    else if (result.sent)
-        m_lastOldUse = now();
     runAfter(self, requestInterval, [this, &self, key] { request(self, key); });
 }
 
--- a/tests/directentry/store_world.h
+++ b/tests/directentry/store_world.h
@@ -25,9 +25,14 @@
     // Fraction of the datagrams that are lost, and the longest further delay of any.
     double datagramLoss = 0;
     duration datagramJitter {};
+    // Keys with which callers send requests to each entry.
+    std::vector<std::string> callerKeys { "kept", "old" };
+    std::shared_ptr<const platform_adapter> adapter = std::make_shared<fake_adapter>();
+    // The operator's row before the first change.
+    std::string firstConfiguration = "1 kept old";
 };
 
-// Entries with their real followers and reducers, a store that fails, and callers with two keys, in virtual time. Each entry's clock
+// Entries with their real followers and reducers, a store that fails, and callers with keys, in virtual time. Each entry's clock
 // has an offset of its own.
 class store_world {
 public:
@@ -60,6 +65,8 @@
     double served(duration from, duration until) const;
     // From the store's acknowledgement of the revocation to the last use of the key "old"; nothing if it was not used after it.
     std::optional<duration> lastUseAfterRevocation() const;
+    // From `from` to the last time that the entry sent a request with that key to an endpoint; nothing if it did not.
+    std::optional<duration> lastUse(const std::string& entry, const std::string& key, duration from) const;
     // Latest time at which an entry logged `what` from that time on; nothing if an entry did not.
     std::optional<duration> lastLogged(const std::string& what, duration from) const;
     // Lines of that kind of all entries.
@@ -99,7 +106,6 @@
     store_world_settings m_settings;
     event_queue m_events;
     fake_store m_store { m_events };
-    fake_adapter m_adapter;
     std::minstd_rand m_random;
     std::map<std::string, std::unique_ptr<entry>> m_entries;
     std::map<std::string, std::string> m_probers;
@@ -107,7 +113,8 @@
     std::map<std::string, std::vector<confirmation>> m_confirmations;
     std::map<std::string, std::map<std::string, std::vector<instant>>> m_logged;
     std::optional<instant> m_revokedAt;
-    std::optional<instant> m_lastOldUse;
+    // By entry and key.
+    std::map<std::string, std::map<std::string, instant>> m_lastUses;
 };
 
 } // namespace appleramp::tests
--- a/tests/directentry/store_world_results.cpp
+++ b/tests/directentry/store_world_results.cpp
@@ -17,9 +17,22 @@
     return all == 0 ? 1 : static_cast<double>(sent) / static_cast<double>(all);
 }
 
+std::optional<duration> store_world::lastUse(const std::string& entry, const std::string& key, duration from) const
+{
+    const auto uses = m_lastUses.find(entry);
+    if (uses == m_lastUses.end() || !uses->second.contains(key) || uses->second.at(key) <= instant(from))
+        return std::nullopt;
+    return uses->second.at(key) - instant(from);
+}
+
 std::optional<duration> store_world::lastUseAfterRevocation() const
 {
-    return m_revokedAt && m_lastOldUse && *m_lastOldUse > *m_revokedAt ? std::optional(*m_lastOldUse - *m_revokedAt) : std::nullopt;
+    std::optional<duration> latest;
+    for (const auto& [name, self] : m_entries) {
+        if (const auto used = m_revokedAt ? lastUse(name, "old", m_revokedAt->time_since_epoch()) : std::nullopt)
+            latest = std::max(latest.value_or(*used), *used);
+    }
+    return latest;
 }
 
 std::optional<duration> store_world::lastLogged(const std::string& what, duration from) const
--- a/tests/users_platform/decoders_test.cpp
+++ b/tests/users_platform/decoders_test.cpp
@@ -42,7 +42,7 @@
     cr_assert_eq(decoded.services[0].experts->placesPerRank, 5);
     cr_assert_float_eq(decoded.services[0].coldRequestsPerSecond, 28, 1e-9);
     cr_assert(!decoded.services[1].experts);
-    cr_assert_eq(decoded.teams[0].apiKeys[1], "anfq");
+    cr_assert_eq(decoded.teams->at(0).apiKeys[1], "anfq");
     cr_assert(decoded.limits.idleTimeout == duration(15s));
 }
 
