Store: a configuration that can't be read is not confirmed by a read without news

Callers saw: nothing yet; a key taken away by a version that an entry can't read would have run for good. Cause: store_followers::onConfigurationRows took the configuration for readable at the start of each answer and looked only at that answer's rows. The first answer without rows, or with a row of another kind, cleared the mark and confirmed the version before, also through the zone's reader. A store that came back from an older copy did so too. Change: configuration_readability holds the newest unreadable version until one as new was read; decoders name the version where they can read it. A gauge, appleramp_configuration_unreadable, says so beside the log line, which comes again after a readable version. Weighed: going on with the older keys (more callers served, but a revoked key among them) against refusing keys with 503 once they are too old; the promise on keys holds always. Public routes go on.

--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -7,6 +7,7 @@
 #include "decisions/forwarding/forwarding_reducer.h"
 #include "directentry/caller_connection_limits.h"
 #include "directentry/caller_exchange.h"
+#include "directentry/configuration_gauges.h"
 #include "directentry/crash_record_writer.h"
 #include "directentry/entry_memory.h"
 #include "directentry/entry_metrics.h"
@@ -337,9 +338,7 @@
 
     void noteGauges()
     {
-        const auto age = m_reducer.configurationAge(now());
-        m_metrics.set(entry_metrics::configurationAge, age ? std::chrono::duration<double>(*age).count() : -1);
-        m_metrics.set(entry_metrics::configurationVersion, static_cast<double>(m_reducer.configurationVersion()));
+        setConfigurationGauges(m_metrics, now(), m_reducer, m_followers);
         m_metrics.set(entry_metrics::requestsInFlight, static_cast<double>(m_exchanges.size()));
         m_memory.noteGauges();
         m_metrics.set(entry_metrics::endpoints, static_cast<double>(m_reducer.fleet().size()));
--- a/packages/directentry/store_followers.cpp
+++ b/packages/directentry/store_followers.cpp
@@ -147,8 +147,7 @@
     if (isFast() && !answer.tables.empty())
         m_watch.onHeardServed(std::min(moment, answer.askedAt - answer.tables.front().age));
     const auto heldAt = m_relay.currentAsOf(moment, configurationPlace, digestOf(*m_configuration));
-    // An unreadable configuration may have revoked an API key, so it is not confirmed.
-    if (heldAt && m_configurationReadable)
+    if (heldAt && m_readability.isReadable())
         postConfirmation(moment, *heldAt, std::nullopt);
 }
 
@@ -212,23 +211,22 @@
 {
     std::set<availability_zone_id> zones = isWhole ? std::set<availability_zone_id> {} : m_zonesListedOut;
     std::optional<routing_configuration> newest;
-    bool isReadable = true;
     for (const store_row& row : rows) {
         configuration_row decoded = m_platform.readConfigurationRow(row);
-        if (auto* const configuration = std::get_if<routing_configuration>(&decoded); configuration && !row.removed)
-            newest = std::move(*configuration);
-        else if (const auto* const out = std::get_if<zone_out_row>(&decoded))
+        if (const auto* const out = std::get_if<zone_out_row>(&decoded))
             row.removed ? static_cast<void>(zones.erase(out->zone)) : static_cast<void>(zones.insert(out->zone));
-        else if (std::holds_alternative<unreadable_row>(decoded)) {
-            isReadable = row.removed;
-            logUnreadable(row, std::get<unreadable_row>(decoded).reason);
+        else if (auto* const configuration = std::get_if<routing_configuration>(&decoded); configuration && !row.removed) {
+            m_readability.onReadable(configuration->version);
+            m_unreadable.erase(row.key);
+            newest = std::move(*configuration);
+        } else if (const auto* const unreadable = std::get_if<unreadable_row>(&decoded); unreadable && !row.removed) {
+            m_readability.onUnreadable(unreadable->version);
+            logUnreadable(row, unreadable->reason);
         }
     }
     m_zonesListedOut = std::move(zones);
     updateZonesOut();
-    m_configurationReadable = isReadable;
-    // An unreadable configuration may have revoked an API key, so the known configuration is not confirmed and keeps ageing.
-    if (isReadable)
+    if (m_readability.isReadable())
         postConfirmation(now(), sentAt, std::move(newest));
 }
 
--- a/packages/directentry/store_followers.h
+++ b/packages/directentry/store_followers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decisions/forwarding/forwarding_events.h"
+#include "directentry/configuration_readability.h"
 #include "membership/member_row.h"
 #include "model/freshness_news.h"
 #include "settings/process_settings.h"
@@ -63,6 +64,7 @@
     // Reports the zones that are out of service if they changed, also because a hold ended.
     void updateZonesOut();
 
+    bool isConfigurationReadable() const { return m_readability.isReadable(); }
     // Generation of the store in which the members were read.
     std::uint64_t membersGeneration() const { return m_members->generation(); }
     // Whether this entry reads the store for its zone.
@@ -128,7 +130,7 @@
     std::array<duration, 4> m_settleTimes {};
     instant m_otherZonesAskedAt;
     bool m_isReturnConfirmed = true;
-    bool m_configurationReadable = true;
+    configuration_readability m_readability;
     bool m_membersRestored = false;
     // Zones that are out for this entry, and those that the store lists.
     std::set<availability_zone_id> m_zonesOut;
--- a/packages/ports/platform_adapter.h
+++ b/packages/ports/platform_adapter.h
@@ -22,6 +22,8 @@
 struct unreadable_row {
     std::string key;
     std::string reason;
+    // Version that an unreadable configuration names; zero if it names none.
+    configuration_version version = 0;
 };
 
 // Operators have taken this availability zone out of service: no requests go to it while the row exists.
--- a/tests/directentry/configuration_forms_test.cpp
+++ b/tests/directentry/configuration_forms_test.cpp
@@ -115,3 +115,48 @@
             expectUnused(*one, key, "one team");
     }
 }
+
+// A version that can't be read was confirmed by the next read without news, so that the keys which it may have revoked never expired.
+Test(configuration_forms, a_version_that_can_not_be_read_confirms_no_key)
+{
+    for (const bool fastReturn : { false, true }) {
+        for (const std::string& members : { withTeams("null"), withTeams("{}"), withTeams("\"one\""), withTeams("7"), withTeams("false"),
+                 withTeams(firstTeams) + R"(,"routes":[{"name":"read"}])", withTeams(firstTeams) + R"(,"services":[7])" }) {
+            const auto world = play(members, fastReturn);
+            for (const std::string& key : { std::string("kept"), std::string("old"), unknownKey, noKey })
+                expectUnused(*world, key, members);
+        }
+    }
+}
+
+namespace {
+
+// Plays an unreadable second version, and what the operator writes after it.
+std::unique_ptr<store_world> playUnreadable(bool fastReturn, const std::function<void(store_world&)>& after)
+{
+    store_world_settings settings { .zones = { 3 }, .fastReturn = fastReturn };
+    settings.adapter = std::make_shared<platform_rows>();
+    settings.firstConfiguration = documentOf(1, withTeams(firstTeams));
+    auto world = std::make_unique<store_world>(settings);
+    world->at(changed - 1s, [world = world.get()] { world->store().copy(); });
+    world->at(changed, [world = world.get()] { world->store().put("op", "config", documentOf(2, withTeams("null"))); });
+    world->at(changed + 1s, [world = world.get(), after] { after(*world); });
+    world->runUntil(end);
+    return world;
+}
+
+} // namespace
+
+// Rows of other kinds say nothing of the configuration, and an older copy of the store does not undo the version.
+Test(configuration_forms, only_a_version_as_new_confirms_again)
+{
+    for (const bool fastReturn : { false, true }) {
+        const auto zoneOut = playUnreadable(fastReturn, [](store_world& world) { world.store().put("op", "evacuate/b", "{}"); });
+        expectUnused(*zoneOut, "old", "a zone is taken out");
+        const auto restored = playUnreadable(fastReturn, [](store_world& world) { world.store().restoreCopy(); });
+        expectUnused(*restored, "old", "an older copy");
+        const auto fixed = playUnreadable(fastReturn, [](store_world& world) { world.store().put("op", "config", documentOf(3, withTeams("[" + keptTeam + "]"))); });
+        expectUsed(*fixed, "kept", "a readable version");
+        expectUnused(*fixed, "old", "a readable version");
+    }
+}
