Forwarding: what is no key names no team

Callers saw: nothing yet; with a team whose list has an empty key, requests with an empty key or without any would have run as that team.

--- a/packages/decisions/forwarding/route_table.cpp
+++ b/packages/decisions/forwarding/route_table.cpp
@@ -17,8 +17,11 @@
             return routes[left].prefix.size() > routes[right].prefix.size();
         });
     for (std::size_t index = 0; index < teams().size(); ++index) {
-        for (const std::string& key : teams()[index].apiKeys)
-            m_teamsByKey.emplace(key, index);
+        for (const std::string& key : teams()[index].apiKeys) {
+            // A request without a key has an empty one, which names no team.
+            if (!key.empty())
+                m_teamsByKey.emplace(key, index);
+        }
     }
     for (std::size_t index = 0; index < m_configuration.services.size(); ++index)
         m_servicesById.emplace(m_configuration.services[index].id, index);
--- a/tests/decisions/forwarding/route_table_test.cpp
+++ b/tests/decisions/forwarding/route_table_test.cpp
@@ -57,6 +57,16 @@
     cr_assert_null(closed.teamForKey("k1"));
 }
 
+// Requests without a key would run as a team whose list has an empty one.
+Test(route_table, an_empty_key_names_no_team)
+{
+    routing_configuration configuration;
+    configuration.teams = std::vector<team> { { team_id("t1"), { "", "k1" }, {} } };
+    const route_table routes(configuration);
+    cr_assert_null(routes.teamForKey(""));
+    cr_assert_eq(routes.teamForKey("k1")->id.str(), "t1");
+}
+
 Test(route_table, services_are_picked_by_weight)
 {
     route split = routeTo("split", "a", "/");
--- a/tests/directentry/configuration_forms_test.cpp
+++ b/tests/directentry/configuration_forms_test.cpp
@@ -90,6 +90,19 @@
     }
 }
 
+// Requests without a key ran as a team with an empty one, and a word in place of the list of keys was one of them.
+Test(configuration_forms, what_is_no_key_names_no_team)
+{
+    for (const bool fastReturn : { false, true }) {
+        for (const char* const teams : { R"([{"name":"two","api_keys":[""]}])", R"([{"name":"two","api_keys":"old"}])", R"([{"name":"two","api_keys":{}}])",
+                 R"([{"name":"two","api_keys":null}])", R"([{"name":"two","api_keys":[["old"],null,7]}])" }) {
+            const auto world = play(withTeams(teams), fastReturn);
+            for (const std::string& key : { std::string("kept"), std::string("old"), unknownKey, noKey })
+                expectUnused(*world, key, teams);
+        }
+    }
+}
+
 // So were null and an empty object in place of the list.
 Test(configuration_forms, teams_of_another_type_do_not_open_the_routes)
 {
