Configuration: a team that can't be read is left out alone

Callers saw: nothing yet; one odd team took its whole version, so that all other teams were refused once the version before was too old, and entries that started later were never ready. Cause: the decoder of a version throws at the first member that it can't read. Change: such a team is left out and counted. While one is, an unknown key may be its own and gets 503 in place of 401. configuration_adopted logs the count. Weighed: leaving out routes or services as well. Requests of a route that is left out could match a shorter prefix and reach another service, so a version with an odd route stays unreadable as a whole.

--- a/packages/decisions/forwarding/forwarding_reducer.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer.cpp
@@ -143,6 +143,8 @@
         if (!m_freshness.allowsKeyUse(now))
             return refuseWith(refusal_reason::NotReady, confirmationRetryAfter(now, request.caller, longRetryAfter()));
         const team* const callerTeam = request.routes->teamForKey(request.caller.apiKey);
+        if (callerTeam == nullptr && !request.routes->knowsAllKeys())
+            return refuseWith(refusal_reason::NotReady, longRetryAfter());
         if (callerTeam == nullptr)
             return allowsDefiniteRefusal ? refuseWith(refusal_reason::UnknownKey, {}) : refuseWith(refusal_reason::NotReady, shortRetryAfter());
         request.team = callerTeam->id;
--- a/packages/decisions/forwarding/forwarding_reducer_news.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_news.cpp
@@ -29,6 +29,7 @@
                 { "routes", std::to_string(event.configuration->routes.size()) },
                 { "keys_required", m_routes->requiresKeys() ? "true" : "false" },
                 { "teams", std::to_string(m_routes->teams().size()) },
+                { "unreadable_teams", std::to_string(event.configuration->unreadableTeams) },
                 { "age_ms", millisecondsText(event.now - event.readSentAt) } } });
     }
     m_unconfirmedReadAt = std::max(m_unconfirmedReadAt.value_or(event.readSentAt), event.readSentAt);
--- a/packages/decisions/forwarding/route_table.h
+++ b/packages/decisions/forwarding/route_table.h
@@ -27,6 +27,8 @@
     // Whether requests need an API key, unless their route is public. They do also where no team has one.
     bool requiresKeys() const { return m_configuration.teams.has_value(); }
     std::span<const team> teams() const;
+    // Whether a key that no team has is known to be invalid.
+    bool knowsAllKeys() const { return m_configuration.unreadableTeams == 0; }
 
 private:
     routing_configuration m_configuration;
--- a/packages/model/routing.h
+++ b/packages/model/routing.h
@@ -123,6 +123,8 @@
     std::vector<service_description> services;
     // Teams whose API keys requests carry. Absent: requests need no key. Empty: no key is valid.
     std::optional<std::vector<team>> teams;
+    // Teams that could not be read and were left out. An unknown key may be one of theirs.
+    std::uint32_t unreadableTeams = 0;
     caller_limits limits;
 };
 
--- a/tests/decisions/forwarding/forwarding_reducer_refusals_test.cpp
+++ b/tests/decisions/forwarding/forwarding_reducer_refusals_test.cpp
@@ -184,3 +184,19 @@
     cr_assert(*entry.effect<refuse_request>()->retryAfter >= duration(2900ms));
     cr_assert(*entry.effect<refuse_request>()->retryAfter <= duration(5s));
 }
+
+// An unknown key may belong to a team that could not be read, so that 401 would turn away a proper request for good.
+Test(forwarding_reducer, an_unknown_key_is_not_ready_where_a_team_is_unreadable)
+{
+    entry entry;
+    entry.request("/read/x", "other");
+    cr_assert(entry.refusedWith(refusal_reason::UnknownKey));
+    routing_configuration configuration = configurationOf(2);
+    configuration.unreadableTeams = 1;
+    entry.handle(configuration_read { entry.now, entry.now, configuration });
+    entry.request("/read/x", "other");
+    cr_assert(entry.refusedWith(refusal_reason::NotReady));
+    cr_assert(entry.effect<refuse_request>()->retryAfter > duration::zero());
+    entry.request("/read/x");
+    cr_assert_not_null(entry.effect<send_attempt>());
+}
--- a/tests/directentry/configuration_forms_test.cpp
+++ b/tests/directentry/configuration_forms_test.cpp
@@ -173,3 +173,17 @@
         expectUnused(*fixed, "old", "a readable version");
     }
 }
+
+// One team that can't be read took the whole version: other teams were refused with it once the version before was too old.
+Test(configuration_forms, a_team_that_can_not_be_read_is_left_out_alone)
+{
+    for (const bool fastReturn : { false, true }) {
+        for (const char* const other : { "null", "[]", "7", R"({"api_keys":["old"]})", R"({"name":7,"api_keys":["old"]})", R"({"name":"two","api_keys":"old"})",
+                 R"({"name":"two","api_keys":{"a":"old"}})" }) {
+            const auto world = play(withTeams("[" + std::string(other) + "," + keptTeam + "]"), fastReturn);
+            expectUsed(*world, "kept", other);
+            for (const std::string& key : { std::string("old"), unknownKey, noKey })
+                expectUnused(*world, key, other);
+        }
+    }
+}
