--- a/packages/settings/ini_line_checker.cpp
+++ b/packages/settings/ini_line_checker.cpp
@@ -38,8 +38,11 @@
 {
     std::string names;
     for (const setting_descriptor& setting : settingDescriptors()) {
-        if (setting.section == section)
-            names.append(" ").append(setting.key);
+        if (setting.section != section)
+            continue;
+        names.append(" ").append(setting.key);
+        if (const std::string secondsKey = secondsKeyOf(setting); !secondsKey.empty())
+            names.append(" ").append(secondsKey);
     }
     return names;
 }
@@ -48,7 +51,7 @@
 {
     const auto descriptors = settingDescriptors();
     return std::any_of(descriptors.begin(), descriptors.end(),
-        [&](const setting_descriptor& setting) { return setting.section == section && setting.key == key; });
+        [&](const setting_descriptor& setting) { return setting.section == section && (setting.key == key || secondsKeyOf(setting) == key); });
 }
 
 } // namespace
--- a/packages/settings/setting_descriptor.cpp
+++ b/packages/settings/setting_descriptor.cpp
@@ -1,6 +1,7 @@
 #include "settings/setting_descriptor.h"
 
 #include "model/enum_names.h"
+#include "settings/bounds_descriptors.h"
 
 #include <algorithm>
 
@@ -12,6 +13,8 @@
 using value = setting_value;
 
 constexpr std::int64_t mebibyte = 1024L * 1024;
+constexpr std::string_view millisecondsSuffix = "_ms";
+constexpr std::string_view secondsSuffix = "_s";
 
 const std::string& text(const value& v) { return std::get<std::string>(v); }
 
@@ -23,7 +26,7 @@
     return static_cast<Number>(std::get<std::int64_t>(v));
 }
 
-duration milliseconds(const value& v) { return std::chrono::milliseconds(std::get<std::int64_t>(v)); }
+duration time(const value& v) { return std::get<duration>(v); }
 
 template <typename Identifier>
 std::vector<Identifier> identifiers(const value& v)
@@ -38,6 +41,8 @@
 
 double fraction(const value& v) { return std::get<double>(v); }
 
+constexpr std::int64_t durationRange(duration time) { return time.count(); }
+
 using roles = std::vector<process_role>;
 
 // Roles of the fleet whose entries send requests to agents, which admit them to the endpoints.
@@ -137,14 +142,14 @@
             .assign = [](settings& s, const value& v) { s.platform.instancesUrl = text(v); } },
         { .section = "platform",
             .key = "poll_interval_ms",
-            .type = setting_type::Integer,
+            .type = setting_type::Duration,
             .unit = "milliseconds",
             .defaultValue = "500",
-            .minimum = 50,
-            .maximum = 60'000,
+            .minimum = durationRange(std::chrono::milliseconds(50)),
+            .maximum = durationRange(std::chrono::milliseconds(60'000)),
             .roles = agentFleetRoles,
             .doc = "Time between two reads of the instance list.",
-            .assign = [](settings& s, const value& v) { s.platform.pollInterval = milliseconds(v); } },
+            .assign = [](settings& s, const value& v) { s.platform.pollInterval = time(v); } },
     };
 }
 
@@ -159,14 +164,14 @@
             .assign = [](settings& s, const value& v) { s.store.address = address(v); } },
         { .section = "store",
             .key = "poll_ms",
-            .type = setting_type::Integer,
+            .type = setting_type::Duration,
             .unit = "milliseconds",
             .defaultValue = "1000",
-            .minimum = 100,
-            .maximum = 30'000,
+            .minimum = durationRange(std::chrono::milliseconds(100)),
+            .maximum = durationRange(std::chrono::milliseconds(30'000)),
             .roles = directFleetRoles,
             .doc = "Longest wait of a read for changes; one entry of each zone asks a quiet store this often.",
-            .assign = [](settings& s, const value& v) { s.store.poll = milliseconds(v); } },
+            .assign = [](settings& s, const value& v) { s.store.poll = time(v); } },
         { .section = "store",
             .key = "fast_return",
             .type = setting_type::Choice,
@@ -178,61 +183,6 @@
     };
 }
 
-setting_descriptor durationDescriptor(std::string_view key, std::string_view defaultValue, std::string_view doc,
-    void (*assign)(settings&, const value&))
-{
-    return { .section = "bounds",
-        .key = key,
-        .type = setting_type::Integer,
-        .unit = "milliseconds",
-        .defaultValue = defaultValue,
-        .minimum = 1,
-        .maximum = 600'000,
-        .roles = directFleetRoles,
-        .doc = doc,
-        .assign = assign };
-}
-
-setting_descriptor fractionDescriptor(std::string_view key, std::string_view defaultValue, std::string_view doc,
-    void (*assign)(settings&, const value&))
-{
-    return { .section = "bounds",
-        .key = key,
-        .type = setting_type::Fraction,
-        .defaultValue = defaultValue,
-        .minimum = 0,
-        .maximum = 100'000'000,
-        .roles = directFleetRoles,
-        .doc = doc,
-        .assign = assign };
-}
-
-std::vector<setting_descriptor> boundsDescriptors()
-{
-    return {
-        durationDescriptor("revocation_ms", "5000", "A revoked key is not honoured later than this after the store's acknowledgement.",
-            [](settings& s, const value& v) { s.bounds.revocation = milliseconds(v); }),
-        durationDescriptor("drain_ms", "2000", "An endpoint that leaves gets no new work later than this.",
-            [](settings& s, const value& v) { s.bounds.drain = milliseconds(v); }),
-        durationDescriptor("grace_ms", "8000", "Time between SIGTERM and SIGKILL.",
-            [](settings& s, const value& v) { s.bounds.grace = milliseconds(v); }),
-        durationDescriptor("stall_ms", "1500", "A group of engines stalls for so long when one of its ranks is lost.",
-            [](settings& s, const value& v) { s.bounds.stall = milliseconds(v); }),
-        durationDescriptor("repeat_window_ms", "10000", "Window over which repeated sends are counted.",
-            [](settings& s, const value& v) { s.bounds.repeatWindow = milliseconds(v); }),
-        durationDescriptor("pause_ms", "200", "Longest pause of a stream that is still on time, where its route does not say.",
-            [](settings& s, const value& v) { s.bounds.pause = milliseconds(v); }),
-        fractionDescriptor("repeat_ratio", "0.2", "Repeated sends to a service in a window, as a share of its requests, from all entries together.",
-            [](settings& s, const value& v) { s.bounds.repeatRatio = fraction(v); }),
-        fractionDescriptor("repeat_constant", "90", "Repeated sends to a service in a window beside that share, from all entries together.",
-            [](settings& s, const value& v) { s.bounds.repeatConstant = fraction(v); }),
-        fractionDescriptor("cold_factor", "1.5", "Requests in a second that a cold endpoint gets at most, as a multiple of its rate.",
-            [](settings& s, const value& v) { s.bounds.coldFactor = fraction(v); }),
-        fractionDescriptor("cold_constant", "5", "Requests in a second that a cold endpoint gets beside that.",
-            [](settings& s, const value& v) { s.bounds.coldConstant = fraction(v); }),
-    };
-}
-
 std::vector<setting_descriptor> admissionDescriptors()
 {
     return {
@@ -255,7 +205,7 @@
             .type = setting_type::Fraction,
             .unit = "Mbit/s",
             .defaultValue = "20",
-            .minimum = 1000,
+            .minimum = 1,
             .maximum = 1'000'000'000,
             .roles = directAgentRole,
             .doc = "Rate of the instance's network link.",
@@ -435,13 +385,14 @@
             .assign = [](settings& s, const value& v) { s.limits.maxRequestsInFlight = number<std::uint32_t>(v); } },
         { .section = "limits",
             .key = "request_read_timeout_ms",
-            .type = setting_type::Integer,
+            .type = setting_type::Duration,
             .unit = "milliseconds",
             .defaultValue = "20000",
-            .minimum = 100,
-            .maximum = 600'000,
+            .minimum = durationRange(std::chrono::milliseconds(100)),
+            .maximum = durationRange(std::chrono::milliseconds(600'000)),
+            .rounding = rounding::Up,
             .doc = "Longest silence while a request arrives, and longest time for its body to arrive whole.",
-            .assign = [](settings& s, const value& v) { s.limits.requestReadTimeout = milliseconds(v); } },
+            .assign = [](settings& s, const value& v) { s.limits.requestReadTimeout = time(v); } },
         { .section = "limits",
             .key = "memory_mb",
             .type = setting_type::Integer,
@@ -480,14 +431,14 @@
             .assign = [](settings& s, const value& v) { s.entry.maxCallers = number<std::uint32_t>(v); } },
         { .section = "entry",
             .key = "start_wait_ms",
-            .type = setting_type::Integer,
+            .type = setting_type::Duration,
             .unit = "milliseconds",
             .defaultValue = "0",
-            .minimum = 0,
-            .maximum = 10'000,
+            .minimum = durationRange(std::chrono::milliseconds(0)),
+            .maximum = durationRange(std::chrono::milliseconds(10'000)),
             .roles = directEntryRole,
             .doc = "Longest wait of a request that arrives while the process starts, at most a third of its caller's time; 0 refuses it.",
-            .assign = [](settings& s, const value& v) { s.entry.startWait = milliseconds(v); } },
+            .assign = [](settings& s, const value& v) { s.entry.startWait = time(v); } },
     };
 }
 
@@ -511,4 +462,11 @@
     return descriptors;
 }
 
+std::string secondsKeyOf(const setting_descriptor& setting)
+{
+    if (setting.type != setting_type::Duration)
+        return {};
+    return std::string(setting.key.substr(0, setting.key.size() - millisecondsSuffix.size())).append(secondsSuffix);
+}
+
 } // namespace appleramp
--- a/packages/settings/setting_value.cpp
+++ b/packages/settings/setting_value.cpp
@@ -9,6 +9,8 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
+#include <sstream>
 
 namespace appleramp {
 
@@ -63,14 +65,47 @@
     return value;
 }
 
-double parseFraction(const setting_descriptor& setting, std::string_view text)
+double parseNumber(std::string_view text)
 {
-    constexpr double thousandthsPerUnit = 1000.0;
     double value = 0;
     const char* const end = text.data() + text.size();
-    const auto [parseEnd, errorCode] = std::from_chars(text.data(), end, value, std::chars_format::fixed);
-    if (errorCode != std::errc() || parseEnd != end)
+    const auto [parseEnd, errorCode] = std::from_chars(text.data(), end, value);
+    if (errorCode != std::errc() || parseEnd != end || !std::isfinite(value))
         throw bad_setting_value(quoted(text) + " is not a number; write one such as 0.5");
+    return value;
+}
+
+double roundedTo(rounding rounding, double value)
+{
+    // Parts of a microsecond that the conversion of a decimal number may add or take away.
+    constexpr double conversionError = 1e-3;
+    const double nearest = std::round(value);
+    if (std::abs(value - nearest) < conversionError)
+        return nearest;
+    return rounding == rounding::Down ? std::floor(value) : std::ceil(value);
+}
+
+std::string decimal(double value)
+{
+    std::ostringstream text;
+    text << value;
+    return text.str();
+}
+
+duration parseDuration(const setting_descriptor& setting, std::string_view text, time_unit unit)
+{
+    const double microsecondsPerUnit = unit == time_unit::Seconds ? 1e6 : 1e3;
+    const double microseconds = roundedTo(setting.rounding, parseNumber(text) * microsecondsPerUnit);
+    if (microseconds < static_cast<double>(setting.minimum) || microseconds > static_cast<double>(setting.maximum))
+        throw bad_setting_value(quoted(text) + " is out of range; write a number from " + decimal(static_cast<double>(setting.minimum) / microsecondsPerUnit)
+            + " to " + decimal(static_cast<double>(setting.maximum) / microsecondsPerUnit));
+    return duration(static_cast<duration::rep>(microseconds));
+}
+
+double parseFraction(const setting_descriptor& setting, std::string_view text)
+{
+    constexpr double thousandthsPerUnit = 1000.0;
+    const double value = parseNumber(text);
     if (value * thousandthsPerUnit < static_cast<double>(setting.minimum) || value * thousandthsPerUnit > static_cast<double>(setting.maximum))
         throw bad_setting_value(quoted(text) + " is out of range; write a number from " + std::to_string(static_cast<double>(setting.minimum) / thousandthsPerUnit)
             + " to " + std::to_string(static_cast<double>(setting.maximum) / thousandthsPerUnit));
@@ -133,7 +168,7 @@
 
 } // namespace
 
-setting_value parseSettingValue(const setting_descriptor& setting, std::string_view text)
+setting_value parseSettingValue(const setting_descriptor& setting, std::string_view text, time_unit unit)
 {
     const bool isEmptyAllowed = setting.defaultValue && setting.defaultValue->empty();
     if (text.empty() && isEmptyAllowed) {
@@ -148,6 +183,8 @@
         return parseChoice(setting, text);
     case setting_type::Integer:
         return parseInteger(setting, text);
+    case setting_type::Duration:
+        return parseDuration(setting, text, unit);
     case setting_type::Fraction:
         return parseFraction(setting, text);
     case setting_type::Address:
--- a/packages/settings/setting_value.h
+++ b/packages/settings/setting_value.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "model/time.h"
 #include "settings/process_settings.h"
 
 #include <cstdint>
@@ -13,11 +14,17 @@
 struct setting_descriptor;
 
 // A parsed value. The setting_type selects the alternative: a string for Name, Choice and Url, an integer for Integer, a
-// double for Fraction, an address for Address, a list of strings for NameList.
-using setting_value = std::variant<std::string, std::int64_t, double, socket_address, std::vector<std::string>>;
+// duration for Duration, a double for Fraction, an address for Address, a list of strings for NameList.
+using setting_value = std::variant<std::string, std::int64_t, duration, double, socket_address, std::vector<std::string>>;
+
+// Unit in which a Duration is written.
+enum class time_unit {
+    Milliseconds,
+    Seconds,
+};
 
 // Parses a value by the type and range of its descriptor. Throws bad_setting_value, whose message names the fault and a
 // valid form.
-setting_value parseSettingValue(const setting_descriptor&, std::string_view text);
+setting_value parseSettingValue(const setting_descriptor&, std::string_view text, time_unit = time_unit::Milliseconds);
 
 } // namespace appleramp
--- a/packages/settings/settings.cpp
+++ b/packages/settings/settings.cpp
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <fstream>
 #include <istream>
+#include <optional>
 #include <sstream>
 
 namespace appleramp {
@@ -64,27 +65,49 @@
     return setting.roles.empty() || std::find(setting.roles.begin(), setting.roles.end(), role) != setting.roles.end();
 }
 
-void assign(process_settings& settings, const setting_descriptor& setting, std::string_view text, std::string_view file)
+// A value of the file, and the key under which it stands.
+struct given_value {
+    std::string key;
+    std::string text;
+    time_unit unit = time_unit::Milliseconds;
+};
+
+std::optional<given_value> findGiven(const setting_descriptor& setting, const ini_file& ini, std::string_view file)
+{
+    const auto pathOf = [&setting](std::string_view key) { return std::string(setting.section).append(".").append(key); };
+    const std::string key(setting.key);
+    const std::string secondsKey = secondsKeyOf(setting);
+    const bool isGiven = ini->hasProperty(pathOf(key));
+    const bool isGivenInSeconds = !secondsKey.empty() && ini->hasProperty(pathOf(secondsKey));
+    if (isGiven && isGivenInSeconds)
+        throw settings_error(file, setting.section, secondsKey, "sets " + key + " a second time; keep one of them");
+    if (isGivenInSeconds)
+        return given_value { secondsKey, ini->getRawString(pathOf(secondsKey)), time_unit::Seconds };
+    return isGiven ? std::optional(given_value { key, ini->getRawString(pathOf(key)) }) : std::nullopt;
+}
+
+void assign(process_settings& settings, const setting_descriptor& setting, const given_value& given, std::string_view file)
 {
     try {
-        setting.assign(settings, parseSettingValue(setting, text));
+        setting.assign(settings, parseSettingValue(setting, given.text, given.unit));
     } catch (const bad_setting_value& problem) {
-        throw settings_error(file, setting.section, setting.key, problem.what());
+        throw settings_error(file, setting.section, given.key, problem.what());
     }
 }
 
 void readSetting(process_settings& settings, const setting_descriptor& setting, const ini_file& ini, std::string_view file)
 {
-    const std::string path = std::string(setting.section) + '.' + std::string(setting.key);
-    const bool given = ini->hasProperty(path);
+    const auto given = findGiven(setting, ini, file);
     if (!appliesTo(setting, settings.process.role)) {
         if (given)
-            throw settings_error(file, setting.section, setting.key, "only a process of role " + roleNames(setting) + " has this key; remove it");
+            throw settings_error(file, setting.section, given->key, "only a process of role " + roleNames(setting) + " has this key; remove it");
         return;
     }
     if (!given && !setting.defaultValue)
         throw settings_error(file, setting.section, setting.key, "missing; add it: " + std::string(setting.doc));
-    assign(settings, setting, given ? ini->getRawString(path) : std::string(*setting.defaultValue), file);
+    // A template leaves the value empty where the deployment does not state the figure.
+    const bool isStated = given && !(given->text.empty() && setting.defaultValue);
+    assign(settings, setting, isStated ? *given : given_value { std::string(setting.key), std::string(*setting.defaultValue) }, file);
 }
 
 void checkRelatedValues(const process_settings& settings, std::string_view file)
@@ -93,15 +116,17 @@
         throw settings_error(file, "endpoint", "cold_slots", "more than capacity; write at most " + std::to_string(settings.endpoint.capacity));
 }
 
-std::string_view typeName(setting_type type)
+std::string_view typeName(const setting_descriptor& setting)
 {
-    switch (type) {
+    switch (setting.type) {
     case setting_type::Name:
         return "name";
     case setting_type::Choice:
         return "choice";
     case setting_type::Integer:
         return "integer";
+    case setting_type::Duration:
+        return setting.rounding == rounding::Down ? "duration, rounded down" : "duration, rounded up";
     case setting_type::Fraction:
         return "number";
     case setting_type::Address:
@@ -114,10 +139,22 @@
     return "names";
 }
 
+std::string milliseconds(std::int64_t microseconds)
+{
+    constexpr std::int64_t microsecondsPerMillisecond = 1000;
+    if (microseconds % microsecondsPerMillisecond == 0)
+        return std::to_string(microseconds / microsecondsPerMillisecond);
+    std::ostringstream text;
+    text << static_cast<double>(microseconds) / static_cast<double>(microsecondsPerMillisecond);
+    return text.str();
+}
+
 std::string allowedValues(const setting_descriptor& setting)
 {
     if (setting.type == setting_type::Integer)
         return std::to_string(setting.minimum) + " to " + std::to_string(setting.maximum);
+    if (setting.type == setting_type::Duration)
+        return milliseconds(setting.minimum) + " to " + milliseconds(setting.maximum);
     std::string range;
     for (const std::string_view choice : setting.choices)
         range.append(range.empty() ? "" : ", ").append(choice);
@@ -162,7 +199,7 @@
     table << "| --- | --- | --- | --- | --- | --- | --- | --- |\n";
     for (const setting_descriptor& setting : settingDescriptors()) {
         table << "| `" << setting.section << "` | `" << setting.key << "` | "
-              << (setting.roles.empty() ? "all" : roleNames(setting)) << " | " << typeName(setting.type) << " | "
+              << (setting.roles.empty() ? "all" : roleNames(setting)) << " | " << typeName(setting) << " | "
               << setting.unit << " | " << defaultText(setting) << " | " << allowedValues(setting) << " | " << setting.doc
               << " |\n";
     }
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -171,6 +171,17 @@
     assertRefused(entryFile + std::string(70000, ';'), "", "", "longer than 65536 bytes");
 }
 
+Test(settings, a_duration_is_given_once_in_either_unit)
+{
+    const auto poll = [](const std::string& line) { return parse(entryFile + line).platform.pollInterval; };
+    cr_assert(poll("poll_interval_ms = 62.5\n") == std::chrono::microseconds(62'500));
+    cr_assert(poll("poll_interval_s = 1.5\n") == std::chrono::milliseconds(1500));
+    assertRefused(entryFile + "poll_interval_ms = 100\npoll_interval_s = 1\n", "platform", "poll_interval_s", "second time");
+    assertRefused(entryFile + "poll_interval_s = 61\n", "platform", "poll_interval_s", "0.05 to 60");
+    assertRefused(entryFile + "poll_interval_ms = soon\n", "platform", "poll_interval_ms", "not a number");
+    assertRefused(entryFile + "[limits]\nmemory_s = 1\n", "limits", "memory_s", "unknown key");
+}
+
 Test(settings, values_are_not_expanded)
 {
     assertRefused(replaced(entryFile, "entry-1", "${system.env.HOME}"), "process", "instance", "is not a name");
