Settings: SIGHUP says that the next start would fail, and checks name all errors

Cause: SIGHUP told of settings that can't be used in one log line only, and each check ended at its first error.

--- a/packages/applerampd/direct_fleet.cpp
+++ b/packages/applerampd/direct_fleet.cpp
@@ -7,6 +7,7 @@
 #include "platform/store_client.h"
 #include "platform/users_platform.h"
 #include "settings/settings.h"
+#include "settings/settings_error.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -32,23 +33,24 @@
     ::mallopt(M_TRIM_THRESHOLD, keptFreeBytes);
 }
 
-// Validates the settings file on SIGHUP. Its contents apply only from the next start, but errors are reported now.
-void validateReloadedSettings(const std::string& settingsPath)
+// Validates the settings file on SIGHUP, and returns the number of errors. Its contents apply only from the next start, but errors are
+// reported now.
+std::size_t validateReloadedSettings(const std::string& settingsPath)
 {
-    try {
-        loadSettings(settingsPath);
+    const auto problems = findSettingsErrors(settingsPath);
+    for (const settings_error& problem : problems)
+        logError(std::string("the next start will fail: settings file can't be used: ") + problem.what());
+    if (problems.empty())
         logInfo("settings file read again; changes count from the next start");
-    } catch (const error& problem) {
-        logError(std::string("settings file can't be used: ") + problem.what());
-    }
+    return problems.size();
 }
 
 class signal_handler {
 public:
-    signal_handler(boost::asio::io_context& loop, std::function<void()> onStop, std::string settingsPath)
+    signal_handler(boost::asio::io_context& loop, std::function<void()> onStop, std::function<void()> onReload)
         : m_signals(loop, SIGTERM, SIGINT, SIGHUP)
         , m_onStop(std::move(onStop))
-        , m_settingsPath(std::move(settingsPath))
+        , m_onReload(std::move(onReload))
     {
         wait();
     }
@@ -59,17 +61,14 @@
         m_signals.async_wait([this](const boost::system::error_code& cancelled, int received) {
             if (cancelled)
                 return;
-            if (received == SIGHUP)
-                validateReloadedSettings(m_settingsPath);
-            else
-                m_onStop();
+            received == SIGHUP ? m_onReload() : m_onStop();
             wait();
         });
     }
 
     boost::asio::signal_set m_signals;
     std::function<void()> m_onStop;
-    std::string m_settingsPath;
+    std::function<void()> m_onReload;
 };
 
 template <typename Process>
@@ -81,7 +80,10 @@
     const users_platform::platform platform;
     Process process(loop, settings, life, store, platform);
     const signal_handler signals(
-        loop, [&process] { process.requestStop(); }, settingsPath);
+        loop, [&process] { process.requestStop(); }, [&process, &settingsPath] {
+            const std::size_t errors = validateReloadedSettings(settingsPath);
+            if constexpr (requires { process.noteSettingsErrors(errors); })
+                process.noteSettingsErrors(errors); });
     loop.run();
 }
 
--- a/packages/applerampd/main.cpp
+++ b/packages/applerampd/main.cpp
@@ -7,6 +7,7 @@
 #include "runtime/process_clock.h"
 #include "runtime/stop_signal.h"
 #include "settings/settings.h"
+#include "settings/settings_error.h"
 
 #include <gflags/gflags.h>
 
@@ -122,9 +123,12 @@
         return exitUsage;
     }
     try {
+        const auto problems = findSettingsErrors(FLAGS_settings);
+        for (const settings_error& problem : problems)
+            std::cerr << "applerampd: " << problem.what() << '\n';
+        if (!problems.empty() || FLAGS_check_settings)
+            return problems.empty() ? 0 : exitFailure;
         const auto settings = loadSettings(FLAGS_settings);
-        if (FLAGS_check_settings)
-            return 0;
         const incarnation life = newIncarnation();
         installJsonLog({ settings.process.instance, settings.process.zone, life }, logSeverity(settings.observe.logLevel),
             isDirect(settings.process.role) ? STDOUT_FILENO : STDERR_FILENO);
--- a/packages/directentry/direct_entry_process.cpp
+++ b/packages/directentry/direct_entry_process.cpp
@@ -135,6 +135,8 @@
         return { m_callers.port(), m_readiness.port(), m_directory.port(), m_operations.port() };
     }
 
+    void noteSettingsErrors(std::size_t errors) { m_metrics.set(entry_metrics::settingsErrors, static_cast<double>(errors)); }
+
     void requestStop()
     {
         if (m_stopping)
@@ -341,13 +343,10 @@
         setConfigurationGauges(m_metrics, now(), m_reducer, m_followers);
         m_metrics.set(entry_metrics::requestsInFlight, static_cast<double>(m_exchanges.size()));
         m_memory.noteGauges();
-        m_metrics.set(entry_metrics::endpoints, static_cast<double>(m_reducer.fleet().size()));
         m_metrics.set(entry_metrics::linesLeftOut, static_cast<double>(m_log.leftOut()));
         setRestrictionGauges(m_metrics, now(), m_reducer);
         m_metrics.set(entry_metrics::storeCalls, static_cast<double>(m_store.storeCalls()));
         m_metrics.set(entry_metrics::readerAnswers, static_cast<double>(m_store.readerAnswers()));
-        m_metrics.set(entry_metrics::suspects, static_cast<double>(m_reducer.crashes().size()));
-        m_metrics.set(entry_metrics::convictedSuspects, static_cast<double>(m_reducer.crashes().convicted().size()));
         noteSharingGauges(m_metrics, m_reducer);
         setWorkGauges(m_metrics, m_reducer, m_settings.process.zone);
         m_metrics.set(entry_metrics::datagramsDropped, static_cast<double>(m_news.droppedCount()));
@@ -701,4 +700,6 @@
 
 void direct_entry_process::requestStop() { m_implementation->requestStop(); }
 
+void direct_entry_process::noteSettingsErrors(std::size_t errors) { m_implementation->noteSettingsErrors(errors); }
+
 } // namespace appleramp
--- a/packages/directentry/direct_entry_process.h
+++ b/packages/directentry/direct_entry_process.h
@@ -2,6 +2,7 @@
 
 #include "settings/process_settings.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -36,6 +37,8 @@
     direct_entry_ports ports() const;
     // Begins a graceful shutdown; stops the loop when it is complete.
     void requestStop();
+    // Errors that the settings file has for the next start.
+    void noteSettingsErrors(std::size_t errors);
 
 private:
     class implementation;
--- a/packages/directentry/entry_metrics.cpp
+++ b/packages/directentry/entry_metrics.cpp
@@ -18,6 +18,7 @@
 const metric_descriptor configurationAge { "appleramp_configuration_age_seconds", metric_kind::Gauge, "Since the sending of the read that confirmed the configuration." };
 const metric_descriptor configurationVersion { "appleramp_configuration_version", metric_kind::Gauge, "Version of the configuration in force." };
 const metric_descriptor configurationUnreadable { "appleramp_configuration_unreadable", metric_kind::Gauge, "1 while the newest configuration in the store can't be read, else 0." };
+const metric_descriptor settingsErrors { "appleramp_settings_errors", metric_kind::Gauge, "Errors of the settings file at the last SIGHUP, with which the process will not start again." };
 const metric_descriptor requestsInFlight { "appleramp_requests_in_flight", metric_kind::Gauge, "Requests that are being served." };
 const metric_descriptor endpoints { "appleramp_endpoints", metric_kind::Gauge, "Endpoints that are known." };
 const metric_descriptor linesLeftOut { "appleramp_log_lines_left_out", metric_kind::Gauge, "Log lines that were counted only." };
--- a/packages/directentry/entry_metrics.h
+++ b/packages/directentry/entry_metrics.h
@@ -21,6 +21,7 @@
 extern const metric_descriptor configurationAge;
 extern const metric_descriptor configurationVersion;
 extern const metric_descriptor configurationUnreadable;
+extern const metric_descriptor settingsErrors;
 extern const metric_descriptor requestsInFlight;
 extern const metric_descriptor endpoints;
 extern const metric_descriptor linesLeftOut;
--- a/packages/directentry/restriction_gauges.cpp
+++ b/packages/directentry/restriction_gauges.cpp
@@ -19,6 +19,9 @@
 void setRestrictionGauges(metrics_registry& metrics, instant now, const forwarding_reducer& reducer)
 {
     const endpoint_fleet& fleet = reducer.fleet();
+    metrics.set(entry_metrics::endpoints, static_cast<double>(fleet.size()));
+    metrics.set(entry_metrics::suspects, static_cast<double>(reducer.crashes().size()));
+    metrics.set(entry_metrics::convictedSuspects, static_cast<double>(reducer.crashes().convicted().size()));
     metrics.set(entry_metrics::requestsAwaitingPermit, static_cast<double>(reducer.requestsAwaitingPermit()));
     metrics.set(entry_metrics::endpointsPaused, static_cast<double>(fleet.pausedCount(now)));
     metrics.set(entry_metrics::endpointsLimited, static_cast<double>(fleet.limits().limitedCount(now)));
--- a/packages/settings/ini_line_checker.cpp
+++ b/packages/settings/ini_line_checker.cpp
@@ -97,6 +97,9 @@
     const std::string key = trimmed(line.substr(0, equals));
     if (m_section.empty())
         fail(key, "is outside a section; put a section such as [process] before it");
+    // An unknown section was reported with its own line.
+    if (knownKeys(m_section).empty())
+        return;
     if (!isDeclared(m_section, key))
         fail(key, "sets an unknown key; remove it, or write one of" + knownKeys(m_section));
     if (!m_seenKeys.emplace(m_section, key).second)
--- a/packages/settings/settings.cpp
+++ b/packages/settings/settings.cpp
@@ -15,6 +15,7 @@
 #include <istream>
 #include <optional>
 #include <sstream>
+#include <utility>
 
 namespace appleramp {
 
@@ -34,12 +35,23 @@
     return text;
 }
 
-void checkLines(const std::string& text, std::string_view file)
+// Runs the check, and keeps the problem that it throws.
+template <typename Check>
+void collect(std::vector<settings_error>& problems, const Check& check)
+{
+    try {
+        check();
+    } catch (const settings_error& problem) {
+        problems.push_back(problem);
+    }
+}
+
+void checkLines(std::vector<settings_error>& problems, const std::string& text, std::string_view file)
 {
     ini_line_checker checker(file);
     std::istringstream lines(text);
     for (std::string line; std::getline(lines, line);)
-        checker.check(line);
+        collect(problems, [&] { checker.check(line); });
 }
 
 ini_file readIni(const std::string& text, std::string_view file)
@@ -168,30 +180,67 @@
     return setting.defaultValue->empty() ? "empty" : std::string(*setting.defaultValue);
 }
 
-} // namespace
+struct settings_reading {
+    process_settings settings;
+    std::vector<settings_error> problems;
+};
 
-process_settings parseSettings(std::istream& input, std::string_view sourceName)
+settings_reading readSettings(std::istream& input, std::string_view file)
 {
-    const std::string text = readBounded(input, sourceName);
-    checkLines(text, sourceName);
-    const ini_file ini = readIni(text, sourceName);
-    process_settings settings;
-    // The role's descriptor comes first: the role must be known before the other settings are read, since it decides which
-    // keys are allowed.
-    for (const setting_descriptor& setting : settingDescriptors())
-        readSetting(settings, setting, ini, sourceName);
-    checkRelatedValues(settings, sourceName);
-    return settings;
+    settings_reading result;
+    const std::string text = readBounded(input, file);
+    checkLines(result.problems, text, file);
+    ini_file ini;
+    collect(result.problems, [&] { ini = readIni(text, file); });
+    if (!ini)
+        return result;
+    for (const setting_descriptor& setting : settingDescriptors()) {
+        const std::size_t before = result.problems.size();
+        collect(result.problems, [&] { readSetting(result.settings, setting, ini, file); });
+        // The role, which comes first, decides which keys are allowed.
+        const bool isRole = &setting == &settingDescriptors().front();
+        if (isRole && result.problems.size() > before)
+            return result;
+    }
+    if (result.problems.empty())
+        collect(result.problems, [&] { checkRelatedValues(result.settings, file); });
+    return result;
 }
 
-process_settings loadSettings(const std::string& path)
+std::ifstream openSettings(const std::string& path)
 {
     std::ifstream input(path, std::ios::binary);
     if (!input)
         throw settings_error(path, "", "", "can't be opened; check the path and its permissions");
+    return input;
+}
+
+} // namespace
+
+process_settings parseSettings(std::istream& input, std::string_view sourceName)
+{
+    settings_reading reading = readSettings(input, sourceName);
+    if (!reading.problems.empty())
+        throw settings_error(reading.problems.front());
+    return std::move(reading.settings);
+}
+
+process_settings loadSettings(const std::string& path)
+{
+    std::ifstream input = openSettings(path);
     return parseSettings(input, path);
 }
 
+std::vector<settings_error> findSettingsErrors(const std::string& path)
+{
+    std::vector<settings_error> problems;
+    collect(problems, [&] {
+        std::ifstream input = openSettings(path);
+        problems = readSettings(input, path).problems;
+    });
+    return problems;
+}
+
 std::string describeSettings()
 {
     std::ostringstream table;
--- a/tests/processes/applerampd_usage.py
+++ b/tests/processes/applerampd_usage.py
@@ -46,6 +46,10 @@
             assert_refused(with_settings(VALID.replace("zone-a", "a zone"), *flags), 1,
                            "[process] availability_zone", "is not a name")
             assert_refused(with_settings(VALID.replace("role = entry\n", ""), *flags), 1, "[process] role", "missing")
+        several = with_settings(VALID.replace("zone-a", "a zone").replace("callers = 127.0.0.1:0", "callers = here") + "table = x\n", "--check-settings")
+        assert several.returncode == 1 and several.stdout == "" and several.stderr.count("\n") == 3, several
+        for part in ("[platform] table", "[process] availability_zone", "[listen] callers"):
+            assert part in several.stderr, (part, several.stderr)
         assert_refused(run("--settings", str(path) + ".none"), 1, "can't be opened")
         assert_refused(run("--setting", str(path)), 2, "unknown flag '--setting'")
         assert_refused(run(), 2, "name a settings file")
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -5,9 +5,14 @@
 
 #include <criterion/criterion.h>
 
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
 #include <set>
 #include <sstream>
 #include <utility>
+#include <vector>
 
 using namespace appleramp;
 
@@ -182,6 +187,27 @@
     assertRefused(entryFile + "[limits]\nmemory_s = 1\n", "limits", "memory_s", "unknown key");
 }
 
+// An operator who mends one error at a time learns of the next only at the next start.
+Test(settings, all_errors_are_found_at_once)
+{
+    const std::string path = "/tmp/appleramp-settings-" + std::to_string(::getpid()) + ".ini";
+    const auto keysIn = [&path](const std::string& text) {
+        std::ofstream(path) << text;
+        std::vector<std::string> keys;
+        for (const settings_error& problem : findSettingsErrors(path))
+            keys.push_back(problem.key());
+        std::remove(path.c_str());
+        return keys;
+    };
+    cr_assert(keysIn(entryFile).empty());
+    const std::string odd = replaced(replaced(entryFile, "entry-1", "a b"), "127.0.0.1:8080", "here") + "poll_interval_ms = soon\nlevel = info\n[observe]\nlog_level = loud\n";
+    cr_assert((keysIn(odd) == std::vector<std::string> { "level", "instance", "callers", "poll_interval_ms", "log_level" }));
+    // An unknown section is one error, and so is an unknown role.
+    cr_assert((keysIn(entryFile + "[proces]\na = 1\nb = 2\n") == std::vector<std::string> { "" }));
+    cr_assert((keysIn(replaced(entryFile, "role = entry", "role = both")) == std::vector<std::string> { "role" }));
+    cr_assert_eq(findSettingsErrors("/nonexistent/appleramp.ini").size(), 1U);
+}
+
 Test(settings, values_are_not_expanded)
 {
     assertRefused(replaced(entryFile, "entry-1", "${system.env.HOME}"), "process", "instance", "is not a name");
