--- a/tests/directentry/configuration_forms_test.cpp
+++ b/tests/directentry/configuration_forms_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/configuration_decoder.h"
+#include "platform_rows.h"
 #include "store_world.h"
 
 #include <criterion/criterion.h>
@@ -23,19 +23,6 @@
 const std::string unknownKey = "never-was";
 const std::string noKey;
 
-// Reads the configuration as the users' platform writes it.
-class platform_rows : public fake_adapter {
-public:
-    configuration_row readConfigurationRow(const store_row& row) const override { return users_platform::decodeConfigurationRow(row); }
-};
-
-std::string documentOf(unsigned version, const std::string& members)
-{
-    return R"({"version":)" + std::to_string(version)
-        + R"(,"routes":[{"name":"read","host":"a.example","prefix":"/read/","kind":"safe","service":"service","timeout_ms":8000}],)"
-        + R"("services":[{"name":"service"}],"limits":{})" + members + "}";
-}
-
 std::string withTeams(const std::string& teams) { return R"(,"tenants":)" + teams; }
 
 const std::string keptTeam = R"({"name":"one","api_keys":["kept"]})";
--- a/tests/directentry/store_world.cpp
+++ b/tests/directentry/store_world.cpp
@@ -338,8 +338,11 @@
     }
     if (result.sent)
         post(self, attempt_succeeded { local, number });
-    if (result.sent)
+    if (result.sent) {
         m_lastUses[self.name][key] = now();
+        if (m_settings.onSent)
+            m_settings.onSent(self.name, key);
+    }
     if (key == "kept")
         m_outcomes.push_back(result);
     runAfter(self, requestInterval, [this, &self, key] { request(self, key); });
--- a/tests/directentry/store_world.h
+++ b/tests/directentry/store_world.h
@@ -28,6 +28,8 @@
     // Keys with which callers send requests to each entry.
     std::vector<std::string> callerKeys { "kept", "old" };
     std::shared_ptr<const platform_adapter> adapter = std::make_shared<fake_adapter>();
+    // Called when an entry sends a request with that key to an endpoint; may be empty.
+    std::function<void(const std::string& entry, const std::string& key)> onSent;
     // The operator's row before the first change.
     std::string firstConfiguration = "1 kept old";
 };
