Configuration: a cold rate of zero is no missing limit

Callers saw: nothing yet; cold engines of a service that states a rate of zero, or one that can't be read, would have got all that callers send. Change: the rate is optional; a service whose engines start cold has one.

--- a/packages/decisions/forwarding/endpoint_fleet.h
+++ b/packages/decisions/forwarding/endpoint_fleet.h
@@ -57,8 +57,8 @@
     // Entries that share the rate limit of a cold endpoint.
     std::size_t entryCount = 1;
     std::span<const endpoint_id> excludedEndpoints;
-    // The rate that a cold endpoint of this service bears; zero if it is not limited.
-    double coldRequestsPerSecond = 0;
+    // The rate that a cold endpoint of this service bears; absent if it is not limited.
+    std::optional<double> coldRequestsPerSecond;
     // False if other requests go first to endpoints that name a limit.
     bool allowsLimited = true;
     // In [0, 1): selects the random sample of endpoints, and so breaks ties.
--- a/packages/decisions/forwarding/endpoint_fleet_restrictions.cpp
+++ b/packages/decisions/forwarding/endpoint_fleet_restrictions.cpp
@@ -58,11 +58,11 @@
 std::optional<double> endpoint_fleet::coldRequestsPerSecond(const endpoint_state& state, const placement_query& query) const
 {
     // Any endpoint may have turned cold unnoticed, so the limit of cold ones holds for all.
-    if (query.coldRequestsPerSecond <= 0)
+    if (!query.coldRequestsPerSecond)
         return std::nullopt;
     const bool isCold = query.now < state.recordReceivedAt + state.record.coldFor;
-    const double usable = m_settings.usableColdFraction * (query.coldRequestsPerSecond * m_settings.coldRateFactor + m_settings.coldRateAllowance);
-    return std::max(1.0, isCold ? std::min(usable, query.coldRequestsPerSecond) : usable);
+    const double usable = m_settings.usableColdFraction * (*query.coldRequestsPerSecond * m_settings.coldRateFactor + m_settings.coldRateAllowance);
+    return std::max(1.0, isCold ? std::min(usable, *query.coldRequestsPerSecond) : usable);
 }
 
 std::optional<std::uint32_t> endpoint_fleet::fleetRequestsPerSecond(endpoint_state& state, const placement_query& query)
--- a/packages/decisions/forwarding/forwarding_reducer_replacement.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_replacement.cpp
@@ -29,7 +29,7 @@
         .zone = m_settings.zone,
         .entryCount = m_peers.entryCount(now),
         .excludedEndpoints = request.triedEndpoints,
-        .coldRequestsPerSecond = service == nullptr ? 0 : service->coldRequestsPerSecond,
+        .coldRequestsPerSecond = service == nullptr ? std::nullopt : service->coldRequestsPerSecond,
         .allowsLimited = requestsAhead(number, request) == 0,
         .randomFraction = randomFraction() };
     describeWork(request, query);
--- a/packages/decisions/forwarding/forwarding_reducer_shares.cpp
+++ b/packages/decisions/forwarding/forwarding_reducer_shares.cpp
@@ -39,7 +39,7 @@
         .zone = m_settings.zone,
         .entryCount = m_peers.entryCount(now),
         .excludedEndpoints = {},
-        .coldRequestsPerSecond = described == nullptr ? 0 : described->coldRequestsPerSecond };
+        .coldRequestsPerSecond = described == nullptr ? std::nullopt : described->coldRequestsPerSecond };
 }
 
 bool forwarding_reducer::waitForShare(instant now, request_number number, request_state& request, const placement_query& query)
--- a/packages/model/routing.h
+++ b/packages/model/routing.h
@@ -102,8 +102,8 @@
     std::string healthPath;
     // Most connections that an endpoint accepts from all callers together.
     std::uint32_t maxConnections = 0;
-    // Most requests per second that a cold endpoint can handle; zero if endpoints need no warm-up.
-    double coldRequestsPerSecond = 0;
+    // Most requests per second that a cold endpoint can handle, zero if it states none. Absent: endpoints need no warm-up.
+    std::optional<double> coldRequestsPerSecond;
     std::optional<engine_speed> engine;
     std::optional<expert_layout> experts;
 };
--- a/tests/decisions/forwarding/endpoint_fleet_test.cpp
+++ b/tests/decisions/forwarding/endpoint_fleet_test.cpp
@@ -94,6 +94,25 @@
     cr_assert_geq(sum, 20);
 }
 
+// Guards against a stated rate of zero that is taken for no limit.
+Test(endpoint_fleet, a_cold_rate_of_zero_leaves_what_the_deployment_allows_beside_it)
+{
+    int sum = 0;
+    for (int entry = 0; entry < 8; ++entry) {
+        endpoint_fleet fleet = fleetOf({ "e1" });
+        fleet.setEntryPosition(static_cast<double>(entry) / 8);
+        placement_query cold = query(1s);
+        cold.entryCount = 8;
+        cold.coldRequestsPerSecond = 0;
+        while (sum <= 100 && fleet.choose(cold)) {
+            fleet.recordSend(cold.now, endpoint_id("e1"));
+            ++sum;
+        }
+    }
+    cr_assert_leq(sum, 5);
+    cr_assert_geq(sum, 1);
+}
+
 // Pattern: an engine comes back while 46 entries have requests waiting. It is idle, so each of them chooses it first; in no second
 // may it get more than it bears while it is cold. KNOWN-RED seed 624318772991 of hvk-invoicing-grown: FAILBACK once.
 Test(endpoint_fleet, an_endpoint_that_comes_back_gets_no_burst_from_many_entries)
--- a/tests/users_platform/decoders_test.cpp
+++ b/tests/users_platform/decoders_test.cpp
@@ -40,12 +40,26 @@
     cr_assert(decoded.routes[2].kind == route_kind::Idempotent);
     cr_assert_eq(decoded.routes[2].maxAttempts, 1);
     cr_assert_eq(decoded.services[0].experts->placesPerRank, 5);
-    cr_assert_float_eq(decoded.services[0].coldRequestsPerSecond, 28, 1e-9);
+    cr_assert_float_eq(decoded.services[0].coldRequestsPerSecond.value(), 28, 1e-9);
+    cr_assert_not(decoded.services[1].coldRequestsPerSecond.has_value());
     cr_assert(!decoded.services[1].experts);
     cr_assert_eq(decoded.teams->at(0).apiKeys[1], "anfq");
     cr_assert(decoded.limits.idleTimeout == duration(15s));
 }
 
+// A rate of zero was read as no limit, so that a cold engine got all that callers sent.
+Test(configuration_decoder, engines_that_start_cold_are_limited_whatever_rate_is_stated)
+{
+    for (const char* const rate : { "0.0", "0", "null", "\"28\"", "-1" }) {
+        const auto text = replaced(samples::configuration, "\"cold_per_s\":28.0", std::string("\"cold_per_s\":") + rate);
+        const auto decoded = std::get<routing_configuration>(decodeConfigurationRow({ "config", text, 1, false }));
+        cr_assert(decoded.services[0].coldRequestsPerSecond == 0.0, "%s", rate);
+    }
+    const auto text = replaced(samples::configuration, "\"cold_start_s\":3.0", "\"cold_start_s\":\"3.0\"");
+    const auto decoded = std::get<routing_configuration>(decodeConfigurationRow({ "config", text, 1, false }));
+    cr_assert(decoded.services[0].coldRequestsPerSecond == 28.0);
+}
+
 Test(configuration_decoder, a_kind_that_is_not_known_is_not_repeatable)
 {
     const auto text = replaced(samples::configuration, "\"safe\"", "\"unheard\"");
