Configuration: the weights of a split may be fractions

Callers saw: nothing yet; a split of 0.9 and 0.1 would have sent half of the requests to each service. Change: weights are numbers. A service of weight zero is never picked, also where the sum of fractions is a little less than their parts.

--- a/packages/decisions/forwarding/route_table.cpp
+++ b/packages/decisions/forwarding/route_table.cpp
@@ -62,12 +62,16 @@
     const double total = std::accumulate(route.services.begin(), route.services.end(), 0.0,
         [](double sum, const weighted_service& choice) { return sum + choice.weight; });
     double remaining = randomFraction * total;
+    const weighted_service* last = &route.services.back();
     for (const weighted_service& choice : route.services) {
+        if (choice.weight <= 0)
+            continue;
+        last = &choice;
         remaining -= choice.weight;
         if (remaining < 0)
-            return choice.service;
+            break;
     }
-    return route.services.back().service;
+    return last->service;
 }
 
 } // namespace appleramp
--- a/packages/model/routing.h
+++ b/packages/model/routing.h
@@ -22,7 +22,8 @@
 
 struct weighted_service {
     service_id service;
-    std::uint32_t weight = 1;
+    // Share of the requests, relative to the other services of the route.
+    double weight = 1;
 };
 
 struct route {
--- a/tests/decisions/forwarding/route_table_test.cpp
+++ b/tests/decisions/forwarding/route_table_test.cpp
@@ -75,4 +75,8 @@
     cr_assert_eq(pickServiceByWeight(split, 0.89).str(), "nine");
     cr_assert_eq(pickServiceByWeight(split, 0.91).str(), "one");
     cr_assert_eq(pickServiceByWeight(split, 0.999999).str(), "one");
+    split.services = { { service_id("most"), 0.9 }, { service_id("few"), 0.1 }, { service_id("none"), 0 } };
+    cr_assert_eq(pickServiceByWeight(split, 0.89).str(), "most");
+    cr_assert_eq(pickServiceByWeight(split, 0.91).str(), "few");
+    cr_assert_eq(pickServiceByWeight(split, 1).str(), "few");
 }
--- a/tests/users_platform/decoders_test.cpp
+++ b/tests/users_platform/decoders_test.cpp
@@ -47,6 +47,15 @@
     cr_assert(decoded.limits.idleTimeout == duration(15s));
 }
 
+// A weight that is a fraction was read as the default, which split the requests evenly.
+Test(configuration_decoder, weights_may_be_fractions)
+{
+    const auto text = replaced(replaced(samples::configuration, "\"weight\":90", "\"weight\":0.9"), "\"weight\":10", "\"weight\":0.1");
+    const auto decoded = std::get<routing_configuration>(decodeConfigurationRow({ "config", text, 1, false }));
+    cr_assert_float_eq(decoded.routes[0].services[0].weight, 0.9, 1e-9);
+    cr_assert_float_eq(decoded.routes[0].services[1].weight, 0.1, 1e-9);
+}
+
 // A rate of zero was read as no limit, so that a cold engine got all that callers sent.
 Test(configuration_decoder, engines_that_start_cold_are_limited_whatever_rate_is_stated)
 {
