Settings: names and order of the code that reloads

Cause: read as a newcomer would. Change: the handler of SIGHUP has a name, ranges of durations say their unit, and a test holds that the key of each duration ends in its unit.

--- a/packages/applerampd/direct_fleet.cpp
+++ b/packages/applerampd/direct_fleet.cpp
@@ -79,11 +79,14 @@
     users_platform::store_client store(loop, settings.store.address.str());
     const users_platform::platform platform;
     Process process(loop, settings, life, store, platform);
+    const auto onReload = [&process, &settingsPath] {
+        const std::size_t errors = validateReloadedSettings(settingsPath);
+        // Agents have no metrics.
+        if constexpr (requires { process.noteSettingsErrors(errors); })
+            process.noteSettingsErrors(errors);
+    };
     const signal_handler signals(
-        loop, [&process] { process.requestStop(); }, [&process, &settingsPath] {
-            const std::size_t errors = validateReloadedSettings(settingsPath);
-            if constexpr (requires { process.noteSettingsErrors(errors); })
-                process.noteSettingsErrors(errors); });
+        loop, [&process] { process.requestStop(); }, onReload);
     loop.run();
 }
 
--- a/packages/settings/setting_descriptor.cpp
+++ b/packages/settings/setting_descriptor.cpp
@@ -41,7 +41,7 @@
 
 double fraction(const value& v) { return std::get<double>(v); }
 
-constexpr std::int64_t durationRange(duration time) { return time.count(); }
+constexpr std::int64_t inMicroseconds(duration time) { return time.count(); }
 
 using roles = std::vector<process_role>;
 
@@ -145,8 +145,8 @@
             .type = setting_type::Duration,
             .unit = "milliseconds",
             .defaultValue = "500",
-            .minimum = durationRange(std::chrono::milliseconds(50)),
-            .maximum = durationRange(std::chrono::milliseconds(60'000)),
+            .minimum = inMicroseconds(std::chrono::milliseconds(50)),
+            .maximum = inMicroseconds(std::chrono::milliseconds(60'000)),
             .roles = agentFleetRoles,
             .doc = "Time between two reads of the instance list.",
             .assign = [](settings& s, const value& v) { s.platform.pollInterval = time(v); } },
@@ -167,8 +167,8 @@
             .type = setting_type::Duration,
             .unit = "milliseconds",
             .defaultValue = "1000",
-            .minimum = durationRange(std::chrono::milliseconds(100)),
-            .maximum = durationRange(std::chrono::milliseconds(30'000)),
+            .minimum = inMicroseconds(std::chrono::milliseconds(100)),
+            .maximum = inMicroseconds(std::chrono::milliseconds(30'000)),
             .roles = directFleetRoles,
             .doc = "Longest wait of a read for changes; one entry of each zone asks a quiet store this often.",
             .assign = [](settings& s, const value& v) { s.store.poll = time(v); } },
@@ -388,8 +388,8 @@
             .type = setting_type::Duration,
             .unit = "milliseconds",
             .defaultValue = "20000",
-            .minimum = durationRange(std::chrono::milliseconds(100)),
-            .maximum = durationRange(std::chrono::milliseconds(600'000)),
+            .minimum = inMicroseconds(std::chrono::milliseconds(100)),
+            .maximum = inMicroseconds(std::chrono::milliseconds(600'000)),
             .rounding = rounding::Up,
             .doc = "Longest silence while a request arrives, and longest time for its body to arrive whole.",
             .assign = [](settings& s, const value& v) { s.limits.requestReadTimeout = time(v); } },
@@ -434,8 +434,8 @@
             .type = setting_type::Duration,
             .unit = "milliseconds",
             .defaultValue = "0",
-            .minimum = durationRange(std::chrono::milliseconds(0)),
-            .maximum = durationRange(std::chrono::milliseconds(10'000)),
+            .minimum = inMicroseconds(std::chrono::milliseconds(0)),
+            .maximum = inMicroseconds(std::chrono::milliseconds(10'000)),
             .roles = directEntryRole,
             .doc = "Longest wait of a request that arrives while the process starts, at most a third of its caller's time; 0 refuses it.",
             .assign = [](settings& s, const value& v) { s.entry.startWait = time(v); } },
--- a/packages/settings/setting_descriptor.h
+++ b/packages/settings/setting_descriptor.h
@@ -57,7 +57,7 @@
 // All keys that a settings file may contain, in the order of the reference table.
 std::span<const setting_descriptor> settingDescriptors();
 
-// The key under which a Duration is given in seconds, such as grace_s for grace_ms; empty for settings of other types.
+// The key under which a Duration, whose own key ends in _ms, is given in seconds: grace_s for grace_ms. Empty for other types.
 std::string secondsKeyOf(const setting_descriptor&);
 
 } // namespace appleramp
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -225,6 +225,8 @@
         cr_assert(table.find("`" + key + "`") != std::string::npos, "%s", key.c_str());
         if (setting.type == setting_type::Integer)
             cr_assert(!setting.unit.empty() && setting.minimum < setting.maximum, "%s", key.c_str());
+        if (setting.type == setting_type::Duration)
+            cr_assert(key.ends_with("_ms") && setting.unit == "milliseconds" && setting.minimum < setting.maximum, "%s", key.c_str());
         if (setting.defaultValue)
             parseSettingValue(setting, *setting.defaultValue);
     }
