Settings: what the linter found

Cause: a capture that agents don't use, and temporary strings in a test. Change: an overload for agents in place of a condition at compile time.

--- a/packages/applerampd/direct_fleet.cpp
+++ b/packages/applerampd/direct_fleet.cpp
@@ -45,6 +45,11 @@
     return problems.size();
 }
 
+void noteSettingsErrors(direct_entry_process& process, std::size_t errors) { process.noteSettingsErrors(errors); }
+
+// Agents have no metrics; the log has the errors.
+void noteSettingsErrors(direct_agent_process&, std::size_t) { }
+
 class signal_handler {
 public:
     signal_handler(boost::asio::io_context& loop, std::function<void()> onStop, std::function<void()> onReload)
@@ -79,12 +84,7 @@
     users_platform::store_client store(loop, settings.store.address.str());
     const users_platform::platform platform;
     Process process(loop, settings, life, store, platform);
-    const auto onReload = [&process, &settingsPath] {
-        const std::size_t errors = validateReloadedSettings(settingsPath);
-        // Agents have no metrics.
-        if constexpr (requires { process.noteSettingsErrors(errors); })
-            process.noteSettingsErrors(errors);
-    };
+    const auto onReload = [&process, &settingsPath] { noteSettingsErrors(process, validateReloadedSettings(settingsPath)); };
     const signal_handler signals(
         loop, [&process] { process.requestStop(); }, onReload);
     loop.run();
--- a/tests/directentry/team_changes_test.cpp
+++ b/tests/directentry/team_changes_test.cpp
@@ -40,7 +40,7 @@
         return {};
     std::string teams;
     for (const std::string& key : *keys)
-        teams.append(teams.empty() ? "" : ",").append(R"({"name":"team-)" + key + R"(","api_keys":[")" + key + R"("]})");
+        teams.append(teams.empty() ? "" : ",").append(R"({"name":"team-)").append(key).append(R"(","api_keys":[")").append(key).append(R"("]})");
     return R"(,"tenants":[)" + teams + "]";
 }
 
